--- /dev/null
+++ b/benches/claims.rs
@@ -0,0 +1,3 @@
+//! Measures; filled in by the module that it belongs to.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cyclamenrill.rs
@@ -0,0 +1,3 @@
+//! A thin program around the library.
+
+fn main() {}
--- /dev/null
+++ b/src/id.rs
@@ -0,0 +1,40 @@
+//! Aliases for the ids that the modules share.
+//!
+//! Names are shared strings because one name stands in many tables.
+
+use std::sync::Arc;
+
+/// A name that is cheap to clone.
+pub type Name = Arc<str>;
+/// A request of a caller, given by the daemon that accepted it.
+pub type Request = uuid::Uuid;
+/// An idempotency key that a caller chose.
+pub type Key = Name;
+/// One try at running a stage of a request; unique within the request.
+pub type Attempt = u32;
+/// A daemon process; a replaced VM is a new daemon.
+pub type Daemon = Name;
+/// An endpoint VM; an address used again by a new VM is a new endpoint.
+pub type Endpoint = Name;
+/// A workspace.
+pub type Workspace = Name;
+/// A pipeline.
+pub type Pipeline = Name;
+/// A stage, unique within its pipeline.
+pub type Stage = Name;
+/// A pool of endpoints.
+pub type Pool = Name;
+/// An availability zone.
+pub type Zone = Name;
+/// A region.
+pub type Region = Name;
+/// A model version.
+pub type Version = Name;
+/// A position in a stream of the platform's log.
+pub type Offset = u64;
+/// A revision of the configuration: the offset of the last accepted change.
+pub type Revision = u64;
+/// A fencing token: the offset of the record that acquired the lease.
+pub type Fence = u64;
+/// A SHA-256 digest in lower-case hexadecimal.
+pub type Digest = Name;
--- /dev/null
+++ b/src/lease.rs
@@ -0,0 +1,1 @@
+//! Leases: agreed through the log, with the offset of the acquiring record as fencing token.
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,1 @@
+//! The ledger: what each stage and workspace spends.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,36 @@
+//! Cyclamenrill serves multi-stage model pipelines: it stands between callers and endpoints.
+//!
+//! Decisions are state machines that do no I/O; threads, sockets and channels are a shell
+//! around them. See [the architecture](../docs/ARCHITECTURE.md).
+
+#[macro_use]
+mod derive;
+
+pub mod claim;
+pub mod clock;
+pub mod config;
+pub mod control;
+pub mod daemon;
+pub mod demo;
+pub mod endpoint;
+pub mod entry;
+pub mod generated;
+pub mod id;
+pub mod lease;
+pub mod ledger;
+pub mod limit;
+pub mod load;
+pub mod member;
+pub mod operate;
+pub mod order;
+pub mod peer;
+pub mod pipeline;
+pub mod platform;
+pub mod policy;
+pub mod quarantine;
+pub mod retry;
+pub mod route;
+pub mod settings;
+pub mod standin;
+pub mod telemetry;
+pub mod timeline;
--- /dev/null
+++ b/src/limit.rs
@@ -0,0 +1,1 @@
+//! Limits: admission, queues and fairness among workspaces.
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,1 @@
+//! An open-loop load generator for callers' requests.
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,1 @@
+//! Membership of daemons and endpoints.
--- /dev/null
+++ b/src/order.rs
@@ -0,0 +1,1 @@
+//! Orders to engines: reconciliation, nightly upgrades and role changes.
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retries and hedges under budgets.
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,1 @@
+//! Routing: the choice of an endpoint for a stage.
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics.
--- /dev/null
+++ b/src/timeline.rs
@@ -0,0 +1,161 @@
+//! The time line of events over all processes, ordered by a hybrid logical clock.
+//!
+//! See [the operators' page](../docs/operators/timeline.md).
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use crate::clock::Clock;
+use crate::id;
+
+/// Events that a daemon keeps for collection.
+pub const CAPACITY: usize = 65_536;
+
+token! {
+    /// A hybrid logical time: the wall clock, made causal by a counter.
+    pub struct Stamp {
+        /// Microseconds since the Unix epoch.
+        pub wall: u64,
+        /// Orders events of the same microsecond.
+        pub counter: u32,
+    }
+
+    /// What an event is about.
+    pub enum Kind {
+        /// A request arrived, was placed, retried, hedged or answered.
+        Request,
+        /// A call to an endpoint began or ended.
+        Call,
+        /// A claim was asked for or decided.
+        Claim,
+        /// A change of configuration was folded.
+        Config,
+        /// A daemon or endpoint joined, was suspected, left or died.
+        Member,
+        /// A lease was acquired, renewed or lost.
+        Lease,
+        /// An order was given to an engine.
+        Order,
+        /// A request's content was blamed or refused.
+        Quarantine,
+        /// The daemon started, drained or stopped.
+        Daemon,
+    }
+}
+
+value! {
+    /// One event of a time line.
+    pub struct Event {
+        /// When, causally.
+        pub at: Stamp,
+        /// The daemon that saw it.
+        pub daemon: id::Daemon,
+        /// What it is about.
+        pub kind: Kind,
+        /// The request, if it concerns one.
+        pub request: Option<id::Request>,
+        /// The endpoint, if it concerns one.
+        pub endpoint: Option<id::Endpoint>,
+        /// What happened, in a few words.
+        pub what: String,
+    }
+}
+
+struct State {
+    last: Stamp,
+    events: VecDeque<Event>,
+}
+
+/// Keeps the recent events of one daemon.
+pub struct Recorder {
+    daemon: id::Daemon,
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+}
+
+impl Recorder {
+    /// Makes an empty recorder.
+    pub fn new(daemon: id::Daemon, clock: Arc<dyn Clock>) -> Self {
+        let state = State {
+            last: Stamp {
+                wall: 0,
+                counter: 0,
+            },
+            events: VecDeque::new(),
+        };
+        Self {
+            daemon,
+            clock,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn micros(&self) -> u64 {
+        self.clock
+            .wall()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(0, |d| u64::try_from(d.as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns a stamp later than all before; it travels with messages to other daemons.
+    pub fn stamp(&self) -> Stamp {
+        let wall = self.micros();
+        let mut state = self.state.lock();
+        state.last = next(state.last, wall);
+        state.last
+    }
+
+    /// Learns the stamp of a message, so that what follows is ordered after it.
+    pub fn witness(&self, seen: Stamp) {
+        let wall = self.micros();
+        let mut state = self.state.lock();
+        state.last = next(state.last.max(seen), wall);
+    }
+
+    /// Records an event.
+    pub fn record(
+        &self,
+        kind: Kind,
+        request: Option<id::Request>,
+        endpoint: Option<id::Endpoint>,
+        what: impl Into<String>,
+    ) {
+        let event = Event {
+            at: self.stamp(),
+            daemon: self.daemon.clone(),
+            kind,
+            request,
+            endpoint,
+            what: what.into(),
+        };
+        let mut state = self.state.lock();
+        if state.events.len() == CAPACITY {
+            state.events.pop_front();
+        }
+        state.events.push_back(event);
+    }
+
+    /// Returns the events after `since`.
+    pub fn since(&self, since: Stamp) -> Vec<Event> {
+        let state = self.state.lock();
+        state
+            .events
+            .iter()
+            .filter(|e| e.at > since)
+            .cloned()
+            .collect()
+    }
+}
+
+fn next(last: Stamp, wall: u64) -> Stamp {
+    if wall > last.wall {
+        Stamp { wall, counter: 0 }
+    } else {
+        Stamp {
+            wall: last.wall,
+            counter: last.counter + 1,
+        }
+    }
+}
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,6 @@
+//! Whole-program tests.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod docs;
+mod schema;
