Add the adaptive policy

Cause: the naive policy has no limits, budgets or notion of health. Change: admission by predicted time, fair bounded queues, adaptive concurrency, power of two choices over a score with prefix affinity, ejection with probing, retry and hedge budgets, learnt deadlines over stages, the regional link's budget and balanced subsets. Knobs are typed, checked against their limits and changed at run time by scope.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,10 @@
 use crate::clock::Time;
 use crate::{endpoint, id};
 
+pub mod adaptive;
+pub mod deadline;
+pub mod knobs;
+pub mod latency;
 pub mod naive;
 
 event! {
@@ -200,6 +204,8 @@
         Candidates(Vec<Candidate>),
         /// An endpoint is leaving.
         Leaving(id::Endpoint),
+        /// Knobs of a scope, exceptions applied; none takes the scope's exception back.
+        Knobs(knobs::Scope, Option<Box<knobs::Knobs>>),
     }
 }
 
--- /dev/null
+++ b/src/policy/adaptive/learning.rs
@@ -0,0 +1,251 @@
+//! Learning from what happened.
+
+use std::time::Duration;
+
+use super::{Adaptive, Flight, Mechanism};
+use crate::clock::Time;
+use crate::policy::{End, Observation};
+use crate::route::table::Members;
+use crate::{endpoint, id};
+
+/// Weight of a new sample in a pool's means.
+const ALPHA: f64 = 0.02;
+/// Samples of an endpoint before it is compared with its peers.
+const COMPARABLE: u32 = 4;
+/// How often the median of a pool's latencies is computed.
+const REFRESH: Duration = Duration::from_millis(100);
+/// Multiple of a pool's median latency that counts as congestion without reports of load.
+const CONGESTED: f64 = 3.0;
+
+/// A call that ended.
+struct Ended<'a> {
+    flight: Flight,
+    request: id::Request,
+    pipeline: &'a id::Pipeline,
+    index: usize,
+    latency: Duration,
+    end: &'a End,
+}
+
+impl Adaptive {
+    pub(super) fn learn(&mut self, observation: &Observation, now: Time) {
+        match observation {
+            Observation::Ended {
+                request,
+                attempt,
+                pipeline,
+                index,
+                latency,
+                end,
+                ..
+            } => {
+                let Some(flight) = self.flights.swap_remove(&(*request, *attempt)) else {
+                    return;
+                };
+                let ended = Ended {
+                    flight,
+                    request: *request,
+                    pipeline,
+                    index: *index,
+                    latency: *latency,
+                    end,
+                };
+                self.finish(&ended, now);
+            }
+            Observation::Left { request, .. } => self.leave(*request),
+            Observation::Load { endpoint, load } => self.report(endpoint, load, now),
+            Observation::Cache { endpoint, cache } => self.cached(endpoint, cache),
+            Observation::Candidates(list) => {
+                let gone = self.table.replace(list, now);
+                self.resize(&gone);
+            }
+            Observation::Leaving(endpoint) => {
+                if let Some(entry) = self.table.get_mut(endpoint) {
+                    entry.candidate.leaving = true;
+                }
+            }
+            Observation::Knobs(scope, knobs) => {
+                match knobs {
+                    Some(knobs) => self.sheet.set(scope, (**knobs).clone()),
+                    None => self.sheet.clear(scope),
+                }
+                self.link
+                    .set_rate(self.bandwidth * self.sheet.pool("").link_share);
+                self.resize(&[]);
+            }
+        }
+    }
+
+    fn resize(&mut self, gone: &[id::Endpoint]) {
+        for (name, pool) in &mut self.pools {
+            let width = self.table.members(name).map_or(1, Members::width);
+            let most = self.sheet.pool(name).max_in_flight;
+            pool.limit.resize(width, most);
+            for endpoint in gone {
+                pool.affinity.forget(endpoint);
+            }
+        }
+    }
+
+    fn report(&mut self, endpoint: &id::Endpoint, load: &endpoint::Load, now: Time) {
+        self.table.report(endpoint, load, now);
+        let Some(name) = self.table.get(endpoint).map(|e| e.candidate.pool.clone()) else {
+            return;
+        };
+        let (mut sum, mut count) = (0.0, 0.0);
+        if let Some(members) = self.table.members(&name) {
+            let waiting = members
+                .near()
+                .filter_map(|i| self.table.entry(i))
+                .filter(|e| !e.breaker.is_ejected())
+                .filter_map(|e| e.waiting(now));
+            for value in waiting {
+                sum += value;
+                count += 1.0;
+            }
+        }
+        self.pool(&name).waiting = (count > 0.0).then(|| sum / count);
+    }
+
+    fn cached(&mut self, endpoint: &id::Endpoint, cache: &endpoint::Cache) {
+        let Some(name) = self.table.get(endpoint).map(|e| e.candidate.pool.clone()) else {
+            return;
+        };
+        let index = &mut self.pool(&name).affinity;
+        index.apply(endpoint, cache.sequence, &cache.added, &cache.removed);
+    }
+
+    fn finish(&mut self, ended: &Ended<'_>, now: Time) {
+        let flight = &ended.flight;
+        if let Some(entry) = self.table.get_mut(&flight.endpoint) {
+            entry.end(now);
+            if flight.is_suspect {
+                entry.is_alone = false;
+            }
+        }
+        if let Some(pool) = self.pools.get_mut(&flight.pool) {
+            pool.in_flight = pool.in_flight.saturating_sub(1);
+        }
+        match ended.end {
+            End::Answered(_) => self.answered(ended, now),
+            End::Failed(error) => self.failed(ended, error, now),
+            End::Cancelled => self.cancelled(ended, now),
+        }
+    }
+
+    fn answered(&mut self, ended: &Ended<'_>, now: Time) {
+        let seconds = ended.latency.as_secs_f64();
+        self.forecast
+            .record(ended.pipeline, ended.index, ended.latency);
+        let cost = self.admitted.get(&ended.request).map(|a| a.cost);
+        self.pass(ended.request, ended.index);
+        if let Some(entry) = self.table.get_mut(&ended.flight.endpoint) {
+            entry.learn(seconds);
+            if entry.breaker.succeed() {
+                entry.restart(now);
+            }
+        }
+        let pool = self.pool(&ended.flight.pool);
+        pool.latency.record(seconds, ALPHA);
+        if let Some(cost) = cost {
+            pool.cost.record(cost as f64, ALPHA);
+        }
+        if ended.flight.has_prefixes {
+            pool.affinity.record(ended.flight.is_hit, seconds);
+        }
+        self.adapt(ended, now);
+        self.compare(&ended.flight, now);
+    }
+
+    /// Adapts the pool's limit after an answer.
+    fn adapt(&mut self, ended: &Ended<'_>, now: Time) {
+        let name = &ended.flight.pool;
+        let target = self.sheet.pool(name).waiting_target;
+        let median = self.table.members(name).and_then(|m| m.median);
+        let Some(pool) = self.pools.get_mut(name) else {
+            return;
+        };
+        let is_congested = match (pool.waiting, median) {
+            (Some(waiting), _) => waiting > target,
+            (None, Some(median)) => ended.latency.as_secs_f64() > CONGESTED * median,
+            (None, None) => false,
+        };
+        if is_congested {
+            pool.limit.shrink(ended.latency, now);
+        } else {
+            pool.limit.grow(pool.in_flight);
+        }
+    }
+
+    fn failed(&mut self, ended: &Ended<'_>, error: &endpoint::Error, now: Time) {
+        let flight = &ended.flight;
+        if matches!(error, endpoint::Error::Refused { leaving: true, .. }) {
+            if let Some(entry) = self.table.get_mut(&flight.endpoint) {
+                entry.breaker.cancel(now);
+                entry.candidate.leaving = true;
+            }
+            return;
+        }
+        let knobs = self.sheet.pool(&flight.pool);
+        let (most, share, base) = (knobs.eject_failures, knobs.eject_share, knobs.eject_time);
+        let mut is_over = false;
+        if let Some(entry) = self.table.get_mut(&flight.endpoint) {
+            if matches!(error, endpoint::Error::Timeout { .. }) {
+                entry.learn(ended.latency.as_secs_f64());
+            }
+            entry.breaker.fail(base, now);
+            is_over = entry.breaker.failures() >= most && !entry.breaker.is_ejected();
+        }
+        if is_over {
+            self.eject(&flight.endpoint, &flight.pool, share, base, now);
+        }
+    }
+
+    /// A cancelled call took at least as long as it ran; only that is learnt.
+    fn cancelled(&mut self, ended: &Ended<'_>, now: Time) {
+        let seconds = ended.latency.as_secs_f64();
+        if let Some(entry) = self.table.get_mut(&ended.flight.endpoint) {
+            entry.breaker.cancel(now);
+            if entry.latency.get().is_some_and(|mean| seconds > mean) {
+                entry.learn(seconds);
+            }
+        }
+        self.compare(&ended.flight, now);
+    }
+
+    /// Ejects an endpoint that is much slower than its peers.
+    fn compare(&mut self, flight: &Flight, now: Time) {
+        let pool = self.pool(&flight.pool);
+        if now >= pool.refreshed + REFRESH {
+            pool.refreshed = now;
+            self.table.refresh(&flight.pool);
+        }
+        let knobs = self.sheet.pool(&flight.pool);
+        let (outlier, share, base) = (knobs.eject_outlier, knobs.eject_share, knobs.eject_time);
+        let median = self.table.members(&flight.pool).and_then(|m| m.median);
+        let (Some(median), Some(entry)) = (median, self.table.get(&flight.endpoint)) else {
+            return;
+        };
+        let is_slow = entry.latency.samples() >= COMPARABLE
+            && entry.latency.get().is_some_and(|l| l > outlier * median);
+        if is_slow && !entry.breaker.is_ejected() {
+            self.eject(&flight.endpoint, &flight.pool, share, base, now);
+        }
+    }
+
+    fn eject(
+        &mut self,
+        endpoint: &id::Endpoint,
+        pool: &id::Pool,
+        share: f64,
+        base: Duration,
+        now: Time,
+    ) {
+        if !self.is_on(Mechanism::Ejection) || !self.table.may_eject(pool, share) {
+            return;
+        }
+        if let Some(entry) = self.table.get_mut(endpoint) {
+            entry.breaker.eject(base, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/adaptive/retrying.rs
@@ -0,0 +1,81 @@
+//! Retries and hedges under the budgets of their pool.
+
+use std::time::Duration;
+
+use super::{Adaptive, Mechanism};
+use crate::clock::Time;
+use crate::policy::{Ask, Pick, Retry};
+use crate::retry::backoff;
+use crate::{endpoint, id};
+
+/// The most attempts of one stage.
+const MAX_ATTEMPTS: usize = 4;
+
+impl Adaptive {
+    pub(super) fn retry_stage(&mut self, ask: &Ask, error: &endpoint::Error, now: Time) -> Retry {
+        let may_repeat = ask.repeatable || error.is_not_run();
+        let tries = ask.exclude.len();
+        if !may_repeat || ask.suspect || tries >= MAX_ATTEMPTS {
+            return Retry::Stop;
+        }
+        let is_leaving = matches!(error, endpoint::Error::Refused { leaving: true, .. });
+        let base = self.sheet.pool(&ask.pool).retry_base;
+        let attempt = u32::try_from(tries.saturating_sub(1)).unwrap_or(u32::MAX);
+        let delay = if is_leaving {
+            Duration::ZERO
+        } else {
+            backoff(base, attempt, &mut self.rng)
+        };
+        if now + delay + self.forecast.least(&ask.pipeline, ask.index) >= ask.deadline {
+            return Retry::Stop;
+        }
+        if !self.is_on(Mechanism::Retry) {
+            return Retry::Stop;
+        }
+        let is_free = is_leaving || !self.is_on(Mechanism::RetryBudget);
+        if is_free || self.pool(&ask.pool).retries.spend() {
+            Retry::After(delay)
+        } else {
+            Retry::Stop
+        }
+    }
+
+    /// When a call should be hedged, if at all.
+    pub(super) fn hedge_after(&self, ask: &Ask, now: Time) -> Option<Duration> {
+        if !ask.repeatable || ask.suspect || !self.is_on(Mechanism::Hedge) {
+            return None;
+        }
+        let quantile = self.sheet.pool(&ask.pool).hedge_quantile;
+        let after = self.forecast.quantile(&ask.pipeline, ask.index, quantile)?;
+        let least = self.forecast.least(&ask.pipeline, ask.index);
+        (now + after + least < ask.deadline).then_some(after)
+    }
+
+    pub(super) fn hedge_stage(&mut self, ask: &Ask, now: Time) -> Option<Pick> {
+        if !ask.repeatable || ask.suspect || !self.is_on(Mechanism::Hedge) {
+            return None;
+        }
+        let pool = self.pools.get(&ask.pool)?;
+        if pool.is_full() || !pool.hedges.has_one() {
+            return None;
+        }
+        let busy = self.running(ask);
+        let pick = self.choose_near(ask, &busy, now)?;
+        if !self.pool(&ask.pool).hedges.spend() {
+            return None;
+        }
+        self.begin(ask, &pick, now);
+        Some(Pick {
+            hedge_after: None,
+            ..pick
+        })
+    }
+
+    /// The endpoints that run other attempts of the request now.
+    fn running(&self, ask: &Ask) -> Vec<id::Endpoint> {
+        (0..=ask.attempt)
+            .filter_map(|attempt| self.flights.get(&(ask.request, attempt)))
+            .map(|flight| flight.endpoint.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/policy/adaptive/tests.rs
@@ -0,0 +1,95 @@
+//! Tests of the adaptive policy as a whole.
+
+use std::time::Duration;
+
+use super::*;
+use crate::policy::{Candidate, End};
+
+mod budgets;
+mod choice;
+mod fairness;
+
+const NOW: Time = Duration::from_secs(100);
+const DEADLINE: Duration = Duration::from_secs(3);
+
+fn candidate(name: &str, zone: &str, region: &str) -> Candidate {
+    Candidate {
+        endpoint: name.into(),
+        address: format!("{name}:1"),
+        pool: "menu-model".into(),
+        zone: zone.into(),
+        region: region.into(),
+        leaving: false,
+    }
+}
+
+fn fleet(count: usize) -> Vec<Candidate> {
+    (0..count)
+        .map(|n| candidate(&format!("e{n}"), "tallinn-a", "tallinn"))
+        .collect()
+}
+
+fn policy(candidates: &[Candidate]) -> Adaptive {
+    let mut policy = Adaptive::builder("tallinn-a", "tallinn")
+        .kind("menu-model", Kind::Engine)
+        .seed(7)
+        .build();
+    let list = Observation::Candidates(candidates.to_vec());
+    policy.observe(&list, Time::ZERO);
+    policy
+}
+
+fn ask(number: u128) -> Ask {
+    Ask {
+        request: uuid::Uuid::from_u128(number),
+        attempt: 0,
+        workspace: "school".into(),
+        pipeline: "menu".into(),
+        index: 0,
+        stage: "draft".into(),
+        pool: "menu-model".into(),
+        rest: Vec::new(),
+        repeatable: true,
+        deadline: NOW + DEADLINE,
+        priority: 4,
+        cost: 100,
+        bytes: 1000,
+        prefixes: Vec::new(),
+        exclude: Vec::new(),
+        region: None,
+        version: None,
+        suspect: false,
+    }
+}
+
+fn ended(ask: &Ask, pick: &Pick, ms: u64, end: End) -> Observation {
+    Observation::Ended {
+        request: ask.request,
+        attempt: ask.attempt,
+        endpoint: pick.endpoint.clone(),
+        pool: ask.pool.clone(),
+        pipeline: ask.pipeline.clone(),
+        index: ask.index,
+        latency: Duration::from_millis(ms),
+        end,
+    }
+}
+
+fn answered() -> End {
+    End::Answered(endpoint::Usage::default())
+}
+
+fn failed() -> End {
+    End::Failed(endpoint::Error::Failed {
+        step: "call",
+        peer: "e0".into(),
+        reason: "boom".into(),
+    })
+}
+
+fn send(policy: &mut Adaptive, ask: &Ask, now: Time) -> Option<Pick> {
+    match policy.place(ask, now) {
+        Placement::Send(pick) => Some(pick),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/policy/adaptive/tests/fairness.rs
@@ -0,0 +1,121 @@
+//! Tests of admission, queues and fairness.
+
+use super::*;
+
+fn arrival(number: u128, workspace: &str) -> Arrival {
+    Arrival {
+        request: uuid::Uuid::from_u128(number),
+        workspace: workspace.into(),
+        pipeline: "menu".into(),
+        pools: vec!["menu-model".into()],
+        deadline: NOW + DEADLINE,
+        priority: 4,
+        cost: 100,
+    }
+}
+
+/// A policy that knows a stage of half a second on four endpoints.
+fn learnt() -> Adaptive {
+    let mut policy = policy(&fleet(4));
+    for number in 0..50 {
+        policy.admit(&arrival(10_000 + number, "warm"), Time::ZERO);
+        let next = ask(10_000 + number);
+        let pick = send(&mut policy, &next, NOW).unwrap();
+        policy.observe(&ended(&next, &pick, 500, answered()), NOW);
+        let left = Observation::Left {
+            request: next.request,
+            attained: true,
+        };
+        policy.observe(&left, NOW);
+    }
+    policy
+}
+
+#[test]
+fn admit_greedy_workspace_is_refused_and_others_are_not() {
+    let mut policy = learnt();
+    let mut refused = 0;
+    for number in 0..1000 {
+        let admission = policy.admit(&arrival(number, "greedy"), NOW);
+        refused += u32::from(admission != Admission::Run);
+    }
+    assert!(refused > 500, "{refused}");
+    let other = policy.admit(&arrival(5000, "school"), NOW);
+    assert_eq!(other, Admission::Run);
+}
+
+#[test]
+fn admit_low_priority_is_refused_first() {
+    let mut policy = learnt();
+    let mut number = 0;
+    while policy.admit(&arrival(number, "greedy"), NOW) == Admission::Run {
+        number += 1;
+    }
+    let mut urgent = arrival(5000, "greedy");
+    urgent.priority = 0;
+    assert_eq!(policy.admit(&urgent, NOW), Admission::Run);
+}
+
+#[test]
+fn admit_state_of_finished_requests_is_dropped() {
+    let policy = learnt();
+    assert_eq!(policy.admitted.len(), 0);
+    assert_eq!(policy.flights.len(), 0);
+    let pool = &policy.pools["menu-model"];
+    assert_eq!((pool.pending, pool.by_workspace.len()), (0, 0));
+}
+
+#[test]
+fn place_full_pool_waits_then_gets_its_turn() {
+    let mut policy = policy(&fleet(1));
+    let mut sent = Vec::new();
+    let mut waiting = Vec::new();
+    for number in 0..10 {
+        let next = ask(number);
+        match policy.place(&next, NOW) {
+            Placement::Send(pick) => sent.push((next, pick)),
+            Placement::Wait => waiting.push(next),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!((sent.len(), waiting.len()), (4, 6));
+    assert!(policy.ready(NOW).is_empty());
+    let (first, pick) = sent.remove(0);
+    policy.observe(&ended(&first, &pick, 50, answered()), NOW);
+    let tickets = policy.ready(NOW);
+    assert!(!tickets.is_empty());
+    assert!(policy.ready(NOW).is_empty(), "each is returned once");
+    let turn = waiting
+        .iter()
+        .find(|a| a.request == tickets[0].request)
+        .unwrap();
+    assert!(send(&mut policy, turn, NOW).is_some());
+}
+
+#[test]
+fn ready_late_waiter_is_refused() {
+    let mut policy = policy(&fleet(1));
+    for number in 0..5 {
+        policy.place(&ask(number), NOW);
+    }
+    let late = NOW + DEADLINE;
+    let tickets = policy.ready(late);
+    assert_eq!(tickets.len(), 1);
+    let placement = policy.place(&ask(4), late);
+    assert!(matches!(placement, Placement::Refuse { .. }));
+}
+
+#[test]
+fn abandon_waiting_leaves_no_state() {
+    let mut policy = policy(&fleet(1));
+    for number in 0..5 {
+        policy.place(&ask(number), NOW);
+    }
+    let ticket = Ticket {
+        request: uuid::Uuid::from_u128(4),
+        attempt: 0,
+    };
+    policy.abandon(&ticket, NOW);
+    assert!(policy.pools["menu-model"].queue.is_empty());
+    assert_eq!(policy.next_wake(), None);
+}
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,1 +1,33 @@
 //! Routing: the choice of an endpoint for a stage.
+//!
+//! See [the design note](../docs/design/policy.md).
+
+pub mod affinity;
+pub mod entry;
+pub mod health;
+pub mod link;
+pub mod subset;
+pub mod table;
+
+token! {
+    /// What a pool's endpoints do, which decides what suits their routing.
+    pub enum Kind {
+        /// Computes embeddings; short calls of even length.
+        Encoder,
+        /// Finds passages.
+        Retriever,
+        /// Orders passages.
+        Reranker,
+        /// Generates tokens; keeps prompt prefixes in its cache.
+        Engine,
+        /// A plain service.
+        Service,
+    }
+}
+
+impl Kind {
+    /// Whether prompt prefixes matter to the choice.
+    pub fn has_prefix_cache(self) -> bool {
+        self == Self::Engine
+    }
+}
--- /dev/null
+++ b/src/route/affinity.rs
@@ -0,0 +1,169 @@
+//! Prompt-prefix affinity from late and gappy cache events.
+//!
+//! A stale entry costs a prefill, never a wrong answer, so that entries are hints: what they are
+//! worth is learnt from the calls that followed them.
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::id;
+use crate::policy::latency::Mean;
+
+/// The most prefixes remembered for one endpoint.
+const MAX_PREFIXES: usize = 4096;
+/// The most endpoints remembered for one prefix.
+const MAX_HOLDERS: usize = 8;
+/// Weight of a new sample in the learnt worth.
+const ALPHA: f64 = 0.05;
+/// Samples of both sorts before the learnt worth replaces the first guess.
+const TRUSTED: u32 = 8;
+/// Share of a call that a full hit saves, until it is learnt.
+const FIRST_GUESS: f64 = 0.2;
+
+#[derive(Debug, Default)]
+struct Held {
+    sequence: u64,
+    prefixes: IndexSet<u64>,
+}
+
+/// Which endpoints of a pool are believed to hold which prefixes.
+#[derive(Debug, Default)]
+pub struct Index {
+    held: IndexMap<id::Endpoint, Held>,
+    holders: IndexMap<u64, Vec<id::Endpoint>>,
+    /// Seconds of calls sent to a believed holder.
+    hit: Mean,
+    /// Seconds of calls sent elsewhere.
+    miss: Mean,
+}
+
+impl Index {
+    /// Learns a cache event. After a gap nothing known of the endpoint is kept, because the
+    /// lost events may have been removals.
+    pub fn apply(
+        &mut self,
+        endpoint: &id::Endpoint,
+        sequence: u64,
+        added: &[u64],
+        removed: &[u64],
+    ) {
+        let last = self.held.get(endpoint).map_or(0, |h| h.sequence);
+        if sequence <= last && last > 0 {
+            return;
+        }
+        if last > 0 && sequence > last + 1 {
+            self.forget(endpoint);
+        }
+        for prefix in removed {
+            self.remove(endpoint, *prefix);
+        }
+        for prefix in added {
+            self.add(endpoint, *prefix);
+        }
+        self.held.entry(endpoint.clone()).or_default().sequence = sequence;
+    }
+
+    /// A call with these prefixes was sent there, so that they will soon be held.
+    pub fn presume(&mut self, endpoint: &id::Endpoint, prefixes: &[u64]) {
+        for prefix in prefixes {
+            self.add(endpoint, *prefix);
+        }
+    }
+
+    fn add(&mut self, endpoint: &id::Endpoint, prefix: u64) {
+        let held = self.held.entry(endpoint.clone()).or_default();
+        if !held.prefixes.insert(prefix) {
+            return;
+        }
+        let oldest = (held.prefixes.len() > MAX_PREFIXES)
+            .then(|| held.prefixes.swap_remove_index(0))
+            .flatten();
+        let holders = self.holders.entry(prefix).or_default();
+        if holders.len() == MAX_HOLDERS {
+            holders.remove(0);
+        }
+        holders.push(endpoint.clone());
+        if let Some(oldest) = oldest {
+            self.unlink(endpoint, oldest);
+        }
+    }
+
+    fn remove(&mut self, endpoint: &id::Endpoint, prefix: u64) {
+        if let Some(held) = self.held.get_mut(endpoint) {
+            held.prefixes.swap_remove(&prefix);
+        }
+        self.unlink(endpoint, prefix);
+    }
+
+    fn unlink(&mut self, endpoint: &id::Endpoint, prefix: u64) {
+        let Some(holders) = self.holders.get_mut(&prefix) else {
+            return;
+        };
+        holders.retain(|h| h != endpoint);
+        if holders.is_empty() {
+            self.holders.swap_remove(&prefix);
+        }
+    }
+
+    /// Forgets an endpoint, because it left or its events have a gap.
+    pub fn forget(&mut self, endpoint: &id::Endpoint) {
+        let Some(held) = self.held.swap_remove(endpoint) else {
+            return;
+        };
+        for prefix in held.prefixes {
+            self.unlink(endpoint, prefix);
+        }
+    }
+
+    /// The believed holders of the longest known prefix.
+    pub fn holders(&self, prefixes: &[u64]) -> &[id::Endpoint] {
+        prefixes
+            .iter()
+            .rev()
+            .find_map(|p| self.holders.get(p))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// The share of the prefixes, from 0 to 1, that an endpoint is believed to hold.
+    pub fn share(&self, endpoint: &str, prefixes: &[u64]) -> f64 {
+        let Some(held) = self.held.get(endpoint) else {
+            return 0.0;
+        };
+        let longest = prefixes.iter().rposition(|p| held.prefixes.contains(p));
+        longest.map_or(0.0, |i| (i + 1) as f64 / prefixes.len() as f64)
+    }
+
+    /// Learns how long a call took, by whether a hit was expected of it.
+    pub fn record(&mut self, is_hit: bool, seconds: f64) {
+        let mean = if is_hit {
+            &mut self.hit
+        } else {
+            &mut self.miss
+        };
+        mean.record(seconds, ALPHA);
+    }
+
+    /// The share of a call's time that a full hit saves, from 0 to 1, as learnt; stale entries
+    /// drive it to 0.
+    pub fn worth(&self) -> f64 {
+        if self.hit.samples() < TRUSTED || self.miss.samples() < TRUSTED {
+            return FIRST_GUESS;
+        }
+        match (self.hit.get(), self.miss.get()) {
+            (Some(hit), Some(miss)) if miss > 0.0 => (1.0 - hit / miss).clamp(0.0, 1.0),
+            _ => 0.0,
+        }
+    }
+
+    /// How many prefixes are known.
+    pub fn len(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/route/affinity/tests.rs
@@ -0,0 +1,62 @@
+//! Tests of prefix affinity.
+
+use super::*;
+
+fn name(n: usize) -> id::Endpoint {
+    format!("e{n}").into()
+}
+
+#[test]
+fn share_longest_prefix_counts() {
+    let mut index = Index::default();
+    index.apply(&name(1), 1, &[10, 20], &[]);
+    assert_eq!(index.share("e1", &[10, 20, 30, 40]), 0.5);
+    assert_eq!(index.share("e2", &[10]), 0.0);
+    assert_eq!(index.holders(&[10, 20, 30]), [name(1)]);
+}
+
+#[test]
+fn apply_gap_forgets_what_was_held() {
+    let mut index = Index::default();
+    index.apply(&name(1), 1, &[10], &[]);
+    index.apply(&name(1), 3, &[20], &[]);
+    assert_eq!(index.share("e1", &[10]), 0.0);
+    assert_eq!(index.share("e1", &[20]), 1.0);
+}
+
+#[test]
+fn apply_old_event_is_ignored() {
+    let mut index = Index::default();
+    index.apply(&name(1), 5, &[10], &[]);
+    index.apply(&name(1), 4, &[], &[10]);
+    assert_eq!(index.share("e1", &[10]), 1.0);
+}
+
+#[test]
+fn add_many_is_bounded() {
+    let mut index = Index::default();
+    for prefix in 0..10_000 {
+        index.presume(&name(1), &[prefix]);
+    }
+    assert!(index.len() <= MAX_PREFIXES);
+}
+
+#[test]
+fn worth_stale_entries_learn_to_nothing() {
+    let mut index = Index::default();
+    for _ in 0..200 {
+        index.record(true, 1.0);
+        index.record(false, 1.0);
+    }
+    assert_eq!(index.worth(), 0.0);
+}
+
+#[test]
+fn worth_true_hits_are_kept() {
+    let mut index = Index::default();
+    for _ in 0..200 {
+        index.record(true, 0.5);
+        index.record(false, 1.0);
+    }
+    assert!((index.worth() - 0.5).abs() < 1e-9);
+}
--- /dev/null
+++ b/src/route/entry.rs
@@ -0,0 +1,172 @@
+//! One endpoint of the table: what is known of its load, latency and health.
+
+use std::time::Duration;
+
+use super::health::Breaker;
+use crate::clock::Time;
+use crate::policy::latency::Mean;
+use crate::policy::{Ask, Candidate};
+use crate::{endpoint, id};
+
+/// Weight of a new latency in an endpoint's mean.
+const ALPHA: f64 = 0.15;
+/// The least share that an endpoint gets in its slow start.
+const FIRST_SHARE: f64 = 0.1;
+/// Age at which a report of load is no longer believed.
+const STALE: Duration = Duration::from_secs(3);
+/// Multiple of its mean latency after which a silent endpoint counts as slow.
+const SILENCE: f64 = 3.0;
+/// How long after its probe is due an endpoint may be probed by what may not be repeated.
+const LAST_PROBE: Duration = Duration::from_secs(5);
+
+/// What an endpoint last said of its load.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    /// Calls that run or wait there, from all daemons.
+    busy: f64,
+    /// Calls that wait there.
+    waiting: f64,
+    /// Calls of this daemon in flight when the report came.
+    own: f64,
+    at: Time,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Where it is.
+    pub candidate: Candidate,
+    /// Its circuit breaker.
+    pub breaker: Breaker,
+    /// Calls of this daemon in flight.
+    pub in_flight: u32,
+    /// Its mean latency in seconds.
+    pub latency: Mean,
+    /// Whether a suspect call holds it alone.
+    pub is_alone: bool,
+    /// When it joined, if it did so while this daemon ran.
+    joined: Option<Time>,
+    /// Since when calls are in flight without one ending.
+    silent: Option<Time>,
+    report: Option<Report>,
+    versions: Option<Vec<id::Version>>,
+}
+
+impl Entry {
+    /// Makes an endpoint of which nothing is known.
+    pub fn new(candidate: Candidate, joined: Option<Time>) -> Self {
+        Self {
+            candidate,
+            breaker: Breaker::default(),
+            in_flight: 0,
+            latency: Mean::default(),
+            is_alone: false,
+            joined,
+            silent: None,
+            report: None,
+            versions: None,
+        }
+    }
+
+    /// A call is sent.
+    pub fn begin(&mut self, now: Time) {
+        self.breaker.begin(now);
+        self.in_flight += 1;
+        self.silent.get_or_insert(now);
+    }
+
+    /// A call ended.
+    pub fn end(&mut self, now: Time) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.silent = (self.in_flight > 0).then_some(now);
+    }
+
+    /// Learns a latency in seconds.
+    pub fn learn(&mut self, seconds: f64) {
+        self.latency.record(seconds, ALPHA);
+    }
+
+    /// Forgets the latency learnt before an ejection and starts slowly again.
+    pub fn restart(&mut self, now: Time) {
+        self.latency = Mean::default();
+        self.joined = Some(now);
+    }
+
+    /// Calls that run or wait there, as far as known: own ones are exact, others lag.
+    pub fn load(&self, now: Time) -> f64 {
+        let own = f64::from(self.in_flight);
+        match self.report {
+            Some(r) if now.saturating_sub(r.at) < STALE => own + (r.busy - r.own).max(0.0),
+            _ => own,
+        }
+    }
+
+    /// Calls that wait there by a fresh report.
+    pub fn waiting(&self, now: Time) -> Option<f64> {
+        self.report
+            .filter(|r| now.saturating_sub(r.at) < STALE)
+            .map(|r| r.waiting)
+    }
+
+    /// Whether its report says that it has this version.
+    pub fn has_version(&self, version: &str) -> bool {
+        self.versions
+            .as_ref()
+            .is_some_and(|v| v.iter().any(|v| **v == *version))
+    }
+
+    /// The share of the calls that a newcomer gets, from 0 to 1.
+    pub fn share(&self, slow_start: Duration, now: Time) -> f64 {
+        let Some(joined) = self.joined else {
+            return 1.0;
+        };
+        let age = now.saturating_sub(joined).as_secs_f64();
+        let window = slow_start.as_secs_f64();
+        if age >= window {
+            1.0
+        } else {
+            (age / window).max(FIRST_SHARE)
+        }
+    }
+
+    /// Seconds that a call may take there; `peers` for an unknown endpoint, and longer when it has
+    /// been silent.
+    pub fn latency_or(&self, peers: f64, now: Time) -> f64 {
+        let known = self.latency.get().unwrap_or(peers);
+        let silence = self
+            .silent
+            .map_or(0.0, |at| now.saturating_sub(at).as_secs_f64());
+        if silence > SILENCE * known {
+            silence
+        } else {
+            known
+        }
+    }
+
+    /// Learns a report of load.
+    pub fn report(&mut self, load: &endpoint::Load, now: Time) {
+        self.report = Some(Report {
+            busy: f64::from(load.running) + f64::from(load.waiting),
+            waiting: f64::from(load.waiting),
+            own: f64::from(self.in_flight),
+            at: now,
+        });
+        self.versions = Some(load.versions.clone());
+    }
+
+    /// Whether its report says that nothing is loaded; none before a report.
+    pub fn lacks_model(&self) -> Option<bool> {
+        self.versions.as_ref().map(Vec::is_empty)
+    }
+
+    /// Whether this stage may probe it. What may not be repeated probes only an endpoint that
+    /// nothing else has probed for long.
+    pub fn may_probe(&self, ask: &Ask, now: Time) -> bool {
+        let patience = if ask.repeatable && !ask.suspect {
+            Duration::ZERO
+        } else {
+            LAST_PROBE
+        };
+        self.breaker.is_probe_due(now.saturating_sub(patience))
+    }
+}
--- /dev/null
+++ b/src/route/link.rs
@@ -0,0 +1,103 @@
+//! The budget of the regional link at one daemon: a bucket of bytes shared by classes.
+//!
+//! Every daemon fills at most its share of the link, so that together they do not exceed it and
+//! nobody has to be asked per request.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+
+/// How much time's worth of bytes is saved up.
+const WINDOW: Duration = Duration::from_secs(1);
+
+token! {
+    /// What crosses the link, most important first.
+    pub enum Class {
+        /// Control traffic of the system.
+        Control,
+        /// Stages that may not be repeated.
+        Once,
+        /// Other requests of priority 0 to 3.
+        Interactive,
+        /// Requests of priority 4 to 7.
+        Bulk,
+    }
+}
+
+impl Class {
+    /// The class of a stage.
+    pub fn of(repeatable: bool, priority: u8) -> Self {
+        match (repeatable, priority) {
+            (false, _) => Self::Once,
+            (true, 0..=3) => Self::Interactive,
+            (true, _) => Self::Bulk,
+        }
+    }
+
+    /// The share of the bucket that is kept for the classes before.
+    fn reserve(self) -> f64 {
+        match self {
+            Self::Control => 0.0,
+            Self::Once => 0.05,
+            Self::Interactive => 0.2,
+            Self::Bulk => 0.4,
+        }
+    }
+}
+
+/// A bucket of bytes.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    /// Bytes a second.
+    rate: f64,
+    level: f64,
+    filled: Time,
+    /// Bytes that were taken since the start.
+    spent: u64,
+}
+
+impl Budget {
+    /// Makes a full bucket that grows by `rate` bytes a second.
+    pub fn new(rate: f64) -> Self {
+        Self {
+            rate,
+            level: rate * WINDOW.as_secs_f64(),
+            filled: Time::ZERO,
+            spent: 0,
+        }
+    }
+
+    /// Changes the rate, in bytes a second.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
+    fn fill(&mut self, now: Time) {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        let most = self.rate * WINDOW.as_secs_f64();
+        self.level = (self.level + passed * self.rate).min(most);
+        self.filled = now;
+    }
+
+    /// Whether `bytes` of a class may cross now.
+    pub fn has(&mut self, class: Class, bytes: u64, now: Time) -> bool {
+        self.fill(now);
+        let reserve = class.reserve() * self.rate * WINDOW.as_secs_f64();
+        self.level - bytes as f64 >= reserve
+    }
+
+    /// Takes `bytes`, also beyond what is there: a call in progress is not stopped.
+    pub fn spend(&mut self, bytes: u64, now: Time) {
+        self.fill(now);
+        self.level -= bytes as f64;
+        self.spent += bytes;
+    }
+
+    /// Bytes that were taken since the start.
+    pub fn spent(&self) -> u64 {
+        self.spent
+    }
+}
+
+#[cfg(test)]
+mod tests;
