Carry the model version with tokens and name how a remainder is cut off

A generation may resume only on the version that began it, and the version was known only from the whole answer. Remainders gain an event for a broken connection and an action that ends them.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -25,7 +25,8 @@
         pub remaining: Duration,
         /// 0 is the most important, 7 the least.
         pub priority: u8,
-        /// JSON text: the caller's body and the results of the stages before.
+        /// JSON text: `{"body": …, "results": {"STAGE": …}}`, the caller's body and the results of
+        /// the stages before, in order.
         pub input: id::Name,
         /// The most tokens to generate.
         pub max_tokens: u32,
@@ -41,6 +42,9 @@
         pub index: u32,
         /// Its text.
         pub text: id::Name,
+        /// The model version that generates; given at least with the first token of each attempt,
+        /// because a generation resumes only on the same version.
+        pub version: Option<id::Version>,
     }
 
     /// What a stage spent.
@@ -64,7 +68,7 @@
         pub stage: id::Stage,
         /// The attempt that was answered.
         pub attempt: id::Attempt,
-        /// JSON text.
+        /// JSON text; whole also when the generation was resumed from another attempt's tokens.
         pub body: id::Name,
         /// What it cost.
         pub usage: Usage,
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use crate::{claim, endpoint, id, policy};
+use crate::{claim, endpoint, id, peer, policy};
+
+pub mod run;
 
 event! {
     /// One stage of a plan.
@@ -64,7 +66,9 @@
         /// A call ended.
         Ended(id::Attempt, endpoint::Result<endpoint::Answer>),
         /// A remainder that ran at another daemon ended there.
-        Moved(Remote),
+        Moved(id::Attempt, Remote),
+        /// A remainder was not sent, or the connection to the other daemon broke.
+        Cut(id::Attempt, peer::Error),
         /// The time of `next_wake` came.
         Wake,
         /// The caller went away.
@@ -83,6 +87,8 @@
         Cancel(policy::Pick, id::Attempt),
         /// Run the rest of the request at a daemon of this region.
         Move(id::Region, Box<Remainder>),
+        /// End a remainder that runs at another daemon, by its first attempt.
+        Recall(id::Attempt),
         /// Send a token to the caller.
         Token(endpoint::Token),
         /// Answer the caller; nothing else follows but `Settle` and `Cancel`.
--- /dev/null
+++ b/src/pipeline/run.rs
@@ -0,0 +1,1 @@
+//! The state machine of one request.
