Add the state machine of one request

Claims are asked for at the start and run beside the first repeatable stages; calls that may not be repeated are sent under a granted claim only, never hedged, and run on after the deadline so that a resend gets their result.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -6,6 +6,8 @@
 
 use crate::{claim, endpoint, id, peer, policy};
 
+pub mod input;
+pub mod prefix;
 pub mod run;
 
 event! {
@@ -98,6 +100,24 @@
     }
 }
 
+impl Plan {
+    /// Returns the stage whose tokens the caller sees: the last that generates.
+    pub fn streamed(&self) -> Option<usize> {
+        self.stages.iter().rposition(|s| s.generates)
+    }
+
+    /// Returns the pools of the stages from `index` on.
+    pub fn pools(&self, index: usize) -> Vec<id::Pool> {
+        let rest = self.stages.iter().skip(index);
+        rest.map(|s| s.pool.clone()).collect()
+    }
+
+    /// Says whether every stage may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.stages.iter().all(|s| s.repeatable)
+    }
+}
+
 value! {
     /// The rest of a request, handed to a daemon that is nearer to the endpoints.
     pub struct Remainder {
--- /dev/null
+++ b/src/pipeline/input/tests.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+#[test]
+fn text_is_json() {
+    let parts = ["encode", "say \"hi\""].map(|stage| claim::Part {
+        stage: stage.into(),
+        body: "[1]".into(),
+    });
+    let value: serde_json::Value = serde_json::from_str(&text("{\"a\":2}", &parts)).unwrap();
+    assert_eq!(value["body"]["a"], 2);
+    assert_eq!(value["results"]["say \"hi\""][0], 1);
+}
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -1,1 +1,413 @@
-//! The state machine of one request.
+//! The state machine of one request: events and the time go in, actions come out.
+//!
+//! See [the architecture](../../docs/ARCHITECTURE.md) and
+//! [the design note](../../docs/design/run.md).
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{Action, Event, Finish, Plan, Remainder, Remote, Request};
+use crate::clock::Time;
+use crate::ledger::Spend;
+use crate::policy::{Observation, Policy, Ticket};
+use crate::{claim, endpoint, id};
+
+mod answer;
+mod ask;
+mod flight;
+mod place;
+mod relocate;
+mod stream;
+mod verdict;
+
+use flight::{Flight, Relocation, Waiting};
+use stream::Stream;
+
+/// How long a call that may not be repeated runs on after its caller was told `unknown`,
+/// so that a resend gets its result.
+pub const LINGER: Time = Time::from_secs(5);
+/// How often a waiting stage checks whether it can still finish.
+pub const WAIT_CHECK: Time = Time::from_millis(25);
+/// Attempt numbers set aside for a remainder that runs at another daemon.
+pub const RELOCATED_ATTEMPTS: id::Attempt = 1 << 16;
+
+/// How the claim of a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Claim {
+    /// No stage needs one.
+    Unneeded,
+    /// It was asked for.
+    Pending,
+    /// This request may run, and says how it ended.
+    Granted,
+    /// This request may run; another daemon or request settles the claim.
+    Delegated,
+    /// It was refused, or settled.
+    Closed,
+}
+
+impl Claim {
+    fn permits(self) -> bool {
+        matches!(self, Self::Granted | Self::Delegated)
+    }
+}
+
+/// What became of the stages that may not be repeated, besides those with a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Effect {
+    /// None was sent without a result.
+    Clean,
+    /// One ran and failed.
+    Failed,
+    /// One may have run.
+    Doubtful,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Running,
+    Told,
+}
+
+/// Counts of what was dropped or done again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Answers and tokens of attempts that had been given up.
+    pub late: u32,
+    /// Answers that belong to another request, stage or attempt.
+    pub crossed: u32,
+    /// Tokens that had been received before.
+    pub doubled: u32,
+    /// Attempts after a failed one.
+    pub retries: u32,
+    /// Second attempts beside a slow one.
+    pub hedges: u32,
+    /// Generations that resumed on another engine.
+    pub resumes: u32,
+}
+
+/// One request in progress.
+#[derive(Debug)]
+pub struct Run {
+    plan: Arc<Plan>,
+    request: Request,
+    deadline: Time,
+    parts: Vec<claim::Part>,
+    claim: Claim,
+    effect: Effect,
+    phase: Phase,
+    /// Whether a repeatable stage may have run.
+    ran: bool,
+    suspect: bool,
+    attempts: id::Attempt,
+    flights: Vec<Flight>,
+    relocation: Option<Relocation>,
+    relocations: u32,
+    waiting: Option<Waiting>,
+    retry_at: Option<Time>,
+    /// Whether a placement was put off until the claim is decided.
+    blocked: bool,
+    linger_until: Option<Time>,
+    exclude: Vec<id::Endpoint>,
+    stream: Stream,
+    input: Option<id::Name>,
+    regions: Arc<IndexMap<id::Zone, id::Region>>,
+    region: Option<id::Region>,
+    finish: Option<Finish>,
+    tally: Tally,
+    spends: Vec<Spend>,
+    actions: Vec<Action>,
+}
+
+impl Run {
+    /// Makes the run of a request whose whole answer is due at `deadline`.
+    pub fn new(plan: Arc<Plan>, request: Request, deadline: Time) -> Self {
+        let claim = if plan.is_repeatable() {
+            Claim::Unneeded
+        } else {
+            Claim::Pending
+        };
+        Self {
+            plan,
+            request,
+            deadline,
+            parts: Vec::new(),
+            claim,
+            effect: Effect::Clean,
+            phase: Phase::Running,
+            ran: false,
+            suspect: false,
+            attempts: 0,
+            flights: Vec::new(),
+            relocation: None,
+            relocations: 0,
+            waiting: None,
+            retry_at: None,
+            blocked: false,
+            linger_until: None,
+            exclude: Vec::new(),
+            stream: Stream::default(),
+            input: None,
+            regions: Arc::default(),
+            region: None,
+            finish: None,
+            tally: Tally::default(),
+            spends: Vec::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Makes the run of the rest of a request that another daemon accepted.
+    pub fn rest(plan: Arc<Plan>, rest: &Remainder, digest: id::Digest, now: Time) -> Self {
+        let request = Request {
+            id: rest.request,
+            workspace: rest.workspace.clone(),
+            key: rest.key.clone(),
+            issued: None,
+            digest,
+            body: rest.body.clone(),
+            stream: rest.stream,
+        };
+        let mut run = Self::new(plan, request, now + rest.remaining);
+        run.parts.clone_from(&rest.parts);
+        run.attempts = rest.attempt;
+        if run.claim == Claim::Pending {
+            run.claim = if rest.granted {
+                Claim::Delegated
+            } else {
+                Claim::Closed
+            };
+        }
+        run
+    }
+
+    /// Marks the request's content as suspected of crashing endpoints: it is never hedged.
+    #[must_use]
+    pub fn with_suspect(mut self, suspect: bool) -> Self {
+        self.suspect = suspect;
+        self
+    }
+
+    /// Gives the region of each availability zone, so that stages run near each other.
+    #[must_use]
+    pub fn with_regions(mut self, regions: Arc<IndexMap<id::Zone, id::Region>>) -> Self {
+        self.regions = regions;
+        self
+    }
+
+    /// Takes an event and returns what is to be done, in order.
+    pub fn step(&mut self, event: Event, now: Time, policy: &mut dyn Policy) -> Vec<Action> {
+        match self.phase {
+            Phase::Running => self.on_event(event, now, policy),
+            Phase::Told => self.on_late(event, now, policy),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns when `Wake` is due, if nothing happens before.
+    pub fn next_wake(&self) -> Option<Time> {
+        if self.phase == Phase::Told {
+            return self.linger_until;
+        }
+        let flights = self.flights.iter().map(Flight::next_wake);
+        flights
+            .chain(self.retry_at)
+            .chain(self.waiting.map(|w| w.check_at))
+            .chain([self.deadline])
+            .min()
+    }
+
+    /// Says whether nothing can happen any more.
+    pub fn is_done(&self) -> bool {
+        self.phase == Phase::Told
+            && self.claim != Claim::Pending
+            && self.flights.is_empty()
+            && self.relocation.is_none()
+    }
+
+    /// Returns the request.
+    pub fn request(&self) -> &Request {
+        &self.request
+    }
+
+    /// Returns the plan.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Returns the counts so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// Returns what was spent since the last call, for the ledger.
+    pub fn take_spends(&mut self) -> Vec<Spend> {
+        std::mem::take(&mut self.spends)
+    }
+
+    /// Returns how a remainder ended, for the daemon that handed it over; none while it runs.
+    pub fn remote(&self, usage: endpoint::Usage) -> Option<Remote> {
+        self.finish.clone().map(|finish| Remote {
+            finish,
+            parts: self.parts.clone(),
+            doubtful: self.effect == Effect::Doubtful,
+            usage,
+        })
+    }
+
+    fn on_event(&mut self, event: Event, now: Time, policy: &mut dyn Policy) {
+        match event {
+            Event::Start => self.on_start(now, policy),
+            Event::Claimed(verdict) => self.on_claimed(verdict, now, policy),
+            Event::Ready(attempt) => self.on_ready(attempt, now, policy),
+            Event::Token(attempt, token) => self.on_token(attempt, token, now, policy),
+            Event::Ended(attempt, result) => self.on_ended(attempt, result, now, policy),
+            Event::Moved(attempt, remote) => self.on_moved(attempt, remote, now, policy),
+            Event::Cut(attempt, error) => self.on_cut(attempt, &error, now, policy),
+            Event::Wake => self.on_wake(now, policy),
+            Event::Gone => self.on_gone(now, policy),
+        }
+    }
+
+    fn on_start(&mut self, now: Time, policy: &mut dyn Policy) {
+        if self.claim == Claim::Pending {
+            self.actions.push(Action::Claim(self.claim_ask(now)));
+        }
+        self.advance(now, policy);
+    }
+
+    fn on_claimed(&mut self, verdict: claim::Verdict, now: Time, policy: &mut dyn Policy) {
+        if self.claim != Claim::Pending {
+            return;
+        }
+        self.claim = Claim::Closed;
+        match verdict {
+            claim::Verdict::Granted => self.on_granted(now, policy),
+            claim::Verdict::Resume(parts) => self.resume(parts, now, policy),
+            claim::Verdict::Answered(body) => self.conclude(Finish::Answer(body), now, policy),
+            claim::Verdict::Conflict => self.conclude(Finish::Conflict, now, policy),
+            claim::Verdict::Unknown => self.conclude(verdict::earlier_unknown(), now, policy),
+            claim::Verdict::NotRun {
+                reason,
+                retry_after,
+            } => self.conclude(verdict::not_run(reason, retry_after), now, policy),
+        }
+    }
+
+    fn on_granted(&mut self, now: Time, policy: &mut dyn Policy) {
+        self.claim = Claim::Granted;
+        self.release_tokens();
+        if std::mem::take(&mut self.blocked) {
+            self.advance(now, policy);
+        }
+    }
+
+    /// Goes on from the results of an earlier request with the same key.
+    fn resume(&mut self, parts: Vec<claim::Part>, now: Time, policy: &mut dyn Policy) {
+        self.abandon(now, policy);
+        self.cancel_all(now, policy);
+        self.retry_at = None;
+        self.blocked = false;
+        self.parts = parts;
+        self.enter_stage();
+        self.advance(now, policy);
+    }
+
+    fn on_ready(&mut self, attempt: id::Attempt, now: Time, policy: &mut dyn Policy) {
+        if self.waiting.is_some_and(|w| w.attempt == attempt) {
+            self.waiting = None;
+            self.place(attempt, now, policy);
+        }
+    }
+
+    fn on_wake(&mut self, now: Time, policy: &mut dyn Policy) {
+        if now >= self.deadline {
+            self.give_up("the deadline passed", None, now, policy);
+            return;
+        }
+        self.expire(now, policy);
+        if self.phase == Phase::Running {
+            self.hedge(now, policy);
+        }
+        if self.phase == Phase::Running {
+            self.check_waiting(now, policy);
+        }
+        if self.phase == Phase::Running && self.retry_at.is_some_and(|at| now >= at) {
+            self.retry_at = None;
+            self.advance(now, policy);
+        }
+    }
+
+    /// The caller went away: what may be repeated is cancelled, what may not runs to its end,
+    /// so that a resend gets its result.
+    fn on_gone(&mut self, now: Time, policy: &mut dyn Policy) {
+        if !self.is_begun() {
+            self.give_up("the caller went away", None, now, policy);
+        }
+    }
+
+    /// Whether a stage that may not be repeated was sent or has a result.
+    fn is_begun(&self) -> bool {
+        self.is_risky() || self.done_once() > 0 || self.effect != Effect::Clean
+    }
+
+    /// Whether a stage that may not be repeated is in progress.
+    fn is_risky(&self) -> bool {
+        let calls = !self.flights.is_empty() && !self.stage().is_some_and(|s| s.repeatable);
+        calls || self.relocation.as_ref().is_some_and(|r| r.risky)
+    }
+
+    fn on_late(&mut self, event: Event, now: Time, policy: &mut dyn Policy) {
+        match event {
+            Event::Claimed(verdict) => self.on_late_claim(&verdict),
+            Event::Token(..) => self.tally.late += 1,
+            Event::Ended(attempt, result) => self.on_late_end(attempt, result, now, policy),
+            Event::Moved(attempt, remote) => self.on_late_move(attempt, remote),
+            Event::Cut(attempt, _) => self.on_late_cut(attempt),
+            Event::Wake => self.on_late_wake(now, policy),
+            Event::Start | Event::Ready(_) | Event::Gone => {}
+        }
+    }
+
+    fn on_late_claim(&mut self, verdict: &claim::Verdict) {
+        if self.claim != Claim::Pending {
+            return;
+        }
+        self.claim = Claim::Closed;
+        if *verdict == claim::Verdict::Granted {
+            self.actions.push(Action::Settle(claim::Outcome::Released));
+        }
+    }
+
+    fn on_late_wake(&mut self, now: Time, policy: &mut dyn Policy) {
+        if self.linger_until.is_none_or(|at| now < at) {
+            return;
+        }
+        self.linger_until = None;
+        self.effect = Effect::Doubtful;
+        self.cancel_all(now, policy);
+        self.settle(claim::Outcome::Unknown);
+    }
+
+    fn abandon(&mut self, now: Time, policy: &mut dyn Policy) {
+        if let Some(waiting) = self.waiting.take() {
+            let ticket = Ticket {
+                request: self.request.id,
+                attempt: waiting.attempt,
+            };
+            policy.abandon(&ticket, now);
+        }
+    }
+
+    fn leave(&mut self, attained: bool, now: Time, policy: &mut dyn Policy) {
+        let left = Observation::Left {
+            request: self.request.id,
+            attained,
+        };
+        policy.observe(&left, now);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/pipeline/run/ask.rs
@@ -0,0 +1,129 @@
+//! What a run asks of the policy and the claim desk.
+
+use super::{Flight, Run};
+use crate::clock::Time;
+use crate::pipeline::{Stage, input, prefix};
+use crate::{claim, endpoint, id, policy};
+
+/// Bytes of text that count as one token in cost estimates.
+const BYTES_PER_TOKEN: u64 = 4;
+
+impl Run {
+    /// Returns the current stage; none when all have results.
+    pub(super) fn stage(&self) -> Option<&Stage> {
+        self.plan.stages.get(self.parts.len())
+    }
+
+    /// Counts the results of stages that may not be repeated.
+    pub(super) fn done_once(&self) -> usize {
+        let done = self.plan.stages.iter().zip(&self.parts);
+        done.filter(|(stage, _)| !stage.repeatable).count()
+    }
+
+    /// Whether a stage that may not be repeated has no result yet.
+    pub(super) fn has_once_ahead(&self) -> bool {
+        let ahead = self.plan.stages.iter().skip(self.parts.len());
+        ahead.into_iter().any(|stage| !stage.repeatable)
+    }
+
+    /// Forgets what belonged to the stage before.
+    pub(super) fn enter_stage(&mut self) {
+        self.input = None;
+        self.exclude.clear();
+        self.stream.tokens.clear();
+        self.stream.version = None;
+    }
+
+    pub(super) fn claim_ask(&self, now: Time) -> claim::Ask {
+        claim::Ask {
+            workspace: self.request.workspace.clone(),
+            key: self.request.key.clone().unwrap_or_default(),
+            digest: self.request.digest.clone(),
+            request: self.request.id,
+            issued: self.request.issued,
+            remaining: self.deadline.saturating_sub(now),
+        }
+    }
+
+    pub(super) fn input(&mut self) -> id::Name {
+        if let Some(input) = &self.input {
+            return input.clone();
+        }
+        let text = input::text(&self.request.body, &self.parts);
+        self.input = Some(text.clone());
+        text
+    }
+
+    pub(super) fn ask(&mut self, stage: &Stage, attempt: id::Attempt) -> policy::Ask {
+        let input = self.input();
+        let bytes = input.len() as u64;
+        let generated = if stage.generates { stage.max_tokens } else { 0 };
+        let prefixes = if stage.generates {
+            prefix::hashes(&input)
+        } else {
+            Vec::new()
+        };
+        let index = self.parts.len();
+        policy::Ask {
+            request: self.request.id,
+            attempt,
+            workspace: self.request.workspace.clone(),
+            pipeline: self.plan.name.clone(),
+            index,
+            stage: stage.name.clone(),
+            pool: stage.pool.clone(),
+            rest: self.plan.pools(index + 1),
+            repeatable: stage.repeatable,
+            deadline: self.deadline,
+            priority: self.plan.priority,
+            cost: bytes / BYTES_PER_TOKEN + u64::from(generated),
+            bytes,
+            prefixes,
+            exclude: self.exclude.clone(),
+            region: self.region.clone(),
+            version: self.stream.pinned(),
+            suspect: self.suspect,
+        }
+    }
+
+    pub(super) fn call(
+        &mut self,
+        stage: &Stage,
+        attempt: id::Attempt,
+        remaining: Time,
+    ) -> endpoint::Call {
+        endpoint::Call {
+            request: self.request.id,
+            workspace: self.request.workspace.clone(),
+            pipeline: self.plan.name.clone(),
+            stage: stage.name.clone(),
+            attempt,
+            key: self.request.key.clone(),
+            remaining,
+            priority: self.plan.priority,
+            input: self.input(),
+            max_tokens: stage.max_tokens,
+            resume: self.stream.tokens.clone(),
+            version: self.stream.pinned(),
+        }
+    }
+
+    pub(super) fn ended(
+        &self,
+        flight: &Flight,
+        end: policy::End,
+        now: Time,
+    ) -> policy::Observation {
+        let pool = self.stage().map(|s| s.pool.clone());
+        policy::Observation::Ended {
+            request: self.request.id,
+            attempt: flight.attempt,
+            endpoint: flight.pick.endpoint.clone(),
+            pool: pool.unwrap_or_default(),
+            pipeline: self.plan.name.clone(),
+            index: self.parts.len(),
+            latency: now.saturating_sub(flight.sent),
+            end,
+        }
+    }
+}
--- /dev/null
+++ b/src/pipeline/run/flight.rs
@@ -0,0 +1,42 @@
+//! What is in progress for the current stage.
+
+use crate::clock::Time;
+use crate::{id, policy};
+
+/// A call that was sent and has not ended.
+#[derive(Clone, Debug)]
+pub(super) struct Flight {
+    pub attempt: id::Attempt,
+    pub pick: policy::Pick,
+    pub sent: Time,
+    /// When the call is given up.
+    pub expires: Time,
+    /// When a second attempt may be made beside it.
+    pub hedge_at: Option<Time>,
+    /// Whether it is itself the second attempt.
+    pub is_hedge: bool,
+}
+
+impl Flight {
+    pub fn next_wake(&self) -> Time {
+        self.hedge_at
+            .map_or(self.expires, |at| at.min(self.expires))
+    }
+}
+
+/// A stage that waits in its pool's queue.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub attempt: id::Attempt,
+    /// When to check whether it can still finish.
+    pub check_at: Time,
+}
+
+/// The rest of the request at another daemon.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Relocation {
+    /// The first attempt number that the other daemon may use.
+    pub attempt: id::Attempt,
+    /// Whether it contains a stage that may not be repeated.
+    pub risky: bool,
+}
--- /dev/null
+++ b/src/pipeline/run/relocate.rs
@@ -0,0 +1,167 @@
+//! Running the rest of a request at a daemon of another region.
+
+use super::{Claim, Effect, RELOCATED_ATTEMPTS, Relocation, Run};
+use crate::clock::Time;
+use crate::endpoint::Usage;
+use crate::ledger::Fate;
+use crate::pipeline::{Action, Finish, Remainder, Remote};
+use crate::policy::Policy;
+use crate::{id, peer};
+
+/// How often a request may be handed to another daemon.
+const MAX_RELOCATIONS: u32 = 3;
+/// How long to wait after a connection to another daemon broke.
+const RELOCATE_AFTER: Time = Time::from_millis(50);
+
+impl Run {
+    pub(super) fn relocate(
+        &mut self,
+        region: id::Region,
+        attempt: id::Attempt,
+        now: Time,
+        policy: &mut dyn Policy,
+    ) {
+        let risky = self.has_once_ahead();
+        if risky && self.claim == Claim::Pending {
+            self.blocked = true;
+            return;
+        }
+        if self.stream.shown || self.relocations == MAX_RELOCATIONS {
+            self.give_up("no endpoint can be reached", None, now, policy);
+            return;
+        }
+        self.stream.restart();
+        self.relocations += 1;
+        self.attempts += RELOCATED_ATTEMPTS;
+        self.relocation = Some(Relocation { attempt, risky });
+        let rest = Remainder {
+            request: self.request.id,
+            workspace: self.request.workspace.clone(),
+            pipeline: self.plan.name.clone(),
+            key: self.request.key.clone(),
+            attempt,
+            body: self.request.body.clone(),
+            parts: self.parts.clone(),
+            remaining: self.deadline.saturating_sub(now),
+            granted: self.claim.permits(),
+            stream: self.request.stream,
+        };
+        self.actions.push(Action::Move(region, Box::new(rest)));
+    }
+
+    fn end_relocation(&mut self, attempt: id::Attempt) -> Option<Relocation> {
+        self.relocation.take_if(|r| r.attempt == attempt)
+    }
+
+    pub(super) fn on_moved(
+        &mut self,
+        attempt: id::Attempt,
+        remote: Remote,
+        now: Time,
+        policy: &mut dyn Policy,
+    ) {
+        let Some(relocation) = self.end_relocation(attempt) else {
+            self.tally.late += 1;
+            return;
+        };
+        let finish = remote.finish.clone();
+        self.take_remote(relocation, remote);
+        match finish {
+            Finish::Answer(body) if self.stage().is_none() => {
+                self.conclude(Finish::Answer(body), now, policy);
+            }
+            Finish::NotRun {
+                reason,
+                retry_after,
+            } => self.give_up(&reason, retry_after, now, policy),
+            Finish::Unknown { reason } | Finish::Failed { reason } => {
+                self.give_up(&reason, None, now, policy);
+            }
+            Finish::Answer(_) | Finish::Conflict => {
+                self.give_up("the other daemon's answer is not whole", None, now, policy);
+            }
+        }
+    }
+
+    /// Takes over the results of a remainder; those before it have to be unchanged.
+    fn take_remote(&mut self, relocation: Relocation, remote: Remote) {
+        let usage = Usage {
+            link_bytes: remote.usage.link_bytes,
+            ..Usage::default()
+        };
+        // What it ran was booked there.
+        self.spend(usage, Fate::Won);
+        let is_whole =
+            remote.parts.starts_with(&self.parts) && remote.parts.len() <= self.plan.stages.len();
+        if !is_whole {
+            self.tally.crossed += 1;
+        }
+        if remote.parts.len() > self.parts.len() && is_whole {
+            self.parts = remote.parts;
+            self.input = None;
+        }
+        let not_run = matches!(remote.finish, Finish::NotRun { .. });
+        if !not_run {
+            self.ran = true;
+        }
+        if !relocation.risky {
+            return;
+        }
+        if remote.doubtful || !is_whole {
+            self.effect = Effect::Doubtful;
+        } else if matches!(remote.finish, Finish::Failed { .. }) && self.has_once_ahead() {
+            self.effect = Effect::Failed;
+        }
+    }
+
+    pub(super) fn on_cut(
+        &mut self,
+        attempt: id::Attempt,
+        error: &peer::Error,
+        now: Time,
+        policy: &mut dyn Policy,
+    ) {
+        let Some(relocation) = self.end_relocation(attempt) else {
+            return;
+        };
+        let lost = matches!(error, peer::Error::Lost { .. });
+        if lost && relocation.risky {
+            self.effect = Effect::Doubtful;
+        }
+        if lost {
+            self.ran = true;
+        }
+        if self.effect != Effect::Clean || self.stream.shown {
+            self.give_up(&error.to_string(), None, now, policy);
+            return;
+        }
+        self.stream.restart();
+        self.retry_at = Some(now + RELOCATE_AFTER);
+    }
+
+    /// Takes the end of a remainder that ran on after the caller was told `unknown`.
+    pub(super) fn on_late_move(&mut self, attempt: id::Attempt, remote: Remote) {
+        let Some(relocation) = self.end_relocation(attempt) else {
+            self.tally.late += 1;
+            return;
+        };
+        self.linger_until = None;
+        let ran = !matches!(remote.finish, Finish::NotRun { .. });
+        self.take_remote(relocation, remote);
+        if !ran {
+            self.effect = Effect::Doubtful;
+        }
+        let outcome = self.outcome();
+        self.settle(outcome);
+    }
+
+    pub(super) fn on_late_cut(&mut self, attempt: id::Attempt) {
+        if self.end_relocation(attempt).is_none() {
+            return;
+        }
+        self.linger_until = None;
+        self.effect = Effect::Doubtful;
+        let outcome = self.outcome();
+        self.settle(outcome);
+    }
+}
--- /dev/null
+++ b/src/pipeline/run/stream.rs
@@ -0,0 +1,147 @@
+//! Tokens: each is received once, in order, from one model version.
+
+use super::{Claim, Run};
+use crate::clock::Time;
+use crate::endpoint::{Error, Token};
+use crate::id;
+use crate::pipeline::Action;
+use crate::policy::Policy;
+
+/// The longest wait for the next token before a second engine may resume the generation.
+pub const STALL: Time = Time::from_millis(400);
+
+/// The tokens of the current stage.
+#[derive(Debug, Default)]
+pub(super) struct Stream {
+    pub tokens: Vec<Token>,
+    pub version: Option<id::Version>,
+    /// Tokens that are kept back until the claim is decided.
+    pub held: Vec<Token>,
+    /// Whether the caller saw a token.
+    pub shown: bool,
+}
+
+impl Stream {
+    /// Whether a generation can go on from here, or can start again unseen.
+    pub fn can_resume(&self) -> bool {
+        self.tokens.is_empty() || self.version.is_some()
+    }
+
+    /// Forgets the tokens, which the caller has not seen.
+    pub fn restart(&mut self) {
+        self.tokens.clear();
+        self.held.clear();
+        self.version = None;
+    }
+
+    /// The version that another attempt must run, once tokens exist.
+    pub fn pinned(&self) -> Option<id::Version> {
+        if self.tokens.is_empty() {
+            None
+        } else {
+            self.version.clone()
+        }
+    }
+}
+
+impl Run {
+    pub(super) fn on_token(
+        &mut self,
+        attempt: id::Attempt,
+        token: Token,
+        now: Time,
+        policy: &mut dyn Policy,
+    ) {
+        if self.relocation.is_some_and(|r| r.attempt == attempt) {
+            self.take_relocated(token);
+            return;
+        }
+        let Some(at) = self.flights.iter().position(|f| f.attempt == attempt) else {
+            self.tally.late += 1;
+            return;
+        };
+        if !self.stage().is_some_and(|s| s.generates) {
+            return;
+        }
+        if (token.index as usize) < self.stream.tokens.len() {
+            self.tally.doubled += 1;
+            return;
+        }
+        if let Some(fault) = self.fault_of(&token) {
+            self.tally.crossed += 1;
+            self.reject(at, fault, now, policy);
+            return;
+        }
+        self.keep_only(at, now, policy);
+        self.take_token(token);
+        if let Some(flight) = self.flights.first_mut() {
+            let patience = flight.pick.hedge_after.map(|after| after.min(STALL));
+            flight.hedge_at = patience.map(|p| now + p);
+        }
+    }
+
+    fn fault_of(&self, token: &Token) -> Option<&'static str> {
+        if token.index as usize > self.stream.tokens.len() {
+            return Some("a token is missing");
+        }
+        match (&self.stream.pinned(), &token.version) {
+            (Some(pinned), Some(version)) if pinned != version => {
+                Some("another model version continued the generation")
+            }
+            _ => None,
+        }
+    }
+
+    fn take_token(&mut self, token: Token) {
+        if token.version.is_some() {
+            self.stream.version.clone_from(&token.version);
+        }
+        self.stream.tokens.push(token.clone());
+        self.show(token);
+    }
+
+    /// Takes a token of a remainder; only tokens that are to be shown are sent back.
+    fn take_relocated(&mut self, token: Token) {
+        if (token.index as usize) < self.stream.tokens.len() {
+            self.tally.doubled += 1;
+        } else {
+            self.stream.tokens.push(token.clone());
+            self.emit(token);
+        }
+    }
+
+    fn show(&mut self, token: Token) {
+        if self.request.stream && self.plan.streamed() == Some(self.parts.len()) {
+            self.emit(token);
+        }
+    }
+
+    /// A pending claim may still answer with an earlier request's result, whose tokens differ.
+    fn emit(&mut self, token: Token) {
+        if self.claim == Claim::Pending {
+            self.stream.held.push(token);
+        } else {
+            self.stream.shown = true;
+            self.actions.push(Action::Token(token));
+        }
+    }
+
+    pub(super) fn release_tokens(&mut self) {
+        for token in std::mem::take(&mut self.stream.held) {
+            self.emit(token);
+        }
+    }
+
+    /// Ends a call whose tokens cannot be used.
+    fn reject(&mut self, at: usize, fault: &str, now: Time, policy: &mut dyn Policy) {
+        let flight = self.flights.swap_remove(at);
+        let error = Error::Lost {
+            step: "generation",
+            peer: flight.pick.endpoint.to_string(),
+            reason: fault.into(),
+        };
+        let cancel = Action::Cancel(flight.pick.clone(), flight.attempt);
+        self.actions.push(cancel);
+        self.fail(&flight, &error, now, policy);
+    }
+}
--- /dev/null
+++ b/src/pipeline/run/tests/moves.rs
@@ -0,0 +1,78 @@
+//! Remainders at other daemons.
+
+use super::*;
+
+fn moving(stages: &str) -> (Bench, Remainder) {
+    let mut b = Bench::new(stages);
+    b.policy.placements = vec![Placement::Move("primorje".into())];
+    b.step(Event::Start);
+    b.step(Event::Claimed(Verdict::Granted));
+    let rest = b.seen.iter().find_map(|a| match a {
+        Action::Move(_, rest) => Some((**rest).clone()),
+        _ => None,
+    });
+    let rest = rest.unwrap();
+    (b, rest)
+}
+
+#[test]
+fn step_move_waits_for_the_claim() {
+    let mut b = Bench::new("eo");
+    b.policy.placements = vec![Placement::Move("primorje".into())];
+    b.step(Event::Start);
+    assert!(!b.seen.iter().any(|a| matches!(a, Action::Move(..))));
+}
+
+#[test]
+fn step_moved_answer_is_whole() {
+    let (mut b, rest) = moving("g");
+    b.step(Event::Token(rest.attempt, token(0, "v1")));
+    let remote = Remote {
+        finish: Finish::Answer("1".into()),
+        parts: vec![Part {
+            stage: "g0".into(),
+            body: "1".into(),
+        }],
+        doubtful: false,
+        usage: Usage::default(),
+    };
+    b.step(Event::Moved(rest.attempt, remote));
+    assert_eq!(b.finish(), Finish::Answer("1".into()));
+    assert_eq!(b.shown(), [0]);
+}
+
+#[test]
+fn step_cut_relocation_is_unknown_when_risky() {
+    let error = peer_lost();
+    let (mut b, rest) = moving("o");
+    b.step(Event::Cut(rest.attempt, error.clone()));
+    assert!(is_unknown(&b.finish()));
+    assert_eq!(b.settled(), [Outcome::Unknown]);
+
+    let (mut b, rest) = moving("e");
+    b.step(Event::Cut(rest.attempt, error));
+    b.wait(50 * MS);
+    assert_eq!(b.calls().len(), 1);
+    assert!(b.last().attempt > rest.attempt + RELOCATED_ATTEMPTS - 2);
+}
+
+fn peer_lost() -> crate::peer::Error {
+    crate::peer::Error::Lost {
+        step: "remainder",
+        peer: "d".into(),
+        reason: "reset".into(),
+    }
+}
+
+#[test]
+fn rest_runs_delegated_claim_without_settling() {
+    let (_, rest) = moving("o");
+    let mut b = Bench::new("o");
+    b.run = Run::rest(plan("o"), &rest, "digest".into(), Time::ZERO);
+    b.step(Event::Start);
+    assert_eq!(b.last().attempt, rest.attempt + 1);
+    b.answer(&b.last());
+    let remote = b.run.remote(Usage::default()).unwrap();
+    assert_eq!(remote.parts.len(), 1);
+    assert!(b.settled().is_empty());
+}
--- /dev/null
+++ b/src/pipeline/run/tests/order.rs
@@ -0,0 +1,250 @@
+//! Stages, claims, retries and verdicts.
+
+use super::*;
+
+#[test]
+fn step_runs_stages_in_order() {
+    let mut b = Bench::started("eg");
+    b.answer(&b.last());
+    assert_eq!(&*b.last().input, r#"{"body":{},"results":{"e0":"e0"}}"#);
+    b.token(&b.last(), 0);
+    b.answer(&b.last());
+    assert_eq!(b.finish(), Finish::Answer("\"g1\"".into()));
+    assert_eq!(b.shown(), [0]);
+    assert!(b.run.is_done());
+    assert_eq!((b.policy.in_flight, b.policy.left), (0, 1));
+}
+
+#[test]
+fn step_claims_beside_repeatable_stage() {
+    let mut b = Bench::new("eo");
+    let actions = b.step(Event::Start);
+    assert!(matches!(actions[0], Action::Claim(_)));
+    assert!(matches!(actions[1], Action::Call(..)));
+    b.answer(&b.last());
+    assert_eq!(b.calls().len(), 1, "not called without a claim");
+    b.step(Event::Claimed(Verdict::Granted));
+    assert_eq!(&*b.last().stage, "o1");
+    b.answer(&b.last());
+    assert_eq!(b.settled(), [Outcome::Answered("\"o1\"".into())]);
+}
+
+#[test]
+fn step_retries_repeatable_after_failure() {
+    let mut b = Bench::started("e");
+    b.fail(&b.last(), lost());
+    assert!(b.seen.iter().any(|a| matches!(a, Action::Blame(..))));
+    assert_eq!(b.run.next_wake(), Some(10 * MS));
+    b.wait(10 * MS);
+    assert_eq!(b.calls().len(), 2);
+    b.answer(&b.last());
+    assert_eq!(b.run.tally().retries, 1);
+}
+
+#[test]
+fn step_never_retries_once_sent() {
+    for error in [lost(), failed()] {
+        let mut b = Bench::started("o");
+        b.step(Event::Claimed(Verdict::Granted));
+        b.fail(&b.last(), error.clone());
+        b.wait(DEADLINE);
+        assert_eq!(b.calls().len(), 1);
+        assert_eq!(is_unknown(&b.finish()), matches!(error, Error::Lost { .. }));
+        assert_eq!(b.settled(), [Outcome::Unknown]);
+    }
+}
+
+#[test]
+fn step_retries_once_when_refused() {
+    let mut b = Bench::started("o");
+    b.step(Event::Claimed(Verdict::Granted));
+    b.fail(&b.last(), refused());
+    b.wait(10 * MS);
+    assert_eq!(b.calls().len(), 2);
+    b.policy.is_stopping = true;
+    b.fail(&b.last(), refused());
+    assert!(is_not_run(&b.finish()));
+    assert_eq!(b.settled(), [Outcome::Released]);
+}
+
+#[test]
+fn step_hedges_and_cancels_loser() {
+    let mut b = Bench::new("e");
+    b.policy.is_hedging = true;
+    b.step(Event::Start);
+    b.wait(100 * MS);
+    let calls = b.calls();
+    assert_eq!(calls.len(), 2);
+    let actions = b.answer(&calls[1]);
+    assert!(matches!(&actions[0], Action::Cancel(_, a) if *a == calls[0].attempt));
+    b.answer(&calls[0]);
+    assert_eq!(b.run.tally().late, 1);
+    b.finish();
+    assert_eq!(b.policy.in_flight, 0);
+}
+
+#[test]
+fn step_never_hedges_once_or_suspect() {
+    let mut once = Bench::new("o");
+    let mut suspect = Bench::new("e");
+    suspect.run = suspect.run.with_suspect(true);
+    for b in [&mut once, &mut suspect] {
+        b.policy.is_hedging = true;
+        b.step(Event::Start);
+        b.step(Event::Claimed(Verdict::Granted));
+        b.wait(200 * MS);
+        assert_eq!(b.calls().len(), 1);
+    }
+}
+
+#[test]
+fn step_drops_crossed_answer() {
+    let mut b = Bench::started("e");
+    let call = b.last();
+    let mut crossed = answer_to(&call);
+    crossed.request = uuid::Uuid::from_u128(8);
+    b.step(Event::Ended(call.attempt, Ok(crossed)));
+    assert_eq!(b.run.tally().crossed, 1);
+    b.wait(10 * MS);
+    b.answer(&b.last());
+    assert_eq!(b.finish(), Finish::Answer("\"e0\"".into()));
+}
+
+#[test]
+fn step_crossed_answer_of_once_is_unknown() {
+    let mut b = Bench::started("o");
+    b.step(Event::Claimed(Verdict::Granted));
+    let mut crossed = answer_to(&b.last());
+    crossed.stage = "other".into();
+    b.step(Event::Ended(b.last().attempt, Ok(crossed)));
+    assert!(is_unknown(&b.finish()));
+}
+
+#[test]
+fn step_hopeless_ends_at_once() {
+    let mut b = Bench::started("ee");
+    b.policy.is_hopeless = true;
+    b.answer(&b.last());
+    assert!(is_failed(&b.finish()));
+
+    let mut b = Bench::new("e");
+    b.policy.is_hopeless = true;
+    b.step(Event::Start);
+    assert!(is_not_run(&b.finish()));
+}
+
+#[test]
+fn step_waiting_is_abandoned_when_hopeless() {
+    let mut b = Bench::new("e");
+    b.policy.placements = vec![Placement::Wait];
+    b.step(Event::Start);
+    b.policy.is_hopeless = true;
+    b.wait(WAIT_CHECK);
+    assert!(is_not_run(&b.finish()));
+    assert_eq!(b.policy.abandoned, 1);
+}
+
+#[test]
+fn step_ready_places_waiting_stage() {
+    let mut b = Bench::new("e");
+    b.policy.placements = vec![Placement::Wait];
+    b.step(Event::Start);
+    b.step(Event::Ready(1));
+    b.step(Event::Ready(1));
+    assert_eq!(b.calls().len(), 1);
+}
+
+#[test]
+fn step_deadline_before_claim_releases() {
+    let mut b = Bench::started("eo");
+    b.answer(&b.last());
+    b.wait(DEADLINE);
+    assert!(is_not_run(&b.finish()));
+    assert!(!b.run.is_done());
+    b.step(Event::Claimed(Verdict::Granted));
+    assert_eq!(b.settled(), [Outcome::Released]);
+    assert!(b.run.is_done());
+}
+
+#[test]
+fn step_deadline_with_once_running_lingers() {
+    let mut b = Bench::started("oe");
+    b.step(Event::Claimed(Verdict::Granted));
+    let call = b.last();
+    b.wait(DEADLINE);
+    assert!(is_unknown(&b.finish()));
+    assert!(b.settled().is_empty());
+    b.answer(&call);
+    assert!(matches!(b.settled()[..], [Outcome::Partial(ref p)] if p.len() == 1));
+    assert!(b.run.is_done());
+}
+
+#[test]
+fn step_linger_ends_unknown() {
+    let mut b = Bench::started("o");
+    b.step(Event::Claimed(Verdict::Granted));
+    b.wait(DEADLINE);
+    b.wait(LINGER);
+    assert_eq!(b.settled(), [Outcome::Unknown]);
+    assert!(matches!(b.seen[b.seen.len() - 2], Action::Cancel(..)));
+    assert!(b.run.is_done());
+}
+
+#[test]
+fn step_later_failure_is_partial() {
+    let mut b = Bench::started("oe");
+    b.step(Event::Claimed(Verdict::Granted));
+    b.answer(&b.last());
+    b.policy.is_stopping = true;
+    b.fail(&b.last(), failed());
+    assert!(is_failed(&b.finish()));
+    assert!(matches!(b.settled()[..], [Outcome::Partial(_)]));
+}
+
+#[test]
+fn step_failure_between_two_once_stages_is_unknown() {
+    let mut b = Bench::started("oo");
+    b.step(Event::Claimed(Verdict::Granted));
+    b.answer(&b.last());
+    b.policy.is_stopping = true;
+    b.fail(&b.last(), refused());
+    assert!(is_failed(&b.finish()));
+    assert_eq!(b.settled(), [Outcome::Unknown]);
+}
+
+#[test]
+fn step_resume_runs_only_the_rest() {
+    let mut b = Bench::started("eoe");
+    let part = |stage: &str| Part {
+        stage: stage.into(),
+        body: "1".into(),
+    };
+    b.step(Event::Claimed(Verdict::Resume(vec![
+        part("e0"),
+        part("o1"),
+    ])));
+    assert_eq!(&*b.last().stage, "e2");
+    b.answer(&b.last());
+    assert_eq!(b.finish(), Finish::Answer("\"e2\"".into()));
+    assert!(b.settled().is_empty());
+    assert_eq!(b.policy.in_flight, 0);
+}
+
+#[test]
+fn step_other_verdicts_end_the_request() {
+    let cases = [
+        (
+            Verdict::Answered("\"old\"".into()),
+            Finish::Answer("\"old\"".into()),
+        ),
+        (Verdict::Conflict, Finish::Conflict),
+        (Verdict::Unknown, verdict::earlier_unknown()),
+    ];
+    for (given, told) in cases {
+        let mut b = Bench::started("eo");
+        b.step(Event::Claimed(given));
+        assert_eq!(b.finish(), told);
+        assert!(b.run.is_done());
+        assert_eq!(b.policy.in_flight, 0);
+    }
+}
--- /dev/null
+++ b/src/pipeline/run/verdict.rs
@@ -0,0 +1,118 @@
+//! Verdicts: what the caller is told, and what is recorded for the claim.
+
+use super::{Claim, Effect, LINGER, Phase, Run};
+use crate::claim::Outcome;
+use crate::clock::Time;
+use crate::pipeline::{Action, Finish};
+use crate::policy::Policy;
+
+/// When to send again, when nothing better is known.
+const RETRY_AFTER: Time = Time::from_secs(1);
+
+pub(super) fn not_run(reason: impl Into<String>, retry_after: Option<Time>) -> Finish {
+    Finish::NotRun {
+        reason: reason.into(),
+        retry_after,
+    }
+}
+
+/// The verdict on a key whose earlier request may have run.
+pub(super) fn earlier_unknown() -> Finish {
+    Finish::Unknown {
+        reason: "an earlier request with this key may have run".into(),
+    }
+}
+
+impl Run {
+    pub(super) fn answer(&mut self, now: Time, policy: &mut dyn Policy) {
+        let body = self.parts.last().map(|p| p.body.clone());
+        self.conclude(Finish::Answer(body.unwrap_or_default()), now, policy);
+    }
+
+    /// Ends the request without an answer and with its truthful verdict.
+    pub(super) fn give_up(
+        &mut self,
+        reason: &str,
+        retry_after: Option<Time>,
+        now: Time,
+        policy: &mut dyn Policy,
+    ) {
+        let finish = self.verdict(reason, retry_after);
+        self.conclude(finish, now, policy);
+    }
+
+    fn verdict(&self, reason: &str, retry_after: Option<Time>) -> Finish {
+        let reason = reason.to_owned();
+        if self.effect == Effect::Doubtful || self.is_risky() {
+            return Finish::Unknown { reason };
+        }
+        let ran = if self.plan.is_repeatable() {
+            self.has_run()
+        } else {
+            self.done_once() > 0 || self.effect == Effect::Failed
+        };
+        if ran {
+            Finish::Failed { reason }
+        } else {
+            not_run(reason, retry_after.or(Some(RETRY_AFTER)))
+        }
+    }
+
+    /// Whether any stage may have run.
+    fn has_run(&self) -> bool {
+        let active = !self.flights.is_empty() || self.relocation.is_some();
+        self.ran || active || !self.parts.is_empty()
+    }
+
+    /// Tells the caller; what may not be repeated and still runs is left to end by itself.
+    pub(super) fn conclude(&mut self, finish: Finish, now: Time, policy: &mut dyn Policy) {
+        if self.phase == Phase::Told {
+            return;
+        }
+        self.abandon(now, policy);
+        self.retry_at = None;
+        self.blocked = false;
+        let risky = self.is_risky();
+        let attained = matches!(finish, Finish::Answer(_)) && now <= self.deadline;
+        self.phase = Phase::Told;
+        self.finish = Some(finish.clone());
+        self.actions.push(Action::Finish(finish));
+        self.leave(attained, now, policy);
+        if risky && self.claim == Claim::Granted {
+            self.linger_until = Some(now + LINGER);
+            return;
+        }
+        if risky {
+            self.effect = Effect::Doubtful;
+        }
+        self.cancel_all(now, policy);
+        let outcome = self.outcome();
+        self.settle(outcome);
+    }
+
+    /// Says how the request ended, as far as its results go.
+    pub(super) fn outcome(&self) -> Outcome {
+        if self.effect != Effect::Clean {
+            return Outcome::Unknown;
+        }
+        if self.parts.len() == self.plan.stages.len() {
+            let body = self.parts.last().map(|p| p.body.clone());
+            return Outcome::Answered(body.unwrap_or_default());
+        }
+        if self.done_once() == 0 {
+            return Outcome::Released;
+        }
+        if self.has_once_ahead() {
+            // Two resends could both run the rest.
+            return Outcome::Unknown;
+        }
+        Outcome::Partial(self.parts.clone())
+    }
+
+    pub(super) fn settle(&mut self, outcome: Outcome) {
+        if self.claim == Claim::Granted {
+            self.claim = Claim::Closed;
+            self.actions.push(Action::Settle(outcome));
+        }
+    }
+}
