--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -11,6 +11,8 @@
     # The schema stands in schema/, so its copies in the comments are left out.
     awk '/<details>/ { skip = 1 } !skip { print } /<\/details>/ { skip = 0 }' "$out" > "$out.new"
     mv "$out.new" "$out"
+    # typify fills an object whose default is {} with zeros; the defaults of its fields are meant.
+    perl -0pi -e 's/(pub\(super\) fn \w+\(\) -> super::\w+ \{\s*)super::\w+ \{[^{}]*\}/${1}Default::default()/g' "$out"
     sha256sum "$schema" | cut -d ' ' -f 1 > "src/generated/$name.digest"
     rustfmt --edition 2024 "$out"
 done
--- /dev/null
+++ b/src/settings/locate.rs
@@ -0,0 +1,35 @@
+//! Finds the line of a key in a TOML text, so that an error can name it.
+
+use toml::de::{DeTable, DeValue};
+
+/// Returns the line, from 1, that holds byte `at`.
+pub fn line_at(text: &str, at: usize) -> usize {
+    let end = at.min(text.len());
+    1 + text.as_bytes()[..end]
+        .iter()
+        .filter(|b| **b == b'\n')
+        .count()
+}
+
+/// Returns the line of the key at a dotted path such as `pipelines[0].stages[1].pool`.
+///
+/// When the key itself is absent, the nearest part of the path that is there is taken.
+pub fn line_of(text: &str, path: &str) -> Option<usize> {
+    let root = DeTable::parse(text).ok()?;
+    let mut at = None;
+    let mut value = DeValue::Table(root.into_inner());
+    for part in path.split(['.', '[']) {
+        let next = match (&value, part.strip_suffix(']')) {
+            (DeValue::Array(array), Some(index)) => {
+                let index: usize = index.parse().ok()?;
+                array.get(index).cloned()
+            }
+            (DeValue::Table(table), None) => table.get(part).cloned(),
+            _ => None,
+        };
+        let Some(next) = next else { break };
+        at = Some(next.span().start);
+        value = next.into_inner();
+    }
+    at.map(|at| line_at(text, at))
+}
