--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -9,9 +9,9 @@
 use super::error::{ReadSnafu, Result};
 use super::{Error, Settings, check, locate};
 
-/// Environment variables that override settings start with this; `CYCLAMENRILL_DAEMON__NAME`
+/// Environment variables that override settings start with this; `CYCLAMENRILL__DAEMON__NAME`
 /// stands for the key `daemon.name`.
-pub const PREFIX: &str = "CYCLAMENRILL_";
+pub const PREFIX: &str = "CYCLAMENRILL__";
 
 event! {
     /// A value from a layer above the file.
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -117,7 +117,7 @@
 #[test]
 fn override_argument_over_environment() {
     let vars = [(
-        "CYCLAMENRILL_DAEMON__NAME".to_owned(),
+        "CYCLAMENRILL__DAEMON__NAME".to_owned(),
         "from-env".to_owned(),
     )];
     let mut layers = Override::from_environment(vars.into_iter());
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -10,6 +10,9 @@
 use crate::clock::Clock;
 use crate::id;
 
+pub mod filter;
+pub mod format;
+
 /// Events that a daemon keeps for collection.
 pub const CAPACITY: usize = 65_536;
 
@@ -63,6 +66,14 @@
     }
 }
 
+impl Stamp {
+    /// Before every event.
+    pub const MIN: Self = Self {
+        wall: 0,
+        counter: 0,
+    };
+}
+
 struct State {
     last: Stamp,
     events: VecDeque<Event>,
@@ -79,10 +90,7 @@
     /// Makes an empty recorder.
     pub fn new(daemon: id::Daemon, clock: Arc<dyn Clock>) -> Self {
         let state = State {
-            last: Stamp {
-                wall: 0,
-                counter: 0,
-            },
+            last: Stamp::MIN,
             events: VecDeque::new(),
         };
         Self {
@@ -159,3 +167,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/timeline/filter.rs
@@ -0,0 +1,42 @@
+//! Joins the events of several daemons and picks those that are asked for.
+
+use super::{Event, Kind};
+use crate::id;
+
+event! {
+    /// Which events are wanted; an empty filter wants all.
+    #[derive(Default)]
+    pub struct Filter {
+        /// Only events of this request.
+        pub request: Option<id::Request>,
+        /// Only events of this endpoint.
+        pub endpoint: Option<id::Endpoint>,
+        /// Only events of this kind.
+        pub kind: Option<Kind>,
+    }
+}
+
+impl Filter {
+    /// Says whether an event is wanted.
+    pub fn wants(&self, event: &Event) -> bool {
+        let request = self.request.is_none() || self.request == event.request;
+        let endpoint = self.endpoint.is_none() || self.endpoint == event.endpoint;
+        let kind = self.kind.is_none_or(|kind| kind == event.kind);
+        request && endpoint && kind
+    }
+}
+
+/// Joins the events of several daemons in causal order.
+///
+/// An event that two collections hold is kept once. Events with one stamp are not ordered
+/// causally; the name of the daemon then decides, so that every reader sees the same order.
+pub fn merge(lists: impl IntoIterator<Item = Vec<Event>>, filter: &Filter) -> Vec<Event> {
+    let mut all: Vec<Event> = lists
+        .into_iter()
+        .flatten()
+        .filter(|event| filter.wants(event))
+        .collect();
+    all.sort_by(|a, b| (a.at, &a.daemon, &a.what).cmp(&(b.at, &b.daemon, &b.what)));
+    all.dedup();
+    all
+}
