Add the platform and endpoints in memory with injected faults

Tests of claims, control and pipelines need a log that is down, slow or loses answers, and endpoints that die at any point, without sleeping.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -6,6 +6,8 @@
 
 use crate::id;
 
+pub mod memory;
+
 value! {
     /// One try at running a stage, as sent to an endpoint.
     pub struct Call {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,8 @@
 
 use crate::id;
 
+pub mod memory;
+
 /// Why a call to the platform failed.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
--- /dev/null
+++ b/src/platform/memory.rs
@@ -0,0 +1,365 @@
+//! The platform's services in memory, with faults that a test or a stand-in injects.
+//!
+//! They sleep only when made [`blocking`](Log::blocking), so that a test on a manual clock
+//! decides when everything happens. See [the platform](../../docs/PLATFORM.md).
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use parking_lot::{Condvar, Mutex, MutexGuard};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Error, Page, Record, Result};
+use crate::clock::{Clock, Time};
+use crate::id;
+
+mod list;
+
+pub use list::{Roster, Weights};
+
+/// Records that one read returns at most.
+pub const PAGE_RECORDS: usize = 1_024;
+/// The name under which the fakes appear in errors.
+const PEER: &str = "memory";
+/// The span over which appends are counted against the limit.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+
+event! {
+    /// What goes wrong at the log until it is set anew.
+    #[derive(Default)]
+    pub struct Faults {
+        /// Whether every call fails without an effect.
+        pub outage: bool,
+        /// How long each call takes; an append that takes longer than its timeout is answered
+        /// `Unknown` and has its effect late.
+        pub latency: Duration,
+        /// Share of appends, from 0 to 1, that are lost on the way.
+        pub lost_before: f64,
+        /// Share of appends, from 0 to 1, whose answer is lost after the effect.
+        pub lost_after: f64,
+        /// How long an appended record stays invisible to readers.
+        pub read_delay: Duration,
+        /// How long a record is kept; for ever if none.
+        pub retention: Option<Duration>,
+        /// Appends a second over all streams; unlimited if none.
+        pub rate: Option<u32>,
+    }
+
+    /// What goes wrong with one append.
+    #[derive(Copy, Eq)]
+    pub enum Fault {
+        /// It is refused without an effect.
+        Refused,
+        /// It is lost on the way, and the caller is not told.
+        LostBefore,
+        /// It has its effect, and the answer is lost.
+        LostAfter,
+        /// It has its effect this much later, and the caller is not told.
+        Late(Duration),
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    at: Time,
+    body: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first: id::Offset,
+    entries: VecDeque<Entry>,
+}
+
+impl Stream {
+    fn end(&self) -> id::Offset {
+        self.first + self.entries.len() as u64
+    }
+
+    fn push(&mut self, at: Time, body: Vec<u8>) -> id::Offset {
+        let offset = self.end();
+        self.entries.push_back(Entry { at, body });
+        offset
+    }
+
+    fn trim(&mut self, now: Time, retention: Duration) {
+        while let Some(entry) = self.entries.front()
+            && entry.at + retention <= now
+        {
+            self.entries.pop_front();
+            self.first += 1;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Late {
+    due: Time,
+    stream: String,
+    body: Vec<u8>,
+}
+
+#[derive(Debug)]
+struct State {
+    streams: IndexMap<String, Stream>,
+    faults: Faults,
+    next: VecDeque<Fault>,
+    late: Vec<Late>,
+    recent: VecDeque<Time>,
+    appended: u64,
+    rng: ChaCha8Rng,
+}
+
+impl State {
+    fn stream(&mut self, name: &str) -> &mut Stream {
+        self.streams.entry(name.to_owned()).or_default()
+    }
+
+    fn advance(&mut self, now: Time) {
+        let (due, late) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|l| l.due <= now);
+        self.late = late;
+        let mut due: Vec<Late> = due;
+        due.sort_by_key(|l| l.due);
+        for Late { due, stream, body } in due {
+            self.push(due, &stream, body);
+        }
+        if let Some(retention) = self.faults.retention {
+            for stream in self.streams.values_mut() {
+                stream.trim(now, retention);
+            }
+        }
+    }
+
+    fn push(&mut self, at: Time, stream: &str, body: Vec<u8>) -> id::Offset {
+        self.appended += 1;
+        self.stream(stream).push(at, body)
+    }
+
+    fn is_over_rate(&mut self, now: Time) -> bool {
+        while let Some(at) = self.recent.front()
+            && *at + RATE_SPAN <= now
+        {
+            self.recent.pop_front();
+        }
+        let Some(rate) = self.faults.rate else {
+            return false;
+        };
+        if self.recent.len() >= rate as usize {
+            return true;
+        }
+        self.recent.push_back(now);
+        false
+    }
+
+    fn fault(&mut self, timeout: Duration) -> Option<Fault> {
+        if self.faults.outage {
+            return Some(Fault::Refused);
+        }
+        if let Some(fault) = self.next.pop_front() {
+            return Some(fault);
+        }
+        let draw: f64 = self.rng.random();
+        if draw < self.faults.lost_before {
+            return Some(Fault::LostBefore);
+        }
+        if draw < self.faults.lost_before + self.faults.lost_after {
+            return Some(Fault::LostAfter);
+        }
+        (self.faults.latency > timeout).then_some(Fault::Late(self.faults.latency))
+    }
+
+    fn page(&self, name: &str, from: id::Offset, now: Time) -> Page {
+        let Some(stream) = self.streams.get(name) else {
+            return Page {
+                first: 0,
+                end: 0,
+                records: Vec::new(),
+            };
+        };
+        let delay = self.faults.read_delay;
+        let seen = stream.entries.partition_point(|e| e.at + delay <= now);
+        let from = from.max(stream.first);
+        let skip = usize::try_from(from - stream.first).unwrap_or(usize::MAX);
+        let records = stream.entries.iter().take(seen).skip(skip);
+        Page {
+            first: stream.first,
+            end: stream.first + seen as u64,
+            records: records
+                .take(PAGE_RECORDS)
+                .zip(from..)
+                .map(|(e, offset)| Record {
+                    offset,
+                    body: e.body.clone(),
+                })
+                .collect(),
+        }
+    }
+}
+
+/// A log in memory.
+pub struct Log {
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+    changed: Condvar,
+    is_blocking: bool,
+}
+
+impl Log {
+    /// Makes an empty log whose drawn faults follow from `seed`.
+    ///
+    /// It never sleeps: a read that finds nothing returns an empty page at once.
+    pub fn new(clock: Arc<dyn Clock>, seed: u64) -> Self {
+        let state = State {
+            streams: IndexMap::new(),
+            faults: Faults::default(),
+            next: VecDeque::new(),
+            late: Vec::new(),
+            recent: VecDeque::new(),
+            appended: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        Self {
+            clock,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            is_blocking: false,
+        }
+    }
+
+    /// Makes reads wait for records and calls take their latency, for use between threads.
+    pub fn blocking(mut self) -> Self {
+        self.is_blocking = true;
+        self
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set(&self, faults: Faults) {
+        self.state.lock().faults = faults;
+        self.changed.notify_all();
+    }
+
+    /// Changes what goes wrong from now on.
+    pub fn change(&self, edit: impl FnOnce(&mut Faults)) {
+        edit(&mut self.state.lock().faults);
+        self.changed.notify_all();
+    }
+
+    /// Makes the next append go wrong; several are taken in turn.
+    pub fn inject(&self, fault: Fault) {
+        self.state.lock().next.push_back(fault);
+    }
+
+    /// Returns how many records were ever appended, over all streams.
+    pub fn appended(&self) -> u64 {
+        self.state.lock().appended
+    }
+
+    fn pause(&self, latency: Duration) {
+        if self.is_blocking && !latency.is_zero() {
+            std::thread::sleep(latency);
+        }
+    }
+
+    fn apply(&self, state: &mut State, stream: &str, body: &[u8], timeout: Duration) -> Answer {
+        let now = self.clock.now();
+        state.advance(now);
+        let fault = state.fault(timeout);
+        if fault == Some(Fault::Refused) {
+            return Answer::refused("the log is down");
+        }
+        if state.is_over_rate(now) {
+            return Answer::refused("too many appends");
+        }
+        match fault {
+            None => Answer::Done(state.push(now, stream, body.to_vec())),
+            Some(Fault::LostAfter) => {
+                state.push(now, stream, body.to_vec());
+                Answer::Silent
+            }
+            Some(Fault::Late(by)) => {
+                state.late.push(Late {
+                    due: now + by,
+                    stream: stream.to_owned(),
+                    body: body.to_vec(),
+                });
+                Answer::Silent
+            }
+            Some(Fault::LostBefore | Fault::Refused) => Answer::Silent,
+        }
+    }
+
+    fn wait(&self, state: &mut MutexGuard<'_, State>, until: Time) -> bool {
+        /// How often a waiting read looks for records that only time makes visible.
+        const POLL: Duration = Duration::from_millis(20);
+        let now = self.clock.now();
+        if !self.is_blocking || now >= until {
+            return false;
+        }
+        self.changed.wait_for(state, POLL.min(until - now));
+        true
+    }
+}
+
+enum Answer {
+    Done(id::Offset),
+    Refused(&'static str),
+    Silent,
+}
+
+impl Answer {
+    fn refused(reason: &'static str) -> Self {
+        Self::Refused(reason)
+    }
+}
+
+fn no_effect(step: &'static str, reason: &str) -> Error {
+    Error::NoEffect {
+        step,
+        peer: PEER.into(),
+        reason: reason.into(),
+    }
+}
+
+impl super::Log for Log {
+    fn append(&self, stream: &str, body: &[u8], timeout: Duration) -> Result<id::Offset> {
+        let latency = self.state.lock().faults.latency;
+        self.pause(latency.min(timeout));
+        let answer = self.apply(&mut self.state.lock(), stream, body, timeout);
+        self.changed.notify_all();
+        match answer {
+            Answer::Done(offset) => Ok(offset),
+            Answer::Refused(reason) => Err(no_effect("append", reason)),
+            Answer::Silent => Err(Error::Unknown {
+                step: "append",
+                peer: PEER.into(),
+                reason: "no answer".into(),
+            }),
+        }
+    }
+
+    fn read(&self, stream: &str, from: id::Offset, wait: Duration) -> Result<Page> {
+        let latency = self.state.lock().faults.latency;
+        self.pause(latency);
+        let until = self.clock.now() + wait;
+        let mut state = self.state.lock();
+        loop {
+            let now = self.clock.now();
+            state.advance(now);
+            if state.faults.outage {
+                return Err(no_effect("read", "the log is down"));
+            }
+            let page = state.page(stream, from, now);
+            if page.end > from || page.first > from || !self.wait(&mut state, until) {
+                return Ok(page);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,1 +1,6 @@
-//! Stand-ins for the platform and the endpoints, with injected faults and journals of their own.
+//! Stand-ins of the platform and of endpoints, for tests, the demo and trials on one machine.
+//!
+//! See [the endpoints' protocol](../docs/ENDPOINTS.md) and [the platform's](../docs/PLATFORM.md).
+
+pub mod journal;
+pub mod text;
