--- a/src/endpoint/memory.rs
+++ b/src/endpoint/memory.rs
@@ -216,9 +216,7 @@
     }
 
     fn is_resumable(&self) -> bool {
-        let tokens = self.tokens();
-        let is_same = self.call.version.is_none() || self.call.version == self.version;
-        is_same && tokens.starts_with(&self.call.resume)
+        text::is_resumable(&self.tokens(), self.call, self.version.as_deref())
     }
 
     fn usage(&self, generated: usize) -> Usage {
--- a/src/standin/text.rs
+++ b/src/standin/text.rs
@@ -136,10 +136,19 @@
         .map(|index| Token {
             index,
             text: token(&input.marker, &call.stage, version, index),
+            version: version.map(Into::into),
         })
         .collect()
 }
 
+/// Says whether `version` can continue the call from the tokens that it resumes from.
+pub fn is_resumable(tokens: &[Token], call: &Call, version: Option<&str>) -> bool {
+    let is_same_version = call.version.is_none() || call.version.as_deref() == version;
+    let is_prefix = call.resume.len() <= tokens.len();
+    let mut pairs = tokens.iter().zip(&call.resume);
+    is_same_version && is_prefix && pairs.all(|(a, b)| (a.index, &a.text) == (b.index, &b.text))
+}
+
 /// Returns the JSON text that answers a call with `tokens`.
 pub fn body(input: &Input, call: &Call, version: Option<&str>, tokens: &[Token]) -> id::Name {
     let body = Body {
