--- a/src/pipeline/input/tests.rs
+++ b/src/pipeline/input/tests.rs
@@ -1,3 +1,5 @@
+//! The input of a stage is JSON.
+
 use super::*;
 
 #[test]
--- a/src/pipeline/prefix/tests.rs
+++ b/src/pipeline/prefix/tests.rs
@@ -1,3 +1,5 @@
+//! Prefix hashes compare prompts.
+
 use super::*;
 
 #[test]
--- /dev/null
+++ b/src/pipeline/run/claiming.rs
@@ -0,0 +1,61 @@
+//! The claim of a run: its verdict, in time or late.
+
+use super::{Claim, Run, verdict};
+use crate::claim;
+use crate::clock::Time;
+use crate::pipeline::{Action, Finish};
+use crate::policy::Policy;
+
+impl Run {
+    pub(super) fn on_claimed(
+        &mut self,
+        verdict: claim::Verdict,
+        now: Time,
+        policy: &mut dyn Policy,
+    ) {
+        if self.claim != Claim::Pending {
+            return;
+        }
+        self.claim = Claim::Closed;
+        match verdict {
+            claim::Verdict::Granted => self.on_granted(now, policy),
+            claim::Verdict::Resume(parts) => self.resume(parts, now, policy),
+            claim::Verdict::Answered(body) => self.conclude(Finish::Answer(body), now, policy),
+            claim::Verdict::Conflict => self.conclude(Finish::Conflict, now, policy),
+            claim::Verdict::Unknown => self.conclude(verdict::earlier_unknown(), now, policy),
+            claim::Verdict::NotRun {
+                reason,
+                retry_after,
+            } => self.conclude(verdict::not_run(reason, retry_after), now, policy),
+        }
+    }
+
+    fn on_granted(&mut self, now: Time, policy: &mut dyn Policy) {
+        self.claim = Claim::Granted;
+        self.release_tokens();
+        if std::mem::take(&mut self.blocked) {
+            self.advance(now, policy);
+        }
+    }
+
+    /// Goes on from the results of an earlier request with the same key.
+    fn resume(&mut self, parts: Vec<claim::Part>, now: Time, policy: &mut dyn Policy) {
+        self.abandon(now, policy);
+        self.cancel_all(now, policy);
+        self.retry_at = None;
+        self.blocked = false;
+        self.parts = parts;
+        self.enter_stage();
+        self.advance(now, policy);
+    }
+
+    pub(super) fn on_late_claim(&mut self, verdict: &claim::Verdict) {
+        if self.claim != Claim::Pending {
+            return;
+        }
+        self.claim = Claim::Closed;
+        if *verdict == claim::Verdict::Granted {
+            self.actions.push(Action::Settle(claim::Outcome::Released));
+        }
+    }
+}
--- a/src/pipeline/run/tests.rs
+++ b/src/pipeline/run/tests.rs
@@ -1,3 +1,5 @@
+//! A run on a virtual clock, under a scripted policy.
+
 use std::time::Duration;
 
 use super::*;
