Fold the configuration stream alike at every daemon

Cause: daemons had no configuration that is agreed and kept. Change: typed records, a pure fold with base check, attempt ids, levels and checkpoints; the catalogue of settings; the tail, duties and edits around it. Conclusion: accepted and refused follow from the offset alone.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,1 +1,20 @@
 //! Configuration: fleet-wide defaults and exceptions, folded from the log by every daemon alike.
+//!
+//! The fold of [`fold::Fold`] is the only authority; all else moves records to it or reads
+//! its [`View`]. See [the design note](../docs/design/config.md).
+
+pub mod duty;
+pub mod edit;
+pub mod fold;
+pub mod record;
+pub mod setting;
+pub mod tail;
+pub mod view;
+
+pub use view::{Place, View};
+
+/// The stream of the log that holds configuration.
+pub const STREAM: &str = "config";
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/config/fold.rs
@@ -0,0 +1,444 @@
+//! The fold: which changes are accepted, and what is in force after them.
+//!
+//! It is a function of the records in order and of nothing else: no clock, no settings of the
+//! daemon, no map order. Every daemon therefore reaches the same state at the same offset.
+//! See [the design note](../../docs/design/config.md).
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use sha2::{Digest, Sha256};
+
+use super::record::{
+    self, Body, Cause, Change, Clear, Decoded, Entry, Expire, Level, Raise, Record, Refusal, Scope,
+    Set, Value, Verdict,
+};
+use super::setting::{self, Setting};
+use super::view::{Key, View};
+use crate::{id, platform};
+
+mod state;
+
+/// Exceptions that the fleet may have.
+pub const MAX_EXCEPTIONS: usize = 4_096;
+/// Removed keys whose revision is remembered exactly.
+pub const MAX_REMOVALS: usize = 1_024;
+/// Attempts whose verdict is remembered.
+pub const MAX_VERDICTS: usize = 1_024;
+/// Accepted changes that stay in the history of the state.
+pub const MAX_HISTORY: usize = 512;
+/// Bytes of an author, a reason or a scope name.
+pub const MAX_TEXT: usize = 1_024;
+/// Bytes of an attempt id.
+pub const MAX_ATTEMPT: usize = 64;
+/// Revisions whose chain digest is kept, to compare checkpoints with.
+const MAX_CHAINS: usize = 4_096;
+
+type Chain = [u8; 32];
+
+event! {
+    /// What a record did to the fold.
+    pub enum Step {
+        /// It was folded before.
+        Old,
+        /// Records before it are missing; nothing changed.
+        Gap,
+        /// It raised the fleet to a level that this daemon cannot read; the fold stays before it.
+        Halted(u32),
+        /// It was accepted or refused.
+        Decided {
+            /// The attempt, if the record had one.
+            attempt: Option<String>,
+            /// What became of it.
+            verdict: Verdict,
+        },
+        /// It repeats an attempt; the first verdict holds.
+        Repeated {
+            /// The attempt.
+            attempt: String,
+            /// The verdict on the first record of the attempt.
+            verdict: Verdict,
+        },
+        /// A checkpoint that agrees with this fold.
+        Checkpointed(id::Revision),
+        /// A checkpoint that cannot be compared: it is too old or malformed.
+        Ignored,
+        /// A checkpoint whose accepted changes differ from those of this fold.
+        Diverged(id::Revision),
+    }
+}
+
+/// The folded state of the configuration stream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fold {
+    next: id::Offset,
+    revision: id::Revision,
+    level: u32,
+    chain: Chain,
+    floor: id::Revision,
+    entries: IndexMap<Key, Entry>,
+    removals: IndexMap<Key, id::Revision>,
+    verdicts: IndexMap<String, Verdict>,
+    history: VecDeque<Change>,
+    chains: VecDeque<(id::Revision, Chain)>,
+    halted: Option<u32>,
+}
+
+fn refuse(cause: Cause, detail: impl Into<String>) -> Refusal {
+    Refusal {
+        cause,
+        detail: detail.into(),
+    }
+}
+
+fn scope_of(key: &Key) -> Option<Scope> {
+    key.level.map(|level| Scope {
+        level,
+        name: key.name.to_string(),
+    })
+}
+
+impl Fold {
+    /// Makes the state before the first record.
+    pub fn new() -> Self {
+        Self {
+            next: 0,
+            revision: 0,
+            level: 1,
+            chain: [0; 32],
+            floor: 0,
+            entries: IndexMap::new(),
+            removals: IndexMap::new(),
+            verdicts: IndexMap::new(),
+            history: VecDeque::new(),
+            chains: VecDeque::from([(0, [0; 32])]),
+            halted: None,
+        }
+    }
+
+    /// The offset of the next record to fold.
+    pub fn next(&self) -> id::Offset {
+        self.next
+    }
+
+    /// The revision; it never falls.
+    pub fn revision(&self) -> id::Revision {
+        self.revision
+    }
+
+    /// The record version that the fleet reads.
+    pub fn level(&self) -> u32 {
+        self.level
+    }
+
+    /// The level that stopped this daemon, if one did.
+    pub fn halted(&self) -> Option<u32> {
+        self.halted
+    }
+
+    /// Digest of the accepted changes.
+    pub fn chain(&self) -> id::Digest {
+        hex::encode(self.chain).into()
+    }
+
+    /// The first bytes of the chain digest, as gossip carries it.
+    pub fn fingerprint(&self) -> u64 {
+        self.chain[..8]
+            .iter()
+            .fold(0, |sum, b| sum << 8 | u64::from(*b))
+    }
+
+    /// The values in force, with author, reason and expiry.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Recent accepted changes, oldest first.
+    pub fn history(&self) -> impl Iterator<Item = &Change> {
+        self.history.iter()
+    }
+
+    /// The verdict on a recent attempt.
+    pub fn verdict(&self, attempt: &str) -> Option<&Verdict> {
+        self.verdicts.get(attempt)
+    }
+
+    /// Makes a snapshot for the other modules.
+    pub fn view(&self) -> View {
+        let values = self.entries.iter().map(|(k, e)| (k, &e.value));
+        View::new(self.revision, self.chain(), values)
+    }
+
+    /// Folds one record.
+    pub fn apply(&mut self, record: &platform::Record) -> Step {
+        if record.offset < self.next {
+            return Step::Old;
+        }
+        if record.offset > self.next {
+            return Step::Gap;
+        }
+        let step = match record::decode(&record.body, self.level) {
+            Decoded::Malformed(detail) => Step::Decided {
+                attempt: None,
+                verdict: Verdict::Refused(refuse(Cause::Malformed, detail)),
+            },
+            Decoded::Unreadable(attempt, version) => {
+                let detail = format!("version {version} is above level {}", self.level);
+                self.decide(attempt, Err(refuse(Cause::Unreadable, detail)), record)
+            }
+            Decoded::Readable(decoded) => self.fold(&decoded, record),
+        };
+        if !matches!(step, Step::Halted(_)) {
+            self.next = record.offset + 1;
+        }
+        step
+    }
+
+    fn fold(&mut self, decoded: &Record, record: &platform::Record) -> Step {
+        if let Body::Checkpoint(checkpoint) = &decoded.body {
+            return self.compare(checkpoint);
+        }
+        if let Some(verdict) = self.verdicts.get(&decoded.attempt) {
+            return Step::Repeated {
+                attempt: decoded.attempt.clone(),
+                verdict: verdict.clone(),
+            };
+        }
+        if let Body::Raise(raise) = &decoded.body
+            && raise.level == self.level + 1
+            && raise.level > record::VERSION
+        {
+            self.halted = Some(raise.level);
+            return Step::Halted(raise.level);
+        }
+        let result = bounded(decoded, record.body.len())
+            .and_then(|()| self.change(decoded, record.offset + 1));
+        self.decide(decoded.attempt.clone(), result, record)
+    }
+
+    fn change(&mut self, decoded: &Record, at: id::Revision) -> Result<(), Refusal> {
+        match &decoded.body {
+            Body::Set(set) => self.set(set, &decoded.author, at),
+            Body::Clear(clear) => self.clear(clear, &decoded.author, at),
+            Body::Expire(expire) => self.expire(expire, &decoded.author, at),
+            Body::Raise(raise) => self.raise(raise),
+            Body::Checkpoint(_) => Ok(()),
+        }
+    }
+
+    fn decide(
+        &mut self,
+        attempt: String,
+        result: Result<(), Refusal>,
+        record: &platform::Record,
+    ) -> Step {
+        let verdict = match result {
+            Ok(()) => {
+                self.advance(record);
+                Verdict::Accepted(self.revision)
+            }
+            Err(refusal) => Verdict::Refused(refusal),
+        };
+        if attempt.len() <= MAX_ATTEMPT {
+            if self.verdicts.len() >= MAX_VERDICTS {
+                self.verdicts.shift_remove_index(0);
+            }
+            self.verdicts.insert(attempt.clone(), verdict.clone());
+        }
+        Step::Decided {
+            attempt: Some(attempt),
+            verdict,
+        }
+    }
+
+    fn advance(&mut self, record: &platform::Record) {
+        self.revision = record.offset + 1;
+        let mut hash = Sha256::new();
+        hash.update(self.chain);
+        hash.update(record.offset.to_be_bytes());
+        hash.update(&record.body);
+        self.chain = hash.finalize().into();
+        self.chains.push_back((self.revision, self.chain));
+        if self.chains.len() > MAX_CHAINS {
+            self.chains.pop_front();
+        }
+    }
+
+    fn key(&self, name: &str, scope: Option<&Scope>) -> Result<(Key, &'static Setting), Refusal> {
+        let Some((index, setting)) = setting::find(name, self.level) else {
+            return Err(refuse(Cause::UnknownSetting, format!("no setting {name}")));
+        };
+        if let Some(scope) = scope {
+            if (scope.level == Level::Fleet) != scope.name.is_empty() {
+                let detail = "every scope but the fleet has a name";
+                return Err(refuse(Cause::Invalid, detail));
+            }
+            if scope.name.len() > MAX_TEXT {
+                return Err(refuse(Cause::OverLimit, "the scope's name is too long"));
+            }
+        }
+        let key = Key {
+            setting: index,
+            level: scope.map(|s| s.level),
+            name: scope.map_or("", |s| s.name.as_str()).into(),
+        };
+        Ok((key, setting))
+    }
+
+    /// Returns the revision at which a key last changed, or an upper bound of it.
+    fn changed(&self, key: &Key) -> id::Revision {
+        match (self.entries.get(key), self.removals.get(key)) {
+            (Some(entry), _) => entry.revision,
+            (None, Some(revision)) => *revision,
+            (None, None) => self.floor,
+        }
+    }
+
+    fn check_base(&self, key: &Key, base: id::Revision) -> Result<(), Refusal> {
+        let changed = self.changed(key);
+        if base < changed {
+            let detail = format!("the key changed at revision {changed}, after {base}");
+            return Err(refuse(Cause::Stale, detail));
+        }
+        if base > self.next {
+            let detail = format!("base {base} is ahead of the log at {}", self.next);
+            return Err(refuse(Cause::Invalid, detail));
+        }
+        Ok(())
+    }
+
+    fn set(&mut self, set: &Set, author: &str, at: id::Revision) -> Result<(), Refusal> {
+        let (key, setting) = self.key(&set.setting, set.scope.as_ref())?;
+        let value = setting
+            .check(&set.value)
+            .map_err(|detail| refuse(Cause::Invalid, detail))?;
+        if key.level.is_some() && set.reason.trim().is_empty() {
+            return Err(refuse(Cause::Invalid, "an exception needs a reason"));
+        }
+        if key.level.is_none() && set.expires_ms.is_some() {
+            return Err(refuse(Cause::Invalid, "a default does not expire"));
+        }
+        self.check_base(&key, set.base)?;
+        let is_new = !self.entries.contains_key(&key);
+        if is_new && key.level.is_some() && self.exceptions() >= MAX_EXCEPTIONS {
+            let detail = format!("there are {MAX_EXCEPTIONS} exceptions already");
+            return Err(refuse(Cause::OverLimit, detail));
+        }
+        let entry = Entry {
+            setting: set.setting.clone(),
+            scope: set.scope.clone(),
+            value: value.clone(),
+            revision: at,
+            author: author.into(),
+            reason: set.reason.clone(),
+            expires_ms: set.expires_ms,
+        };
+        self.removals.shift_remove(&key);
+        let before = self.entries.insert(key.clone(), entry).map(|e| e.value);
+        self.note(&key, before, Some(value), author, &set.reason, at);
+        Ok(())
+    }
+
+    fn exceptions(&self) -> usize {
+        self.entries.keys().filter(|k| k.level.is_some()).count()
+    }
+
+    fn clear(&mut self, clear: &Clear, author: &str, at: id::Revision) -> Result<(), Refusal> {
+        let (key, _) = self.key(&clear.setting, clear.scope.as_ref())?;
+        self.check_base(&key, clear.base)?;
+        self.remove(&key, author, &clear.reason, at)
+    }
+
+    fn expire(&mut self, expire: &Expire, author: &str, at: id::Revision) -> Result<(), Refusal> {
+        let (key, _) = self.key(&expire.setting, Some(&expire.scope))?;
+        let entry = self.entries.get(&key);
+        let due = entry
+            .filter(|e| e.revision == expire.revision)
+            .and_then(|e| e.expires_ms);
+        match due {
+            Some(due) if due <= expire.now_ms => self.remove(&key, author, "expired", at),
+            Some(_) => Err(refuse(Cause::Invalid, "the exception has not expired")),
+            None => Err(refuse(Cause::Stale, "the exception changed or is gone")),
+        }
+    }
+
+    fn remove(
+        &mut self,
+        key: &Key,
+        author: &str,
+        reason: &str,
+        at: id::Revision,
+    ) -> Result<(), Refusal> {
+        let Some(entry) = self.entries.shift_remove(key) else {
+            return Err(refuse(Cause::Invalid, "there is nothing to remove"));
+        };
+        if self.removals.len() >= MAX_REMOVALS
+            && let Some((_, forgotten)) = self.removals.shift_remove_index(0)
+        {
+            self.floor = self.floor.max(forgotten);
+        }
+        self.removals.insert(key.clone(), at);
+        self.note(key, Some(entry.value), None, author, reason, at);
+        Ok(())
+    }
+
+    fn raise(&mut self, raise: &Raise) -> Result<(), Refusal> {
+        if raise.level != self.level + 1 {
+            let detail = format!("the level after {} is the next", self.level);
+            return Err(refuse(Cause::Invalid, detail));
+        }
+        self.level = raise.level;
+        Ok(())
+    }
+
+    fn note(
+        &mut self,
+        key: &Key,
+        before: Option<Value>,
+        after: Option<Value>,
+        author: &str,
+        reason: &str,
+        at: id::Revision,
+    ) {
+        if self.history.len() >= MAX_HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back(Change {
+            setting: setting::CATALOGUE[key.setting].name.into(),
+            scope: scope_of(key),
+            before,
+            after,
+            revision: at,
+            author: author.into(),
+            reason: reason.into(),
+        });
+    }
+}
+
+impl Default for Fold {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Checks the sizes that do not depend on the state.
+fn bounded(decoded: &Record, bytes: usize) -> Result<(), Refusal> {
+    if bytes > record::MAX_BYTES {
+        return Err(refuse(Cause::OverLimit, "the record is too large"));
+    }
+    if decoded.attempt.is_empty() || decoded.attempt.len() > MAX_ATTEMPT {
+        return Err(refuse(
+            Cause::Invalid,
+            "the attempt id is empty or too long",
+        ));
+    }
+    let reason = match &decoded.body {
+        Body::Set(set) => set.reason.len(),
+        Body::Clear(clear) => clear.reason.len(),
+        _ => 0,
+    };
+    if decoded.author.len().max(reason) > MAX_TEXT {
+        return Err(refuse(Cause::OverLimit, "author or reason is too long"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/config/setting.rs
@@ -0,0 +1,129 @@
+//! The catalogue of settings: name, type, unit, limits, default and meaning of each.
+//!
+//! Names and limits are part of the fold: a setting is known to the fleet from the level
+//! `since` on, so that daemons of two versions accept the same changes.
+//! See [the operators' page](../../docs/operators/configuration.md).
+
+use super::record::Value;
+
+mod catalogue;
+
+pub use catalogue::*;
+
+/// The most names in a list.
+pub const MAX_NAMES: usize = 64;
+/// The most bytes in a name or text.
+pub const MAX_TEXT: usize = 256;
+
+event! {
+    /// A default, in the type of the setting.
+    #[derive(Copy)]
+    pub enum Preset {
+        /// A time in milliseconds.
+        Milliseconds(u64),
+        /// A whole number.
+        Count(u64),
+        /// A real number, kept to six decimals.
+        Ratio(f64),
+        /// Yes or no.
+        Flag(bool),
+        /// A name.
+        Text(&'static str),
+        /// A list of names, in order.
+        Names(&'static [&'static str]),
+    }
+
+    /// One setting.
+    #[derive(Copy)]
+    pub struct Setting {
+        /// Its name in the log.
+        pub name: &'static str,
+        /// Its unit, for people.
+        pub unit: &'static str,
+        /// The default of the catalogue, which also fixes the type.
+        pub preset: Preset,
+        /// The lowest number allowed.
+        pub min: f64,
+        /// The highest number allowed.
+        pub max: f64,
+        /// The level of the fleet from which it is known.
+        pub since: u32,
+        /// What it does, in one line.
+        pub meaning: &'static str,
+    }
+}
+
+impl Preset {
+    /// Returns the default as a value of the log.
+    pub fn value(&self) -> Value {
+        match self {
+            Self::Milliseconds(n) => Value::Ms(*n),
+            Self::Count(n) => Value::Count(*n),
+            Self::Ratio(x) => Value::Ratio(*x),
+            Self::Flag(b) => Value::Flag(*b),
+            Self::Text(s) => Value::Text((*s).into()),
+            Self::Names(list) => Value::Names(list.iter().map(|s| (*s).into()).collect()),
+        }
+    }
+}
+
+impl Setting {
+    /// Returns the value as the log keeps it, or says what is wrong with it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the type is another or the value is outside the limits.
+    pub fn check(&self, value: &Value) -> Result<Value, String> {
+        match (&self.preset, value) {
+            (Preset::Milliseconds(_), Value::Ms(n)) | (Preset::Count(_), Value::Count(n)) => {
+                self.within(*n as f64)?;
+            }
+            (Preset::Ratio(_), Value::Ratio(x)) => {
+                self.within(*x)?;
+                return Ok(Value::Ratio((x * 1e6).round() / 1e6));
+            }
+            (Preset::Text(_), Value::Text(s)) => short(s)?,
+            (Preset::Names(_), Value::Names(list)) => {
+                if list.len() > MAX_NAMES {
+                    return Err(format!("{} has more than {MAX_NAMES} names", self.name));
+                }
+                list.iter().try_for_each(|s| short(s))?;
+            }
+            (Preset::Flag(_), Value::Flag(_)) => {}
+            _ => return Err(format!("{} takes {}", self.name, self.unit)),
+        }
+        Ok(value.clone())
+    }
+
+    fn within(&self, x: f64) -> Result<(), String> {
+        if x.is_finite() && x >= self.min && x <= self.max {
+            return Ok(());
+        }
+        let Self {
+            name,
+            unit,
+            min,
+            max,
+            ..
+        } = self;
+        Err(format!(
+            "{name} must be from {min} to {max} {unit}, not {x}"
+        ))
+    }
+}
+
+fn short(text: &str) -> Result<(), String> {
+    if text.len() > MAX_TEXT {
+        return Err(format!("a name has more than {MAX_TEXT} bytes"));
+    }
+    Ok(())
+}
+
+/// Finds a setting that a fleet of `level` knows; its index is the same in every daemon's table.
+pub fn find(name: &str, level: u32) -> Option<(usize, &'static Setting)> {
+    CATALOGUE
+        .iter()
+        .enumerate()
+        .find(|(_, s)| s.name == name && s.since <= level)
+        .map(|(i, s)| (i, *s))
+}
--- /dev/null
+++ b/src/config/tail.rs
@@ -0,0 +1,186 @@
+//! Following the configuration stream: what to read next, and what to do with a page.
+//!
+//! A daemon that starts, or that lost its place because the log was trimmed, first scans for a
+//! checkpoint; it never folds over a gap. See [the design note](../../docs/design/config.md).
+
+use std::time::Duration;
+
+use super::fold::{Fold, Step};
+use super::record::{self, Body, Checkpoint, Decoded, Error};
+use crate::clock::Time;
+use crate::{id, platform};
+
+/// How old the last complete read may be while the configuration counts as fresh.
+pub const FRESH: Duration = Duration::from_secs(9);
+
+#[derive(Clone, Debug, PartialEq)]
+enum Mode {
+    /// Records are folded as they come.
+    Follow,
+    /// Records are missing; the retained part is searched for a checkpoint.
+    Scan {
+        from: id::Offset,
+        best: Option<Box<Checkpoint>>,
+    },
+}
+
+/// The place of one daemon in the configuration stream.
+#[derive(Clone, Debug)]
+pub struct Tail {
+    fold: Fold,
+    mode: Mode,
+    read: Option<Time>,
+    checkpointed: Option<Time>,
+    diverged: Option<id::Revision>,
+    is_regressed: bool,
+}
+
+impl Tail {
+    /// Starts before the first record.
+    pub fn new() -> Self {
+        Self {
+            fold: Fold::new(),
+            mode: Mode::Follow,
+            read: None,
+            checkpointed: None,
+            diverged: None,
+            is_regressed: false,
+        }
+    }
+
+    /// The folded state.
+    pub fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// The offset to read from next.
+    pub fn from(&self) -> id::Offset {
+        match &self.mode {
+            Mode::Follow => self.fold.next(),
+            Mode::Scan { from, .. } => *from,
+        }
+    }
+
+    /// Whether records are missing, so that only a checkpoint or a peer helps.
+    pub fn is_lost(&self) -> bool {
+        matches!(self.mode, Mode::Scan { .. })
+    }
+
+    /// When a checkpoint was last seen in the stream.
+    pub fn checkpointed(&self) -> Option<Time> {
+        self.checkpointed
+    }
+
+    /// The revision at which a checkpoint disagreed with this daemon, if one did.
+    pub fn diverged(&self) -> Option<id::Revision> {
+        self.diverged
+    }
+
+    /// Whether the log ended before records that this daemon has folded: it was reset.
+    pub fn is_regressed(&self) -> bool {
+        self.is_regressed
+    }
+
+    /// Says whether the state was complete a short while ago.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        !self.is_lost()
+            && !self.is_regressed
+            && self.fold.halted().is_none()
+            && self.read.is_some_and(|at| now.saturating_sub(at) <= FRESH)
+    }
+
+    /// Takes in a page that was read from [`Tail::from`].
+    pub fn absorb(&mut self, page: &platform::Page, now: Time) -> Vec<Step> {
+        self.is_regressed = page.end < self.fold.next();
+        if self.is_regressed {
+            return Vec::new();
+        }
+        let is_gap = page.first > self.fold.next();
+        if is_gap && !self.is_lost() {
+            self.mode = Mode::Scan {
+                from: page.first,
+                best: None,
+            };
+        }
+        if self.is_lost() {
+            self.scan(page, now);
+            return Vec::new();
+        }
+        let steps: Vec<Step> = page
+            .records
+            .iter()
+            .map(|record| self.follow(record, now))
+            .collect();
+        if self.fold.next() >= page.end {
+            self.read = Some(now);
+        }
+        steps
+    }
+
+    fn follow(&mut self, record: &platform::Record, now: Time) -> Step {
+        let step = self.fold.apply(record);
+        match &step {
+            Step::Checkpointed(_) => self.checkpointed = Some(now),
+            Step::Diverged(revision) => self.diverged = Some(*revision),
+            _ => {}
+        }
+        step
+    }
+
+    /// Remembers the newest checkpoint after which no record is missing, and takes it at the end.
+    fn scan(&mut self, page: &platform::Page, now: Time) {
+        let Mode::Scan { from, best } = &mut self.mode else {
+            return;
+        };
+        let start = *from;
+        for record in page.records.iter().filter(|r| r.offset >= start) {
+            *from = record.offset + 1;
+            let found = checkpoint_of(record).filter(|c| c.state.next >= page.first);
+            let newest = best.as_ref().map_or(0, |b| b.state.next);
+            if let Some(checkpoint) = found.filter(|c| c.state.next >= newest) {
+                *best = Some(checkpoint);
+            }
+        }
+        if best.as_ref().is_some_and(|b| b.state.next < page.first) {
+            *best = None;
+        }
+        let is_end = *from >= page.end;
+        let taken = best.take_if(|_| is_end);
+        if let Some(checkpoint) = taken
+            && self.adopt(&checkpoint).is_ok()
+        {
+            self.checkpointed = Some(now);
+        }
+    }
+
+    /// Takes the state of a checkpoint or peer, if it is later than this daemon's.
+    ///
+    /// # Errors
+    ///
+    /// Fails, and changes nothing, when it is older, malformed or was folded otherwise.
+    pub fn adopt(&mut self, checkpoint: &Checkpoint) -> Result<(), Error> {
+        let result = self.fold.adopt(checkpoint);
+        match &result {
+            Ok(()) => self.mode = Mode::Follow,
+            Err(Error::Diverged { revision }) => self.diverged = Some(*revision),
+            Err(_) => {}
+        }
+        result
+    }
+}
+
+impl Default for Tail {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn checkpoint_of(record: &platform::Record) -> Option<Box<Checkpoint>> {
+    let Decoded::Readable(decoded) = record::decode(&record.body, record::VERSION) else {
+        return None;
+    };
+    match decoded.body {
+        Body::Checkpoint(c) if record::verify(&c).is_ok() => Some(Box::new(c)),
+        _ => None,
+    }
+}
--- a/src/id.rs
+++ b/src/id.rs
@@ -32,7 +32,7 @@
 pub type Version = Name;
 /// A position in a stream of the platform's log.
 pub type Offset = u64;
-/// A revision of the configuration: the offset of the last accepted change.
+/// A revision of the configuration: one past the offset of the last accepted change.
 pub type Revision = u64;
 /// A fencing token: the offset of the record that acquired the lease.
 pub type Fence = u64;
