--- /dev/null
+++ b/src/config/setting/catalogue.rs
@@ -0,0 +1,56 @@
+//! The settings themselves.
+
+use super::Setting;
+
+mod fleet;
+mod traffic;
+
+pub use fleet::*;
+pub use traffic::*;
+
+/// Every setting, in a fixed order.
+pub const CATALOGUE: &[&Setting] = &[
+    &REQUEST_TIMEOUT,
+    &CALL_TIMEOUT_FLOOR,
+    &HEDGE_QUANTILE,
+    &HEDGE_BUDGET,
+    &RETRY_BUDGET,
+    &RETRY_ATTEMPTS,
+    &RETRY_BACKOFF,
+    &QUEUE_BOUND,
+    &SOJOURN_TARGET,
+    &WORKSPACE_WEIGHT,
+    &WORKSPACE_BURST,
+    &DEGRADATION_ORDER,
+    &PIPELINE_PRIORITY,
+    &LINK_BUDGET_INTERACTIVE,
+    &LINK_BUDGET_BATCH,
+    &LINK_BUDGET_CONTROL,
+    &QUARANTINE_TIME,
+    &QUARANTINE_DEATHS,
+    &EJECTION_ERRORS,
+    &EJECTION_TIME,
+    &EJECTION_CAP,
+    &SLOW_FACTOR,
+    &SLOW_START,
+    &SUBSET_SIZE,
+    &PREFIX_WEIGHT,
+    &LOCAL_PREFERENCE,
+    &MAX_IN_FLIGHT,
+    &MODEL_VERSION,
+    &UPGRADE_START,
+    &UPGRADE_END,
+    &UPGRADE_BATCH,
+    &UPGRADE_FLOOR,
+    &UPGRADE_ERRORS,
+    &UPGRADE_ROLLBACK,
+    &WEIGHT_RATE,
+    &ROLE_SHARES,
+    &ROLE_HYSTERESIS,
+    &ROLE_PERIOD,
+    &DRAIN_TIME,
+    &CLAIM_WINDOW,
+    &ORDER_TIMEOUT,
+    &LEASE_TIME,
+    &APPEND_BUDGET,
+];
