--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -4,7 +4,11 @@
 
 use std::time::Duration;
 
-use crate::{claim, endpoint, id, policy};
+use crate::{claim, endpoint, id, peer, policy};
+
+pub mod input;
+pub mod prefix;
+pub mod run;
 
 event! {
     /// One stage of a plan.
@@ -64,7 +68,9 @@
         /// A call ended.
         Ended(id::Attempt, endpoint::Result<endpoint::Answer>),
         /// A remainder that ran at another daemon ended there.
-        Moved(Remote),
+        Moved(id::Attempt, Remote),
+        /// A remainder was not sent, or the connection to the other daemon broke.
+        Cut(id::Attempt, peer::Error),
         /// The time of `next_wake` came.
         Wake,
         /// The caller went away.
@@ -83,6 +89,8 @@
         Cancel(policy::Pick, id::Attempt),
         /// Run the rest of the request at a daemon of this region.
         Move(id::Region, Box<Remainder>),
+        /// End a remainder that runs at another daemon, by its first attempt.
+        Recall(id::Attempt),
         /// Send a token to the caller.
         Token(endpoint::Token),
         /// Answer the caller; nothing else follows but `Settle` and `Cancel`.
@@ -92,6 +100,24 @@
     }
 }
 
+impl Plan {
+    /// Returns the stage whose tokens the caller sees: the last that generates.
+    pub fn streamed(&self) -> Option<usize> {
+        self.stages.iter().rposition(|s| s.generates)
+    }
+
+    /// Returns the pools of the stages from `index` on.
+    pub fn pools(&self, index: usize) -> Vec<id::Pool> {
+        let rest = self.stages.iter().skip(index);
+        rest.map(|s| s.pool.clone()).collect()
+    }
+
+    /// Says whether every stage may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.stages.iter().all(|s| s.repeatable)
+    }
+}
+
 value! {
     /// The rest of a request, handed to a daemon that is nearer to the endpoints.
     pub struct Remainder {
