--- a/src/policy/adaptive/placing.rs
+++ b/src/policy/adaptive/placing.rs
@@ -89,7 +89,7 @@
     }
 
     fn send(&mut self, ask: &Ask, now: Time) -> Placement {
-        if let Some(pick) = self.choose_near(ask, &[], now) {
+        if let Some(pick) = self.choose_near(ask, now) {
             self.begin(ask, &pick, now);
             return Placement::Send(pick);
         }
@@ -100,7 +100,6 @@
     fn send_far(&mut self, ask: &Ask, now: Time) -> Placement {
         let rule = Rule {
             ask,
-            busy: &[],
             affinity: None,
             slow_start: self.sheet.pool(&ask.pool).slow_start,
             compares: true,
@@ -144,19 +143,13 @@
         !ask.rest.is_empty() && ask.rest.iter().all(has)
     }
 
-    pub(super) fn choose_near(
-        &mut self,
-        ask: &Ask,
-        busy: &[id::Endpoint],
-        now: Time,
-    ) -> Option<Pick> {
+    pub(super) fn choose_near(&mut self, ask: &Ask, now: Time) -> Option<Pick> {
         let has_affinity = self.is_on(Mechanism::Affinity) && !ask.prefixes.is_empty();
         let slow = self.is_on(Mechanism::SlowStart);
         let knobs = self.sheet.pool(&ask.pool);
         let pool = self.pools.get(&ask.pool)?;
         let rule = Rule {
             ask,
-            busy,
             affinity: (has_affinity && pool.kind.has_prefix_cache()).then_some(&pool.affinity),
             slow_start: if slow {
                 knobs.slow_start
--- a/src/policy/adaptive/retrying.rs
+++ b/src/policy/adaptive/retrying.rs
@@ -4,9 +4,9 @@
 
 use super::{Adaptive, Mechanism};
 use crate::clock::Time;
+use crate::endpoint;
 use crate::policy::{Ask, Pick, Retry};
 use crate::retry::backoff;
-use crate::{endpoint, id};
 
 /// The most attempts of one stage.
 const MAX_ATTEMPTS: usize = 4;
@@ -59,8 +59,7 @@
         if pool.is_full() || !pool.hedges.has_one() {
             return None;
         }
-        let busy = self.running(ask);
-        let pick = self.choose_near(ask, &busy, now)?;
+        let pick = self.choose_near(ask, now)?;
         if !self.pool(&ask.pool).hedges.spend() {
             return None;
         }
@@ -70,12 +69,4 @@
             ..pick
         })
     }
-
-    /// The endpoints that run other attempts of the request now.
-    fn running(&self, ask: &Ask) -> Vec<id::Endpoint> {
-        (0..=ask.attempt)
-            .filter_map(|attempt| self.flights.get(&(ask.request, attempt)))
-            .map(|flight| flight.endpoint.clone())
-            .collect()
-    }
 }
--- a/src/policy/adaptive/tests/budgets.rs
+++ b/src/policy/adaptive/tests/budgets.rs
@@ -22,6 +22,7 @@
         calls += 1;
         let first = next.clone();
         next.attempt = 1;
+        next.exclude.push(pick.endpoint.clone());
         if let Some(second) = policy.hedge(&next, NOW) {
             hedges += 1;
             assert_ne!(second.endpoint, pick.endpoint);
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -62,8 +62,6 @@
 pub struct Rule<'a> {
     /// The stage.
     pub ask: &'a Ask,
-    /// Endpoints of other attempts of the stage that run now.
-    pub busy: &'a [id::Endpoint],
     /// Prefix affinity, when it is used.
     pub affinity: Option<&'a Index>,
     /// How long newcomers start slowly.
@@ -213,7 +211,7 @@
         if entry.candidate.leaving || entry.is_alone {
             return false;
         }
-        if ask.exclude.contains(name) || rule.busy.contains(name) {
+        if ask.exclude.contains(name) {
             return false;
         }
         if entry.breaker.is_ejected() && !entry.may_probe(ask, now) {
