Avoid endpoints that failed lately and share the hedge budget

Cause: at the cap of ejections a dead endpoint that fails fast attracted calls; the retry budget ran dry on refused connections; a pool's hedges were capped by its own calls. Change: a score factor by consecutive failures, free retries of what did not run, one hedge budget a daemon, timeouts of twice the 95th percentile when a retry still fits.

--- a/src/policy/adaptive.rs
+++ b/src/policy/adaptive.rs
@@ -62,6 +62,9 @@
     }
 }
 
+/// Retries that a pool may make before it has earned any.
+const RETRIES: f64 = 10.0;
+
 /// What is kept of one pool.
 #[derive(Debug)]
 struct Pool {
@@ -81,7 +84,6 @@
     /// The same by workspace, for those that have any.
     by_workspace: IndexMap<id::Workspace, u64>,
     retries: Budget,
-    hedges: Budget,
     affinity: Index,
     /// When the median latency was computed.
     refreshed: Time,
@@ -128,6 +130,8 @@
     shed: IndexMap<Key, &'static str>,
     /// Stages to be told of at the next call of `ready`.
     told: Vec<Ticket>,
+    /// Hedges of all pools.
+    hedges: Budget,
     link: link::Budget,
     /// The whole link in bytes a second.
     bandwidth: f64,
@@ -181,8 +185,7 @@
             cost: Mean::default(),
             pending: 0,
             by_workspace: IndexMap::new(),
-            retries: Budget::new(3.0),
-            hedges: Budget::new(0.0),
+            retries: Budget::new(RETRIES),
             affinity: Index::default(),
             refreshed: Time::ZERO,
             waiting: None,
--- a/src/policy/adaptive/builder.rs
+++ b/src/policy/adaptive/builder.rs
@@ -8,6 +8,7 @@
 use crate::id;
 use crate::policy::deadline::Forecast;
 use crate::policy::knobs::{Knobs, Scope, Sheet};
+use crate::retry::Budget;
 use crate::route::table::Table;
 use crate::route::{Kind, link};
 
@@ -101,6 +102,7 @@
             reserved: IndexMap::new(),
             shed: IndexMap::new(),
             told: Vec::new(),
+            hedges: Budget::new(0.0),
             link: link::Budget::new(rate),
             bandwidth: self.bandwidth,
             off: self.off,
--- a/src/policy/adaptive/placing.rs
+++ b/src/policy/adaptive/placing.rs
@@ -13,9 +13,9 @@
 /// How soon a refused stage may be sent again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The quantile of a stage's latency whose multiple counts as stuck.
-const STUCK_QUANTILE: f64 = 0.99;
+const STUCK_QUANTILE: f64 = 0.95;
 /// That multiple.
-const STUCK_FACTOR: u32 = 3;
+const STUCK_FACTOR: u32 = 2;
 /// The shortest timeout of a call.
 const MIN_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -187,7 +187,11 @@
             .forecast
             .quantile(&ask.pipeline, ask.index, STUCK_QUANTILE)
             .map(|q| (q * STUCK_FACTOR).max(MIN_TIMEOUT));
-        stuck.map_or(allowance, |s| s.min(allowance))
+        let need = self.forecast.mean(&ask.pipeline, ask.index);
+        match stuck {
+            Some(stuck) if stuck + need < remaining => stuck,
+            _ => allowance,
+        }
     }
 
     pub(super) fn begin(&mut self, ask: &Ask, pick: &Pick, now: Time) {
@@ -197,7 +201,7 @@
         pool.in_flight += 1;
         let knobs = self.sheet.pool(&ask.pool);
         pool.retries.earn(knobs.retry_ratio);
-        pool.hedges.earn(knobs.hedge_ratio);
+        self.hedges.earn(knobs.hedge_ratio);
         let share = pool.affinity.share(&pick.endpoint, &ask.prefixes);
         if pool.kind.has_prefix_cache() {
             pool.affinity.presume(&pick.endpoint, &ask.prefixes);
--- a/src/policy/adaptive/retrying.rs
+++ b/src/policy/adaptive/retrying.rs
@@ -32,7 +32,8 @@
         if !self.is_on(Mechanism::Retry) {
             return Retry::Stop;
         }
-        let is_free = is_leaving || !self.is_on(Mechanism::RetryBudget);
+        // What did not run put no load on the pool.
+        let is_free = error.is_not_run() || !self.is_on(Mechanism::RetryBudget);
         if is_free || self.pool(&ask.pool).retries.spend() {
             Retry::After(delay)
         } else {
@@ -56,11 +57,11 @@
             return None;
         }
         let pool = self.pools.get(&ask.pool)?;
-        if pool.is_full() || !pool.hedges.has_one() {
+        if pool.is_full() || !self.hedges.has_one() {
             return None;
         }
         let pick = self.choose_near(ask, now)?;
-        if !self.pool(&ask.pool).hedges.spend() {
+        if !self.hedges.spend() {
             return None;
         }
         self.begin(ask, &pick, now);
--- a/src/policy/deadline.rs
+++ b/src/policy/deadline.rs
@@ -75,7 +75,7 @@
 
     /// How long stage `index` may take when `remaining` is left for it and all after it.
     pub fn allowance(&self, pipeline: &str, index: usize, remaining: Duration) -> Duration {
-        remaining.saturating_sub(self.mean(pipeline, index + 1))
+        remaining.saturating_sub(self.least(pipeline, index + 1))
     }
 }
 
--- a/src/route/entry.rs
+++ b/src/route/entry.rs
@@ -19,6 +19,11 @@
 /// How long after its probe is due an endpoint may be probed by what may not be repeated.
 const LAST_PROBE: Duration = Duration::from_secs(5);
 
+/// How much the score grows with each consecutive failure.
+const DISTRUST: f64 = 4.0;
+/// Consecutive failures beyond which it grows no more.
+const MAX_FAILURES: u32 = 8;
+
 /// What an endpoint last said of its load.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -115,6 +120,12 @@
             .is_some_and(|v| v.iter().any(|v| **v == *version))
     }
 
+    /// Factor on the score by which an endpoint that failed lately is avoided; ejection has a cap,
+    /// this has none.
+    pub fn distrust(&self) -> f64 {
+        1.0 + DISTRUST * f64::from(self.breaker.failures().min(MAX_FAILURES))
+    }
+
     /// The share of the calls that a newcomer gets, from 0 to 1.
     pub fn share(&self, slow_start: Duration, now: Time) -> f64 {
         let Some(joined) = self.joined else {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -237,7 +237,7 @@
         } else {
             ZONE_DELAY
         };
-        work * latency / entry.share(rule.slow_start, now) + distance
+        work * latency * entry.distrust() / entry.share(rule.slow_start, now) + distance
     }
 
     /// Chooses an endpoint in the own region.
