Follow reports of load with the concurrency limit

Cause: the limit began at several times the slots and sank by one step per latency, so that the queue stood inside the engines; tightening it by in-flight calls left engines idle. Change: the limit leads the reported waiting calls to a target, additive up, proportional down, once per report lag. Requests wait no longer than their predicted need and one deviation allow. An endpoint that fails takes the place of one ejected for slowness, ejected endpoints are taken when no other is left, and content that cost two endpoints is not retried.

--- a/src/limit/concurrency.rs
+++ b/src/limit/concurrency.rs
@@ -5,19 +5,23 @@
 use crate::clock::Time;
 
 /// The first limit per endpoint.
-const START: f64 = 4.0;
-/// What is left of the limit after a decrease.
+const START: f64 = 2.0;
+/// What is left of the limit after a sign of congestion without reports.
 const DECREASE: f64 = 0.85;
-/// The least time between two decreases, so that one congestion counts once.
-const MIN_PAUSE: Duration = Duration::from_millis(200);
+/// The least time between two changes: a change shows in the reports only after their lag.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Share of the excess of waiting calls that one decrease takes away.
+const GAIN: f64 = 0.5;
+/// The least that is left of the limit after one decrease.
+const MAX_DECREASE: f64 = 0.6;
+/// The most that the limit grows at a time, as a share of it.
+const MAX_INCREASE: f64 = 0.15;
 
 /// How many calls of a pool may be in flight from this daemon.
 #[derive(Clone, Debug)]
 pub struct Limit {
     limit: f64,
-    /// Whether no congestion was seen so far, so that the limit may double quickly.
-    probing: bool,
-    decreased: Option<Time>,
+    changed: Option<Time>,
     max: f64,
 }
 
@@ -25,8 +29,7 @@
     fn default() -> Self {
         Self {
             limit: START,
-            probing: true,
-            decreased: None,
+            changed: None,
             max: f64::INFINITY,
         }
     }
@@ -37,7 +40,7 @@
     pub fn resize(&mut self, endpoints: usize, per_endpoint: u32) {
         let endpoints = endpoints.max(1) as f64;
         let max = endpoints * f64::from(per_endpoint);
-        if self.probing {
+        if self.changed.is_none() {
             self.limit = self.limit.max(endpoints * START);
         }
         self.max = max;
@@ -54,24 +57,41 @@
         self.limit
     }
 
-    /// A call ended without congestion while `in_flight` calls ran.
-    pub fn grow(&mut self, in_flight: u32) {
-        if f64::from(in_flight) + 1.0 < self.limit {
+    /// Whether the limit holds calls back while `in_flight` run.
+    pub fn is_binding(&self, in_flight: u32) -> bool {
+        f64::from(in_flight) + 1.0 >= self.limit
+    }
+
+    /// Follows reports of load: the mean calls `waiting` per endpoint are led to `target`.
+    ///
+    /// The rise is additive and the fall multiplicative, so that daemons come to equal shares.
+    pub fn follow(&mut self, waiting: f64, busy: f64, target: f64, in_flight: u32, now: Time) {
+        if self.changed.is_some_and(|at| now < at + PAUSE) {
             return;
         }
-        let step = if self.probing { 1.0 } else { 1.0 / self.limit };
-        self.limit = (self.limit + step).min(self.max);
+        let excess = waiting - target;
+        if excess > 0.0 {
+            let factor = 1.0 - GAIN * excess / busy.max(1.0);
+            self.limit = (self.limit * factor.max(MAX_DECREASE)).max(1.0);
+            self.changed = Some(now);
+        } else if self.is_binding(in_flight) {
+            let step = (self.limit * MAX_INCREASE).max(1.0);
+            let share = (-excess / target.max(1e-6)).min(1.0);
+            self.limit = (self.limit + step * share).min(self.max);
+            self.changed = Some(now);
+        }
     }
 
-    /// Congestion was seen; `pause` is the time that a decrease takes to show.
-    pub fn shrink(&mut self, pause: Duration, now: Time) {
-        let pause = pause.max(MIN_PAUSE);
-        if self.decreased.is_some_and(|at| now < at + pause) {
-            return;
+    /// Without reports of load: a call ended, with or without signs of congestion.
+    pub fn sample(&mut self, is_congested: bool, in_flight: u32, now: Time) {
+        if !is_congested {
+            if self.is_binding(in_flight) {
+                self.limit = (self.limit + 1.0 / self.limit).min(self.max);
+            }
+        } else if self.changed.is_none_or(|at| now >= at + PAUSE) {
+            self.changed = Some(now);
+            self.limit = (self.limit * DECREASE).max(1.0);
         }
-        self.decreased = Some(now);
-        self.probing = false;
-        self.limit = (self.limit * DECREASE).max(1.0);
     }
 }
 
--- a/src/policy/adaptive.rs
+++ b/src/policy/adaptive.rs
@@ -87,8 +87,8 @@
     affinity: Index,
     /// When the median latency was computed.
     refreshed: Time,
-    /// Mean calls waiting per endpoint, by fresh reports.
-    waiting: Option<f64>,
+    /// Whether its endpoints report load.
+    has_reports: bool,
 }
 
 /// An admitted request.
@@ -188,7 +188,7 @@
             retries: Budget::new(RETRIES),
             affinity: Index::default(),
             refreshed: Time::ZERO,
-            waiting: None,
+            has_reports: false,
         }
     }
 
--- a/src/policy/adaptive/learning.rs
+++ b/src/policy/adaptive/learning.rs
@@ -92,19 +92,14 @@
         let Some(name) = self.table.get(endpoint).map(|e| e.candidate.pool.clone()) else {
             return;
         };
-        let (mut sum, mut count) = (0.0, 0.0);
-        if let Some(members) = self.table.members(&name) {
-            let waiting = members
-                .near()
-                .filter_map(|i| self.table.entry(i))
-                .filter(|e| !e.breaker.is_ejected())
-                .filter_map(|e| e.waiting(now));
-            for value in waiting {
-                sum += value;
-                count += 1.0;
-            }
-        }
-        self.pool(&name).waiting = (count > 0.0).then(|| sum / count);
+        let Some((waiting, busy)) = self.table.pressure(&name, now) else {
+            return;
+        };
+        let target = self.sheet.pool(&name).waiting_target;
+        let pool = self.pool(&name);
+        pool.has_reports = true;
+        let in_flight = pool.in_flight + pool.reserved;
+        pool.limit.follow(waiting, busy, target, in_flight, now);
     }
 
     fn cached(&mut self, endpoint: &id::Endpoint, cache: &endpoint::Cache) {
@@ -118,7 +113,7 @@
     fn finish(&mut self, ended: &Ended<'_>, now: Time) {
         let flight = &ended.flight;
         if let Some(entry) = self.table.get_mut(&flight.endpoint) {
-            entry.end(now);
+            entry.end(matches!(ended.end, End::Answered(_)), now);
             if flight.is_suspect {
                 entry.is_alone = false;
             }
@@ -157,23 +152,17 @@
         self.compare(&ended.flight, now);
     }
 
-    /// Adapts the pool's limit after an answer.
+    /// Adapts the limit of a pool that reports no load.
     fn adapt(&mut self, ended: &Ended<'_>, now: Time) {
         let name = &ended.flight.pool;
-        let target = self.sheet.pool(name).waiting_target;
         let median = self.table.members(name).and_then(|m| m.median);
         let Some(pool) = self.pools.get_mut(name) else {
             return;
         };
-        let is_congested = match (pool.waiting, median) {
-            (Some(waiting), _) => waiting > target,
-            (None, Some(median)) => ended.latency.as_secs_f64() > CONGESTED * median,
-            (None, None) => false,
-        };
-        if is_congested {
-            pool.limit.shrink(ended.latency, now);
-        } else {
-            pool.limit.grow(pool.in_flight);
+        if !pool.has_reports {
+            let seconds = ended.latency.as_secs_f64();
+            let is_congested = median.is_some_and(|m| seconds > CONGESTED * m);
+            pool.limit.sample(is_congested, pool.in_flight, now);
         }
     }
 
@@ -197,7 +186,7 @@
             is_over = entry.breaker.failures() >= most && !entry.breaker.is_ejected();
         }
         if is_over {
-            self.eject(&flight.endpoint, &flight.pool, share, base, now);
+            self.eject(&flight.endpoint, &flight.pool, share, base, true, now);
         }
     }
 
@@ -229,7 +218,7 @@
         let is_slow = entry.latency.samples() >= COMPARABLE
             && entry.latency.get().is_some_and(|l| l > outlier * median);
         if is_slow && !entry.breaker.is_ejected() {
-            self.eject(&flight.endpoint, &flight.pool, share, base, now);
+            self.eject(&flight.endpoint, &flight.pool, share, base, false, now);
         }
     }
 
@@ -239,13 +228,17 @@
         pool: &id::Pool,
         share: f64,
         base: Duration,
+        by_failure: bool,
         now: Time,
     ) {
-        if !self.is_on(Mechanism::Ejection) || !self.table.may_eject(pool, share) {
+        let has_room = self.table.may_eject(pool, share)
+            || (by_failure && self.table.readmit_slow(pool, share));
+        if !self.is_on(Mechanism::Ejection) || !has_room {
             return;
         }
         if let Some(entry) = self.table.get_mut(endpoint) {
             entry.breaker.eject(base, now);
+            entry.is_slow = !by_failure;
         }
     }
 }
--- a/src/policy/adaptive/placing.rs
+++ b/src/policy/adaptive/placing.rs
@@ -16,6 +16,8 @@
 const STUCK_QUANTILE: f64 = 0.95;
 /// That multiple.
 const STUCK_FACTOR: u32 = 2;
+/// Share of the slack that a slow call gets on top.
+const PATIENCE: f64 = 0.25;
 /// The shortest timeout of a call.
 const MIN_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -49,7 +51,7 @@
     }
 
     fn enqueue(&mut self, ask: &Ask, now: Time) -> Placement {
-        let need = self.forecast.mean(&ask.pipeline, ask.index);
+        let need = self.forecast.need(&ask.pipeline, ask.index);
         let latest = ask.deadline.saturating_sub(need);
         if latest <= now {
             return refuse("no time left to wait for the pool");
@@ -89,44 +91,50 @@
     }
 
     fn send(&mut self, ask: &Ask, now: Time) -> Placement {
-        if let Some(pick) = self.choose_near(ask, now) {
+        if let Some(pick) = self.choose_near(ask, false, now) {
             self.begin(ask, &pick, now);
             return Placement::Send(pick);
         }
-        self.send_far(ask, now)
+        if let Some(placement) = self.send_far(ask, now) {
+            return placement;
+        }
+        let Some(pick) = self.choose_near(ask, true, now) else {
+            return refuse("no endpoint of the pool can take it");
+        };
+        self.begin(ask, &pick, now);
+        Placement::Send(pick)
     }
 
     /// Nothing in the own region can take it: the remainder moves, or the call crosses the link.
-    fn send_far(&mut self, ask: &Ask, now: Time) -> Placement {
+    fn send_far(&mut self, ask: &Ask, now: Time) -> Option<Placement> {
         let rule = Rule {
             ask,
             affinity: None,
             slow_start: self.sheet.pool(&ask.pool).slow_start,
+            takes_ejected: false,
             compares: true,
         };
         let found = self.table.choose_far(&rule, now, &mut self.rng);
-        let Some((pick, region)) = found.map(|e| {
+        let (pick, region) = found.map(|e| {
             (
                 self.pick(ask, &e.candidate, now),
                 e.candidate.region.clone(),
             )
-        }) else {
-            return refuse("no endpoint of the pool can take it");
-        };
+        })?;
         let class = Class::of(ask.repeatable, ask.priority);
         if self.is_on(Mechanism::LinkBudget) && !self.link.has(class, ask.bytes, now) {
-            return refuse("the regional link has no room");
+            return Some(refuse("the regional link has no room"));
         }
         self.link.spend(ask.bytes, now);
         if self.is_on(Mechanism::Move) && self.should_move(ask, &region) {
-            return Placement::Move(region);
+            return Some(Placement::Move(region));
         }
         let pick = Pick {
             hedge_after: None,
             ..pick
         };
         self.begin(ask, &pick, now);
-        Placement::Send(pick)
+        Some(Placement::Send(pick))
     }
 
     /// Whether every later stage is served in `region` and some only there, so that the bytes of
@@ -143,7 +151,12 @@
         !ask.rest.is_empty() && ask.rest.iter().all(has)
     }
 
-    pub(super) fn choose_near(&mut self, ask: &Ask, now: Time) -> Option<Pick> {
+    pub(super) fn choose_near(
+        &mut self,
+        ask: &Ask,
+        takes_ejected: bool,
+        now: Time,
+    ) -> Option<Pick> {
         let has_affinity = self.is_on(Mechanism::Affinity) && !ask.prefixes.is_empty();
         let slow = self.is_on(Mechanism::SlowStart);
         let knobs = self.sheet.pool(&ask.pool);
@@ -156,6 +169,7 @@
             } else {
                 Duration::ZERO
             },
+            takes_ejected,
             compares: self.is_on(Mechanism::Score),
         };
         let found = self.table.choose(&rule, now, &mut self.rng)?;
@@ -183,15 +197,20 @@
             .forecast
             .allowance(&ask.pipeline, ask.index, remaining)
             .max(MIN_TIMEOUT);
-        let stuck = self
-            .forecast
-            .quantile(&ask.pipeline, ask.index, STUCK_QUANTILE)
-            .map(|q| (q * STUCK_FACTOR).max(MIN_TIMEOUT));
-        let need = self.forecast.mean(&ask.pipeline, ask.index);
-        match stuck {
-            Some(stuck) if stuck + need < remaining => stuck,
-            _ => allowance,
+        self.cut(ask, remaining)
+            .map_or(allowance, |cut| cut.min(allowance))
+    }
+
+    /// When a call counts as stuck: late enough for a slow one, early enough for another try.
+    fn cut(&self, ask: &Ask, remaining: Duration) -> Option<Duration> {
+        if !self.pools.get(&ask.pool)?.retries.has_one() {
+            return None;
         }
+        let (pipeline, index) = (&ask.pipeline, ask.index);
+        let slow = self.forecast.quantile(pipeline, index, STUCK_QUANTILE)?;
+        let slack = remaining.checked_sub(self.forecast.mean(pipeline, index))?;
+        let patient = slow * STUCK_FACTOR + slack.mul_f64(PATIENCE);
+        (slack > slow).then(|| patient.min(slack).max(MIN_TIMEOUT))
     }
 
     pub(super) fn begin(&mut self, ask: &Ask, pick: &Pick, now: Time) {
--- a/src/policy/adaptive/retrying.rs
+++ b/src/policy/adaptive/retrying.rs
@@ -15,7 +15,9 @@
     pub(super) fn retry_stage(&mut self, ask: &Ask, error: &endpoint::Error, now: Time) -> Retry {
         let may_repeat = ask.repeatable || error.is_not_run();
         let tries = ask.exclude.len();
-        if !may_repeat || ask.suspect || tries >= MAX_ATTEMPTS {
+        // Content that cost two endpoints may cost every one that runs it.
+        let is_deadly = tries >= 2 && matches!(error, endpoint::Error::Lost { .. });
+        if is_deadly || !may_repeat || ask.suspect || tries >= MAX_ATTEMPTS {
             return Retry::Stop;
         }
         let is_leaving = matches!(error, endpoint::Error::Refused { leaving: true, .. });
@@ -60,7 +62,7 @@
         if pool.is_full() || !self.hedges.has_one() {
             return None;
         }
-        let pick = self.choose_near(ask, now)?;
+        let pick = self.choose_near(ask, false, now)?;
         if !self.hedges.spend() {
             return None;
         }
--- a/src/route/entry.rs
+++ b/src/route/entry.rs
@@ -47,11 +47,13 @@
     pub in_flight: u32,
     /// Its mean latency in seconds.
     pub latency: Mean,
+    /// Whether it was ejected for being slow.
+    pub is_slow: bool,
     /// Whether a suspect call holds it alone.
     pub is_alone: bool,
     /// When it joined, if it did so while this daemon ran.
     joined: Option<Time>,
-    /// Since when calls are in flight without one ending.
+    /// Since when calls are in flight without an answer.
     silent: Option<Time>,
     report: Option<Report>,
     versions: Option<Vec<id::Version>>,
@@ -65,6 +67,7 @@
             breaker: Breaker::default(),
             in_flight: 0,
             latency: Mean::default(),
+            is_slow: false,
             is_alone: false,
             joined,
             silent: None,
@@ -80,10 +83,14 @@
         self.silent.get_or_insert(now);
     }
 
-    /// A call ended.
-    pub fn end(&mut self, now: Time) {
+    /// A call ended; only an answer breaks the silence.
+    pub fn end(&mut self, is_answer: bool, now: Time) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.silent = (self.in_flight > 0).then_some(now);
+        if self.in_flight == 0 {
+            self.silent = None;
+        } else if is_answer {
+            self.silent = Some(now);
+        }
     }
 
     /// Learns a latency in seconds.
@@ -106,11 +113,11 @@
         }
     }
 
-    /// Calls that wait there by a fresh report.
-    pub fn waiting(&self, now: Time) -> Option<f64> {
+    /// Calls that wait and that are busy there, by a fresh report.
+    pub fn reported(&self, now: Time) -> Option<(f64, f64)> {
         self.report
             .filter(|r| now.saturating_sub(r.at) < STALE)
-            .map(|r| r.waiting)
+            .map(|r| (r.waiting, r.busy))
     }
 
     /// Whether its report says that it has this version.
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Closes the circuit without a probe.
+    pub fn close(&mut self) {
+        self.state = State::Closed;
+    }
+
     /// Ejects the endpoint, longer each time in a row.
     pub fn eject(&mut self, base: Duration, now: Time) {
         let factor = (1 << self.ejections.min(8)).min(MAX_BACKOFF);
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -66,6 +66,8 @@
     pub affinity: Option<&'a Index>,
     /// How long newcomers start slowly.
     pub slow_start: Duration,
+    /// Whether ejected endpoints are taken as well, because no other is left.
+    pub takes_ejected: bool,
     /// Whether two choices are compared; one is taken otherwise.
     pub compares: bool,
 }
@@ -173,6 +175,35 @@
         }
     }
 
+    /// The mean calls that wait and that are busy per endpoint of a pool, by fresh reports of those
+    /// that this daemon calls.
+    pub fn pressure(&self, pool: &str, now: Time) -> Option<(f64, f64)> {
+        let members = self.pools.get(pool)?;
+        let has_near = members.near().next().is_some();
+        let (mut waiting, mut busy, mut count) = (0.0, 0.0, 0.0);
+        let mut add = |entry: &Entry| {
+            if let Some((w, b)) = entry.reported(now)
+                && !entry.breaker.is_ejected()
+            {
+                waiting += w;
+                busy += b;
+                count += 1.0;
+            }
+        };
+        if has_near {
+            members
+                .near()
+                .filter_map(|i| self.entry(i))
+                .for_each(&mut add);
+        } else {
+            members
+                .all()
+                .filter_map(|i| self.entry(i))
+                .for_each(&mut add);
+        }
+        (count > 0.0).then(|| (waiting / count, busy / count))
+    }
+
     /// Computes the median of the mean latencies of a pool again.
     pub fn refresh(&mut self, pool: &str) {
         let Some(members) = self.pools.get(pool) else {
@@ -205,6 +236,29 @@
         ejected < most
     }
 
+    /// Readmits an endpoint of a pool that was ejected for being slow, so that a failing one can
+    /// take its place; false when there is none or the cap allows no ejection at all.
+    pub fn readmit_slow(&mut self, pool: &str, share: f64) -> bool {
+        let Some(members) = self.pools.get(pool) else {
+            return false;
+        };
+        let usable = members.all().filter_map(|i| self.entry(i));
+        let usable = usable.filter(|e| !e.candidate.leaving).count();
+        if usable as f64 * share < 1.0 {
+            return false;
+        }
+        let slow = members.all().find(|i| {
+            self.entry(*i)
+                .is_some_and(|e| e.is_slow && e.breaker.is_ejected() && !e.candidate.leaving)
+        });
+        let Some((_, entry)) = slow.and_then(|i| self.entries.get_index_mut(i)) else {
+            return false;
+        };
+        entry.breaker.close();
+        entry.is_slow = false;
+        true
+    }
+
     fn is_eligible(&self, entry: &Entry, members: &Members, rule: &Rule<'_>, now: Time) -> bool {
         let ask = rule.ask;
         let name = &entry.candidate.endpoint;
@@ -214,7 +268,7 @@
         if ask.exclude.contains(name) {
             return false;
         }
-        if entry.breaker.is_ejected() && !entry.may_probe(ask, now) {
+        if entry.breaker.is_ejected() && !rule.takes_ejected && !entry.may_probe(ask, now) {
             return false;
         }
         if members.has_versions && entry.lacks_model() == Some(true) {
