Move a remainder only when a later stage is missing near

Cause: moving every remainder whose later stages exist elsewhere left the engines of the smaller region idle; endpoint latencies within noise moved load; newcomers were held back for 10 s. Change: move only when a later stage has no endpoint near; a dead band of twice the median; slow start of 2 s.

--- a/benches/policy/server.rs
+++ b/benches/policy/server.rs
@@ -91,9 +91,11 @@
         }
         let longest = prefixes.iter().rposition(|p| self.held.contains(p));
         for prefix in prefixes {
-            if self.held.insert(*prefix) {
+            // Least recently used first.
+            if !self.held.shift_remove(prefix) {
                 self.added.push(*prefix);
             }
+            self.held.insert(*prefix);
         }
         while self.held.len() > CACHE {
             if let Some(gone) = self.held.shift_remove_index(0) {
--- a/src/policy/adaptive/placing.rs
+++ b/src/policy/adaptive/placing.rs
@@ -137,18 +137,32 @@
         Some(Placement::Send(pick))
     }
 
-    /// Whether every later stage is served in `region` and some only there, so that the bytes of
-    /// one move replace those of several calls.
+    /// Whether every later stage is served in `region` and some only there, so that one move
+    /// replaces several crossings. Otherwise one call crosses and the rest use what is near.
     fn should_move(&self, ask: &Ask, region: &id::Region) -> bool {
-        let has = |pool: &id::Pool| {
-            self.table.members(pool).is_some_and(|m| {
-                m.far
-                    .iter()
-                    .filter_map(|i| self.table.entry(*i))
-                    .any(|e| e.candidate.region == *region && !e.candidate.leaving)
-            })
+        let is_near = |pool: &id::Pool| {
+            let members = self.table.members(pool);
+            members.is_some_and(|m| self.has_usable(m.near(), None))
+        };
+        let is_there = |pool: &id::Pool| {
+            let members = self.table.members(pool);
+            members.is_some_and(|m| self.has_usable(m.far.iter().copied(), Some(region)))
         };
-        !ask.rest.is_empty() && ask.rest.iter().all(has)
+        !ask.rest.iter().all(is_near) && ask.rest.iter().all(is_there)
+    }
+
+    fn has_usable(
+        &self,
+        mut members: impl Iterator<Item = usize>,
+        region: Option<&id::Region>,
+    ) -> bool {
+        members.any(|index| {
+            self.table.entry(index).is_some_and(|entry| {
+                let candidate = &entry.candidate;
+                let is_there = region.is_none_or(|r| *r == candidate.region);
+                is_there && !candidate.leaving && !entry.breaker.is_ejected()
+            })
+        })
     }
 
     pub(super) fn choose_near(
--- a/src/policy/knobs.rs
+++ b/src/policy/knobs.rs
@@ -95,7 +95,7 @@
             eject_outlier: 3.0,
             eject_share: 0.34,
             eject_time: Duration::from_secs(2),
-            slow_start: Duration::from_secs(10),
+            slow_start: Duration::from_secs(2),
             link_share: 0.25,
         }
     }
--- a/src/route/entry.rs
+++ b/src/route/entry.rs
@@ -12,6 +12,8 @@
 const ALPHA: f64 = 0.15;
 /// The least share that an endpoint gets in its slow start.
 const FIRST_SHARE: f64 = 0.1;
+/// Multiple of the peers' latency below which the difference is taken for noise.
+const DEAD_BAND: f64 = 2.0;
 /// Age at which a report of load is no longer believed.
 const STALE: Duration = Duration::from_secs(3);
 /// Multiple of its mean latency after which a silent endpoint counts as slow.
@@ -147,10 +149,15 @@
         }
     }
 
-    /// Seconds that a call may take there; `peers` for an unknown endpoint, and longer when it has
+    /// Seconds that a call may take there, the peers' within the dead band; `peers` for an unknown endpoint, and longer when it has
     /// been silent.
     pub fn latency_or(&self, peers: f64, now: Time) -> f64 {
         let known = self.latency.get().unwrap_or(peers);
+        let known = if known < peers * DEAD_BAND {
+            peers
+        } else {
+            known
+        };
         let silence = self
             .silent
             .map_or(0.0, |at| now.saturating_sub(at).as_secs_f64());
