Weigh failures by what they cost and follow the median endpoint

Cause: reports of other daemons' calls lag and moved all daemons alike; one straggler's waiting calls closed its pool; limits of daemons did not come to equal shares. Change: others' calls weigh a quarter, another zone costs 1.3 times the score, the score adds the chance of failure times the time lost, the limit follows the median endpoint and grows by the number of endpoints.

--- a/src/limit/concurrency.rs
+++ b/src/limit/concurrency.rs
@@ -14,8 +14,11 @@
 const GAIN: f64 = 0.5;
 /// The least that is left of the limit after one decrease.
 const MAX_DECREASE: f64 = 0.6;
-/// The most that the limit grows at a time, as a share of it.
-const MAX_INCREASE: f64 = 0.15;
+/// The most that the limit grows at a time, for each endpoint. It does not depend on the limit,
+/// so that daemons come to equal shares.
+const INCREASE: f64 = 0.15;
+/// The least share of that growth, which keeps the shares moving near the target.
+const MIN_SHARE: f64 = 0.25;
 
 /// How many calls of a pool may be in flight from this daemon.
 #[derive(Clone, Debug)]
@@ -23,6 +26,7 @@
     limit: f64,
     changed: Option<Time>,
     max: f64,
+    endpoints: f64,
 }
 
 impl Default for Limit {
@@ -31,6 +35,7 @@
             limit: START,
             changed: None,
             max: f64::INFINITY,
+            endpoints: 1.0,
         }
     }
 }
@@ -44,6 +49,7 @@
             self.limit = self.limit.max(endpoints * START);
         }
         self.max = max;
+        self.endpoints = endpoints;
         self.limit = self.limit.clamp(1.0, max);
     }
 
@@ -75,8 +81,8 @@
             self.limit = (self.limit * factor.max(MAX_DECREASE)).max(1.0);
             self.changed = Some(now);
         } else if self.is_binding(in_flight) {
-            let step = (self.limit * MAX_INCREASE).max(1.0);
-            let share = (-excess / target.max(1e-6)).min(1.0);
+            let step = (self.endpoints * INCREASE).max(1.0);
+            let share = (-excess / target.max(1e-6)).clamp(MIN_SHARE, 1.0);
             self.limit = (self.limit + step * share).min(self.max);
             self.changed = Some(now);
         }
--- a/src/limit/concurrency/tests.rs
+++ b/src/limit/concurrency/tests.rs
@@ -38,9 +38,15 @@
 fn follow_two_daemons_come_to_equal_shares() {
     let (mut a, mut b) = (Limit::default(), Limit::default());
     a.resize(12, 64);
-    b.resize(2, 64);
+    b.resize(12, 64);
+    b.sample(true, 9, at(0));
+    while b.level() > 4.0 {
+        b.changed = None;
+        b.sample(true, 9, at(0));
+    }
+    assert!(a.level() > 5.0 * b.level());
     // Twelve endpoints run four calls each; what is above waits.
-    for round in 0..200 {
+    for round in 0..400 {
         let sum = a.level() + b.level();
         let waiting = ((sum - 48.0) / 12.0).max(0.0);
         let now = at(round * 300);
--- a/src/policy/adaptive/learning.rs
+++ b/src/policy/adaptive/learning.rs
@@ -136,6 +136,7 @@
         self.pass(ended.request, ended.index);
         if let Some(entry) = self.table.get_mut(&ended.flight.endpoint) {
             entry.learn(seconds);
+            entry.succeed();
             if entry.breaker.succeed() {
                 entry.restart(now);
             }
@@ -182,6 +183,7 @@
             if matches!(error, endpoint::Error::Timeout { .. }) {
                 entry.learn(ended.latency.as_secs_f64());
             }
+            entry.fail(now);
             entry.breaker.fail(base, now);
             is_over = entry.breaker.failures() >= most && !entry.breaker.is_ejected();
         }
--- a/src/route/entry.rs
+++ b/src/route/entry.rs
@@ -14,6 +14,8 @@
 const FIRST_SHARE: f64 = 0.1;
 /// Multiple of the peers' latency below which the difference is taken for noise.
 const DEAD_BAND: f64 = 2.0;
+/// Weight of the calls of other daemons, because reports of them lag and all daemons see the same.
+const OTHERS: f64 = 0.25;
 /// Age at which a report of load is no longer believed.
 const STALE: Duration = Duration::from_secs(3);
 /// Multiple of its mean latency after which a silent endpoint counts as slow.
@@ -21,10 +23,10 @@
 /// How long after its probe is due an endpoint may be probed by what may not be repeated.
 const LAST_PROBE: Duration = Duration::from_secs(5);
 
-/// How much the score grows with each consecutive failure.
-const DISTRUST: f64 = 4.0;
-/// Consecutive failures beyond which it grows no more.
-const MAX_FAILURES: u32 = 8;
+/// Weight of a call's end in the failure rate.
+const FAILURE_ALPHA: f64 = 0.3;
+/// Time in which a failure rate fades to a third.
+const FADE: Duration = Duration::from_secs(3);
 
 /// What an endpoint last said of its load.
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +55,10 @@
     pub is_slow: bool,
     /// Whether a suspect call holds it alone.
     pub is_alone: bool,
+    /// Share of recent calls that failed.
+    failures: Mean,
+    /// When the last call failed.
+    failed: Option<Time>,
     /// When it joined, if it did so while this daemon ran.
     joined: Option<Time>,
     /// Since when calls are in flight without an answer.
@@ -71,6 +77,8 @@
             latency: Mean::default(),
             is_slow: false,
             is_alone: false,
+            failures: Mean::default(),
+            failed: None,
             joined,
             silent: None,
             report: None,
@@ -110,7 +118,7 @@
     pub fn load(&self, now: Time) -> f64 {
         let own = f64::from(self.in_flight);
         match self.report {
-            Some(r) if now.saturating_sub(r.at) < STALE => own + (r.busy - r.own).max(0.0),
+            Some(r) if now.saturating_sub(r.at) < STALE => own + OTHERS * (r.busy - r.own).max(0.0),
             _ => own,
         }
     }
@@ -129,10 +137,25 @@
             .is_some_and(|v| v.iter().any(|v| **v == *version))
     }
 
-    /// Factor on the score by which an endpoint that failed lately is avoided; ejection has a cap,
-    /// this has none.
-    pub fn distrust(&self) -> f64 {
-        1.0 + DISTRUST * f64::from(self.breaker.failures().min(MAX_FAILURES))
+    /// A call failed.
+    pub fn fail(&mut self, now: Time) {
+        self.failures.record(1.0, FAILURE_ALPHA);
+        self.failed = Some(now);
+    }
+
+    /// A call was answered.
+    pub fn succeed(&mut self) {
+        self.failures.record(0.0, FAILURE_ALPHA);
+    }
+
+    /// The chance, from 0 to 1, that a call fails there; it fades with time, so that an endpoint
+    /// that is avoided is tried again.
+    pub fn risk(&self, now: Time) -> f64 {
+        let (Some(rate), Some(at)) = (self.failures.get(), self.failed) else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        rate * (-age / FADE.as_secs_f64()).exp()
     }
 
     /// The share of the calls that a newcomer gets, from 0 to 1.
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -19,6 +19,11 @@
 const TRIES: usize = 6;
 /// Latency taken for an endpoint of which nothing is known, in seconds.
 const UNKNOWN: f64 = 0.05;
+/// Factor on the score of an endpoint in another availability zone: fewer daemons share an
+/// endpoint when most keep to their zone, so that each knows more of its load.
+const ZONE_FACTOR: f64 = 1.3;
+/// Share of the remaining time that a failure costs where the call may be repeated.
+const REPEAT_LOSS: f64 = 0.3;
 /// Added for an endpoint in another availability zone of the region, in seconds.
 const ZONE_DELAY: f64 = 0.003;
 
@@ -175,33 +180,24 @@
         }
     }
 
-    /// The mean calls that wait and that are busy per endpoint of a pool, by fresh reports of those
-    /// that this daemon calls.
+    /// Calls that wait and that are busy at the median endpoint of a pool, by fresh reports of
+    /// those that this daemon calls. The median keeps one straggler from closing a pool.
     pub fn pressure(&self, pool: &str, now: Time) -> Option<(f64, f64)> {
         let members = self.pools.get(pool)?;
         let has_near = members.near().next().is_some();
-        let (mut waiting, mut busy, mut count) = (0.0, 0.0, 0.0);
-        let mut add = |entry: &Entry| {
-            if let Some((w, b)) = entry.reported(now)
-                && !entry.breaker.is_ejected()
-            {
-                waiting += w;
-                busy += b;
-                count += 1.0;
-            }
-        };
-        if has_near {
-            members
-                .near()
-                .filter_map(|i| self.entry(i))
-                .for_each(&mut add);
-        } else {
-            members
-                .all()
-                .filter_map(|i| self.entry(i))
-                .for_each(&mut add);
-        }
-        (count > 0.0).then(|| (waiting / count, busy / count))
+        let mut reports: Vec<(f64, f64)> = members
+            .all()
+            .take(if has_near {
+                members.width()
+            } else {
+                usize::MAX
+            })
+            .filter_map(|i| self.entry(i))
+            .filter(|e| !e.breaker.is_ejected())
+            .filter_map(|e| e.reported(now))
+            .collect();
+        reports.sort_by(|a, b| a.0.total_cmp(&b.0));
+        reports.get(reports.len() / 2).copied()
     }
 
     /// Computes the median of the mean latencies of a pool again.
@@ -286,12 +282,13 @@
             let share = index.share(&entry.candidate.endpoint, &rule.ask.prefixes);
             work -= share * index.worth();
         }
-        let distance = if entry.candidate.zone == self.zone {
-            0.0
+        let (factor, delay) = if entry.candidate.zone == self.zone {
+            (1.0, 0.0)
         } else {
-            ZONE_DELAY
+            (ZONE_FACTOR, ZONE_DELAY)
         };
-        work * latency * entry.distrust() / entry.share(rule.slow_start, now) + distance
+        let wait = work * latency * factor / entry.share(rule.slow_start, now) + delay;
+        wait + entry.risk(now) * loss(rule.ask, now)
     }
 
     /// Chooses an endpoint in the own region.
@@ -357,6 +354,16 @@
     }
 }
 
+/// Seconds that a failed call costs: all that is left where it may not be repeated.
+fn loss(ask: &Ask, now: Time) -> f64 {
+    let left = ask.deadline.saturating_sub(now).as_secs_f64();
+    if ask.repeatable {
+        left * REPEAT_LOSS
+    } else {
+        left
+    }
+}
+
 #[derive(Default)]
 struct Best<'a> {
     score: f64,
