--- a/src/claim.rs
+++ b/src/claim.rs
@@ -6,7 +6,16 @@
 
 use crate::id;
 
+pub mod desk;
+pub mod fold;
+pub mod message;
+pub mod mutation;
 pub mod naive;
+pub mod record;
+pub mod router;
+pub mod stream;
+pub mod window;
+pub mod writer;
 
 event! {
     /// A request for the right to run.
--- /dev/null
+++ b/src/claim/desk.rs
@@ -0,0 +1,327 @@
+//! The desk of one daemon: threads around the claim streams.
+//!
+//! Claims go to the preferred writer of their stream; a daemon whose writer does not answer
+//! decides for itself, which is as safe. See [the design note](../../docs/design/claims.md).
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use parking_lot::{Condvar, Mutex};
+use snafu::Snafu;
+
+use self::lane::{Decision, Job};
+use super::message::{Message, Reply, Settle};
+use super::router::{self, Peer, View};
+use super::stream::wait::{MARGIN, RETRY_AFTER};
+use super::{Ask, Outcome, Verdict, record, window};
+use crate::clock::{Clock, Time};
+use crate::{id, peer, platform, settings};
+
+mod builder;
+mod lane;
+mod outbox;
+
+pub use builder::Builder;
+
+/// How often the desk looks at the live daemons and at its own role.
+pub const REFRESH: Duration = Duration::from_secs(1);
+/// How long a message of another daemon waits for its verdict.
+pub const HOLD: Duration = Duration::from_millis(500);
+/// How long a daemon waits for the preferred writer, besides the half of what remains.
+pub const WRITER_PATIENCE: Duration = Duration::from_millis(1000);
+/// How long a writer that did not answer is passed over.
+pub const AVOID: Duration = Duration::from_secs(5);
+/// Claims that wait for their verdict at a time.
+pub const MAX_WAITING: usize = 512;
+
+/// Why a desk did not start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)), display("{step} of daemon {peer}: {reason}"))]
+pub struct Error {
+    step: &'static str,
+    peer: id::Daemon,
+    reason: String,
+}
+
+/// What the threads of a desk share.
+pub(crate) struct Shared {
+    daemon: id::Daemon,
+    claims: settings::Claims,
+    accepts_undated: bool,
+    near: Option<id::Region>,
+    log: Arc<dyn platform::Log>,
+    link: Option<Arc<dyn peer::Link>>,
+    clock: Arc<dyn Clock>,
+    view: Arc<dyn View>,
+    lanes: Mutex<IndexMap<u32, flume::Sender<Job>>>,
+    /// Requests that were asked for here and have not been settled.
+    asks: Mutex<IndexMap<id::Request, Ask>>,
+    /// Requests whose outcome or release is not durable yet.
+    unsettled: Mutex<IndexSet<id::Request>>,
+    settled: Condvar,
+    avoided: Mutex<IndexMap<u32, Time>>,
+    waiting: Mutex<usize>,
+    is_stopped: AtomicBool,
+}
+
+/// Decides claims for the requests of one daemon.
+pub struct Desk {
+    shared: Arc<Shared>,
+    outbox: flume::Sender<Settle>,
+}
+
+impl Desk {
+    /// Begins the options of a desk.
+    pub fn builder(daemon: id::Daemon, log: Arc<dyn platform::Log>) -> Builder {
+        Builder::new(daemon, log)
+    }
+
+    fn start(shared: Shared) -> Result<Self, Error> {
+        let shared = Arc::new(shared);
+        let (outbox, settles) = flume::unbounded();
+        let at = shared.clone();
+        shared.spawn("claim-outbox", move || outbox::run(&at, &settles))?;
+        let at = shared.clone();
+        shared.spawn("claim-keeper", move || lane::keep(&at))?;
+        Ok(Self { shared, outbox })
+    }
+}
+
+impl Drop for Desk {
+    fn drop(&mut self) {
+        self.shared.is_stopped.store(true, Ordering::Relaxed);
+        self.shared.lanes.lock().clear();
+    }
+}
+
+impl Shared {
+    fn spawn(&self, name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), Error> {
+        let spawned = thread::Builder::new().name(name.into()).spawn(run);
+        spawned.map(drop).map_err(|e| Error {
+            step: "start of a thread",
+            peer: self.daemon.clone(),
+            reason: e.to_string(),
+        })
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::Relaxed)
+    }
+
+    fn stream(&self, ask: &Ask) -> u32 {
+        let place = record::place(&ask.workspace, &ask.key);
+        record::stream_of(place, self.claims.streams)
+    }
+
+    /// Returns the daemon to ask about a stream, unless this one is to decide for itself.
+    fn writer(&self, stream: u32) -> Option<Peer> {
+        self.link.as_ref()?;
+        let avoided = self.avoided.lock().get(&stream).copied();
+        if avoided.is_some_and(|until| self.clock.now() < until) {
+            return None;
+        }
+        let peers = self.view.peers();
+        let writer = router::preferred(stream, &peers, self.near.as_ref())?;
+        (writer.daemon != self.daemon).then(|| writer.clone())
+    }
+
+    fn avoid(&self, stream: u32) {
+        let until = self.clock.now() + AVOID;
+        self.avoided.lock().insert(stream, until);
+    }
+
+    /// Notes that the outcome of a request is to be made durable.
+    fn expect(&self, request: id::Request) {
+        self.unsettled.lock().insert(request);
+    }
+
+    fn durable(&self, request: id::Request) {
+        let mut unsettled = self.unsettled.lock();
+        unsettled.swap_remove(&request);
+        if unsettled.is_empty() {
+            self.settled.notify_all();
+        }
+    }
+
+    /// Decides a claim through the stream of this daemon.
+    fn decide_here(self: &Arc<Self>, ask: Ask, patience: Duration) -> Decision {
+        let (tx, rx) = flume::bounded(1);
+        let stream = self.stream(&ask);
+        let job = Job::Ask(ask, self.daemon.clone(), tx);
+        lane::send(self, stream, job);
+        rx.recv_timeout(patience + MARGIN)
+            .unwrap_or_else(|_| Decision {
+                verdict: refusal("the claim was not decided in time"),
+                stands: true,
+            })
+    }
+
+    fn ask_writer(&self, writer: &Peer, ask: &Ask, timeout: Duration) -> Option<Reply> {
+        let link = self.link.as_ref()?;
+        let body = Message::Ask(ask.clone()).encode();
+        let answer = link.ask(&writer.address, peer::Topic::Claim, &body, timeout);
+        Reply::decode(&answer.ok()?).ok()
+    }
+
+    /// Decides a claim through the preferred writer, and here when that one does not answer.
+    fn decide(self: &Arc<Self>, mut ask: Ask) -> Decision {
+        let deadline = Instant::now() + ask.remaining.saturating_sub(MARGIN);
+        let stream = self.stream(&ask);
+        while let Some(writer) = self.writer(stream) {
+            ask.remaining = deadline.saturating_duration_since(Instant::now());
+            if ask.remaining.is_zero() {
+                return Decision {
+                    verdict: refusal("an earlier request with the key still runs"),
+                    stands: true,
+                };
+            }
+            let timeout = WRITER_PATIENCE.min(ask.remaining / 2);
+            match self.ask_writer(&writer, &ask, timeout.max(MARGIN)) {
+                Some(Reply::Decided(verdict, stands)) => return Decision { verdict, stands },
+                Some(Reply::Pending) => {}
+                Some(Reply::Durable(_)) | None => self.avoid(stream),
+            }
+        }
+        ask.remaining = deadline.saturating_duration_since(Instant::now());
+        let patience = ask.remaining;
+        self.decide_here(ask, patience)
+    }
+}
+
+fn refusal(reason: &str) -> Verdict {
+    Verdict::NotRun {
+        reason: reason.into(),
+        retry_after: Some(RETRY_AFTER),
+    }
+}
+
+fn undated() -> Verdict {
+    Verdict::NotRun {
+        reason: "the key must be a UUIDv7 or come with its time of issue".into(),
+        retry_after: None,
+    }
+}
+
+/// Gives the verdict to the caller, and releases the claim of a request that will not run.
+fn finish(
+    shared: &Shared,
+    outbox: &flume::Sender<Settle>,
+    ask: Ask,
+    decision: Decision,
+    reply: &flume::Sender<Verdict>,
+) {
+    let Decision { verdict, stands } = decision;
+    let is_granted = verdict == Verdict::Granted;
+    let is_heard = reply.send(verdict).is_ok();
+    if is_granted && is_heard {
+        return;
+    }
+    shared.asks.lock().swap_remove(&ask.request);
+    if stands || is_granted {
+        shared.expect(ask.request);
+        let outcome = Outcome::Released;
+        drop(outbox.send(Settle { ask, outcome }));
+    }
+}
+
+impl super::Desk for Desk {
+    fn claim(&self, ask: Ask, reply: flume::Sender<Verdict>) {
+        let shared = self.shared.clone();
+        if !shared.accepts_undated && window::issued(&ask.key, ask.issued).is_none() {
+            drop(reply.send(undated()));
+            return;
+        }
+        let busy = {
+            let mut count = shared.waiting.lock();
+            *count += 1;
+            *count > MAX_WAITING
+        };
+        if busy {
+            *shared.waiting.lock() -= 1;
+            drop(reply.send(refusal("too many claims wait for the log")));
+            return;
+        }
+        shared.asks.lock().insert(ask.request, ask.clone());
+        let outbox = self.outbox.clone();
+        let at = shared.clone();
+        let waiting = ask.clone();
+        let told = reply.clone();
+        let spawned = shared.spawn("claim-ask", move || {
+            let decision = at.decide(waiting.clone());
+            *at.waiting.lock() -= 1;
+            finish(&at, &outbox, waiting, decision, &told);
+        });
+        if spawned.is_err() {
+            *shared.waiting.lock() -= 1;
+            shared.asks.lock().swap_remove(&ask.request);
+            drop(reply.send(refusal("no thread could be started")));
+        }
+    }
+
+    fn settle(&self, request: id::Request, outcome: Outcome) {
+        let Some(ask) = self.shared.asks.lock().swap_remove(&request) else {
+            return;
+        };
+        self.shared.expect(request);
+        drop(self.outbox.send(Settle { ask, outcome }));
+    }
+
+    fn flush(&self, timeout: Duration) -> bool {
+        let until = Instant::now() + timeout;
+        let mut unsettled = self.shared.unsettled.lock();
+        while !unsettled.is_empty() {
+            if self
+                .shared
+                .settled
+                .wait_until(&mut unsettled, until)
+                .timed_out()
+            {
+                return unsettled.is_empty();
+            }
+        }
+        true
+    }
+}
+
+impl peer::Handler for Desk {
+    fn handle(&self, from: &id::Daemon, body: &[u8]) -> Result<Vec<u8>, String> {
+        let message = Message::decode(body).map_err(|e| e.to_string())?;
+        let reply = match message {
+            Message::Ask(ask) => self.answer(ask, from.clone()),
+            Message::Settle(settles) => self.record(settles),
+        };
+        Ok(reply.encode())
+    }
+}
+
+impl Desk {
+    fn answer(&self, ask: Ask, executor: id::Daemon) -> Reply {
+        let (tx, rx) = flume::bounded(1);
+        let hold = HOLD.min(ask.remaining / 3);
+        let stream = self.shared.stream(&ask);
+        lane::send(&self.shared, stream, Job::Ask(ask, executor, tx));
+        rx.recv_timeout(hold).map_or(Reply::Pending, |decision| {
+            Reply::Decided(decision.verdict, decision.stands)
+        })
+    }
+
+    fn record(&self, settles: Vec<Settle>) -> Reply {
+        let count = settles.len();
+        let (tx, rx) = flume::bounded(count.max(1));
+        for Settle { ask, outcome } in settles {
+            let stream = self.shared.stream(&ask);
+            let job = Job::Settle(Box::new(ask), outcome, Some(tx.clone()));
+            lane::send(&self.shared, stream, job);
+        }
+        drop(tx);
+        let until = Instant::now() + HOLD;
+        let all = (0..count).all(|_| rx.recv_deadline(until).is_ok());
+        Reply::Durable(all)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/claim/desk/lane.rs
@@ -0,0 +1,271 @@
+//! The thread of one claim stream, and the threads that append and read for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::super::router;
+use super::super::stream::{Action, Event, Fetch, Now, Stream};
+use super::super::writer::{self, Receipt};
+use super::super::{Ask, Outcome, Verdict};
+use super::{REFRESH, Shared};
+use crate::clock::Time;
+use crate::{id, platform};
+
+/// How long an append may take.
+pub const APPEND_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a stream that this daemon does not write stays open without work.
+pub const IDLE: Duration = Duration::from_secs(60);
+
+/// A verdict, and whether the claim may stand although the request will not run.
+#[derive(Clone, Debug)]
+pub(crate) struct Decision {
+    pub(crate) verdict: Verdict,
+    pub(crate) stands: bool,
+}
+
+/// What a lane is given to do.
+pub(crate) enum Job {
+    /// Decide a claim for an executor.
+    Ask(Ask, id::Daemon, flume::Sender<Decision>),
+    /// Record an outcome, and tell when it is durable.
+    Settle(Box<Ask>, Outcome, Option<flume::Sender<()>>),
+    /// An append or a read ended.
+    Event(Event),
+    /// Keep the stream open.
+    Open,
+}
+
+/// Gives a job to the lane of a stream, and starts the lane if there is none.
+pub(super) fn send(shared: &Arc<Shared>, stream: u32, job: Job) {
+    let mut lanes = shared.lanes.lock();
+    if shared.is_stopped() {
+        return;
+    }
+    let job = match lanes.get(&stream) {
+        None => job,
+        Some(lane) => match lane.send(job) {
+            Ok(()) => return,
+            Err(flume::SendError(job)) => job,
+        },
+    };
+    if let Some(lane) = open(shared, stream) {
+        drop(lane.send(job));
+        lanes.insert(stream, lane);
+    }
+}
+
+/// Keeps the lanes open that this daemon is the preferred writer of.
+pub(super) fn keep(shared: &Arc<Shared>) {
+    while !shared.is_stopped() {
+        let peers = shared.view.peers();
+        for stream in 0..shared.claims.streams {
+            let writer = router::preferred(stream, &peers, shared.near.as_ref());
+            if writer.is_some_and(|w| w.daemon == shared.daemon) {
+                send(shared, stream, Job::Open);
+            }
+        }
+        std::thread::sleep(REFRESH);
+    }
+}
+
+fn open(shared: &Arc<Shared>, stream: u32) -> Option<flume::Sender<Job>> {
+    let (jobs, inbox) = flume::unbounded();
+    let mut lane = Lane::new(shared.clone(), stream, &jobs)?;
+    let spawned = shared.spawn("claim-lane", move || lane.run(&inbox));
+    spawned.is_ok().then_some(jobs)
+}
+
+struct Lane {
+    shared: Arc<Shared>,
+    number: u32,
+    stream: Stream,
+    appends: flume::Sender<Vec<u8>>,
+    reads: flume::Sender<(id::Offset, Duration)>,
+    fetches: flume::Sender<id::Offset>,
+    replies: IndexMap<id::Request, Vec<flume::Sender<Decision>>>,
+    settling: IndexMap<id::Request, Vec<flume::Sender<()>>>,
+    refresh_at: Time,
+    used: Time,
+}
+
+impl Lane {
+    fn new(shared: Arc<Shared>, number: u32, jobs: &flume::Sender<Job>) -> Option<Self> {
+        let name = super::record::stream_name(number);
+        let appends = serve(&shared, jobs, "claim-append", {
+            let (log, name) = (shared.log.clone(), name.clone());
+            move |body: Vec<u8>| Event::Appended(append(&*log, &name, &body))
+        })?;
+        let reads = serve(&shared, jobs, "claim-read", {
+            let (log, name) = (shared.log.clone(), name.clone());
+            move |(from, wait)| Event::Read(log.read(&name, from, wait).ok())
+        })?;
+        let fetches = serve(&shared, jobs, "claim-fetch", {
+            let (log, name) = (shared.log.clone(), name.clone());
+            move |offset| Event::Fetched(offset, fetch(&*log, &name, offset))
+        })?;
+        let stream = Stream::new(shared.daemon.clone(), &shared.claims);
+        Some(Self {
+            used: shared.clock.now(),
+            refresh_at: Time::ZERO,
+            shared,
+            number,
+            stream,
+            appends,
+            reads,
+            fetches,
+            replies: IndexMap::new(),
+            settling: IndexMap::new(),
+        })
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            mono: self.shared.clock.now(),
+            wall: self.shared.clock.wall(),
+        }
+    }
+
+    fn run(&mut self, inbox: &flume::Receiver<Job>) {
+        loop {
+            self.refresh();
+            let now = self.shared.clock.now();
+            let until = self
+                .stream
+                .next_wake()
+                .unwrap_or(Time::MAX)
+                .min(self.refresh_at);
+            match inbox.recv_timeout(until.saturating_sub(now)) {
+                Ok(job) => self.job(job),
+                Err(flume::RecvTimeoutError::Timeout) => self.step(Event::Wake),
+                Err(flume::RecvTimeoutError::Disconnected) => return,
+            }
+            if self.shared.is_stopped() || self.is_closed(inbox) {
+                return;
+            }
+        }
+    }
+
+    /// Leaves the table of lanes when nothing was done for long, unless a job came meanwhile.
+    fn is_closed(&mut self, inbox: &flume::Receiver<Job>) -> bool {
+        let now = self.shared.clock.now();
+        if !self.stream.is_idle() {
+            self.used = now;
+        }
+        if now < self.used + IDLE {
+            return false;
+        }
+        let mut lanes = self.shared.lanes.lock();
+        let is_empty = inbox.is_empty();
+        if is_empty {
+            lanes.swap_remove(&self.number);
+        }
+        is_empty
+    }
+
+    fn job(&mut self, job: Job) {
+        match job {
+            Job::Ask(ask, executor, reply) => {
+                self.used = self.shared.clock.now();
+                self.replies.entry(ask.request).or_default().push(reply);
+                self.step(Event::Ask(ask, executor));
+            }
+            Job::Settle(ask, outcome, reply) => {
+                self.used = self.shared.clock.now();
+                self.settling.entry(ask.request).or_default().extend(reply);
+                self.step(Event::Settle(ask, outcome));
+            }
+            Job::Event(event) => self.step(event),
+            Job::Open => self.used = self.shared.clock.now(),
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.now();
+        for action in self.stream.step(event, now) {
+            match action {
+                Action::Append(body) => drop(self.appends.send(body)),
+                Action::Read(from, wait) => drop(self.reads.send((from, wait))),
+                Action::Fetch(offset) => drop(self.fetches.send(offset)),
+                Action::Decide(request, verdict, stands) => {
+                    let decision = Decision { verdict, stands };
+                    for reply in self.replies.swap_remove(&request).unwrap_or_default() {
+                        drop(reply.send(decision.clone()));
+                    }
+                }
+                Action::Durable(request) => {
+                    for reply in self.settling.swap_remove(&request).unwrap_or_default() {
+                        // The daemon that waited may have given up.
+                        let _ = reply.send(());
+                    }
+                    self.shared.durable(request);
+                }
+            }
+        }
+    }
+
+    /// Tells the stream who lives and whether this daemon is its preferred writer.
+    fn refresh(&mut self) {
+        let now = self.shared.clock.now();
+        if now < self.refresh_at {
+            return;
+        }
+        self.refresh_at = now + REFRESH;
+        let peers = self.shared.view.peers();
+        let writer = router::preferred(self.number, &peers, self.shared.near.as_ref());
+        let is_writer = writer.is_none_or(|w| w.daemon == self.shared.daemon);
+        let active = self.shared.lanes.lock().len();
+        let rate = if is_writer {
+            writer::stream_rate(self.shared.claims.streams)
+        } else {
+            writer::direct_rate(peers.len(), active)
+        };
+        self.step(Event::Role {
+            writer: is_writer,
+            rate,
+        });
+        self.step(Event::Members(
+            peers.into_iter().map(|p| p.daemon).collect(),
+        ));
+    }
+}
+
+/// Starts a thread that does one kind of I/O and reports back; it ends with the lane.
+fn serve<T: Send + 'static>(
+    shared: &Shared,
+    jobs: &flume::Sender<Job>,
+    name: &str,
+    run: impl Fn(T) -> Event + Send + 'static,
+) -> Option<flume::Sender<T>> {
+    let (tx, rx) = flume::unbounded();
+    // A weak sender, so that the lane ends once the desk lets go of it.
+    let jobs = jobs.downgrade();
+    let work = move || {
+        for item in rx {
+            let event = run(item);
+            match jobs.upgrade() {
+                Some(jobs) => drop(jobs.send(Job::Event(event))),
+                None => return,
+            }
+        }
+    };
+    shared.spawn(name, work).ok()?;
+    Some(tx)
+}
+
+fn append(log: &dyn platform::Log, stream: &str, body: &[u8]) -> Receipt {
+    match log.append(stream, body, APPEND_TIMEOUT) {
+        Ok(_) => Receipt::Done,
+        Err(platform::Error::NoEffect { .. }) => Receipt::NoEffect,
+        Err(platform::Error::Unknown { .. }) => Receipt::Unknown,
+    }
+}
+
+fn fetch(log: &dyn platform::Log, stream: &str, offset: id::Offset) -> Fetch {
+    let Ok(page) = log.read(stream, offset, Duration::ZERO) else {
+        return Fetch::Failed;
+    };
+    let found = page.records.into_iter().find(|r| r.offset == offset);
+    found.map_or(Fetch::Trimmed, |record| Fetch::Record(record.body))
+}
--- /dev/null
+++ b/src/claim/fold.rs
@@ -0,0 +1,328 @@
+//! The index of one claim stream, folded from its records by offset.
+//!
+//! Every daemon that reads the same records gets the same index; the order of the log alone
+//! decides. See [the design note](../../docs/design/claims.md).
+
+use std::time::{Duration, SystemTime};
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::mutation::{self, Mutation};
+use super::record::{self, Carried, Claim, Covered, Entry, Group, Mark, Outcome, Place, Release};
+use super::window;
+use crate::{id, platform};
+
+token! {
+    /// Where a key stands.
+    pub enum State {
+        /// A request holds it and may be running.
+        Open,
+        /// The request that held it ended; the ending stands at this offset.
+        Ended(id::Offset),
+        /// The request that held it ended with an unknown result, or its answer is gone.
+        Unknown,
+    }
+
+    /// What the index remembers of a key.
+    pub struct Slot {
+        /// The request whose claim came first.
+        pub request: id::Request,
+        /// Digest of its pipeline and body.
+        pub mark: Mark,
+        /// Number of its executor in the table of executors.
+        pub executor: u32,
+        /// When the key was issued, in milliseconds since the Unix epoch.
+        pub issued_ms: u64,
+        /// The record that still tells of this state once those before it are trimmed.
+        pub support: id::Offset,
+        /// Where it stands.
+        pub state: State,
+    }
+
+    /// What the index knows of a key.
+    pub enum Found {
+        /// It is unclaimed.
+        Absent,
+        /// Its claim may have been trimmed before it was read.
+        Unread,
+        /// It was claimed.
+        Held(Slot),
+    }
+
+    /// What an entry was about.
+    pub enum Kind {
+        /// A claim.
+        Claim,
+        /// A release.
+        Release,
+        /// An outcome.
+        Outcome,
+        /// A key that was carried forward.
+        Carried,
+        /// The end of a pass that carried keys forward.
+        Covered,
+    }
+
+    /// An entry that stands in the log.
+    pub struct Seen {
+        /// The request.
+        pub request: id::Request,
+        /// What it was about.
+        pub kind: Kind,
+    }
+}
+
+/// The index of one claim stream.
+#[derive(Debug, Default)]
+pub struct Fold {
+    slots: IndexMap<Place, Slot>,
+    /// Requests that gave their claim back, with the issue time of their key.
+    released: IndexMap<id::Request, u64>,
+    executors: IndexSet<id::Daemon>,
+    position: id::Offset,
+    /// Keys issued before this may have claims that were trimmed unread.
+    complete_from_ms: u64,
+    /// The lowest offset read since the last gap.
+    start: id::Offset,
+    /// Keys issued up to this are forgotten.
+    forgotten_ms: u64,
+}
+
+impl Fold {
+    /// Returns the offset that is read next.
+    pub fn position(&self) -> id::Offset {
+        self.position
+    }
+
+    /// Returns how many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Says whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Returns the name of an executor.
+    pub fn executor(&self, number: u32) -> Option<&id::Daemon> {
+        self.executors.get_index(number as usize)
+    }
+
+    /// Returns what is known of a key.
+    pub fn find(&self, place: Place, issued_ms: u64) -> Found {
+        if let Some(slot) = self.slots.get(&place) {
+            return Found::Held(*slot);
+        }
+        let trusted = mutation::is_active(Mutation::TrustTrimmed);
+        if issued_ms < self.complete_from_ms && !trusted {
+            return Found::Unread;
+        }
+        let expired = mutation::is_active(Mutation::TrustExpiredWindow);
+        if issued_ms <= self.forgotten_ms && self.forgotten_ms > 0 && !expired {
+            return Found::Unread;
+        }
+        Found::Absent
+    }
+
+    /// Says whether a request gave its claim back.
+    pub fn is_released(&self, request: id::Request) -> bool {
+        self.released.contains_key(&request)
+    }
+
+    /// Folds a page that was read from the position on, and returns the groups in it.
+    /// Records below the position were folded before and are passed over.
+    pub fn apply(&mut self, page: &platform::Page) -> Vec<Group> {
+        if page.first > self.position {
+            self.jump(page);
+        }
+        let mut groups = Vec::new();
+        for record in &page.records {
+            if record.offset < self.position {
+                continue;
+            }
+            if let Some(group) = record::decode(&record.body) {
+                self.group(&group, record.offset);
+                groups.push(group);
+            }
+            self.position = record.offset + 1;
+        }
+        groups
+    }
+
+    /// Records were trimmed before they were read: only keys issued later are complete.
+    fn jump(&mut self, page: &platform::Page) {
+        let at = page
+            .records
+            .iter()
+            .find_map(|r| record::decode(&r.body))
+            .map_or(u64::MAX, |g| g.at_ms);
+        let skew = record::span_millis(window::SKEW);
+        self.complete_from_ms = self.complete_from_ms.max(at.saturating_add(2 * skew));
+        self.position = page.first;
+        self.start = page.first;
+    }
+
+    fn group(&mut self, group: &Group, offset: id::Offset) {
+        for entry in &group.entries {
+            match entry {
+                Entry::Claim(claim) => self.claim(claim, offset),
+                Entry::Release(release) => self.release(release),
+                Entry::Outcome(outcome) => self.outcome(outcome, offset),
+                Entry::Carried(carried) => self.carried(carried, offset),
+                Entry::Covered(covered) => self.covered(covered),
+            }
+        }
+    }
+
+    fn covered(&mut self, covered: &Covered) {
+        if covered.position >= self.start && covered.below >= self.start {
+            self.complete_from_ms = 0;
+        }
+    }
+
+    fn number(&mut self, executor: &str) -> u32 {
+        let (index, _) = self.executors.insert_full(executor.into());
+        u32::try_from(index).unwrap_or(u32::MAX)
+    }
+
+    fn claim(&mut self, claim: &Claim, offset: id::Offset) {
+        let forgets = mutation::is_active(Mutation::ForgetRelease);
+        if self.released.contains_key(&claim.request) && !forgets {
+            return;
+        }
+        let executor = self.number(&claim.executor);
+        let place = record::place(&claim.workspace, &claim.key);
+        self.slots.entry(place).or_insert(Slot {
+            request: claim.request,
+            mark: record::mark(&claim.digest),
+            executor,
+            issued_ms: claim.issued_ms,
+            support: offset,
+            state: State::Open,
+        });
+    }
+
+    /// A release counts for the claim of the same request, before or after it in the log,
+    /// unless an outcome of that request came first.
+    fn release(&mut self, release: &Release) {
+        let place = record::place(&release.workspace, &release.key);
+        let any = mutation::is_active(Mutation::DropReleaseRule);
+        if let Some(slot) = self.slots.get(&place) {
+            let own = slot.request == release.request;
+            if own && slot.state != State::Open && !any {
+                return;
+            }
+            if own || any {
+                self.slots.swap_remove(&place);
+            }
+        }
+        self.released.insert(release.request, release.issued_ms);
+    }
+
+    fn outcome(&mut self, outcome: &Outcome, offset: id::Offset) {
+        if self.released.contains_key(&outcome.request) {
+            return;
+        }
+        let place = record::place(&outcome.workspace, &outcome.key);
+        let state = state_of(&outcome.ending, offset);
+        match self.slots.get_mut(&place) {
+            Some(slot) if slot.request == outcome.request && slot.state == State::Open => {
+                slot.state = state;
+                slot.support = offset;
+            }
+            Some(_) => {}
+            // Only a request that held the key has an outcome, so its claim was trimmed.
+            None => {
+                self.slots.insert(
+                    place,
+                    Slot {
+                        request: outcome.request,
+                        mark: record::mark(&outcome.digest),
+                        executor: u32::MAX,
+                        issued_ms: outcome.issued_ms,
+                        support: offset,
+                        state,
+                    },
+                );
+            }
+        }
+    }
+
+    /// A carried entry counts only when every record after the state that it repeats was
+    /// read; it never changes a state, so that the order of claims and outcomes still decides.
+    fn carried(&mut self, carried: &Carried, offset: id::Offset) {
+        let (Some(place), Some(mark)) =
+            (record::unhex(&carried.place), record::unhex(&carried.mark))
+        else {
+            return;
+        };
+        if carried.position < self.start || self.released.contains_key(&carried.request) {
+            return;
+        }
+        let executor = carried
+            .executor
+            .as_deref()
+            .map_or(u32::MAX, |name| self.number(name));
+        let state = carried
+            .ending
+            .as_ref()
+            .map_or(State::Open, |ending| state_of(ending, offset));
+        let fresh = Slot {
+            request: carried.request,
+            mark,
+            executor,
+            issued_ms: carried.issued_ms,
+            support: offset,
+            state,
+        };
+        let slot = self.slots.entry(place).or_insert(fresh);
+        if slot.request != carried.request && self.start > 0 {
+            // A late claim hid the holder, whose own claim was trimmed before it was read.
+            *slot = fresh;
+        }
+        if slot.request == carried.request && carried.position > slot.support {
+            slot.support = offset;
+            if let (State::Ended(_), State::Ended(_)) = (slot.state, state) {
+                slot.state = state;
+            }
+        }
+    }
+
+    /// Returns keys whose supporting record stands below `below`, at most `limit` of them.
+    pub fn supported_below(&self, below: id::Offset, limit: usize) -> Vec<(Place, Slot)> {
+        self.slots
+            .iter()
+            .filter(|(_, slot)| slot.support < below)
+            .take(limit)
+            .map(|(place, slot)| (*place, *slot))
+            .collect()
+    }
+
+    /// Forgets keys that were issued so long ago that every daemon refuses them.
+    pub fn expire(&mut self, wall: SystemTime, window: Duration) {
+        let horizon = window::horizon_ms(wall, window);
+        self.slots.retain(|_, slot| slot.issued_ms > horizon);
+        self.released.retain(|_, issued| *issued > horizon);
+        self.forgotten_ms = self.forgotten_ms.max(horizon);
+    }
+}
+
+/// Returns what an entry is about.
+pub fn seen(entry: &Entry) -> Seen {
+    let (request, kind) = match entry {
+        Entry::Claim(claim) => (claim.request, Kind::Claim),
+        Entry::Release(release) => (release.request, Kind::Release),
+        Entry::Outcome(outcome) => (outcome.request, Kind::Outcome),
+        Entry::Carried(carried) => (carried.request, Kind::Carried),
+        Entry::Covered(_) => (id::Request::nil(), Kind::Covered),
+    };
+    Seen { request, kind }
+}
+
+fn state_of(ending: &record::Ending, offset: id::Offset) -> State {
+    match ending {
+        record::Ending::Unknown => State::Unknown,
+        _ => State::Ended(offset),
+    }
+}
--- /dev/null
+++ b/src/claim/message.rs
@@ -0,0 +1,208 @@
+//! Messages about claims between daemons, as [the schema](../../schema/claim.capnp) has them.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use capnp::message::{Builder, ReaderOptions};
+use capnp::{serialize, struct_list};
+
+use super::{Ask, Outcome, Part, Verdict, record};
+use crate::generated::claim_capnp as wire;
+use crate::id;
+
+event! {
+    /// What a daemon wants of the preferred writer.
+    pub enum Message {
+        /// The right to run at the sending daemon.
+        Ask(Ask),
+        /// Outcomes of requests that were granted to the sending daemon.
+        Settle(Vec<Settle>),
+    }
+
+    /// An outcome of a granted request.
+    pub struct Settle {
+        /// The request.
+        pub ask: Ask,
+        /// How it ended.
+        pub outcome: Outcome,
+    }
+
+    /// What the preferred writer answers.
+    pub enum Reply {
+        /// Nothing yet; the sender asks again.
+        Pending,
+        /// The verdict, and whether the claim may stand all the same.
+        Decided(Verdict, bool),
+        /// Whether every outcome is durable.
+        Durable(bool),
+    }
+}
+
+/// The result of decoding a message.
+pub type Result<T> = std::result::Result<T, capnp::Error>;
+
+fn put_ask(mut to: wire::ask::Builder<'_>, ask: &Ask) {
+    to.set_workspace(&*ask.workspace);
+    to.set_key(&*ask.key);
+    to.set_digest(&*ask.digest);
+    to.set_request(ask.request.as_bytes());
+    to.set_issued_ms(ask.issued.map_or(0, record::millis));
+    to.set_remaining_ms(record::span_millis(ask.remaining));
+}
+
+fn text(from: capnp::text::Reader<'_>) -> Result<id::Name> {
+    Ok(from.to_str()?.into())
+}
+
+fn get_ask(from: wire::ask::Reader<'_>) -> Result<Ask> {
+    let request = id::Request::from_slice(from.get_request()?)
+        .map_err(|e| capnp::Error::failed(e.to_string()))?;
+    let issued_ms = from.get_issued_ms();
+    Ok(Ask {
+        workspace: text(from.get_workspace()?)?,
+        key: text(from.get_key()?)?,
+        digest: text(from.get_digest()?)?,
+        request,
+        issued: (issued_ms > 0).then(|| UNIX_EPOCH + Duration::from_millis(issued_ms)),
+        remaining: Duration::from_millis(from.get_remaining_ms()),
+    })
+}
+
+fn put_parts(mut to: struct_list::Builder<'_, wire::part::Owned>, parts: &[Part]) {
+    for (index, part) in (0..).zip(parts) {
+        let mut at = to.reborrow().get(index);
+        at.set_stage(&*part.stage);
+        at.set_body(&*part.body);
+    }
+}
+
+fn get_parts(from: struct_list::Reader<'_, wire::part::Owned>) -> Result<Vec<Part>> {
+    from.iter()
+        .map(|part| {
+            Ok(Part {
+                stage: text(part.get_stage()?)?,
+                body: text(part.get_body()?)?,
+            })
+        })
+        .collect()
+}
+
+/// Returns a length as the wire has it; lists of ours are far below its bound.
+fn length<T>(list: &[T]) -> u32 {
+    u32::try_from(list.len()).unwrap_or(u32::MAX)
+}
+
+fn put_settle(mut to: wire::settle::Builder<'_>, settle: &Settle) {
+    put_ask(to.reborrow().init_ask(), &settle.ask);
+    match &settle.outcome {
+        Outcome::Answered(body) => to.set_answered(&**body),
+        Outcome::Partial(parts) => put_parts(to.init_partial(length(parts)), parts),
+        Outcome::Unknown => to.set_unknown(()),
+        Outcome::Released => to.set_released(()),
+    }
+}
+
+fn get_settle(from: wire::settle::Reader<'_>) -> Result<Settle> {
+    use wire::settle::Which;
+    let outcome = match from.which()? {
+        Which::Answered(body) => Outcome::Answered(text(body?)?),
+        Which::Partial(parts) => Outcome::Partial(get_parts(parts?)?),
+        Which::Unknown(()) => Outcome::Unknown,
+        Which::Released(()) => Outcome::Released,
+    };
+    Ok(Settle {
+        ask: get_ask(from.get_ask()?)?,
+        outcome,
+    })
+}
+
+impl Message {
+    /// Encodes the message.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut message = Builder::new_default();
+        let mut root = message.init_root::<wire::message::Builder<'_>>();
+        match self {
+            Self::Ask(ask) => put_ask(root.init_ask(), ask),
+            Self::Settle(settles) => {
+                let mut list = root.reborrow().init_settle(length(settles));
+                for (index, settle) in (0..).zip(settles) {
+                    put_settle(list.reborrow().get(index), settle);
+                }
+            }
+        }
+        serialize::write_message_to_words(&message)
+    }
+
+    /// Decodes a message.
+    pub fn decode(body: &[u8]) -> Result<Self> {
+        use wire::message::Which;
+        let message = serialize::read_message(body, ReaderOptions::new())?;
+        let root = message.get_root::<wire::message::Reader<'_>>()?;
+        Ok(match root.which()? {
+            Which::Ask(ask) => Self::Ask(get_ask(ask?)?),
+            Which::Settle(list) => {
+                Self::Settle(list?.iter().map(get_settle).collect::<Result<_>>()?)
+            }
+        })
+    }
+}
+
+impl Reply {
+    /// Encodes the reply.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut message = Builder::new_default();
+        let mut root = message.init_root::<wire::reply::Builder<'_>>();
+        match self {
+            Self::Pending => root.set_pending(()),
+            Self::Durable(all) => root.set_durable(*all),
+            Self::Decided(verdict, stands) => put_verdict(root, verdict, *stands),
+        }
+        serialize::write_message_to_words(&message)
+    }
+
+    /// Decodes a reply.
+    pub fn decode(body: &[u8]) -> Result<Self> {
+        use wire::reply::Which;
+        let message = serialize::read_message(body, ReaderOptions::new())?;
+        let root = message.get_root::<wire::reply::Reader<'_>>()?;
+        let verdict = match root.which()? {
+            Which::Pending(()) => return Ok(Self::Pending),
+            Which::Durable(all) => return Ok(Self::Durable(all)),
+            Which::Granted(()) => Verdict::Granted,
+            Which::Answered(body) => Verdict::Answered(text(body?)?),
+            Which::Resume(parts) => Verdict::Resume(get_parts(parts?)?),
+            Which::Conflict(()) => Verdict::Conflict,
+            Which::Unknown(()) => Verdict::Unknown,
+            Which::NotRun(refusal) => return get_refusal(refusal?),
+        };
+        Ok(Self::Decided(verdict, false))
+    }
+}
+
+fn put_verdict(mut root: wire::reply::Builder<'_>, verdict: &Verdict, stands: bool) {
+    match verdict {
+        Verdict::Granted => root.set_granted(()),
+        Verdict::Answered(body) => root.set_answered(&**body),
+        Verdict::Resume(parts) => put_parts(root.init_resume(length(parts)), parts),
+        Verdict::Conflict => root.set_conflict(()),
+        Verdict::Unknown => root.set_unknown(()),
+        Verdict::NotRun {
+            reason,
+            retry_after,
+        } => {
+            let mut to = root.init_not_run();
+            to.set_reason(reason.as_str());
+            to.set_has_retry_after(retry_after.is_some());
+            to.set_retry_after_ms(retry_after.map_or(0, record::span_millis));
+            to.set_stands(stands);
+        }
+    }
+}
+
+fn get_refusal(from: wire::refusal::Reader<'_>) -> Result<Reply> {
+    let retry_after = Duration::from_millis(from.get_retry_after_ms());
+    let verdict = Verdict::NotRun {
+        reason: from.get_reason()?.to_str()?.to_owned(),
+        retry_after: from.get_has_retry_after().then_some(retry_after),
+    };
+    Ok(Reply::Decided(verdict, from.get_stands()))
+}
--- /dev/null
+++ b/src/claim/stream.rs
@@ -0,0 +1,378 @@
+//! Decides the claims of one stream: index, group commit and waiting requests together.
+//!
+//! It does no I/O: events go in with the time, actions come out. See
+//! [the design note](../../docs/design/claims.md).
+
+use std::time::{Duration, SystemTime};
+
+use indexmap::{IndexMap, IndexSet};
+
+use self::carry::Pass;
+use super::fold::{self, Fold, Kind, Seen};
+use super::record::{self, Ending, Entry, Group};
+use super::writer::{Receipt, Writer};
+use super::{Ask, Outcome, Verdict};
+use crate::clock::Time;
+use crate::{id, platform, settings};
+
+mod carry;
+pub mod wait;
+
+use self::wait::Wait;
+
+/// How long a read waits for records while requests wait.
+pub const LONG_POLL: Duration = Duration::from_millis(200);
+/// How long after a failed read the next one is tried.
+pub const READ_BACKOFF: Duration = Duration::from_millis(100);
+/// How long the log must fail before requests are refused at once.
+pub const OUTAGE: Duration = Duration::from_secs(1);
+/// How often the log is tried during an outage.
+pub const PROBE: Duration = Duration::from_millis(500);
+/// How long a daemon must be missing from the view before it counts as gone.
+pub const GONE_GRACE: Duration = Duration::from_secs(10);
+/// How often old keys are forgotten.
+pub const EXPIRE_EVERY: Duration = Duration::from_secs(60);
+/// How often the preferred writer reads when nobody waits, so that its index is warm.
+pub const WARM_EVERY: Duration = Duration::from_secs(1);
+/// Endings whose bodies are kept in memory, so that those who joined need no further read.
+const BODIES: usize = 64;
+/// Bytes of the bodies that are kept.
+const BODY_BYTES: usize = 1024 * 1024;
+
+event! {
+    /// What happens to a stream.
+    pub enum Event {
+        /// A request asks for the right to run at a daemon.
+        Ask(Ask, id::Daemon),
+        /// A granted request ended.
+        Settle(Box<Ask>, Outcome),
+        /// A request that may have a claim in the log will not run.
+        Abandon(Box<Ask>),
+        /// The append in flight ended.
+        Appended(Receipt),
+        /// The read in flight ended; none when it failed.
+        Read(Option<platform::Page>),
+        /// The record at an offset was read; an error when the log failed.
+        Fetched(id::Offset, Fetch),
+        /// The live daemons.
+        Members(IndexSet<id::Daemon>),
+        /// Whether this daemon is the preferred writer, and its pace in groups a second.
+        Role {
+            /// Whether it keeps the index warm and carries keys forward.
+            writer: bool,
+            /// Groups a second.
+            rate: f64,
+        },
+        /// The time of `next_wake` came.
+        Wake,
+    }
+
+    /// What a fetch of one record found.
+    pub enum Fetch {
+        /// The record.
+        Record(Vec<u8>),
+        /// It was trimmed.
+        Trimmed,
+        /// The log did not answer.
+        Failed,
+    }
+
+    /// What is to be done for a stream.
+    pub enum Action {
+        /// Append a record.
+        Append(Vec<u8>),
+        /// Read from an offset on, and wait so long for a record.
+        Read(id::Offset, Duration),
+        /// Read the one record at an offset.
+        Fetch(id::Offset),
+        /// Tell a request its verdict, and whether its claim may stand all the same; then only
+        /// its executor may release it, because nobody else knows that it will not run.
+        Decide(id::Request, Verdict, bool),
+        /// The outcome or release of a request is durable.
+        Durable(id::Request),
+    }
+}
+
+/// The time, as both clocks tell it.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// Monotonic.
+    pub mono: Time,
+    /// Wall clock.
+    pub wall: SystemTime,
+}
+
+#[derive(Debug, Default)]
+struct Reading {
+    in_flight: bool,
+    /// The read in flight began after the append whose result is unknown.
+    settles: bool,
+    not_before: Time,
+    warm_at: Time,
+}
+
+/// The claims of one stream at one daemon.
+#[derive(Debug)]
+pub struct Stream {
+    daemon: id::Daemon,
+    window: Duration,
+    retention: Duration,
+    limit: usize,
+    fold: Fold,
+    writer: Writer,
+    waits: IndexMap<id::Request, Wait>,
+    bodies: IndexMap<id::Request, Ending>,
+    fetching: IndexSet<id::Offset>,
+    members: IndexSet<id::Daemon>,
+    is_writer: bool,
+    /// The stream was read to its end once, so that verdicts may be drawn from the index.
+    is_ready: bool,
+    failing_since: Option<Time>,
+    reading: Reading,
+    expire_at: Time,
+    pass: Pass,
+}
+
+impl Stream {
+    /// Makes a stream that has read nothing yet.
+    pub fn new(daemon: id::Daemon, claims: &settings::Claims) -> Self {
+        Self {
+            daemon,
+            window: Duration::from_millis(claims.window_ms),
+            retention: Duration::from_millis(claims.retention_ms),
+            limit: claims.max_outcome_bytes as usize,
+            fold: Fold::default(),
+            writer: Writer::new(super::writer::stream_rate(claims.streams)),
+            waits: IndexMap::new(),
+            bodies: IndexMap::new(),
+            fetching: IndexSet::new(),
+            members: IndexSet::new(),
+            is_writer: false,
+            is_ready: false,
+            failing_since: None,
+            reading: Reading::default(),
+            expire_at: Time::ZERO,
+            pass: Pass::default(),
+        }
+    }
+
+    /// Returns the index.
+    pub fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// Says whether nothing waits and nothing is on its way to the log.
+    pub fn is_idle(&self) -> bool {
+        self.waits.is_empty() && self.writer.is_idle()
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn step(&mut self, event: Event, now: Now) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Ask(ask, executor) => self.ask(ask, executor, now, &mut out),
+            Event::Settle(ask, outcome) => self.settle(&ask, &outcome, now),
+            Event::Abandon(ask) => self.abandon(&ask, now),
+            Event::Appended(receipt) => self.appended(receipt, now, &mut out),
+            Event::Read(page) => self.read(page.as_ref(), now, &mut out),
+            Event::Fetched(offset, fetch) => self.fetched(offset, &fetch, now, &mut out),
+            Event::Members(members) => self.members = members,
+            Event::Role { writer, rate } => {
+                self.is_writer = writer;
+                self.writer.set_rate(rate);
+            }
+            Event::Wake => {}
+        }
+        self.expire(now);
+        self.carry(now, &mut out);
+        self.review(now, &mut out);
+        self.append(now, &mut out);
+        self.poll(now, &mut out);
+        out
+    }
+
+    fn settle(&mut self, ask: &Ask, outcome: &Outcome, now: Now) {
+        match record::ending(outcome, self.limit) {
+            Some(ending) => self.push_outcome(ask, ask.request, ending, now),
+            None => self.push_release(ask, now),
+        }
+    }
+
+    fn abandon(&mut self, ask: &Ask, now: Now) {
+        self.waits.swap_remove(&ask.request);
+        self.writer.withdraw(ask.request);
+        self.push_release(ask, now);
+    }
+
+    fn push_outcome(&mut self, ask: &Ask, request: id::Request, ending: Ending, now: Now) {
+        let entry = Entry::Outcome(record::Outcome {
+            workspace: ask.workspace.to_string(),
+            key: ask.key.to_string(),
+            digest: ask.digest.to_string(),
+            request,
+            issued_ms: wait::issued_ms(ask, now.wall),
+            ending,
+        });
+        self.writer.push(request, Kind::Outcome, entry);
+    }
+
+    fn push_release(&mut self, ask: &Ask, now: Now) {
+        let entry = Entry::Release(record::Release {
+            workspace: ask.workspace.to_string(),
+            key: ask.key.to_string(),
+            request: ask.request,
+            issued_ms: wait::issued_ms(ask, now.wall),
+        });
+        self.writer.push(ask.request, Kind::Release, entry);
+    }
+
+    fn append(&mut self, now: Now, out: &mut Vec<Action>) {
+        let entries = self.writer.next(now.mono);
+        if entries.is_empty() {
+            return;
+        }
+        let group = Group {
+            writer: self.daemon.to_string(),
+            at_ms: record::millis(now.wall),
+            entries,
+        };
+        match record::encode(&group) {
+            Some(body) => out.push(Action::Append(body)),
+            None => drop(self.writer.appended(Receipt::NoEffect, now.mono)),
+        }
+    }
+
+    fn appended(&mut self, receipt: Receipt, now: Now, out: &mut Vec<Action>) {
+        self.skip_read_back(receipt, out);
+        for seen in self.writer.appended(receipt, now.mono) {
+            durable(seen, out);
+        }
+        self.note_log(receipt == Receipt::Done, now.mono);
+    }
+
+    fn note_log(&mut self, works: bool, now: Time) {
+        if works {
+            self.failing_since = None;
+        } else {
+            self.failing_since.get_or_insert(now);
+        }
+    }
+
+    fn is_outage(&self, now: Time) -> bool {
+        self.failing_since
+            .is_some_and(|since| now >= since + OUTAGE)
+    }
+
+    fn read(&mut self, page: Option<&platform::Page>, now: Now, out: &mut Vec<Action>) {
+        let settles = std::mem::take(&mut self.reading.settles);
+        self.reading.in_flight = false;
+        let Some(page) = page else {
+            self.note_log(false, now.mono);
+            let backoff = if self.is_outage(now.mono) {
+                PROBE
+            } else {
+                READ_BACKOFF
+            };
+            self.reading.not_before = now.mono + backoff;
+            return;
+        };
+        self.writer.forgive();
+        if !self.writer.is_failing() {
+            self.note_log(true, now.mono);
+        }
+        self.reading.not_before = now.mono;
+        self.reading.warm_at = now.mono + WARM_EVERY;
+        for group in self.fold.apply(page) {
+            self.pass
+                .sample(self.fold.position(), &group, self.retention);
+            self.group(group, out);
+        }
+        if self.fold.position() >= page.end {
+            self.is_ready = true;
+            if settles {
+                self.writer.caught_up();
+            }
+        }
+    }
+
+    fn group(&mut self, group: Group, out: &mut Vec<Action>) {
+        for entry in group.entries {
+            let seen = fold::seen(&entry);
+            self.writer.seen(seen);
+            self.reconsider(seen);
+            durable(seen, out);
+            if let Entry::Outcome(outcome) = entry {
+                self.keep(outcome.request, outcome.ending);
+            }
+        }
+    }
+
+    /// Keeps the body of an ending, and drops the oldest ones above the bounds.
+    fn keep(&mut self, request: id::Request, ending: Ending) {
+        if ending == Ending::Unknown || self.bodies.contains_key(&request) {
+            return;
+        }
+        self.bodies.insert(request, ending);
+        let bytes = |bodies: &IndexMap<id::Request, Ending>| -> usize {
+            bodies.values().map(record::weight).sum()
+        };
+        while self.bodies.len() > BODIES
+            || (self.bodies.len() > 1 && bytes(&self.bodies) > BODY_BYTES)
+        {
+            self.bodies.shift_remove_index(0);
+        }
+    }
+
+    /// Asks for the next read, if somebody waits for it and none is in flight.
+    fn poll(&mut self, now: Now, out: &mut Vec<Action>) {
+        let is_due = now.mono >= self.reading.not_before;
+        if self.reading.in_flight || !is_due || !self.wants_read(now.mono) {
+            return;
+        }
+        let doubtful = self.writer.is_doubtful();
+        let wait = if doubtful || !self.is_ready || self.waits.is_empty() {
+            Duration::ZERO
+        } else {
+            LONG_POLL
+        };
+        self.reading.in_flight = true;
+        self.reading.settles = doubtful;
+        out.push(Action::Read(self.fold.position(), wait));
+    }
+
+    fn wants_read(&self, now: Time) -> bool {
+        let warm = self.is_writer && now >= self.reading.warm_at;
+        !self.waits.is_empty() || self.writer.is_doubtful() || self.failing_since.is_some() || warm
+    }
+
+    fn expire(&mut self, now: Now) {
+        if now.mono >= self.expire_at {
+            self.fold.expire(now.wall, self.window);
+            self.expire_at = now.mono + EXPIRE_EVERY;
+        }
+    }
+
+    /// Returns when `Event::Wake` is due.
+    pub fn next_wake(&self) -> Option<Time> {
+        let waits = self.waits.values().map(Wait::next_wake).min();
+        let busy =
+            !self.waits.is_empty() || self.writer.is_doubtful() || self.failing_since.is_some();
+        let read = match self.reading.in_flight {
+            true => None,
+            false if busy => Some(self.reading.not_before),
+            false if self.is_writer => Some(self.reading.warm_at),
+            false => None,
+        };
+        [waits, read, self.writer.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+}
+
+/// Reports entries that a daemon waits for before it forgets them.
+fn durable(seen: Seen, out: &mut Vec<Action>) {
+    if matches!(seen.kind, Kind::Outcome | Kind::Release) {
+        out.push(Action::Durable(seen.request));
+    }
+}
--- /dev/null
+++ b/src/claim/stream/carry.rs
@@ -0,0 +1,145 @@
+//! Carries keys forward in compact form before the records that tell of them are trimmed.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::super::fold::{Kind, Slot, State};
+use super::super::record::{self, Carried, Covered, Ending, Entry, Group, Place};
+use super::{Action, Now, Stream};
+use crate::id;
+
+/// Keys that are carried at a time.
+const BATCH: usize = 256;
+/// Parts of the retention after which a new pass begins.
+const PASSES: u32 = 8;
+
+/// A pass over the keys whose records will be trimmed.
+#[derive(Debug, Default)]
+pub(super) struct Pass {
+    /// Offsets with the time of their records, some for each retention.
+    samples: VecDeque<(id::Offset, u64)>,
+    /// The pass covers records below this offset; none while no pass runs.
+    below: Option<id::Offset>,
+    /// Entries of the pass repeat states at or after this offset.
+    position: id::Offset,
+    /// Records below this offset were covered by an earlier pass.
+    covered: id::Offset,
+    /// Keys whose answers are being read for the pass.
+    fetching: Vec<(Place, Slot)>,
+}
+
+impl Pass {
+    /// Remembers when a record was written.
+    pub(super) fn sample(&mut self, next: id::Offset, group: &Group, retention: Duration) {
+        let step = record::span_millis(retention / (4 * PASSES)).max(1);
+        let is_later = |(_, at): &(id::Offset, u64)| group.at_ms >= at + step;
+        if self.samples.back().is_none_or(is_later) {
+            self.samples.push_back((next - 1, group.at_ms));
+        }
+    }
+
+    /// Returns the lowest sampled offset that is not older than `age_ms`, and forgets older ones.
+    fn older_than(&mut self, age_ms: u64, now_ms: u64) -> id::Offset {
+        let mut below = 0;
+        while let Some((offset, at)) = self.samples.front() {
+            if now_ms.saturating_sub(*at) < age_ms {
+                break;
+            }
+            below = *offset;
+            self.samples.pop_front();
+        }
+        below
+    }
+}
+
+impl Stream {
+    /// Begins, continues or ends a pass; only the preferred writer makes them.
+    pub(super) fn carry(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.is_writer || !self.is_ready || self.is_outage(now.mono) {
+            return;
+        }
+        if self.pass.below.is_none() {
+            let age = record::span_millis(self.retention / 2);
+            let below = self.pass.older_than(age, record::millis(now.wall));
+            if below <= self.pass.covered {
+                return;
+            }
+            self.pass.below = Some(below);
+            self.pass.position = self.fold.position();
+        }
+        let is_busy = self.writer.carries() || !self.pass.fetching.is_empty();
+        if let Some(below) = self.pass.below
+            && !is_busy
+        {
+            self.carry_batch(below, out);
+        }
+    }
+
+    fn carry_batch(&mut self, below: id::Offset, out: &mut Vec<Action>) {
+        let keys = self.fold.supported_below(below, BATCH);
+        if keys.is_empty() {
+            self.end_pass(below);
+            return;
+        }
+        for (place, slot) in keys {
+            match slot.state {
+                State::Ended(offset) => {
+                    self.pass.fetching.push((place, slot));
+                    self.fetch(offset, out);
+                }
+                State::Open => self.push_carried(place, slot, None),
+                State::Unknown => self.push_carried(place, slot, Some(Ending::Unknown)),
+            }
+        }
+    }
+
+    fn end_pass(&mut self, below: id::Offset) {
+        let covered = Covered {
+            below,
+            position: self.pass.position,
+        };
+        self.writer
+            .push(id::Request::nil(), Kind::Covered, Entry::Covered(covered));
+        self.pass.covered = below;
+        self.pass.below = None;
+    }
+
+    /// An answer could not be read now; its key is carried by a later batch.
+    pub(super) fn carry_failed(&mut self, offset: id::Offset) {
+        let is_there = |slot: &Slot| slot.state != State::Ended(offset);
+        self.pass.fetching.retain(|(_, slot)| is_there(slot));
+    }
+
+    /// Continues with the answers that were read; one that was trimmed is carried as unknown.
+    pub(super) fn carry_fetched(&mut self, offset: id::Offset, group: Option<&Group>) {
+        let is_here = |slot: &Slot| slot.state == State::Ended(offset);
+        let (here, rest) = std::mem::take(&mut self.pass.fetching)
+            .into_iter()
+            .partition(|(_, slot)| is_here(slot));
+        self.pass.fetching = rest;
+        let here: Vec<(Place, Slot)> = here;
+        for (place, slot) in here {
+            let ending = group
+                .and_then(|g| record::find_ending(g, slot.request))
+                .unwrap_or(Ending::Unknown);
+            self.push_carried(place, slot, Some(ending));
+        }
+    }
+
+    fn push_carried(&mut self, place: Place, slot: Slot, ending: Option<Ending>) {
+        let executor = match ending {
+            None => self.fold.executor(slot.executor).map(ToString::to_string),
+            Some(_) => None,
+        };
+        let entry = Entry::Carried(Carried {
+            place: record::hex(place),
+            mark: record::hex(slot.mark),
+            request: slot.request,
+            executor,
+            issued_ms: slot.issued_ms,
+            ending,
+            position: self.fold.position(),
+        });
+        self.writer.push(slot.request, Kind::Carried, entry);
+    }
+}
--- /dev/null
+++ b/src/claim/stream/wait.rs
@@ -0,0 +1,326 @@
+//! Requests that wait for their verdict.
+
+use std::time::{Duration, SystemTime};
+
+use super::super::fold::{Found, Kind, Seen, Slot, State};
+use super::super::mutation::{self, Mutation};
+use super::super::record::{self, Ending, Entry, Mark, Place};
+use super::super::window::{self, Age};
+use super::super::writer::Receipt;
+use super::super::{Ask, Verdict};
+use super::{Action, Fetch, GONE_GRACE, Now, Stream};
+use crate::clock::Time;
+use crate::id;
+
+/// The longest time that a request waits for its claim, besides the half of what remains.
+pub const PATIENCE: Duration = Duration::from_secs(2);
+/// Time that is kept back from what remains, so that the verdict arrives in it.
+pub const MARGIN: Duration = Duration::from_millis(50);
+/// When to send again a request that the log could not decide.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+token! {
+    /// What a request waits for.
+    pub(super) enum Phase {
+        /// The index.
+        Reading,
+        /// Its claim to be read back.
+        Claiming,
+        /// The outcome of the request that holds the key.
+        Joining,
+        /// The record with the answer.
+        Fetching,
+        /// A recorded end of a key that nobody can decide any more.
+        Barring,
+    }
+}
+
+/// A request that waits.
+#[derive(Debug)]
+pub(super) struct Wait {
+    pub(super) ask: Ask,
+    executor: id::Daemon,
+    place: Place,
+    mark: Mark,
+    issued_ms: u64,
+    phase: Phase,
+    patience: Time,
+    deadline: Time,
+    /// When the executor of the holder counts as gone, while it is missing.
+    gone_at: Option<Time>,
+}
+
+impl Wait {
+    fn new(ask: Ask, executor: id::Daemon, now: Now) -> Self {
+        let margin = MARGIN.min(ask.remaining / 10);
+        Self {
+            place: record::place(&ask.workspace, &ask.key),
+            mark: record::mark(&ask.digest),
+            issued_ms: issued_ms(&ask, now.wall),
+            phase: Phase::Reading,
+            patience: now.mono + PATIENCE.min(ask.remaining / 2),
+            deadline: now.mono + ask.remaining.saturating_sub(margin),
+            gone_at: None,
+            executor,
+            ask,
+        }
+    }
+
+    /// Returns when the request is refused unless it is decided before.
+    fn limit(&self) -> Time {
+        match self.phase {
+            Phase::Reading | Phase::Claiming => self.patience,
+            Phase::Joining | Phase::Fetching | Phase::Barring => self.deadline,
+        }
+    }
+
+    pub(super) fn next_wake(&self) -> Time {
+        let limit = self.limit();
+        self.gone_at.map_or(limit, |at| at.min(limit))
+    }
+}
+
+/// Returns the time of issue of a key, or the present for a key without one.
+pub(super) fn issued_ms(ask: &Ask, wall: SystemTime) -> u64 {
+    record::millis(window::issued(&ask.key, ask.issued).unwrap_or(wall))
+}
+
+fn not_run(reason: &str, retry_after: Option<Duration>) -> Verdict {
+    Verdict::NotRun {
+        reason: reason.into(),
+        retry_after,
+    }
+}
+
+impl Stream {
+    pub(super) fn ask(&mut self, ask: Ask, executor: id::Daemon, now: Now, out: &mut Vec<Action>) {
+        let issued = window::issued(&ask.key, ask.issued).unwrap_or(now.wall);
+        let refusal = match window::age(issued, now.wall, self.window) {
+            Age::Inside => None,
+            Age::Expired => Some("the key is older than the window in which it is remembered"),
+            Age::Future => Some("the key claims to be issued in the future"),
+        };
+        if let Some(reason) = refusal {
+            out.push(Action::Decide(ask.request, not_run(reason, None), false));
+            return;
+        }
+        let request = ask.request;
+        self.waits.insert(request, Wait::new(ask, executor, now));
+    }
+
+    /// Looks at every waiting request again.
+    pub(super) fn review(&mut self, now: Now, out: &mut Vec<Action>) {
+        for (request, mut wait) in std::mem::take(&mut self.waits) {
+            let verdict = self.judge(&mut wait, now, out);
+            let verdict = verdict
+                .map(|v| (v, false))
+                .or_else(|| self.give_up(&wait, now));
+            match verdict {
+                Some((verdict, stands)) => out.push(Action::Decide(request, verdict, stands)),
+                None => {
+                    self.waits.insert(request, wait);
+                }
+            }
+        }
+    }
+
+    /// A waiting request's own claim was folded: the index says what became of it.
+    pub(super) fn reconsider(&mut self, seen: Seen) {
+        if let Some(wait) = self.waits.get_mut(&seen.request)
+            && seen.kind == Kind::Claim
+            && wait.phase == Phase::Claiming
+        {
+            wait.phase = Phase::Reading;
+        }
+    }
+
+    fn judge(&mut self, wait: &mut Wait, now: Now, out: &mut Vec<Action>) -> Option<Verdict> {
+        if !self.is_ready {
+            return None;
+        }
+        match self.fold.find(wait.place, wait.issued_ms) {
+            Found::Held(slot) => self.held(wait, slot, now, out),
+            Found::Absent if self.fold.is_released(wait.ask.request) => {
+                Some(not_run("the request gave its claim back", None))
+            }
+            Found::Absent => {
+                self.claim(wait, now);
+                None
+            }
+            Found::Unread => {
+                self.bar(wait, now);
+                None
+            }
+        }
+    }
+
+    fn claim(&mut self, wait: &mut Wait, now: Now) {
+        wait.gone_at = None;
+        if wait.phase == Phase::Claiming {
+            return;
+        }
+        if self.is_outage(now.mono) {
+            wait.phase = Phase::Reading;
+            return;
+        }
+        wait.phase = Phase::Claiming;
+        self.push_claim(wait);
+    }
+
+    fn push_claim(&mut self, wait: &Wait) {
+        let entry = Entry::Claim(record::Claim {
+            workspace: wait.ask.workspace.to_string(),
+            key: wait.ask.key.to_string(),
+            digest: wait.ask.digest.to_string(),
+            request: wait.ask.request,
+            executor: wait.executor.to_string(),
+            issued_ms: wait.issued_ms,
+        });
+        self.writer.push(wait.ask.request, Kind::Claim, entry);
+    }
+
+    /// Ends a key whose claim may have been trimmed unread, so that it stays unknown to all.
+    fn bar(&mut self, wait: &mut Wait, now: Now) {
+        if wait.phase == Phase::Barring {
+            return;
+        }
+        wait.phase = Phase::Barring;
+        self.push_claim(wait);
+        self.push_outcome(&wait.ask, wait.ask.request, Ending::Unknown, now);
+    }
+
+    fn held(
+        &mut self,
+        wait: &mut Wait,
+        slot: Slot,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) -> Option<Verdict> {
+        let any = mutation::is_active(Mutation::IgnoreAttemptId);
+        let own = slot.request == wait.ask.request || any;
+        if !own && slot.mark != wait.mark {
+            return Some(Verdict::Conflict);
+        }
+        match slot.state {
+            State::Open if own && wait.phase == Phase::Barring => None,
+            State::Open if own => Some(Verdict::Granted),
+            State::Open => {
+                self.join(wait, slot, now);
+                None
+            }
+            State::Ended(offset) => self.ended(wait, slot.request, offset, out),
+            State::Unknown => Some(Verdict::Unknown),
+        }
+    }
+
+    /// Waits for the outcome of the holder, and records that nobody knows it once the holder's
+    /// executor is gone; until that record stands, the holder may still give its claim back.
+    fn join(&mut self, wait: &mut Wait, slot: Slot, now: Now) {
+        if wait.phase == Phase::Barring {
+            return;
+        }
+        wait.phase = Phase::Joining;
+        let lives = self
+            .fold
+            .executor(slot.executor)
+            .is_some_and(|name| self.members.contains(name));
+        if lives || self.members.is_empty() {
+            wait.gone_at = None;
+            return;
+        }
+        let gone_at = *wait.gone_at.get_or_insert(now.mono + GONE_GRACE);
+        if now.mono >= gone_at {
+            wait.gone_at = None;
+            wait.phase = Phase::Barring;
+            self.push_outcome(&wait.ask, slot.request, Ending::Unknown, now);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        wait: &mut Wait,
+        holder: id::Request,
+        offset: id::Offset,
+        out: &mut Vec<Action>,
+    ) -> Option<Verdict> {
+        if let Some(ending) = self.bodies.get(&holder) {
+            return Some(record::verdict(ending));
+        }
+        wait.phase = Phase::Fetching;
+        self.fetch(offset, out);
+        None
+    }
+
+    pub(super) fn fetch(&mut self, offset: id::Offset, out: &mut Vec<Action>) {
+        if self.fetching.insert(offset) {
+            out.push(Action::Fetch(offset));
+        }
+    }
+
+    pub(super) fn fetched(
+        &mut self,
+        offset: id::Offset,
+        fetch: &Fetch,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        self.fetching.swap_remove(&offset);
+        let group = match fetch {
+            Fetch::Failed => {
+                self.carry_failed(offset);
+                return self.note_log(false, now.mono);
+            }
+            Fetch::Trimmed => None,
+            Fetch::Record(body) => record::decode(body),
+        };
+        for (request, wait) in std::mem::take(&mut self.waits) {
+            let found = self.fold.find(wait.place, wait.issued_ms);
+            let holder = match found {
+                Found::Held(slot) if slot.state == State::Ended(offset) => slot.request,
+                _ => {
+                    self.waits.insert(request, wait);
+                    continue;
+                }
+            };
+            let ending = group.as_ref().and_then(|g| record::find_ending(g, holder));
+            // A trimmed answer is known to have been given, and no longer known.
+            let verdict = ending.as_ref().map_or(Verdict::Unknown, record::verdict);
+            out.push(Action::Decide(request, verdict, false));
+        }
+        self.carry_fetched(offset, group.as_ref());
+    }
+
+    fn give_up(&mut self, wait: &Wait, now: Now) -> Option<(Verdict, bool)> {
+        let early = self.is_outage(now.mono) && wait.phase == Phase::Reading;
+        if now.mono < wait.limit() && !early {
+            return None;
+        }
+        let retry = Some(RETRY_AFTER);
+        let reason = match wait.phase {
+            Phase::Joining => "an earlier request with the key still runs",
+            Phase::Fetching => "the answer of the earlier request could not be read in time",
+            Phase::Reading | Phase::Claiming | Phase::Barring => {
+                "the log did not decide the claim in time"
+            }
+        };
+        let stands = wait.phase == Phase::Claiming && !self.writer.withdraw(wait.ask.request);
+        if stands && wait.executor == self.daemon {
+            self.push_release(&wait.ask, now);
+        }
+        Some((not_run(reason, retry), stands))
+    }
+
+    /// The fault that the checks must catch: a claim that was appended counts as granted.
+    pub(super) fn skip_read_back(&mut self, receipt: Receipt, out: &mut Vec<Action>) {
+        if receipt != Receipt::Done || !mutation::is_active(Mutation::SkipReadBack) {
+            return;
+        }
+        for (request, wait) in std::mem::take(&mut self.waits) {
+            if wait.phase == Phase::Claiming && !self.writer.withdraw(request) {
+                out.push(Action::Decide(request, Verdict::Granted, false));
+            } else {
+                self.waits.insert(request, wait);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/claim/writer.rs
@@ -0,0 +1,236 @@
+//! Group commit: queues entries of one stream and forms the groups that are appended.
+//!
+//! One append is in flight at a time, and appends are paced, so that a group holds what
+//! arrived since the last one. See [the design note](../../docs/design/claims.md).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::fold::{Kind, Seen};
+use super::record::Entry;
+use crate::clock::Time;
+use crate::id;
+
+/// Appends a second that all claim streams of the deployment may take together.
+pub const FLEET_APPENDS: f64 = 300.0;
+/// Share of the appends that is left to daemons that are not the preferred writer.
+pub const DIRECT_SHARE: f64 = 0.25;
+/// Appends that may follow each other without pacing after a quiet time.
+pub const BURST: f64 = 4.0;
+/// Entries in a group.
+pub const GROUP_ENTRIES: usize = 512;
+/// Bytes in a group, roughly.
+pub const GROUP_BYTES: usize = 256 * 1024;
+/// How long a failed append is not tried again.
+pub const BACKOFF: Duration = Duration::from_millis(100);
+/// The longest time between two tries.
+pub const BACKOFF_MAX: Duration = Duration::from_secs(2);
+
+token! {
+    /// How an append ended.
+    pub enum Receipt {
+        /// The record stands in the stream.
+        Done,
+        /// It does not.
+        NoEffect,
+        /// It may stand there, now or later.
+        Unknown,
+    }
+}
+
+/// Forms groups of entries.
+#[derive(Debug)]
+pub struct Writer {
+    queue: IndexMap<Seen, Entry>,
+    flight: IndexMap<Seen, Entry>,
+    /// Entries whose append ended without a known result; reading tells.
+    doubtful: IndexMap<Seen, Entry>,
+    rate: f64,
+    tokens: f64,
+    filled: Time,
+    failures: u32,
+    not_before: Time,
+    is_appending: bool,
+}
+
+impl Writer {
+    /// Makes a writer that appends at most `rate` groups a second.
+    pub fn new(rate: f64) -> Self {
+        Self {
+            queue: IndexMap::new(),
+            flight: IndexMap::new(),
+            doubtful: IndexMap::new(),
+            rate,
+            tokens: BURST,
+            filled: Time::ZERO,
+            failures: 0,
+            not_before: Time::ZERO,
+            is_appending: false,
+        }
+    }
+
+    /// Changes the pace, in groups a second.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
+    /// Queues an entry, unless the same one is on its way.
+    pub fn push(&mut self, request: id::Request, kind: Kind, entry: Entry) {
+        let at = Seen { request, kind };
+        if !self.contains(at) {
+            self.queue.insert(at, entry);
+        }
+    }
+
+    fn contains(&self, at: Seen) -> bool {
+        self.queue.contains_key(&at)
+            || self.flight.contains_key(&at)
+            || self.doubtful.contains_key(&at)
+    }
+
+    /// Takes back a claim that was not sent in any append; false when it may stand.
+    pub fn withdraw(&mut self, request: id::Request) -> bool {
+        let kind = Kind::Claim;
+        self.queue.shift_remove(&Seen { request, kind }).is_some()
+    }
+
+    /// Says whether anything is on its way.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && !self.is_appending && self.doubtful.is_empty()
+    }
+
+    /// Says whether keys that are carried forward are on their way.
+    pub fn carries(&self) -> bool {
+        [&self.queue, &self.flight, &self.doubtful]
+            .iter()
+            .any(|part| part.keys().any(|seen| seen.kind == Kind::Carried))
+    }
+
+    /// Says whether an append is in flight.
+    pub fn is_appending(&self) -> bool {
+        self.is_appending
+    }
+
+    /// Says whether reading is needed before the next append.
+    pub fn is_doubtful(&self) -> bool {
+        !self.doubtful.is_empty()
+    }
+
+    /// Says whether the last append failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Learns that the log answered a read: with nothing left to append, the next append is
+    /// tried at once.
+    pub fn forgive(&mut self) {
+        if self.is_idle() {
+            self.failures = 0;
+            self.not_before = Time::ZERO;
+        }
+    }
+
+    /// Returns the entries of the next group, if one may be appended now.
+    pub fn next(&mut self, now: Time) -> Vec<Entry> {
+        self.refill(now);
+        let blocked = self.is_appending || !self.doubtful.is_empty();
+        if blocked || self.queue.is_empty() || self.tokens < 1.0 || now < self.not_before {
+            return Vec::new();
+        }
+        self.tokens -= 1.0;
+        let mut bytes = 0;
+        let mut count = 0;
+        for entry in self.queue.values() {
+            bytes += weigh(entry);
+            if count > 0 && (bytes > GROUP_BYTES || count >= GROUP_ENTRIES) {
+                break;
+            }
+            count += 1;
+        }
+        self.flight = self.queue.drain(..count).collect();
+        self.is_appending = true;
+        self.flight.values().cloned().collect()
+    }
+
+    fn refill(&mut self, now: Time) {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.tokens = BURST.min(self.tokens + passed * self.rate);
+        self.filled = self.filled.max(now);
+    }
+
+    /// Returns when the next group may be appended, if something waits for that alone.
+    pub fn next_wake(&self) -> Option<Time> {
+        if self.queue.is_empty() || self.is_appending || !self.doubtful.is_empty() {
+            return None;
+        }
+        let missing = (1.0 - self.tokens).max(0.0) / self.rate.max(f64::MIN_POSITIVE);
+        // Rounded up, so that a wake on time finds the token there.
+        let paced =
+            self.filled + Duration::from_secs_f64(missing.min(3600.0)) + Duration::from_micros(1);
+        Some(if missing > 0.0 { paced } else { Time::ZERO }.max(self.not_before))
+    }
+
+    /// Learns how the append in flight ended and returns what became durable.
+    pub fn appended(&mut self, receipt: Receipt, now: Time) -> Vec<Seen> {
+        self.is_appending = false;
+        let flight = std::mem::take(&mut self.flight);
+        if receipt == Receipt::Done {
+            self.failures = 0;
+            return flight.into_keys().collect();
+        }
+        self.failures = self.failures.saturating_add(1);
+        let wait = BACKOFF * 2_u32.saturating_pow(self.failures.min(8) - 1);
+        self.not_before = now + wait.min(BACKOFF_MAX);
+        match receipt {
+            Receipt::Unknown => self.doubtful = flight,
+            _ => self.requeue(flight),
+        }
+        Vec::new()
+    }
+
+    fn requeue(&mut self, entries: IndexMap<Seen, Entry>) {
+        let later = std::mem::replace(&mut self.queue, entries);
+        for (at, entry) in later {
+            self.queue.entry(at).or_insert(entry);
+        }
+    }
+
+    /// Learns that an entry stands in the log, whoever appended it.
+    pub fn seen(&mut self, at: Seen) {
+        self.queue.shift_remove(&at);
+        self.flight.shift_remove(&at);
+        self.doubtful.shift_remove(&at);
+    }
+
+    /// Learns that the stream was read to its end after the last append; what was not seen
+    /// there is appended again, which is safe because each entry counts once.
+    pub fn caught_up(&mut self) {
+        let doubtful = std::mem::take(&mut self.doubtful);
+        if !doubtful.is_empty() {
+            self.requeue(doubtful);
+        }
+    }
+}
+
+fn weigh(entry: &Entry) -> usize {
+    const FIXED: usize = 320;
+    let ending = match entry {
+        Entry::Outcome(outcome) => Some(&outcome.ending),
+        Entry::Carried(carried) => carried.ending.as_ref(),
+        _ => None,
+    };
+    FIXED + ending.map_or(0, super::record::weight)
+}
+
+/// Returns the groups a second that the preferred writer of one stream may append.
+pub fn stream_rate(streams: u32) -> f64 {
+    FLEET_APPENDS * (1.0 - DIRECT_SHARE) / f64::from(streams.max(1))
+}
+
+/// Returns the groups a second that a daemon may append to each of the `active` streams that
+/// it appends to without being their preferred writer.
+pub fn direct_rate(daemons: usize, active: usize) -> f64 {
+    let count = |n: usize| f64::from(u32::try_from(n.max(1)).unwrap_or(u32::MAX));
+    FLEET_APPENDS * DIRECT_SHARE / count(daemons) / count(active)
+}
