--- /dev/null
+++ b/src/operate/tests.rs
@@ -0,0 +1,282 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use parking_lot::Mutex;
+
+use super::client::Client;
+use super::fleet::{Fleet, Responder};
+use super::port::Port;
+use super::status::{Attainment, Cost, Report, Status};
+use super::{Answer, Change, Collection, Console, Edit, Event, Query, Result, Sheet, Verdict};
+use crate::peer::{self, Handler, Link, Topic};
+use crate::{endpoint, id, pipeline, timeline};
+
+const KEY: &str = "an-operators-key";
+
+#[derive(Default)]
+struct Fake {
+    name: &'static str,
+    peers: Vec<(id::Daemon, String)>,
+    edits: Mutex<Vec<Edit>>,
+    drained: Mutex<bool>,
+}
+
+fn status(name: &str) -> Status {
+    Status {
+        daemon: name.into(),
+        zone: "tallinn-a".into(),
+        region: "tallinn".into(),
+        ready: true,
+        uptime: Duration::from_secs(5),
+        requests: 3,
+        revision: 17,
+        fresh: true,
+        members: Vec::new(),
+        endpoints: Vec::new(),
+        leases: Vec::new(),
+        quarantine: Vec::new(),
+        counts: Vec::new(),
+    }
+}
+
+fn report() -> Report {
+    let cost = Cost {
+        calls: 2,
+        link_bytes: 700,
+        ..Cost::new("menu/draft".into())
+    };
+    Report {
+        pipelines: vec![Attainment {
+            pipeline: "menu".into(),
+            requests: 4,
+            attained: 3,
+            late: 0,
+            not_run: 1,
+            unknown: 0,
+            failed: 0,
+        }],
+        stages: vec![cost],
+        workspaces: Vec::new(),
+    }
+}
+
+impl Console for Fake {
+    fn answer(&self, query: &Query) -> Answer {
+        match query {
+            Query::Status => Answer::Status(Box::new(status(self.name))),
+            Query::Report => Answer::Report(report()),
+            Query::Events(_) => Answer::Events(Vec::new()),
+        }
+    }
+
+    fn drain(&self) {
+        *self.drained.lock() = true;
+    }
+
+    fn sheet(&self) -> Sheet {
+        Sheet {
+            revision: 17,
+            fresh: true,
+            lines: Vec::new(),
+        }
+    }
+
+    fn history(&self) -> Vec<Event> {
+        Vec::new()
+    }
+
+    fn edit(&self, edit: &Edit, _timeout: Duration) -> Result<Verdict> {
+        self.edits.lock().push(edit.clone());
+        Ok(Verdict::Accepted(18))
+    }
+
+    fn behind(&self, revision: id::Revision) -> Vec<id::Daemon> {
+        if revision > 17 {
+            vec!["entry-2".into()]
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn peers(&self) -> Vec<(id::Daemon, String)> {
+        self.peers.clone()
+    }
+}
+
+/// Reaches one daemon, `entry-2`; every other is cut off.
+struct Wire {
+    responder: Responder,
+}
+
+impl Link for Wire {
+    fn ask(&self, address: &str, topic: Topic, body: &[u8], _: Duration) -> peer::Result<Vec<u8>> {
+        let cut = |reason: String| peer::Error::NotSent {
+            step: "asking",
+            peer: address.into(),
+            reason,
+        };
+        if address != "entry-2" || topic != Topic::Operate {
+            return Err(cut("cut off".into()));
+        }
+        self.responder.handle(&"entry-1".into(), body).map_err(cut)
+    }
+
+    fn forward(
+        &self,
+        _: &str,
+        _: &str,
+        _: &endpoint::Call,
+        _: endpoint::Sink<'_>,
+    ) -> endpoint::Result<endpoint::Answer> {
+        unreachable!("operators forward no calls")
+    }
+
+    fn remainder(
+        &self,
+        _: &str,
+        _: &pipeline::Remainder,
+        _: endpoint::Sink<'_>,
+    ) -> peer::Result<pipeline::Remote> {
+        unreachable!("operators hand over no requests")
+    }
+}
+
+fn console() -> Arc<Fake> {
+    Arc::new(Fake {
+        name: "entry-1",
+        ..Fake::default()
+    })
+}
+
+fn port(console: &Arc<Fake>) -> (Port, Client) {
+    let fleet = Fleet::new(console.clone(), None);
+    let port = Port::start("127.0.0.1:0", KEY, console.clone(), fleet).unwrap();
+    let client = Client::new(&port.address().to_string(), KEY);
+    (port, client)
+}
+
+fn edit() -> Edit {
+    Edit {
+        author: "mari".into(),
+        change: Change::Clear {
+            setting: "hedge-budget".into(),
+            scope: None,
+            reason: "no longer needed".into(),
+            base: None,
+        },
+    }
+}
+
+#[test]
+fn port_refuses_wrong_key() {
+    let console = console();
+    let (port, _) = port(&console);
+    let client = Client::new(&port.address().to_string(), "another-key-here");
+    let error = client.drain().unwrap_err().to_string();
+    assert!(
+        error.ends_with("the operators' key is missing or wrong"),
+        "{error}"
+    );
+    assert!(!*console.drained.lock());
+}
+
+#[test]
+fn port_answers_each_question() {
+    let console = console();
+    let (_port, client) = port(&console);
+    let found = client.status(false).unwrap();
+    assert_eq!(found.answers, [Answer::Status(Box::new(status("entry-1")))]);
+    assert_eq!(
+        client.report(true).unwrap().answers,
+        [Answer::Report(report())]
+    );
+    assert_eq!(
+        client.events(false, 5).unwrap().answers,
+        [Answer::Events(Vec::new())]
+    );
+    assert_eq!(client.sheet().unwrap().revision, 17);
+    assert_eq!(client.history().unwrap(), []);
+    client.drain().unwrap();
+    assert!(*console.drained.lock());
+}
+
+#[test]
+fn port_passes_edit_on() {
+    let console = console();
+    let (_port, client) = port(&console);
+    let verdict = client.edit(&edit(), Duration::from_secs(1)).unwrap();
+    assert_eq!(verdict, Verdict::Accepted(18));
+    assert_eq!(*console.edits.lock(), [edit()]);
+}
+
+#[test]
+fn port_names_daemons_behind() {
+    let console = console();
+    let (_port, client) = port(&console);
+    assert_eq!(client.reach(17, Duration::ZERO).unwrap().behind, []);
+    let behind = client.reach(18, Duration::ZERO).unwrap().behind;
+    assert_eq!(behind, ["entry-2".into()]);
+}
+
+fn post(port: &Port, body: &[u8]) -> (u16, String) {
+    let response = attohttpc::post(format!("http://{}/v1/config", port.address()))
+        .bearer_auth(KEY)
+        .bytes(body)
+        .send()
+        .unwrap();
+    (response.status().as_u16(), response.text().unwrap())
+}
+
+#[test]
+fn port_refuses_malformed_edit() {
+    let console = console();
+    let (port, client) = port(&console);
+    assert_snapshot!(post(&port, b"{}").1, @r#"{"title":"the body is no edit: missing field `author` at line 1 column 2","status":400}"#);
+    assert_eq!(post(&port, &vec![b' '; 70_000]).0, 413);
+    assert_eq!(console.edits.lock().len(), 0);
+    client.status(false).unwrap();
+}
+
+fn two(console: Arc<Fake>) -> Collection {
+    let second = Arc::new(Fake {
+        name: "entry-2",
+        ..Fake::default()
+    });
+    let link = Wire {
+        responder: Responder::new(second),
+    };
+    Fleet::new(console, Some(Arc::new(link))).ask_all(&Query::Status)
+}
+
+#[test]
+fn fleet_names_missing_daemon() {
+    let found = two(Arc::new(Fake {
+        name: "entry-1",
+        peers: vec![
+            ("entry-2".into(), "entry-2".into()),
+            ("entry-3".into(), "entry-3".into()),
+        ],
+        ..Fake::default()
+    }));
+    let expected = ["entry-1", "entry-2"].map(|name| Answer::Status(Box::new(status(name))));
+    assert_eq!(found.answers, expected);
+    assert_eq!(found.missing, ["entry-3".into()]);
+}
+
+#[test]
+fn responder_refuses_malformed_query() {
+    let responder = Responder::new(console());
+    assert!(responder.handle(&"entry-2".into(), b"status").is_err());
+    let query = serde_json::to_vec(&Query::Events(timeline::Stamp::MIN)).unwrap();
+    assert!(responder.handle(&"entry-2".into(), &query).is_ok());
+}
+
+#[test]
+fn report_adds_by_name() {
+    let mut sum = report();
+    sum.add(&report());
+    assert_eq!(sum.pipelines[0].requests, 8);
+    assert_eq!(sum.stages[0].link_bytes, 1400);
+    assert!((sum.pipelines[0].share() - 0.75).abs() < 1e-9);
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -19,8 +19,8 @@
         Quarantine,
         /// Digests of load by availability zone and pool.
         Digest,
-        /// Events of the time line.
-        Timeline,
+        /// Operators' questions, asked on behalf of the daemon that an operator reached.
+        Operate,
     }
 }
 
