--- a/src/claim/desk.rs
+++ b/src/claim/desk.rs
@@ -134,7 +134,7 @@
     }
 
     /// Notes that the outcome of a request is to be made durable.
-    fn expect(&self, request: id::Request) {
+    fn track(&self, request: id::Request) {
         self.unsettled.lock().insert(request);
     }
 
@@ -221,7 +221,7 @@
     }
     shared.asks.lock().swap_remove(&ask.request);
     if stands || is_granted {
-        shared.expect(ask.request);
+        shared.track(ask.request);
         let outcome = Outcome::Released;
         drop(outbox.send(Settle { ask, outcome }));
     }
@@ -265,7 +265,7 @@
         let Some(ask) = self.shared.asks.lock().swap_remove(&request) else {
             return;
         };
-        self.shared.expect(request);
+        self.shared.track(request);
         drop(self.outbox.send(Settle { ask, outcome }));
     }
 
