Claim before the first stage and say not-run only when nothing ran

Cause: a claim beside the first look-up hid the log's latency, but a claim refused after the look-up had begun was answered not-run although a stage had run. Change: a run starts its stages when its claim is granted. A run that ran only what may be repeated is told failed, with a time to send again. The random-order test now checks not-run against every call, not only those that may not be repeated. step_claims_beside_repeatable_stage asserted the old order; step_claims_before_first_stage replaces it. Conclusion: the buffer for unshown tokens and the blocked state are gone.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -159,7 +159,7 @@
     pub enum Finish {
         /// The whole answer, as JSON text.
         Answer(id::Name),
-        /// Nothing ran, or nothing that may not be repeated; it is safe to send again.
+        /// Nothing ran; it is safe to send again.
         NotRun {
             /// What stood in the way.
             reason: String,
@@ -175,6 +175,8 @@
         Failed {
             /// Why.
             reason: String,
+            /// When to send again; none when a stage that may not be repeated ran.
+            retry_after: Option<Duration>,
         },
         /// The key was used with another body.
         Conflict,
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -107,8 +107,6 @@
     relocations: u32,
     waiting: Option<Waiting>,
     retry_at: Option<Time>,
-    /// Whether a placement was put off until the claim is decided.
-    blocked: bool,
     linger_until: Option<Time>,
     exclude: Vec<id::Endpoint>,
     stream: Stream,
@@ -145,7 +143,6 @@
             relocations: 0,
             waiting: None,
             retry_at: None,
-            blocked: false,
             linger_until: None,
             exclude: Vec::new(),
             stream: Stream::default(),
@@ -274,8 +271,9 @@
     fn on_start(&mut self, now: Time, policy: &mut dyn Policy) {
         if self.claim == Claim::Pending {
             self.actions.push(Action::Claim(self.claim_ask(now)));
+        } else {
+            self.advance(now, policy);
         }
-        self.advance(now, policy);
     }
 
     fn on_ready(&mut self, attempt: id::Attempt, now: Time, policy: &mut dyn Policy) {
--- a/src/pipeline/run/claiming.rs
+++ b/src/pipeline/run/claiming.rs
@@ -32,20 +32,12 @@
 
     fn on_granted(&mut self, now: Time, policy: &mut dyn Policy) {
         self.claim = Claim::Granted;
-        self.release_tokens();
-        if std::mem::take(&mut self.blocked) {
-            self.advance(now, policy);
-        }
+        self.advance(now, policy);
     }
 
     /// Goes on from the results of an earlier request with the same key.
     fn resume(&mut self, parts: Vec<claim::Part>, now: Time, policy: &mut dyn Policy) {
-        self.abandon(now, policy);
-        self.cancel_all(now, policy);
-        self.retry_at = None;
-        self.blocked = false;
         self.parts = parts;
-        self.enter_stage();
         self.advance(now, policy);
     }
 
--- a/src/pipeline/run/place.rs
+++ b/src/pipeline/run/place.rs
@@ -1,6 +1,6 @@
 //! Placing, hedging and cancelling calls.
 
-use super::{Claim, Flight, Phase, Run, WAIT_CHECK, Waiting};
+use super::{Flight, Phase, Run, WAIT_CHECK, Waiting};
 use crate::clock::Time;
 use crate::endpoint::{Error, Usage};
 use crate::ledger::Fate;
@@ -18,10 +18,6 @@
             self.answer(now, policy);
             return;
         };
-        if !stage.repeatable && self.claim == Claim::Pending {
-            self.blocked = true;
-            return;
-        }
         if !stage.repeatable && !self.claim.permits() {
             self.give_up("its claim is not granted", None, now, policy);
             return;
--- a/src/pipeline/run/relocate.rs
+++ b/src/pipeline/run/relocate.rs
@@ -1,6 +1,6 @@
 //! Running the rest of a request at a daemon of another region.
 
-use super::{Claim, Effect, RELOCATED_ATTEMPTS, Relocation, Run};
+use super::{Effect, RELOCATED_ATTEMPTS, Relocation, Run};
 use crate::clock::Time;
 use crate::endpoint::Usage;
 use crate::ledger::Fate;
@@ -22,10 +22,6 @@
         policy: &mut dyn Policy,
     ) {
         let risky = self.has_once_ahead();
-        if risky && self.claim == Claim::Pending {
-            self.blocked = true;
-            return;
-        }
         if self.stream.shown || self.relocations == MAX_RELOCATIONS {
             self.give_up("no endpoint can be reached", None, now, policy);
             return;
@@ -73,10 +69,12 @@
             Finish::NotRun {
                 reason,
                 retry_after,
-            } => self.give_up(&reason, retry_after, now, policy),
-            Finish::Unknown { reason } | Finish::Failed { reason } => {
-                self.give_up(&reason, None, now, policy);
             }
+            | Finish::Failed {
+                reason,
+                retry_after,
+            } => self.give_up(&reason, retry_after, now, policy),
+            Finish::Unknown { reason } => self.give_up(&reason, None, now, policy),
             Finish::Answer(_) | Finish::Conflict => {
                 self.give_up("the other daemon's answer is not whole", None, now, policy);
             }
--- a/src/pipeline/run/stream.rs
+++ b/src/pipeline/run/stream.rs
@@ -1,6 +1,6 @@
 //! Tokens: each is received once, in order, from one model version.
 
-use super::{Claim, Run};
+use super::Run;
 use crate::clock::Time;
 use crate::endpoint::{Error, Token};
 use crate::id;
@@ -15,8 +15,6 @@
 pub(super) struct Stream {
     pub tokens: Vec<Token>,
     pub version: Option<id::Version>,
-    /// Tokens that are kept back until the claim is decided.
-    pub held: Vec<Token>,
     /// Whether the caller saw a token.
     pub shown: bool,
 }
@@ -30,7 +28,6 @@
     /// Forgets the tokens, which the caller has not seen.
     pub fn restart(&mut self) {
         self.tokens.clear();
-        self.held.clear();
         self.version = None;
     }
 
@@ -116,20 +113,9 @@
         }
     }
 
-    /// A pending claim may still answer with an earlier request's result, whose tokens differ.
     fn emit(&mut self, token: Token) {
-        if self.claim == Claim::Pending {
-            self.stream.held.push(token);
-        } else {
-            self.stream.shown = true;
-            self.actions.push(Action::Token(token));
-        }
-    }
-
-    pub(super) fn release_tokens(&mut self) {
-        for token in std::mem::take(&mut self.stream.held) {
-            self.emit(token);
-        }
+        self.stream.shown = true;
+        self.actions.push(Action::Token(token));
     }
 
     /// Ends a call whose tokens cannot be used.
--- a/src/pipeline/run/tests/order.rs
+++ b/src/pipeline/run/tests/order.rs
@@ -16,14 +16,14 @@
 }
 
 #[test]
-fn step_claims_beside_repeatable_stage() {
+fn step_claims_before_first_stage() {
     let mut b = Bench::new("eo");
     let actions = b.step(Event::Start);
-    assert!(matches!(actions[0], Action::Claim(_)));
-    assert!(matches!(actions[1], Action::Call(..)));
-    b.answer(&b.last());
-    assert_eq!(b.calls().len(), 1, "not called without a claim");
+    assert!(matches!(actions[..], [Action::Claim(_)]));
+    b.wait(100 * MS);
+    assert_eq!(b.calls().len(), 0, "nothing runs without a claim");
     b.step(Event::Claimed(Verdict::Granted));
+    b.answer(&b.last());
     assert_eq!(&*b.last().stage, "o1");
     b.answer(&b.last());
     assert_eq!(b.settled(), [Outcome::Answered("\"o1\"".into())]);
@@ -157,15 +157,34 @@
 #[test]
 fn step_deadline_before_claim_releases() {
     let mut b = Bench::started("eo");
-    b.answer(&b.last());
     b.wait(DEADLINE);
     assert!(is_not_run(&b.finish()));
+    assert_eq!(b.calls().len(), 0);
     assert!(!b.run.is_done());
     b.step(Event::Claimed(Verdict::Granted));
     assert_eq!(b.settled(), [Outcome::Released]);
     assert!(b.run.is_done());
 }
 
+#[test]
+fn step_failure_before_once_may_be_sent_again() {
+    let mut b = Bench::started("eo");
+    b.step(Event::Claimed(Verdict::Granted));
+    b.policy.is_stopping = true;
+    b.fail(&b.last(), failed());
+    let again = |f: Finish| {
+        matches!(
+            f,
+            Finish::Failed {
+                retry_after: Some(_),
+                ..
+            }
+        )
+    };
+    assert!(again(b.finish()));
+    assert_eq!(b.settled(), [Outcome::Released]);
+}
+
 #[test]
 fn step_deadline_with_once_running_lingers() {
     let mut b = Bench::started("oe");
--- a/src/pipeline/run/tests/props.rs
+++ b/src/pipeline/run/tests/props.rs
@@ -129,7 +129,8 @@
         let once = b.calls().into_iter().filter(|c| c.stage.starts_with('o'));
         let effective = once.filter(|c| !not_run.contains(&c.attempt)).count();
         if is_not_run(&finish) {
-            prop_assert_eq!(effective, 0);
+            let begun = b.calls().into_iter().filter(|c| !not_run.contains(&c.attempt));
+            prop_assert_eq!(begun.count(), 0);
         }
         if b.settled() == [Outcome::Released] {
             prop_assert_eq!(effective, 0);
--- a/src/pipeline/run/tests/streams.rs
+++ b/src/pipeline/run/tests/streams.rs
@@ -76,10 +76,10 @@
 #[test]
 fn step_tokens_wait_for_the_claim() {
     let mut b = Bench::started("go");
-    b.token(&b.last(), 0);
-    b.answer(&b.last());
-    assert!(b.shown().is_empty());
+    b.wait(100 * MS);
+    assert!(b.calls().is_empty());
     b.step(Event::Claimed(Verdict::Granted));
+    b.token(&b.last(), 0);
     assert_eq!(b.shown(), [0]);
 }
 
--- a/src/pipeline/run/verdict.rs
+++ b/src/pipeline/run/verdict.rs
@@ -46,16 +46,20 @@
         if self.effect == Effect::Doubtful || self.is_risky() {
             return Finish::Unknown { reason };
         }
-        let ran = if self.plan.is_repeatable() {
-            self.has_run()
-        } else {
-            self.done_once() > 0 || self.effect == Effect::Failed
-        };
-        if ran {
-            Finish::Failed { reason }
-        } else {
-            not_run(reason, retry_after.or(Some(RETRY_AFTER)))
+        let retry_after = retry_after.or(Some(RETRY_AFTER));
+        if self.effect == Effect::Failed || self.done_once() > 0 {
+            return Finish::Failed {
+                reason,
+                retry_after: None,
+            };
         }
+        if self.has_run() {
+            return Finish::Failed {
+                reason,
+                retry_after,
+            };
+        }
+        not_run(reason, retry_after)
     }
 
     /// Whether any stage may have run.
@@ -71,7 +75,6 @@
         }
         self.abandon(now, policy);
         self.retry_at = None;
-        self.blocked = false;
         let risky = self.is_risky();
         let attained = matches!(finish, Finish::Answer(_)) && now <= self.deadline;
         self.phase = Phase::Told;
