--- a/src/standin.rs
+++ b/src/standin.rs
@@ -2,5 +2,12 @@
 //!
 //! See [the endpoints' protocol](../docs/ENDPOINTS.md) and [the platform's](../docs/PLATFORM.md).
 
+pub mod fault;
+pub mod fleet;
 pub mod journal;
+pub mod node;
+pub mod platform;
+pub mod profile;
+pub mod server;
+pub mod store;
 pub mod text;
