--- a/src/endpoint/http/tests.rs
+++ b/src/endpoint/http/tests.rs
@@ -1,1 +1,119 @@
+//! Tests of the endpoints' client against answers that are not right.
 
+use std::time::Duration;
+
+use super::Client;
+use crate::endpoint::wire::Line;
+use crate::endpoint::{Answer, Call, Error, Result, Service as _, Token, Usage};
+use crate::exchange::tests::serve;
+use crate::standin::text::tests::call;
+
+const OK: &str = "HTTP/1.1 200 OK\r\n\r\n";
+
+fn patient() -> Call {
+    Call {
+        remaining: Duration::from_secs(600),
+        ..call("{}")
+    }
+}
+
+fn answer() -> Answer {
+    let call = patient();
+    Answer {
+        request: call.request,
+        stage: call.stage,
+        attempt: call.attempt,
+        body: "{}".into(),
+        usage: Usage::default(),
+        version: None,
+    }
+}
+
+fn token(index: u32) -> Line {
+    Line::Token(Token {
+        index,
+        text: "soup ".into(),
+        version: None,
+    })
+}
+
+fn lines(lines: &[Line]) -> String {
+    let text = lines.iter().map(|l| serde_json::to_string(l).unwrap());
+    text.fold(OK.to_owned(), |all, line| all + &line + "\n")
+}
+
+fn run(response: String) -> Result<Answer> {
+    let address = serve(b"}", response);
+    Client::default().call(&address, &patient(), &mut |_| Ok(()))
+}
+
+#[test]
+fn call_whole_answer() {
+    let response = lines(&[token(0), token(1), Line::Answer(answer())]);
+    assert_eq!(run(response).unwrap(), answer());
+}
+
+#[test]
+fn call_answer_of_another_call_is_lost() {
+    let others = [
+        Answer {
+            request: uuid::Uuid::nil(),
+            ..answer()
+        },
+        Answer {
+            stage: "bill".into(),
+            ..answer()
+        },
+        Answer {
+            attempt: 9,
+            ..answer()
+        },
+    ];
+    for other in others {
+        let result = run(lines(&[Line::Answer(other)]));
+        assert!(matches!(result, Err(Error::Lost { .. })), "{result:?}");
+    }
+}
+
+#[test]
+fn call_truncated_answer_is_lost() {
+    let whole = lines(&[token(0), Line::Answer(answer())]);
+    for cut in [OK.len(), OK.len() + 9, whole.len() - 1] {
+        let result = run(whole[..cut].to_owned());
+        assert!(matches!(result, Err(Error::Lost { .. })), "{result:?}");
+    }
+}
+
+#[test]
+fn call_doubled_or_missing_token_is_lost() {
+    for second in [0, 2] {
+        let result = run(lines(&[token(0), token(second), Line::Answer(answer())]));
+        assert!(matches!(result, Err(Error::Lost { .. })), "{result:?}");
+    }
+}
+
+#[test]
+fn call_refusal_needs_the_word_of_the_endpoint() {
+    let status = |headers: &str| {
+        let head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n";
+        run(format!("{head}{headers}\r\n{{}}"))
+    };
+    let refused = status("Stage-Began: no\r\n");
+    assert!(matches!(refused, Err(Error::Refused { .. })), "{refused:?}");
+    let failed = status("Stage-Began: yes\r\n");
+    assert!(matches!(failed, Err(Error::Failed { .. })), "{failed:?}");
+    let silent = status("");
+    assert!(matches!(silent, Err(Error::Lost { .. })), "{silent:?}");
+}
+
+#[test]
+fn call_error_of_the_sink_ends_it() {
+    let address = serve(b"}", lines(&[token(0), Line::Answer(answer())]));
+    let stop = Error::Failed {
+        step: "relay",
+        peer: "caller".into(),
+        reason: "gone".into(),
+    };
+    let result = Client::default().call(&address, &patient(), &mut |_| Err(stop.clone()));
+    assert_eq!(result, Err(stop));
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -236,4 +236,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -8,21 +8,26 @@
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Serves one connection: reads the request, writes `answer`, closes.
-fn serve(answer: &'static [u8]) -> String {
+/// Serves one connection: reads until the request ends in `last`, writes `answer`, closes.
+pub(crate) fn serve(last: &'static [u8], answer: impl Into<Vec<u8>>) -> String {
+    let answer = answer.into();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let url = format!("http://{}/", listener.local_addr().unwrap());
+    let address = listener.local_addr().unwrap().to_string();
     std::thread::spawn(move || {
         let (mut socket, _) = listener.accept().unwrap();
         let mut head = [0; 4096];
         let mut seen = Vec::new();
-        while !seen.ends_with(b"ping") {
+        while !seen.ends_with(last) {
             let n = socket.read(&mut head).unwrap();
             seen.extend_from_slice(&head[..n]);
         }
-        socket.write_all(answer).unwrap();
+        socket.write_all(&answer).unwrap();
     });
-    url
+    address
+}
+
+fn url(address: &str) -> String {
+    format!("http://{address}/")
 }
 
 fn ping(url: String, timeout: Duration) -> super::Result<String> {
@@ -47,7 +52,7 @@
 #[test]
 fn send_closed_without_answer_is_broken() {
     assert!(matches!(
-        ping(serve(b""), TIMEOUT),
+        ping(url(&serve(b"ping", b"")), TIMEOUT),
         Err(Error::Broken { .. })
     ));
 }
@@ -62,20 +67,20 @@
 
 #[test]
 fn text_whole() {
-    let url = serve(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npong");
-    assert_eq!(ping(url, TIMEOUT).unwrap(), "pong");
+    let at = serve(b"ping", b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npong");
+    assert_eq!(ping(url(&at), TIMEOUT).unwrap(), "pong");
 }
 
 #[test]
 fn text_truncated_is_broken() {
-    let url = serve(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npong");
-    assert!(matches!(ping(url, TIMEOUT), Err(Error::Broken { .. })));
+    let at = serve(b"ping", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npong");
+    assert!(matches!(ping(url(&at), TIMEOUT), Err(Error::Broken { .. })));
 }
 
 #[test]
 fn line_truncated_is_broken() {
-    let url = serve(b"HTTP/1.1 200 OK\r\n\r\none\ntw");
-    let request = Request::post(url, TIMEOUT).body(b"ping");
+    let at = serve(b"ping", b"HTTP/1.1 200 OK\r\n\r\none\ntw");
+    let request = Request::post(url(&at), TIMEOUT).body(b"ping");
     let mut reply = request.send().unwrap();
     assert_eq!(reply.line(100).unwrap().unwrap(), "one");
     assert!(matches!(reply.line(100), Err(Error::Broken { .. })));
--- a/src/standin/node/model.rs
+++ b/src/standin/node/model.rs
@@ -45,7 +45,12 @@
     }
 
     /// Takes an order, unless it is old and this engine checks.
-    pub(super) fn order(&self, order: &Order, store: &Store, now: Time) -> Result<(), &'static str> {
+    pub(super) fn order(
+        &self,
+        order: &Order,
+        store: &Store,
+        now: Time,
+    ) -> Result<(), &'static str> {
         let mut inner = self.0.lock();
         inner.settle(now);
         if inner.checks_fencing {
--- a/src/standin/node/run.rs
+++ b/src/standin/node/run.rs
@@ -137,7 +137,11 @@
         let mut prefixes = self.core.prefixes.lock();
         let held = prefixes.held(&hashes);
         prefixes.take(&hashes, 1, now);
-        let bytes = self.call.input.len().saturating_sub(held * prefix::STEP_BYTES);
+        let bytes = self
+            .call
+            .input
+            .len()
+            .saturating_sub(held * prefix::STEP_BYTES);
         bytes / BYTES_PER_TOKEN + self.call.resume.len()
     }
 
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -40,9 +40,7 @@
     /// Reserves the reading of a version and returns when it ends.
     pub fn reserve(&self, version: &id::Version, now: Time) -> Time {
         let found = self.manifests.iter().find(|m| m.version == *version);
-        let micros = found.map_or(0, |m| {
-            m.bytes.saturating_mul(1_000_000) / m.rate.max(1)
-        });
+        let micros = found.map_or(0, |m| m.bytes.saturating_mul(1_000_000) / m.rate.max(1));
         let mut busy = self.busy_until.lock();
         *busy = (*busy).max(now) + Duration::from_micros(micros);
         *busy
