--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -64,6 +64,8 @@
     url: String,
     body: &'a [u8],
     timeout: Duration,
+    announced: Duration,
+    headers: Vec<(&'static str, &'a str)>,
     key: Option<&'a str>,
 }
 
@@ -74,6 +76,8 @@
         url: url.into(),
         body: &[],
         timeout,
+        announced: timeout,
+        headers: Vec::new(),
         key: None,
     }
 }
@@ -111,8 +115,20 @@
         self
     }
 
+    /// Sets the time that the server is told, if it differs from what this side waits.
+    pub fn announce(mut self, timeout: Duration) -> Self {
+        self.announced = timeout;
+        self
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &'static str, value: &'a str) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+
     fn build(&self, sent: Arc<AtomicBool>) -> attohttpc::Result<RequestBuilder<Payload<'a>>> {
-        let millis = self.timeout.as_millis().to_string();
+        let millis = self.announced.as_millis().to_string();
         let mut builder = RequestBuilder::try_new(self.method.clone(), &self.url)?
             .proxy_settings(ProxySettings::builder().build())
             .follow_redirects(false)
@@ -121,6 +137,9 @@
             .timeout(self.timeout)
             .try_header("Content-Type", "application/json")?
             .try_header(TIMEOUT_HEADER, millis)?;
+        for (name, value) in &self.headers {
+            builder = builder.try_header(*name, *value)?;
+        }
         if let Some(key) = self.key {
             builder = builder.bearer_auth(key);
         }
