--- /dev/null
+++ b/src/entry/door.rs
@@ -0,0 +1,237 @@
+//! The door itself: listening threads, bounded connections, graceful close.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::pin::pin;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::sync::{Semaphore, watch};
+
+use super::{Archive, Host, Ring, route, wait_for};
+use crate::settings;
+
+/// Bytes of a request head and of the buffer behind it.
+const HEAD_BYTES: usize = 32 * 1024;
+/// Headers of a request.
+const MAX_HEADERS: usize = 64;
+/// How long to wait after a failed accept, which is mostly a lack of file descriptors.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How often a closing door looks whether its connections have ended.
+const CLOSE_CHECK: Duration = Duration::from_millis(5);
+/// The most threads that serve callers.
+const MAX_THREADS: usize = 4;
+
+/// Bounds on what callers may send and hold.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Open connections.
+    pub max_connections: usize,
+    /// Bytes in a request body.
+    pub max_body_bytes: usize,
+    /// Time in which a request head must arrive.
+    pub head_timeout: Duration,
+    /// Time in which a request body must arrive.
+    pub body_timeout: Duration,
+    /// The longest timeout that a caller may ask for.
+    pub max_timeout: Duration,
+}
+
+impl From<&settings::Bounds> for Bounds {
+    fn from(bounds: &settings::Bounds) -> Self {
+        Self {
+            max_connections: bounds.max_connections as usize,
+            max_body_bytes: bounds.max_body_bytes as usize,
+            head_timeout: Duration::from_millis(bounds.head_timeout_ms),
+            body_timeout: Duration::from_millis(bounds.body_timeout_ms),
+            max_timeout: Duration::from_millis(bounds.max_timeout_ms),
+        }
+    }
+}
+
+/// What all connections share.
+pub struct Shared {
+    pub host: Arc<dyn Host>,
+    pub keys: Ring,
+    pub archive: Arc<Archive>,
+    pub bounds: Bounds,
+}
+
+/// The open door of a daemon.
+pub struct Door {
+    address: SocketAddr,
+    connections: Arc<Semaphore>,
+    max_connections: usize,
+    closing: watch::Sender<bool>,
+    stopping: watch::Sender<bool>,
+    threads: Mutex<Vec<JoinHandle<()>>>,
+    handles: Vec<Handle>,
+}
+
+impl Door {
+    /// Opens the door at `address`.
+    pub fn open(address: &str, shared: Shared) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let max_connections = shared.bounds.max_connections;
+        let mut door = Self {
+            address: listener.local_addr()?,
+            connections: Arc::new(Semaphore::new(max_connections)),
+            max_connections,
+            closing: watch::Sender::new(false),
+            stopping: watch::Sender::new(false),
+            threads: Mutex::default(),
+            handles: Vec::new(),
+        };
+        let shared = Arc::new(shared);
+        for index in 0..threads() {
+            door.start(index, listener.try_clone()?, shared.clone())?;
+        }
+        Ok(door)
+    }
+
+    fn start(
+        &mut self,
+        index: usize,
+        listener: TcpListener,
+        shared: Arc<Shared>,
+    ) -> io::Result<()> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        self.handles.push(runtime.handle().clone());
+        let acceptor = Acceptor {
+            shared,
+            connections: self.connections.clone(),
+            closing: self.closing.subscribe(),
+        };
+        let stopping = self.stopping.subscribe();
+        let thread = std::thread::Builder::new()
+            .name(format!("door-{index}"))
+            .spawn(move || serve(&runtime, listener, acceptor, stopping))?;
+        self.threads.lock().push(thread);
+        Ok(())
+    }
+
+    /// Returns the address and port that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the runtimes of its threads, which drive the requests.
+    pub fn handles(&self) -> &[Handle] {
+        &self.handles
+    }
+
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.max_connections - self.connections.available_permits()
+    }
+
+    /// Takes no new connections and waits until those open have been answered.
+    ///
+    /// Returns false when `timeout` passed first.
+    pub fn close(&self, timeout: Duration) -> bool {
+        self.closing.send_replace(true);
+        let end = Instant::now() + timeout;
+        while self.connections() > 0 {
+            if Instant::now() >= end {
+                return false;
+            }
+            std::thread::sleep(CLOSE_CHECK);
+        }
+        true
+    }
+
+    /// Ends the threads and what is left on them.
+    pub fn stop(&self) {
+        self.closing.send_replace(true);
+        self.stopping.send_replace(true);
+        for thread in self.threads.lock().drain(..) {
+            drop(thread.join());
+        }
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn threads() -> usize {
+    let cores = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
+    (cores / 2).clamp(1, MAX_THREADS)
+}
+
+fn serve(
+    runtime: &Runtime,
+    listener: TcpListener,
+    acceptor: Acceptor,
+    mut stopping: watch::Receiver<bool>,
+) {
+    runtime.block_on(async move {
+        let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+            return;
+        };
+        tokio::spawn(acceptor.accept(listener));
+        drop(stopping.wait_for(|stop| *stop).await);
+    });
+}
+
+#[derive(Clone)]
+struct Acceptor {
+    shared: Arc<Shared>,
+    connections: Arc<Semaphore>,
+    closing: watch::Receiver<bool>,
+}
+
+impl Acceptor {
+    async fn accept(mut self, listener: tokio::net::TcpListener) {
+        loop {
+            wait_for(&*self.shared.host).await;
+            let Ok(permit) = self.connections.clone().acquire_owned().await else {
+                return;
+            };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = self.closing.wait_for(|closing| *closing) => return,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let connection = self.clone().converse(stream);
+                    tokio::spawn(async move {
+                        connection.await;
+                        drop(permit);
+                    });
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_AGAIN).await,
+            }
+        }
+    }
+
+    async fn converse(mut self, stream: TcpStream) {
+        drop(stream.set_nodelay(true));
+        let shared = self.shared.clone();
+        let service = service_fn(move |request| route::serve(shared.clone(), request));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.shared.bounds.head_timeout)
+            .max_buf_size(HEAD_BYTES)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = pin!(connection);
+        tokio::select! {
+            // A broken connection concerns its caller alone.
+            _ = connection.as_mut() => return,
+            _ = self.closing.wait_for(|closing| *closing) => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        drop(connection.await);
+    }
+}
--- /dev/null
+++ b/src/entry/head.rs
@@ -0,0 +1,118 @@
+//! Heads: the headers that the door reads, bounded and typed.
+
+use std::time::{Duration, SystemTime};
+
+use hyper::header::{ACCEPT, AUTHORIZATION, HeaderMap};
+
+use super::sse;
+use crate::id;
+
+/// The longest idempotency key, in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+
+/// What a caller's headers ask for.
+#[derive(Clone, Debug, Default)]
+pub struct Head {
+    /// The `Authorization` header.
+    pub authorization: String,
+    /// The `Idempotency-Key` header.
+    pub key: Option<id::Key>,
+    /// When the key was issued: `X-Request-Issued-At`, or the time inside a UUIDv7 key.
+    pub issued: Option<SystemTime>,
+    /// The `X-Request-Timeout-Ms` header.
+    pub timeout: Option<Duration>,
+    /// Whether tokens are to be sent as they are generated.
+    pub stream: bool,
+    /// Tokens that the caller has seen, from `Last-Event-ID`.
+    pub seen: usize,
+}
+
+/// A header that is not of its form, and what it should be.
+pub type Fault = &'static str;
+
+impl Head {
+    /// Reads the headers.
+    pub fn read(headers: &HeaderMap, max_timeout: Duration) -> Result<Self, Fault> {
+        let key = key(headers)?;
+        let issued = match issued(headers)? {
+            Some(at) => Some(at),
+            None => key.as_deref().and_then(issued_of),
+        };
+        Ok(Self {
+            authorization: text(headers, AUTHORIZATION.as_str()).unwrap_or_default(),
+            key,
+            issued,
+            timeout: timeout(headers, max_timeout)?,
+            stream: text(headers, ACCEPT.as_str()).is_some_and(|a| a.contains("text/event-stream")),
+            seen: seen(headers)?,
+        })
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+/// Reads a header that is a whole number.
+fn number(headers: &HeaderMap, name: &str, fault: Fault) -> Result<Option<u64>, Fault> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let number = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    number.map(Some).ok_or(fault)
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<id::Key>, Fault> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    let fault = "Idempotency-Key must be 1 to 255 printable ASCII characters";
+    let key = value.to_str().map_err(|_| fault)?.trim();
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(fault);
+    }
+    Ok(Some(key.into()))
+}
+
+fn issued(headers: &HeaderMap) -> Result<Option<SystemTime>, Fault> {
+    let fault = "X-Request-Issued-At must be milliseconds since the Unix epoch";
+    let Some(ms) = number(headers, "x-request-issued-at", fault)? else {
+        return Ok(None);
+    };
+    let at = SystemTime::UNIX_EPOCH.checked_add(Duration::from_millis(ms));
+    at.map(Some).ok_or(fault)
+}
+
+/// Returns the time inside a UUIDv7 key.
+fn issued_of(key: &str) -> Option<SystemTime> {
+    let uuid = uuid::Uuid::parse_str(key).ok()?;
+    if uuid.get_version_num() != 7 {
+        return None;
+    }
+    let (seconds, nanos) = uuid.get_timestamp()?.to_unix();
+    SystemTime::UNIX_EPOCH.checked_add(Duration::new(seconds, nanos))
+}
+
+fn timeout(headers: &HeaderMap, max: Duration) -> Result<Option<Duration>, Fault> {
+    let fault = "X-Request-Timeout-Ms must be a whole number from 1 to the longest timeout";
+    let Some(ms) = number(headers, "x-request-timeout-ms", fault)? else {
+        return Ok(None);
+    };
+    let timeout = Duration::from_millis(ms);
+    if ms == 0 || timeout > max {
+        return Err(fault);
+    }
+    Ok(Some(timeout))
+}
+
+fn seen(headers: &HeaderMap) -> Result<usize, Fault> {
+    let fault = "Last-Event-ID must be the id of an event of this request";
+    match headers.get("last-event-id") {
+        None => Ok(0),
+        Some(value) if value.as_bytes() == sse::END.as_bytes() => Ok(usize::MAX),
+        Some(_) => {
+            let last = number(headers, "last-event-id", fault)?.unwrap_or_default();
+            usize::try_from(last).map_or(Err(fault), |last| last.checked_add(1).ok_or(fault))
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/tests.rs
@@ -0,0 +1,1 @@
+//! The door over loopback.
