--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,1 +1,261 @@
 //! One daemon: the shell that joins callers, decisions, endpoints and peers.
+//!
+//! See [the architecture](../docs/ARCHITECTURE.md) and
+//! [the operators' page on shutdown](../docs/operators/shutdown.md).
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use snafu::{ResultExt, Snafu};
+
+use crate::clock::Time;
+use crate::entry::{Bounds, Door, Ring, Shared};
+use crate::operate::Report;
+use crate::policy::Policy;
+use crate::quarantine::Standing;
+use crate::settings::{self, Settings};
+use crate::timeline::{Kind, Recorder};
+use crate::{claim, endpoint, id, platform, policy};
+
+mod call;
+mod core;
+mod drive;
+mod gate;
+mod pool;
+mod ports;
+mod watch;
+
+pub use self::core::{Core, Counts};
+pub use drive::RECONNECT;
+pub use ports::Ports;
+
+use self::core::Site;
+use gate::Gate;
+use pool::Pool;
+use watch::Watch;
+
+/// How often a daemon that stops looks whether its requests have ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(5);
+/// Threads for calls, by request in progress: a hedge and a cancel may run beside a call.
+const THREADS_PER_REQUEST: usize = 3;
+
+/// Why a daemon does not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A port cannot be opened.
+    #[snafu(display("opening {step} at {peer}: {source}"))]
+    Open {
+        /// What was being opened.
+        step: &'static str,
+        /// The address.
+        peer: String,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The settings do not fit together.
+    #[snafu(display("settings: {reason}"))]
+    Settings {
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Keeps requests from the endpoints that they would crash.
+pub trait Screen: Send + Sync {
+    /// Says how the content stands.
+    fn standing(&self, digest: &id::Digest, now: Time) -> Standing;
+    /// Learns that an endpoint died while it ran the content.
+    fn blame(&self, digest: &id::Digest, endpoint: &id::Endpoint, now: Time);
+    /// Learns that the content was answered whole.
+    fn clear(&self, digest: &id::Digest, now: Time);
+}
+
+/// What a daemon says of its work now.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// Whether the balancer may send callers here.
+    pub ready: bool,
+    /// Time since the clock started.
+    pub uptime: Time,
+    /// Requests in progress.
+    pub requests: usize,
+    /// Open connections of callers.
+    pub connections: usize,
+    /// Threads that run calls, or wait for the next.
+    pub threads: usize,
+    /// Counters since the start, by name.
+    pub counts: Vec<(&'static str, u64)>,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    core: Arc<Core>,
+    door: Door,
+    watch: Mutex<Watch>,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    pub fn start(settings: &Settings, ports: Ports) -> Result<Self, Error> {
+        let roster = ports.roster.clone().unwrap_or_else(|| {
+            let url = &settings.platform.roster_url;
+            Arc::new(platform::http::Roster::new(url))
+        });
+        let seed = ports.seed;
+        let core = build(settings, ports)?;
+        let shared = Shared {
+            host: core.clone(),
+            keys: Ring::new(&settings.workspaces),
+            archive: core.archive.clone(),
+            bounds: Bounds::from(&settings.bounds),
+        };
+        let peer = &settings.daemon.callers_address;
+        let step = "callers' port";
+        let door = Door::open(peer, shared).context(OpenSnafu { step, peer })?;
+        let step = "watching threads";
+        let watch = Watch::start(&core, roster, seed).context(OpenSnafu { step, peer })?;
+        core.recorder.record(Kind::Daemon, None, None, "started");
+        Ok(Self {
+            core,
+            door,
+            watch: Mutex::new(watch),
+        })
+    }
+
+    /// Returns the address and port for callers.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.door.address()
+    }
+
+    /// Returns what all requests share, for handlers of messages from other daemons.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Returns the recorder of the time line.
+    pub fn recorder(&self) -> &Arc<Recorder> {
+        &self.core.recorder
+    }
+
+    /// Lets the control plane tell the policy what it learned.
+    pub fn observe(&self, observation: &policy::Observation) {
+        let now = self.core.clock.now();
+        self.core.policy.lock().observe(observation, now);
+    }
+
+    /// Returns what the daemon does now.
+    pub fn status(&self) -> Status {
+        use crate::entry::Host;
+        Status {
+            ready: self.core.is_ready(),
+            uptime: self.core.clock.now(),
+            requests: self.core.active.load(Ordering::Acquire),
+            connections: self.door.connections(),
+            threads: self.core.pool.threads(),
+            counts: self.core.counts.list(),
+        }
+    }
+
+    /// Returns what was answered and spent.
+    pub fn report(&self) -> Report {
+        self.core.ledger.lock().report()
+    }
+
+    /// Stops all threads for `duration`, as if the process had been paused.
+    pub fn pause(&self, duration: Duration) {
+        self.core.gate.pause(duration);
+    }
+
+    /// Takes no new work, finishes what is in progress, makes claims durable, and stops.
+    ///
+    /// Returns false when something was left after `timeout`.
+    pub fn shutdown(&self, timeout: Duration) -> bool {
+        let end = Instant::now() + timeout;
+        let left = || end.saturating_duration_since(Instant::now());
+        let record = |what: &str| self.core.recorder.record(Kind::Daemon, None, None, what);
+        record("draining");
+        self.core.draining.store(true, Ordering::Release);
+        let closed = self.door.close(left());
+        let ended = self.drain(end);
+        let flushed = self.core.desk.flush(left());
+        self.watch.lock().stop();
+        self.door.stop();
+        record("stopped");
+        closed && ended && flushed
+    }
+
+    fn drain(&self, end: Instant) -> bool {
+        while self.core.active.load(Ordering::Acquire) > 0 {
+            if Instant::now() >= end {
+                return false;
+            }
+            std::thread::sleep(DRAIN_CHECK);
+        }
+        true
+    }
+}
+
+fn build(settings: &Settings, ports: Ports) -> Result<Arc<Core>, Error> {
+    let site = site(settings)?;
+    let clock = ports.clock_or_system();
+    let engine = ports.engine.unwrap_or_else(|| {
+        let max = u64::from(settings.bounds.max_answer_bytes);
+        Arc::new(endpoint::http::Client::new(max))
+    });
+    let recorder = ports
+        .recorder
+        .unwrap_or_else(|| Arc::new(Recorder::new(site.daemon.clone(), clock.clone())));
+    let desk = ports
+        .desk
+        .unwrap_or_else(|| Arc::new(claim::naive::Naive::default()));
+    let policy: Box<dyn Policy> = ports
+        .policy
+        .unwrap_or_else(|| Box::new(policy::naive::Naive::new(ports.seed)));
+    let max_threads = site.max_requests * THREADS_PER_REQUEST;
+    Ok(Arc::new_cyclic(|this| Core {
+        this: this.clone(),
+        site,
+        engine,
+        desk,
+        link: ports.link,
+        recorder,
+        screen: ports.screen,
+        policy: Mutex::new(policy),
+        ledger: Mutex::default(),
+        archive: Arc::default(),
+        pool: Pool::new(max_threads),
+        gate: Gate::new(clock.clone()),
+        clock,
+        counts: Counts::default(),
+        peers: Mutex::default(),
+        requests: Mutex::default(),
+        active: 0.into(),
+        draining: false.into(),
+        listed: false.into(),
+    }))
+}
+
+fn site(settings: &Settings) -> Result<Site, Error> {
+    let zone = &settings.daemon.availability_zone;
+    let Some(region) = settings::plan::region_of(settings, zone) else {
+        let reason = format!("availability zone `{zone}` is not one of `zones`");
+        return SettingsSnafu { reason }.fail();
+    };
+    let zones = settings.zones.iter();
+    let regions = zones.map(|z| (z.name.as_str().into(), z.region.as_str().into()));
+    let plans = settings::plans(settings).into_iter();
+    Ok(Site {
+        daemon: settings.daemon.name.as_str().into(),
+        zone: zone.as_str().into(),
+        region,
+        regions: Arc::new(regions.collect()),
+        plans: plans.map(|(name, plan)| (name, Arc::new(plan))).collect(),
+        max_requests: settings.bounds.max_requests as usize,
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/daemon/core.rs
@@ -0,0 +1,275 @@
+//! What all requests of a daemon share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+
+use super::Screen;
+use super::drive::Drive;
+use super::gate::Gate;
+use super::pool::Pool;
+use crate::clock::{Clock, Time};
+use crate::entry::{Archive, Host, Submission, Transcript};
+use crate::ledger::Ledger;
+use crate::pipeline::run::{Run, Tally};
+use crate::pipeline::{Event, Finish, Plan, Remainder};
+use crate::policy::{Admission, Arrival, Policy, Ticket};
+use crate::quarantine::Standing;
+use crate::timeline::{Kind, Recorder};
+use crate::{claim, endpoint, id, peer};
+
+/// When to send again to another daemon, because this one is full or stops.
+const ELSEWHERE: Duration = Duration::from_secs(1);
+
+/// Another daemon, as the roster lists it.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Address and port for other daemons.
+    pub address: String,
+    /// Its region.
+    pub region: id::Region,
+}
+
+/// Counts since the daemon started.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Requests let in.
+    pub admitted: AtomicU64,
+    /// Requests refused at the door.
+    pub refused: AtomicU64,
+    /// Answers and tokens dropped because their attempt had been given up.
+    pub late: AtomicU64,
+    /// Answers dropped because they belong elsewhere.
+    pub crossed: AtomicU64,
+    /// Tokens dropped because they had been received.
+    pub doubled: AtomicU64,
+    /// Attempts after a failed one.
+    pub retries: AtomicU64,
+    /// Second attempts beside a slow one.
+    pub hedges: AtomicU64,
+    /// Generations that resumed on another engine.
+    pub resumes: AtomicU64,
+}
+
+impl Counts {
+    pub(super) fn add(&self, tally: Tally) {
+        let pairs = [
+            (&self.late, tally.late),
+            (&self.crossed, tally.crossed),
+            (&self.doubled, tally.doubled),
+            (&self.retries, tally.retries),
+            (&self.hedges, tally.hedges),
+            (&self.resumes, tally.resumes),
+        ];
+        for (count, by) in pairs {
+            count.fetch_add(u64::from(by), Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the counts by name.
+    pub fn list(&self) -> Vec<(&'static str, u64)> {
+        let pairs = [
+            ("requests-admitted", &self.admitted),
+            ("requests-refused", &self.refused),
+            ("answers-late", &self.late),
+            ("answers-crossed", &self.crossed),
+            ("tokens-doubled", &self.doubled),
+            ("retries", &self.retries),
+            ("hedges", &self.hedges),
+            ("resumes", &self.resumes),
+        ];
+        let load =
+            |(name, count): (&'static str, &AtomicU64)| (name, count.load(Ordering::Relaxed));
+        pairs.into_iter().map(load).collect()
+    }
+}
+
+/// What does not change while the daemon runs.
+pub struct Site {
+    /// The daemon.
+    pub daemon: id::Daemon,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Its region.
+    pub region: id::Region,
+    /// The region of each availability zone.
+    pub regions: Arc<IndexMap<id::Zone, id::Region>>,
+    /// The pipelines.
+    pub plans: IndexMap<id::Pipeline, Arc<Plan>>,
+    /// The most requests in progress.
+    pub max_requests: usize,
+}
+
+/// The shared state of a daemon.
+pub struct Core {
+    pub(super) this: Weak<Core>,
+    pub(super) site: Site,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) engine: Arc<dyn endpoint::Engine>,
+    pub(super) desk: Arc<dyn claim::Desk>,
+    pub(super) link: Option<Arc<dyn peer::Link>>,
+    pub(super) recorder: Arc<Recorder>,
+    pub(super) screen: Option<Arc<dyn Screen>>,
+    pub(super) policy: Mutex<Box<dyn Policy>>,
+    pub(super) ledger: Mutex<Ledger>,
+    pub(super) archive: Arc<Archive>,
+    pub(super) pool: Pool,
+    pub(super) gate: Gate,
+    pub(super) counts: Counts,
+    pub(super) peers: Mutex<Vec<Peer>>,
+    pub(super) requests: Mutex<IndexMap<id::Request, flume::Sender<Event>>>,
+    pub(super) active: AtomicUsize,
+    pub(super) draining: AtomicBool,
+    pub(super) listed: AtomicBool,
+}
+
+impl Core {
+    /// Sends `Ready` to the requests whose waiting stages may ask again.
+    pub(super) fn wake(&self, tickets: Vec<Ticket>) {
+        if tickets.is_empty() {
+            return;
+        }
+        let requests = self.requests.lock();
+        for ticket in tickets {
+            if let Some(sender) = requests.get(&ticket.request) {
+                drop(sender.send(Event::Ready(ticket.attempt)));
+            }
+        }
+    }
+
+    /// Asks the policy for waiting stages that may ask again.
+    pub(super) fn wake_ready(&self) {
+        let tickets = self.policy.lock().ready(self.clock.now());
+        self.wake(tickets);
+    }
+
+    /// Says whether the endpoints of a pool generate tokens.
+    pub(super) fn generates(&self, pool: &str) -> bool {
+        let mut stages = self.site.plans.values().flat_map(|p| &p.stages);
+        stages.any(|s| s.generates && *s.pool == *pool)
+    }
+
+    /// Returns the address of a daemon in `region`, a different one for each `choice`.
+    pub(super) fn peer_in(&self, region: &str, choice: u64) -> Option<String> {
+        let peers = self.peers.lock();
+        let near: Vec<&Peer> = peers.iter().filter(|p| *p.region == *region).collect();
+        let index = usize::try_from(choice).unwrap_or(0) % near.len().max(1);
+        near.get(index).map(|p| p.address.clone())
+    }
+
+    /// Runs the rest of another daemon's request.
+    pub fn run_rest(
+        &self,
+        rest: &Remainder,
+        digest: id::Digest,
+    ) -> Result<Arc<Transcript>, Finish> {
+        let Some(plan) = self.plan(&rest.pipeline) else {
+            return Err(refusal("the other daemon has no such pipeline", None));
+        };
+        let now = self.clock.now();
+        let run = Run::rest(plan, rest, digest, now);
+        let transcript = Transcript::new(rest.request, rest.workspace.clone());
+        self.start(run, transcript.clone())?;
+        Ok(transcript)
+    }
+
+    fn start(&self, run: Run, transcript: Arc<Transcript>) -> Result<(), Finish> {
+        let Some(core) = self.this.upgrade() else {
+            return Err(refusal("the daemon stops", Some(ELSEWHERE)));
+        };
+        let active = self.active.fetch_add(1, Ordering::AcqRel);
+        if active >= self.site.max_requests {
+            self.active.fetch_sub(1, Ordering::AcqRel);
+            return Err(refusal("the daemon is full", Some(ELSEWHERE)));
+        }
+        let run = run.with_regions(self.site.regions.clone());
+        tokio::spawn(Drive::new(core, run, transcript).run());
+        Ok(())
+    }
+
+    fn admit(&self, submission: &Submission, deadline: Time, now: Time) -> Result<bool, Finish> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err(refusal("the daemon stops", Some(ELSEWHERE)));
+        }
+        let request = &submission.request;
+        let standing = self
+            .screen
+            .as_ref()
+            .map(|s| s.standing(&request.digest, now));
+        if let Some(Standing::Refused { until }) = standing {
+            let left = until.saturating_sub(now);
+            return Err(refusal("its content crashed endpoints", Some(left)));
+        }
+        let plan = &submission.plan;
+        let arrival = Arrival {
+            request: request.id,
+            workspace: request.workspace.clone(),
+            pipeline: plan.name.clone(),
+            pools: plan.pools(0),
+            deadline,
+            priority: plan.priority,
+            cost: request.body.len() as u64,
+        };
+        match self.policy.lock().admit(&arrival, now) {
+            Admission::Run => Ok(standing == Some(Standing::Suspect)),
+            Admission::Refuse {
+                reason,
+                retry_after,
+            } => Err(refusal(reason, Some(retry_after))),
+        }
+    }
+
+    fn try_submit(&self, submission: Submission) -> Result<Arc<Transcript>, Finish> {
+        let now = self.clock.now();
+        let deadline = now + submission.timeout;
+        let suspect = self.admit(&submission, deadline, now)?;
+        let request = submission.request;
+        let transcript = Transcript::new(request.id, request.workspace.clone());
+        self.archive.add(transcript.clone(), now);
+        let run = Run::new(submission.plan, request, deadline).with_suspect(suspect);
+        self.start(run, transcript.clone())?;
+        Ok(transcript)
+    }
+}
+
+impl Host for Core {
+    fn is_ready(&self) -> bool {
+        self.listed.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
+    }
+
+    fn plan(&self, name: &str) -> Option<Arc<Plan>> {
+        self.site.plans.get(name).cloned()
+    }
+
+    fn submit(&self, submission: Submission) -> Result<Arc<Transcript>, Finish> {
+        let id = submission.request.id;
+        let result = self.try_submit(submission);
+        match &result {
+            Ok(_) => {
+                self.counts.admitted.fetch_add(1, Ordering::Relaxed);
+                self.recorder
+                    .record(Kind::Request, Some(id), None, "arrived");
+            }
+            Err(finish) => {
+                self.counts.refused.fetch_add(1, Ordering::Relaxed);
+                let what = format!("refused: {finish:?}");
+                self.recorder.record(Kind::Request, Some(id), None, what);
+            }
+        }
+        result
+    }
+
+    fn pause_left(&self) -> Option<Duration> {
+        self.gate.left()
+    }
+}
+
+fn refusal(reason: &str, retry_after: Option<Duration>) -> Finish {
+    Finish::NotRun {
+        reason: reason.to_owned(),
+        retry_after,
+    }
+}
--- /dev/null
+++ b/src/daemon/drive.rs
@@ -0,0 +1,264 @@
+//! Drives one request: carries events into its state machine and performs the actions.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::call;
+use super::core::Core;
+use crate::claim::Verdict;
+use crate::endpoint::Token;
+use crate::entry::Transcript;
+use crate::pipeline::run::Run;
+use crate::pipeline::{Action, Event, Finish};
+use crate::timeline::Kind;
+use crate::{claim, id};
+
+/// How long a broken event stream may be taken up again before its request is cancelled.
+pub const RECONNECT: Duration = Duration::from_secs(1);
+/// The longest sleep of a request that waits for nothing in particular.
+const IDLE: Duration = Duration::from_secs(60);
+/// Events that are taken in one go, so that pending tokens share one write.
+const BATCH: usize = 64;
+
+/// One request in progress.
+pub struct Drive {
+    core: Arc<Core>,
+    run: Run,
+    transcript: Arc<Transcript>,
+    sender: flume::Sender<Event>,
+    receiver: flume::Receiver<Event>,
+    verdict: Option<flume::Receiver<Verdict>>,
+    /// Set to end a call that runs, by attempt.
+    stops: IndexMap<id::Attempt, Arc<AtomicBool>>,
+    tokens: Vec<Token>,
+    is_gone: bool,
+}
+
+impl Drive {
+    /// Makes the driver of a request and registers it.
+    pub fn new(core: Arc<Core>, run: Run, transcript: Arc<Transcript>) -> Self {
+        let (sender, receiver) = flume::unbounded();
+        let request = run.request().id;
+        core.requests.lock().insert(request, sender.clone());
+        Self {
+            core,
+            run,
+            transcript,
+            sender,
+            receiver,
+            verdict: None,
+            stops: IndexMap::new(),
+            tokens: Vec::new(),
+            is_gone: false,
+        }
+    }
+
+    /// Drives the request to its end.
+    pub async fn run(mut self) {
+        let mut event = Event::Start;
+        loop {
+            self.pause().await;
+            self.take(event);
+            if self.run.is_done() {
+                break;
+            }
+            event = self.next().await;
+        }
+    }
+
+    async fn pause(&self) {
+        while let Some(left) = self.core.gate.left() {
+            tokio::time::sleep(left).await;
+        }
+    }
+
+    /// Steps the run through an event and those that are already pending.
+    fn take(&mut self, event: Event) {
+        let core = self.core.clone();
+        let now = core.clock.now();
+        let mut actions = Vec::new();
+        let mut tickets = Vec::new();
+        {
+            let mut policy = core.policy.lock();
+            let pending = self.receiver.try_iter().take(BATCH);
+            let mut only_tokens = true;
+            for event in std::iter::once(event).chain(pending) {
+                only_tokens &= matches!(event, Event::Token(..));
+                actions.append(&mut self.run.step(event, now, &mut **policy));
+            }
+            if !only_tokens {
+                tickets = policy.ready(now);
+            }
+        }
+        core.wake(tickets);
+        for action in actions {
+            self.perform(action);
+        }
+        self.flush_tokens();
+    }
+
+    fn flush_tokens(&mut self) {
+        if !self.tokens.is_empty() {
+            self.transcript.push(&self.tokens);
+            self.tokens.clear();
+        }
+    }
+
+    async fn next(&mut self) -> Event {
+        let wait = match self.run.next_wake() {
+            Some(at) => at.saturating_sub(self.core.clock.now()),
+            None => IDLE,
+        };
+        let is_told = self.transcript.ended().is_some();
+        let watches = !self.is_gone && !is_told;
+        tokio::select! {
+            biased;
+            event = self.receiver.recv_async() => event.unwrap_or(Event::Wake),
+            verdict = decided(self.verdict.as_ref()) => {
+                self.verdict = None;
+                Event::Claimed(verdict)
+            }
+            () = tokio::time::sleep(wait) => Event::Wake,
+            () = gone(&self.transcript, self.run.request().stream), if watches => {
+                self.is_gone = true;
+                Event::Gone
+            }
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Claim(ask) => self.claim(ask),
+            Action::Settle(outcome) => self.settle(outcome),
+            Action::Call(pick, call) => {
+                let stop = self.stop_of(call.attempt);
+                let what = format!("call of {} attempt {}", call.stage, call.attempt);
+                self.record(Kind::Call, Some(pick.endpoint.clone()), what);
+                call::start(&self.core, &self.sender, stop, pick, call);
+            }
+            Action::Cancel(pick, attempt) => {
+                self.halt(attempt);
+                let what = format!("cancel of attempt {attempt}");
+                self.record(Kind::Call, Some(pick.endpoint.clone()), what);
+                call::cancel(&self.core, self.run.request().id, pick, attempt);
+            }
+            Action::Move(region, rest) => {
+                let stop = self.stop_of(rest.attempt);
+                self.record(Kind::Request, None, format!("moved to {region}"));
+                call::relocate(&self.core, &self.sender, stop, &region, *rest);
+            }
+            Action::Recall(attempt) => {
+                self.halt(attempt);
+                call::recall(&self.core, self.run.request().id);
+            }
+            Action::Token(token) => self.tokens.push(token),
+            Action::Finish(finish) => self.finish(finish),
+            Action::Blame(digest, endpoint) => {
+                self.record(Kind::Quarantine, Some(endpoint.clone()), "blamed".into());
+                if let Some(screen) = &self.core.screen {
+                    screen.blame(&digest, &endpoint, self.core.clock.now());
+                }
+            }
+        }
+    }
+
+    fn stop_of(&mut self, attempt: id::Attempt) -> Arc<AtomicBool> {
+        self.stops.entry(attempt).or_default().clone()
+    }
+
+    fn halt(&mut self, attempt: id::Attempt) {
+        if let Some(stop) = self.stops.swap_remove(&attempt) {
+            stop.store(true, Ordering::Release);
+        }
+    }
+
+    fn claim(&mut self, ask: claim::Ask) {
+        self.record(Kind::Claim, None, "asked".into());
+        let (sender, receiver) = flume::bounded(1);
+        self.verdict = Some(receiver);
+        self.core.desk.claim(ask, sender);
+    }
+
+    fn settle(&mut self, outcome: claim::Outcome) {
+        self.record(Kind::Claim, None, format!("settled {}", name_of(&outcome)));
+        self.core.desk.settle(self.run.request().id, outcome);
+    }
+
+    fn finish(&mut self, finish: Finish) {
+        self.flush_tokens();
+        let core = &self.core;
+        let answered = matches!(finish, Finish::Answer(_));
+        let in_time = core.clock.now() <= self.run.deadline();
+        core.ledger.lock().end(self.run.plan(), &finish, in_time);
+        if let (true, Some(screen)) = (answered, &core.screen) {
+            screen.clear(&self.run.request().digest, core.clock.now());
+        }
+        self.record(Kind::Request, None, told(&finish));
+        self.transcript.finish(finish);
+    }
+
+    fn record(&self, kind: Kind, endpoint: Option<id::Endpoint>, what: String) {
+        let request = Some(self.run.request().id);
+        self.core.recorder.record(kind, request, endpoint, what);
+    }
+}
+
+impl Drop for Drive {
+    fn drop(&mut self) {
+        let core = &self.core;
+        core.requests.lock().swap_remove(&self.run.request().id);
+        core.counts.add(self.run.tally());
+        let spends = self.run.take_spends();
+        let mut ledger = core.ledger.lock();
+        ledger.book(self.run.plan(), self.run.request(), &spends);
+        drop(ledger);
+        core.active.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Waits for the verdict on a claim; a desk that is gone means that nothing was claimed.
+async fn decided(verdict: Option<&flume::Receiver<Verdict>>) -> Verdict {
+    let Some(receiver) = verdict else {
+        return std::future::pending().await;
+    };
+    let received = receiver.recv_async().await;
+    received.unwrap_or_else(|_| Verdict::NotRun {
+        reason: "the claim desk stopped".into(),
+        retry_after: None,
+    })
+}
+
+/// Waits until the caller is gone for good.
+async fn gone(transcript: &Transcript, stream: bool) {
+    loop {
+        transcript.unread().await;
+        if stream {
+            tokio::time::sleep(RECONNECT).await;
+        }
+        if !transcript.is_read() {
+            return;
+        }
+    }
+}
+
+fn name_of(outcome: &claim::Outcome) -> &'static str {
+    match outcome {
+        claim::Outcome::Answered(_) => "answered",
+        claim::Outcome::Partial(_) => "partial",
+        claim::Outcome::Unknown => "unknown",
+        claim::Outcome::Released => "released",
+    }
+}
+
+fn told(finish: &Finish) -> String {
+    match finish {
+        Finish::Answer(_) => "answered".into(),
+        Finish::NotRun { reason, .. } => format!("not run: {reason}"),
+        Finish::Unknown { reason } => format!("unknown: {reason}"),
+        Finish::Failed { reason } => format!("failed: {reason}"),
+        Finish::Conflict => "conflict".into(),
+    }
+}
--- /dev/null
+++ b/src/daemon/tests.rs
@@ -0,0 +1,1 @@
+//! A daemon before endpoints in memory.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,7 +17,7 @@
 mod transcript;
 
 pub use archive::Archive;
-pub use door::{Bounds, Door};
+pub use door::{Bounds, Door, Shared};
 pub use key::Ring;
 pub use transcript::{Reader, Transcript};
 
--- a/src/entry/door.rs
+++ b/src/entry/door.rs
@@ -58,9 +58,13 @@
 
 /// What all connections share.
 pub struct Shared {
+    /// The daemon behind the door.
     pub host: Arc<dyn Host>,
+    /// The keys of all workspaces.
     pub keys: Ring,
+    /// Recent transcripts.
     pub archive: Arc<Archive>,
+    /// Bounds on what callers may send and hold.
     pub bounds: Bounds,
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -72,6 +72,8 @@
         rest: &pipeline::Remainder,
         sink: endpoint::Sink<'_>,
     ) -> Result<pipeline::Remote>;
+    /// Ends a remainder that runs at another daemon; its call then answers `Lost`.
+    fn recall(&self, request: id::Request);
 }
 
 /// Answers the messages of one topic at the receiving daemon.
--- a/src/pipeline/run.rs
+++ b/src/pipeline/run.rs
@@ -237,6 +237,11 @@
         &self.plan
     }
 
+    /// Returns when the whole answer is due.
+    pub fn deadline(&self) -> Time {
+        self.deadline
+    }
+
     /// Returns the counts so far.
     pub fn tally(&self) -> Tally {
         self.tally
