Test the door, shutdown and a paused daemon over loopback

The door answers, streams, resumes by Last-Event-ID and bounds what callers send. A shutdown refuses new work as not-run until everything in progress has ended. A pause between claim and call is caught by the second deadline check.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::quarantine::Standing;
 use crate::settings::{self, Settings};
 use crate::timeline::{Kind, Recorder};
-use crate::{claim, endpoint, id, platform, policy};
+use crate::{claim, id, policy};
 
 mod call;
 mod core;
@@ -100,10 +100,10 @@
 impl Daemon {
     /// Starts a daemon.
     pub fn start(settings: &Settings, ports: Ports) -> Result<Self, Error> {
-        let roster = ports.roster.clone().unwrap_or_else(|| {
-            let url = &settings.platform.roster_url;
-            Arc::new(platform::http::Roster::new(url))
-        });
+        let roster = ports
+            .roster
+            .clone()
+            .ok_or_else(|| missing("a list of VMs"))?;
         let seed = ports.seed;
         let core = build(settings, ports)?;
         let shared = Shared {
@@ -178,8 +178,9 @@
         let record = |what: &str| self.core.recorder.record(Kind::Daemon, None, None, what);
         record("draining");
         self.core.draining.store(true, Ordering::Release);
-        let closed = self.door.close(left());
+        // Until then the door answers new requests with `not-run`, and the balancer with not ready.
         let ended = self.drain(end);
+        let closed = self.door.close(left());
         let flushed = self.core.desk.flush(left());
         self.watch.lock().stop();
         self.door.stop();
@@ -201,10 +202,8 @@
 fn build(settings: &Settings, ports: Ports) -> Result<Arc<Core>, Error> {
     let site = site(settings)?;
     let clock = ports.clock_or_system();
-    let engine = ports.engine.unwrap_or_else(|| {
-        let max = u64::from(settings.bounds.max_answer_bytes);
-        Arc::new(endpoint::http::Client::new(max))
-    });
+    let engine = ports.engine;
+    let engine = engine.ok_or_else(|| missing("a client of the endpoints"))?;
     let recorder = ports
         .recorder
         .unwrap_or_else(|| Arc::new(Recorder::new(site.daemon.clone(), clock.clone())));
@@ -238,6 +237,11 @@
     }))
 }
 
+fn missing(what: &str) -> Error {
+    let reason = format!("{what} is not given");
+    Error::Settings { reason }
+}
+
 fn site(settings: &Settings) -> Result<Site, Error> {
     let zone = &settings.daemon.availability_zone;
     let Some(region) = settings::plan::region_of(settings, zone) else {
@@ -249,7 +253,6 @@
     let plans = settings::plans(settings).into_iter();
     Ok(Site {
         daemon: settings.daemon.name.as_str().into(),
-        zone: zone.as_str().into(),
         region,
         regions: Arc::new(regions.collect()),
         plans: plans.map(|(name, plan)| (name, Arc::new(plan))).collect(),
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -91,8 +91,6 @@
 pub struct Site {
     /// The daemon.
     pub daemon: id::Daemon,
-    /// Its availability zone.
-    pub zone: id::Zone,
     /// Its region.
     pub region: id::Region,
     /// The region of each availability zone.
--- a/src/entry/door.rs
+++ b/src/entry/door.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -71,8 +72,8 @@
 /// The open door of a daemon.
 pub struct Door {
     address: SocketAddr,
-    connections: Arc<Semaphore>,
-    max_connections: usize,
+    permits: Arc<Semaphore>,
+    connections: Arc<AtomicUsize>,
     closing: watch::Sender<bool>,
     stopping: watch::Sender<bool>,
     threads: Mutex<Vec<JoinHandle<()>>>,
@@ -84,11 +85,10 @@
     pub fn open(address: &str, shared: Shared) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
-        let max_connections = shared.bounds.max_connections;
         let mut door = Self {
             address: listener.local_addr()?,
-            connections: Arc::new(Semaphore::new(max_connections)),
-            max_connections,
+            permits: Arc::new(Semaphore::new(shared.bounds.max_connections)),
+            connections: Arc::default(),
             closing: watch::Sender::new(false),
             stopping: watch::Sender::new(false),
             threads: Mutex::default(),
@@ -111,6 +111,7 @@
         self.handles.push(runtime.handle().clone());
         let acceptor = Acceptor {
             shared,
+            permits: self.permits.clone(),
             connections: self.connections.clone(),
             closing: self.closing.subscribe(),
         };
@@ -134,7 +135,7 @@
 
     /// Returns the number of open connections.
     pub fn connections(&self) -> usize {
-        self.max_connections - self.connections.available_permits()
+        self.connections.load(Ordering::Acquire)
     }
 
     /// Takes no new connections and waits until those open have been answered.
@@ -188,10 +189,27 @@
     });
 }
 
+/// Counts a connection while it is open.
+struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    fn new(count: Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 #[derive(Clone)]
 struct Acceptor {
     shared: Arc<Shared>,
-    connections: Arc<Semaphore>,
+    permits: Arc<Semaphore>,
+    connections: Arc<AtomicUsize>,
     closing: watch::Receiver<bool>,
 }
 
@@ -199,7 +217,7 @@
     async fn accept(mut self, listener: tokio::net::TcpListener) {
         loop {
             wait_for(&*self.shared.host).await;
-            let Ok(permit) = self.connections.clone().acquire_owned().await else {
+            let Ok(permit) = self.permits.clone().acquire_owned().await else {
                 return;
             };
             let accepted = tokio::select! {
@@ -209,9 +227,10 @@
             match accepted {
                 Ok((stream, _)) => {
                     let connection = self.clone().converse(stream);
+                    let open = Open::new(self.connections.clone());
                     tokio::spawn(async move {
                         connection.await;
-                        drop(permit);
+                        drop((open, permit));
                     });
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_AGAIN).await,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -73,7 +73,9 @@
         sink: endpoint::Sink<'_>,
     ) -> Result<pipeline::Remote>;
     /// Ends a remainder that runs at another daemon; its call then answers `Lost`.
-    fn recall(&self, request: id::Request);
+    ///
+    /// A link that cannot do so lets it run to its end.
+    fn recall(&self, _request: id::Request) {}
 }
 
 /// Answers the messages of one topic at the receiving daemon.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,5 +2,8 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod callers;
 mod docs;
+mod rig;
 mod schema;
+mod shutdown;
