--- a/src/standin.rs
+++ b/src/standin.rs
@@ -2,6 +2,7 @@
 //!
 //! See [the endpoints' protocol](../docs/ENDPOINTS.md) and [the platform's](../docs/PLATFORM.md).
 
+pub mod control;
 pub mod deployment;
 pub mod fault;
 pub mod fleet;
--- a/src/standin/journal.rs
+++ b/src/standin/journal.rs
@@ -102,12 +102,19 @@
         entries.iter().skip(skip).cloned().collect()
     }
 
-    /// Returns the journal as JSON lines.
-    pub fn to_json_lines(&self) -> String {
-        let lines = self.since(0).into_iter();
+    /// Returns the entries after the first `skip` as JSON lines.
+    pub fn to_json_lines(&self, skip: usize) -> String {
+        let lines = self.since(skip).into_iter();
         let lines = lines.filter_map(|e| serde_json::to_string(&e).ok());
         lines.fold(String::new(), |text, line| text + &line + "\n")
     }
+
+    /// Returns how many calls began and have not ended.
+    pub fn running(&self) -> usize {
+        let entries = self.entries.lock();
+        let ended = entries.iter().filter(|e| e.event == Event::Ended).count();
+        entries.len() - 2 * ended
+    }
 }
 
 #[cfg(test)]
--- a/src/standin/node/tests.rs
+++ b/src/standin/node/tests.rs
@@ -9,7 +9,7 @@
 use crate::endpoint::{Answer, Call, Engine as _, Error, Order, Result, Service as _, Token};
 use crate::platform::Manifest;
 use crate::settings::Kind;
-use crate::standin::journal::Event;
+use crate::standin::journal::{Entry, Event};
 use crate::standin::profile::Profile;
 use crate::standin::store::Store;
 use crate::standin::text::{check, tests::call};
@@ -55,6 +55,14 @@
     (tokens, result)
 }
 
+/// Waits until the journal has `count` entries: an end is noted after the answer was sent.
+fn noted(commons: &Commons, count: usize) -> Vec<Entry> {
+    while commons.journal.since(0).len() < count {
+        thread::yield_now();
+    }
+    commons.journal.since(0)
+}
+
 #[test]
 fn call_answers_whole_and_is_noted() {
     let commons = Commons::default();
@@ -64,7 +72,7 @@
     assert_eq!(tokens.len(), 9);
     assert_eq!(answer.usage.tokens, 9);
     assert_eq!(check(&answer.body, "m", &["draft".into()]), Ok(()));
-    let noted = commons.journal.since(0);
+    let noted = noted(&commons, 2);
     assert_eq!(noted[0].event, Event::Began);
     assert_eq!(noted[1].result.as_deref(), Some("answered"));
 }
@@ -99,10 +107,8 @@
     let (_, first) = run(&address, &patient(r#"{"poison":true}"#));
     assert!(matches!(first, Err(Error::Lost { .. })), "{first:?}");
     assert!(node.is_dead());
-    assert_eq!(
-        commons.journal.since(0)[1].result.as_deref(),
-        Some("crashed")
-    );
+    let ended = &noted(&commons, 2)[1];
+    assert_eq!(ended.result.as_deref(), Some("crashed"));
 }
 
 #[test]
@@ -114,19 +120,15 @@
         let (address, call) = (address.clone(), running.clone());
         thread::spawn(move || run(&address, &call).1)
     };
-    while commons.journal.since(0).is_empty() {
-        thread::yield_now();
-    }
+    noted(&commons, 1);
     let client = Client::default();
     client
         .cancel(&address, running.request, running.attempt)
         .unwrap();
     let result = caller.join().unwrap();
     assert!(matches!(result, Err(Error::Lost { .. })), "{result:?}");
-    assert_eq!(
-        commons.journal.since(0)[1].result.as_deref(),
-        Some("cancelled")
-    );
+    let ended = &noted(&commons, 2)[1];
+    assert_eq!(ended.result.as_deref(), Some("cancelled"));
 }
 
 #[test]
--- a/src/standin/text.rs
+++ b/src/standin/text.rs
@@ -201,5 +201,31 @@
     }
 }
 
+/// Checks the joined tokens that a caller received as they were generated: one of `stages`
+/// generated them on one of `versions`.
+pub fn check_tokens(
+    tokens: &str,
+    marker: &str,
+    stages: &[id::Stage],
+    versions: &[id::Version],
+) -> Result<(), Flaw> {
+    if tokens.is_empty() {
+        return Ok(());
+    }
+    let count = u32::try_from(tokens.split_whitespace().count()).unwrap_or(u32::MAX);
+    let whole = |stage: &id::Stage, version: &str| {
+        let tokens = (0..count).map(|i| token(marker, stage, Some(version), i));
+        tokens.fold(String::new(), |text, token| text + &token)
+    };
+    let mut pairs = stages
+        .iter()
+        .flat_map(|s| versions.iter().map(move |v| (s, v)));
+    if pairs.any(|(stage, version)| *whole(stage, version) == *tokens) {
+        Ok(())
+    } else {
+        Err(Flaw::Lost)
+    }
+}
+
 #[cfg(test)]
 pub(crate) mod tests;
--- a/src/standin/text/tests.rs
+++ b/src/standin/text/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Body, Flaw, Input, body, check, tokens};
+use super::{Body, Flaw, Input, body, check, check_tokens, tokens};
 use crate::endpoint::Call;
 
 pub(crate) fn call(input: &str) -> Call {
@@ -88,3 +88,14 @@
     let input = Input::read(&format!(r#"{{"body":{{"marker":"m"}},"parts":[{text}]}}"#));
     assert_eq!(input.seen, ["draft".into()]);
 }
+
+#[test]
+fn check_tokens_streamed() {
+    let call = call(r#"{"marker":"m","tokens":5}"#);
+    let list = tokens(&Input::read(&call.input), &call, Some("v1"));
+    let text: String = list.iter().map(|t| t.text.as_ref()).collect();
+    let check = |text: &str| check_tokens(text, "m", &["draft".into()], &["v1".into()]);
+    assert_eq!(check(&text), Ok(()));
+    assert_eq!(check(&format!("{text}{text}")), Err(Flaw::Lost));
+    assert_eq!(check(text.split_at(7).1), Err(Flaw::Lost));
+}
