Run a daemon as a program

Arguments go over environment, over file, over defaults. A signal ends it gracefully: exit 0 when everything in progress has ended and claims are durable.

--- a/src/bin/cyclamenrilld.rs
+++ b/src/bin/cyclamenrilld.rs
@@ -1,3 +1,6 @@
-//! A thin program around the library.
+//! The daemon's program; the library does the work.
 
-fn main() {}
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    std::process::exit(cyclamenrill::daemon::program::run(&arguments));
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::quarantine::Standing;
 use crate::settings::{self, Settings};
 use crate::timeline::{Kind, Recorder};
-use crate::{claim, id, policy};
+use crate::{claim, endpoint, id, platform, policy};
 
 mod call;
 mod core;
@@ -26,6 +26,7 @@
 mod gate;
 mod pool;
 mod ports;
+pub mod program;
 mod watch;
 
 pub use self::core::{Core, Counts};
@@ -100,10 +101,10 @@
 impl Daemon {
     /// Starts a daemon.
     pub fn start(settings: &Settings, ports: Ports) -> Result<Self, Error> {
-        let roster = ports
-            .roster
-            .clone()
-            .ok_or_else(|| missing("a list of VMs"))?;
+        let roster = ports.roster.clone().unwrap_or_else(|| {
+            let url = &settings.platform.roster_url;
+            Arc::new(platform::http::Roster::new(url))
+        });
         let seed = ports.seed;
         let core = build(settings, ports)?;
         let shared = Shared {
@@ -202,8 +203,10 @@
 fn build(settings: &Settings, ports: Ports) -> Result<Arc<Core>, Error> {
     let site = site(settings)?;
     let clock = ports.clock_or_system();
-    let engine = ports.engine;
-    let engine = engine.ok_or_else(|| missing("a client of the endpoints"))?;
+    let engine = ports.engine.unwrap_or_else(|| {
+        let max = u64::from(settings.bounds.max_answer_bytes);
+        Arc::new(endpoint::http::Client::new(max))
+    });
     let recorder = ports
         .recorder
         .unwrap_or_else(|| Arc::new(Recorder::new(site.daemon.clone(), clock.clone())));
@@ -237,11 +240,6 @@
     }))
 }
 
-fn missing(what: &str) -> Error {
-    let reason = format!("{what} is not given");
-    Error::Settings { reason }
-}
-
 fn site(settings: &Settings) -> Result<Site, Error> {
     let zone = &settings.daemon.availability_zone;
     let Some(region) = settings::plan::region_of(settings, zone) else {
--- a/src/daemon/drive.rs
+++ b/src/daemon/drive.rs
@@ -258,7 +258,7 @@
         Finish::Answer(_) => "answered".into(),
         Finish::NotRun { reason, .. } => format!("not run: {reason}"),
         Finish::Unknown { reason } => format!("unknown: {reason}"),
-        Finish::Failed { reason } => format!("failed: {reason}"),
+        Finish::Failed { reason, .. } => format!("failed: {reason}"),
         Finish::Conflict => "conflict".into(),
     }
 }
--- /dev/null
+++ b/src/daemon/program.rs
@@ -0,0 +1,109 @@
+//! The program around a daemon: arguments, settings, logs, signals and the exit code.
+
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use gumdrop::Options;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use slog::{Logger, error, info, warn};
+
+use super::{Daemon, Ports};
+use crate::settings::{self, Override, Settings};
+use crate::telemetry;
+
+/// The exit code after a failure.
+const FAILURE: i32 = 1;
+/// The exit code when the arguments or the settings are wrong.
+const MISUSE: i32 = 2;
+/// How long a shutdown waits for what is in progress.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(120);
+
+const EXAMPLES: &str = "
+Examples:
+  cyclamenrilld --config /etc/cyclamenrill.toml
+  cyclamenrilld --config daemon.toml --set daemon.callers-address=10.0.0.4:8080
+
+Arguments go over environment, environment over file, file over defaults.
+SIGTERM: it takes no new work, finishes what is in progress and exits 0.";
+
+/// The arguments of the daemon's program.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(meta = "FILE", help = "the file of settings")]
+    config: Option<PathBuf>,
+    #[options(no_short, meta = "KEY=VALUE", help = "override a key of the settings")]
+    set: Vec<String>,
+}
+
+/// Runs the daemon until a signal ends it, and returns the exit code.
+pub fn run(arguments: &[String]) -> i32 {
+    let parsed = match Arguments::parse_args_default(arguments) {
+        Ok(parsed) => parsed,
+        Err(error) => return misuse(&error.to_string()),
+    };
+    if parsed.help {
+        println!("Usage: cyclamenrilld [OPTIONS]\n\n{}", Arguments::usage());
+        println!("{EXAMPLES}");
+        return 0;
+    }
+    if parsed.version {
+        println!("cyclamenrilld {}", env!("CARGO_PKG_VERSION"));
+        return 0;
+    }
+    match read(&parsed) {
+        Ok(settings) => serve(&settings),
+        Err(reason) => misuse(&reason),
+    }
+}
+
+fn misuse(reason: &str) -> i32 {
+    eprintln!("cyclamenrilld: {reason}");
+    MISUSE
+}
+
+fn read(arguments: &Arguments) -> Result<Settings, String> {
+    let file = arguments.config.as_ref();
+    let file = file.ok_or("give the file of settings with --config FILE")?;
+    let mut overrides = Override::from_environment(std::env::vars());
+    for text in &arguments.set {
+        overrides.push(Override::from_argument(text)?);
+    }
+    settings::load(file, &overrides).map_err(|e| e.to_string())
+}
+
+fn serve(settings: &Settings) -> i32 {
+    let logger = telemetry::logger(&settings.log, &settings.daemon.name);
+    match serve_until_signal(settings, &logger) {
+        Ok(true) => 0,
+        Ok(false) => {
+            warn!(
+                logger,
+                "something was left in progress after the shutdown timeout"
+            );
+            FAILURE
+        }
+        Err(reason) => {
+            error!(logger, "the daemon does not start"; "reason" => reason);
+            FAILURE
+        }
+    }
+}
+
+fn serve_until_signal(settings: &Settings, logger: &Logger) -> Result<bool, String> {
+    // Signals are taken before the port opens, so that none is missed.
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e: io::Error| e.to_string())?;
+    let ports = Ports::new().seed(rand::random());
+    let daemon = Daemon::start(settings, ports).map_err(|e| e.to_string())?;
+    info!(logger, "serving"; "callers" => daemon.callers_address().to_string());
+    let signal = signals.forever().next();
+    info!(logger, "draining"; "signal" => signal);
+    let whole = daemon.shutdown(SHUTDOWN_TIMEOUT);
+    info!(logger, "stopped"; "whole" => whole);
+    Ok(whole)
+}
--- a/src/entry/problem.rs
+++ b/src/entry/problem.rs
@@ -81,7 +81,7 @@
             Verdict::Unknown,
             reason.as_str(),
         ),
-        Finish::Failed { reason } => (
+        Finish::Failed { reason, .. } => (
             StatusCode::BAD_GATEWAY,
             "failed",
             Verdict::Failed,
@@ -107,7 +107,9 @@
 
 fn retry_after_ms(finish: &Finish) -> Option<u64> {
     match finish {
-        Finish::NotRun { retry_after, .. } => retry_after.map(millis),
+        Finish::NotRun { retry_after, .. } | Finish::Failed { retry_after, .. } => {
+            retry_after.map(millis)
+        }
         _ => None,
     }
 }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,1 +1,77 @@
-//! The door over loopback.
+//! Keys, heads and the archive of transcripts.
+
+use std::time::{Duration, SystemTime};
+
+use hyper::header::HeaderMap;
+
+use super::head::Head;
+use super::*;
+use crate::settings;
+
+const MAX: Duration = Duration::from_secs(60);
+
+fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
+    let pairs = pairs.iter();
+    pairs
+        .map(|(name, value)| (name.parse().unwrap(), value.parse().unwrap()))
+        .collect()
+}
+
+fn read(name: &'static str, value: &str) -> Result<Head, head::Fault> {
+    Head::read(&headers(&[(name, value)]), MAX)
+}
+
+#[test]
+fn ring_names_the_workspace() {
+    let workspace = settings::Workspace {
+        name: "split".into(),
+        key: "split-key-0123456789".into(),
+        weight: 1.0,
+        home_region: None,
+    };
+    let ring = Ring::new(&[workspace]);
+    let found = ring.workspace("bearer split-key-0123456789");
+    assert_eq!(found.as_deref(), Some("split"));
+    for wrong in ["", "Bearer", "Bearer x", "Basic split-key-0123456789"] {
+        assert_eq!(ring.workspace(wrong), None, "{wrong}");
+    }
+}
+
+#[test]
+fn read_takes_time_of_issue_from_key() {
+    let at = SystemTime::UNIX_EPOCH + Duration::from_millis(1_700_000_000_123);
+    let stated = read("x-request-issued-at", "1700000000123").unwrap();
+    assert_eq!(stated.issued, Some(at));
+    let time = uuid::Timestamp::from_unix(uuid::NoContext, 1_700_000_000, 123_000_000);
+    let key = uuid::Uuid::new_v7(time).to_string();
+    assert_eq!(read("idempotency-key", &key).unwrap().issued, Some(at));
+    assert_eq!(read("idempotency-key", "plain").unwrap().issued, None);
+}
+
+#[test]
+fn read_bounds_timeout() {
+    let timeout = read("x-request-timeout-ms", "250").unwrap().timeout;
+    assert_eq!(timeout, Some(Duration::from_millis(250)));
+    for wrong in ["0", "-1", "60001", "1.5", "99999999999999999999"] {
+        assert!(read("x-request-timeout-ms", wrong).is_err(), "{wrong}");
+    }
+}
+
+#[test]
+fn read_resumes_after_last_event() {
+    assert_eq!(read("last-event-id", "4").unwrap().seen, 5);
+    assert_eq!(read("last-event-id", "end").unwrap().seen, usize::MAX);
+    assert!(read("last-event-id", "x").is_err());
+    assert!(read("last-event-id", &u64::MAX.to_string()).is_err());
+}
+
+#[test]
+fn archive_forgets_the_oldest() {
+    let archive = Archive::default();
+    let ids = [1, 2].map(uuid::Uuid::from_u128);
+    archive.add(Transcript::new(ids[0], "w".into()), Duration::ZERO);
+    assert!(archive.get(ids[0], "other").is_none());
+    archive.add(Transcript::new(ids[1], "w".into()), archive::KEEP);
+    assert!(archive.get(ids[0], "w").is_none());
+    assert!(archive.get(ids[1], "w").is_some());
+}
