--- a/src/demo/audit/tests.rs
+++ b/src/demo/audit/tests.rs
@@ -39,7 +39,6 @@
     Story {
         pipeline: "order",
         marker: "m".into(),
-        key: "k".into(),
         sends: vec![Send {
             outcome,
             request: Some(request),
--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -32,8 +32,6 @@
     pub pipeline: &'static str,
     /// The marker in its body.
     pub marker: String,
-    /// The idempotency key.
-    pub key: String,
     /// All sendings.
     pub sends: Vec<Send>,
     /// The last outcome.
@@ -136,7 +134,6 @@
         Story {
             pipeline: self.task.pipeline,
             marker: self.task.marker.clone(),
-            key: self.key.clone(),
             outcome: reply.outcome,
             flaw: is_answered.then(|| self.flaw(&reply)).flatten(),
             is_disordered: !reply.is_ordered,
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -90,6 +90,8 @@
     pub stages: Vec<Cost>,
     /// Faults that were brought about.
     pub faults: Vec<Fault>,
+    /// What callers without an answer were told last, and how often.
+    pub reasons: IndexMap<String, u64>,
     /// What went wrong, one line each.
     pub evidence: Vec<String>,
 }
@@ -110,6 +112,7 @@
             pipelines: rows.filter(|r| r.requests > 0).collect(),
             stages: costs(site, journal),
             faults: site.faults.lock().clone(),
+            reasons: reasons(stories),
             evidence: evidence(found),
         }
     }
@@ -154,6 +157,24 @@
     lost.chain(doubled).chain(crossed).collect()
 }
 
+/// The part of a problem that explains it.
+#[derive(serde::Deserialize)]
+struct Problem {
+    detail: String,
+}
+
+fn reasons(stories: &[Story]) -> IndexMap<String, u64> {
+    let mut reasons = IndexMap::new();
+    let unanswered = stories.iter().filter(|s| s.outcome != Outcome::Answered);
+    for story in unanswered {
+        let problem = serde_json::from_str::<Problem>(&story.detail);
+        let detail = problem.map_or_else(|_| story.detail.clone(), |p| p.detail);
+        let reason = format!("{:?}: {detail}", story.outcome);
+        *reasons.entry(reason).or_default() += 1;
+    }
+    reasons
+}
+
 fn once(site: &Site) -> Once {
     let pipelines = site.settings.pipelines.iter();
     pipelines
@@ -314,6 +335,9 @@
             writeln!(f, "{cost}")?;
         }
         writeln!(f)?;
+        for (reason, count) in &self.reasons {
+            writeln!(f, "{count:>4} x {reason}")?;
+        }
         for line in &self.evidence {
             writeln!(f, "{line}")?;
         }
--- a/src/operate/command.rs
+++ b/src/operate/command.rs
@@ -67,6 +67,12 @@
     /// Show attainment and cost.
     #[options(help = "show attainment and cost by pipeline and stage")]
     Report(fleet::Report),
+    /// Run stand-ins, daemons and callers in one process.
+    #[options(help = "run stand-ins, daemons and callers in one process")]
+    Demo(crate::demo::Arguments),
+    /// Send load.
+    #[options(help = "send open-loop load to daemons")]
+    Load(crate::load::Arguments),
 }
 
 /// Checks a file of settings, as the daemon does when it starts.
@@ -153,6 +159,8 @@
         Command::Drain(arguments) => fleet::drain(arguments),
         Command::Timeline(arguments) => fleet::timeline(arguments),
         Command::Report(arguments) => fleet::report(arguments),
+        Command::Demo(arguments) => Ok(crate::demo::run(arguments)),
+        Command::Load(arguments) => Ok(crate::load::run(arguments)),
     }
 }
 
--- a/src/platform/memory/list.rs
+++ b/src/platform/memory/list.rs
@@ -14,6 +14,7 @@
 struct Lists {
     lag: Duration,
     outage: bool,
+    /// Each list and when readers see it.
     versions: VecDeque<(Time, Vec<Vm>)>,
 }
 
@@ -38,8 +39,7 @@
 
     /// Replaces the list; readers see it after the lag.
     pub fn set(&self, vms: Vec<Vm>) {
-        let now = self.clock.now();
-        self.state.lock().versions.push_back((now, vms));
+        self.change(|list| *list = vms);
     }
 
     /// Changes the newest list; readers see it after the lag.
@@ -49,10 +49,19 @@
         let newest = state.versions.back();
         let mut vms = newest.map(|(_, v)| v.clone()).unwrap_or_default();
         edit(&mut vms);
-        state.versions.push_back((now, vms));
+        let due = now + state.lag;
+        state.versions.push_back((due, vms));
+    }
+
+    /// Shows the newest list at once, as if it had stood for long.
+    pub fn settle(&self) {
+        let now = self.clock.now();
+        for (due, _) in &mut self.state.lock().versions {
+            *due = (*due).min(now);
+        }
     }
 
-    /// Changes the lag.
+    /// Changes the lag of later changes.
     pub fn set_lag(&self, lag: Duration) {
         self.state.lock().lag = lag;
     }
@@ -70,11 +79,10 @@
         if state.outage {
             return Err(no_effect("list", "the list is down"));
         }
-        let lag = state.lag;
-        while state.versions.len() > 1 && state.versions[1].0 + lag <= now {
+        while state.versions.len() > 1 && state.versions[1].0 <= now {
             state.versions.pop_front();
         }
-        let seen = state.versions.front().filter(|(at, _)| *at + lag <= now);
+        let seen = state.versions.front().filter(|(due, _)| *due <= now);
         Ok(seen.map(|(_, v)| v.clone()).unwrap_or_default())
     }
 }
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -58,7 +58,7 @@
 impl Drop for Control {
     fn drop(&mut self) {
         // The server may have ended already.
-        drop(self.stop.send(()));
+        self.stop.send(()).ok();
     }
 }
 
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -123,6 +123,7 @@
             vms.push(self.fill(place, &format!("{}:0", self.host))?);
         }
         self.platform.roster.change(|list| list.extend(vms));
+        self.platform.roster.settle();
         Ok(())
     }
 
