--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -20,6 +20,7 @@
     [ -e "$schema" ] || continue
     name=$(basename "$schema" .capnp)
     capnp compile --src-prefix=schema -orust:src/generated "$schema"
+    sed -i "s/crate::${name}_capnp/crate::generated::${name}_capnp/g" "src/generated/${name}_capnp.rs"
     sha256sum "$schema" | cut -d ' ' -f 1 > "src/generated/${name}_capnp.digest"
     rustfmt --edition 2024 "src/generated/${name}_capnp.rs"
 done
--- /dev/null
+++ b/src/member/fake.rs
@@ -0,0 +1,287 @@
+//! A network in memory with loss, delay, cuts and pauses, for tests and benches.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::swim::{Action, Swim, TICK};
+use super::wire::{self, Packet};
+use super::{Mark, Member, Status};
+use crate::clock::Time;
+use crate::id;
+
+/// Bytes of the UDP and IP headers of a datagram.
+pub const HEADERS: usize = 28;
+/// One-way time between availability zones of a region.
+const ZONE_DELAY: Duration = Duration::from_micros(1_500);
+/// One-way time between regions.
+const REGION_DELAY: Duration = Duration::from_millis(10);
+
+/// Says whether a datagram from the first node arrives at the second.
+pub type Cut = Box<dyn Fn(&Node, &Node) -> bool>;
+
+/// One daemon on the network.
+pub struct Node {
+    /// The protocol.
+    pub swim: Swim,
+    /// Its region.
+    pub region: id::Region,
+    /// Whether the process runs; a paused one keeps its state and loses no datagram.
+    pub is_paused: bool,
+    /// Whether the VM exists.
+    pub is_up: bool,
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes sent, with headers.
+    pub sent_bytes: u64,
+    /// Bytes received, with headers.
+    pub received_bytes: u64,
+    /// Reports of endpoints that arrived, with the time.
+    pub marks: Vec<(Time, Mark)>,
+    inbox: Vec<Packet>,
+}
+
+/// What happened at a node.
+#[derive(Clone, Debug)]
+pub struct Event {
+    /// When.
+    pub at: Time,
+    /// Index of the node.
+    pub node: usize,
+    /// What the node reported.
+    pub action: Action,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Tick(usize),
+    Deliver(usize, usize),
+}
+
+/// The network and its nodes, on a virtual clock.
+pub struct Net {
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    /// The time.
+    pub now: Time,
+    /// The share of datagrams that are lost.
+    pub loss: f64,
+    /// Which datagrams are cut off.
+    pub cut: Cut,
+    /// What the nodes reported.
+    pub events: Vec<Event>,
+    queue: BinaryHeap<Reverse<(Time, u64, Due)>>,
+    flying: Vec<Option<Packet>>,
+    free: Vec<usize>,
+    count: u64,
+    rng: ChaCha8Rng,
+}
+
+fn member(index: usize, zone: &str) -> Member {
+    Member {
+        daemon: format!("d{index}").into(),
+        address: format!("10.0.{}.{}:7000", index / 256, index % 256),
+        zone: zone.into(),
+        incarnation: 0,
+        status: Status::Alive,
+    }
+}
+
+impl Net {
+    /// Makes a network of `count` daemons, spread over `regions` of `zones` zones each, who all
+    /// know each other from the platform's list.
+    pub fn new(count: usize, regions: usize, zones: usize, seed: u64) -> Self {
+        let mut net = Self {
+            nodes: Vec::new(),
+            now: Time::ZERO,
+            loss: 0.0,
+            cut: Box::new(|_, _| false),
+            events: Vec::new(),
+            queue: BinaryHeap::new(),
+            flying: Vec::new(),
+            free: Vec::new(),
+            count: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        for index in 0..count {
+            let region = index % regions;
+            let zone = (index / regions) % zones;
+            net.add(&format!("r{region}"), &format!("r{region}-{zone}"), seed);
+        }
+        let list = net.list();
+        for node in &mut net.nodes {
+            node.swim.roster(&list, Time::ZERO);
+        }
+        net
+    }
+
+    /// Adds a daemon that knows nobody and returns its index.
+    pub fn add(&mut self, region: &str, zone: &str, seed: u64) -> usize {
+        let index = self.nodes.len();
+        let me = member(index, zone);
+        self.nodes.push(Node {
+            swim: Swim::new(me, seed.wrapping_mul(1_000).wrapping_add(index as u64)),
+            region: region.into(),
+            is_paused: false,
+            is_up: true,
+            sent: 0,
+            sent_bytes: 0,
+            received_bytes: 0,
+            marks: Vec::new(),
+            inbox: Vec::new(),
+        });
+        let offset = TICK.mul_f64(self.rng.random_range(0.0..1.0));
+        self.push(self.now + offset, Due::Tick(index));
+        index
+    }
+
+    /// The platform's list of the daemons that exist.
+    pub fn list(&self) -> Vec<Member> {
+        self.nodes
+            .iter()
+            .filter(|n| n.is_up)
+            .map(|n| Member {
+                incarnation: 0,
+                status: Status::Alive,
+                ..n.swim.me().clone()
+            })
+            .collect()
+    }
+
+    /// Runs for `time`.
+    pub fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some(Reverse((at, _, _))) = self.queue.peek() {
+            if *at > until {
+                break;
+            }
+            let Some(Reverse((at, _, due))) = self.queue.pop() else {
+                break;
+            };
+            self.now = at;
+            match due {
+                Due::Tick(node) => self.tick(node),
+                Due::Deliver(node, slot) => self.deliver(node, slot),
+            }
+        }
+        self.now = until;
+    }
+
+    /// Does what a node asks for; also for actions that a test made it take.
+    pub fn act(&mut self, node: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { address, packet } => self.send(node, &address, &packet),
+                other => {
+                    if let Action::Marked(mark) = &other {
+                        let at = self.now;
+                        self.nodes[node].marks.push((at, mark.clone()));
+                    }
+                    self.events.push(Event {
+                        at: self.now,
+                        node,
+                        action: other,
+                    });
+                }
+            }
+        }
+    }
+
+    fn push(&mut self, at: Time, due: Due) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count, due)));
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now;
+        self.push(now + TICK, Due::Tick(index));
+        let node = &mut self.nodes[index];
+        if node.is_paused || !node.is_up {
+            return;
+        }
+        // A process that resumes finds its timers due before it reads its socket.
+        let actions = node.swim.tick(now);
+        let waiting = std::mem::take(&mut node.inbox);
+        self.act(index, actions);
+        for packet in waiting {
+            let actions = self.nodes[index].swim.receive(&packet, now);
+            self.act(index, actions);
+        }
+    }
+
+    fn deliver(&mut self, index: usize, slot: usize) {
+        let Some(packet) = self.flying[slot].take() else {
+            return;
+        };
+        self.free.push(slot);
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if !node.is_up {
+            return;
+        }
+        if node.is_paused {
+            node.inbox.push(packet);
+            return;
+        }
+        let actions = node.swim.receive(&packet, now);
+        self.act(index, actions);
+    }
+
+    fn send(&mut self, from: usize, address: &str, packet: &Packet) {
+        let Ok(bytes) = wire::encode(packet) else {
+            return;
+        };
+        let size = (bytes.len() + HEADERS) as u64;
+        self.nodes[from].sent += 1;
+        self.nodes[from].sent_bytes += size;
+        let target = self
+            .nodes
+            .iter()
+            .position(|n| n.swim.me().address == address);
+        let Some(to) = target else {
+            return;
+        };
+        let is_lost = self.rng.random_bool(self.loss);
+        let (source, target) = (&self.nodes[from], &self.nodes[to]);
+        if is_lost || (self.cut)(source, target) {
+            return;
+        }
+        let delay = if source.region == target.region {
+            ZONE_DELAY
+        } else {
+            REGION_DELAY
+        };
+        let jitter = delay.mul_f64(self.rng.random_range(0.0..1.0));
+        self.nodes[to].received_bytes += size;
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.flying.push(None);
+            self.flying.len() - 1
+        });
+        self.flying[slot] = wire::decode(&bytes).ok();
+        self.push(self.now + delay + jitter, Due::Deliver(to, slot));
+    }
+
+    /// How many running daemons hold a daemon for being of `status`.
+    pub fn holders(&self, daemon: usize, status: Status) -> usize {
+        let name = &self.nodes[daemon].swim.me().daemon;
+        self.nodes
+            .iter()
+            .filter(|n| n.is_up && !n.is_paused)
+            .filter(|n| {
+                n.swim
+                    .peers()
+                    .any(|(m, _)| m.daemon == *name && m.status == status)
+            })
+            .count()
+    }
+
+    /// How many running daemons hold each running daemon for live, at least.
+    pub fn least_live(&self) -> usize {
+        let up = |n: &&Node| n.is_up && !n.is_paused;
+        let lives = self.nodes.iter().filter(up).map(|n| n.swim.live().count());
+        lives.min().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/member/swim/receive.rs
@@ -0,0 +1,125 @@
+//! Datagrams from other daemons.
+
+use super::{Action, Config, Swim};
+use crate::clock::Time;
+use crate::member::wire::{Kind, Packet};
+use crate::member::{Member, Status};
+
+impl Swim {
+    /// Takes in a datagram.
+    pub fn receive(&mut self, packet: &Packet, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if packet.sender.daemon == self.me.daemon {
+            return actions;
+        }
+        self.hear(packet, now, &mut actions);
+        for member in &packet.members {
+            self.merge(member, Some(&packet.sender.daemon), now, &mut actions);
+        }
+        for mark in &packet.marks {
+            if mark.reporter != self.me.daemon && self.news.mark(mark) {
+                actions.push(Action::Marked(mark.clone()));
+            }
+        }
+        self.answer(packet, now, &mut actions);
+        actions
+    }
+
+    fn hear(&mut self, packet: &Packet, now: Time, actions: &mut Vec<Action>) {
+        let sender = &packet.sender;
+        self.merge(sender, None, now, actions);
+        let Some(peer) = self.peers.get_mut(&sender.daemon) else {
+            return;
+        };
+        if packet.revision >= peer.config.revision {
+            peer.config = Config {
+                revision: packet.revision,
+                fingerprint: packet.fingerprint,
+            };
+        }
+        if packet.revision > self.config.revision {
+            actions.push(Action::Behind {
+                daemon: sender.daemon.clone(),
+                address: sender.address.clone(),
+                revision: packet.revision,
+            });
+        }
+    }
+
+    fn answer(&mut self, packet: &Packet, now: Time, actions: &mut Vec<Action>) {
+        match &packet.kind {
+            Kind::Ping => self.pong(packet, actions),
+            Kind::Ack => {
+                self.acknowledge(packet.sequence);
+                self.pass_on(packet, actions);
+            }
+            Kind::Nack => {
+                if let Some(probe) = &mut self.probe
+                    && probe.sequence == packet.sequence
+                {
+                    probe.nacks += 1;
+                }
+            }
+            Kind::Relay { target, address } => {
+                let target = Member {
+                    daemon: target.clone(),
+                    address: address.clone(),
+                    zone: "".into(),
+                    incarnation: 0,
+                    status: Status::Alive,
+                };
+                let origin = packet.sender.address.clone();
+                self.relay(origin, packet.sequence, &target, now, actions);
+            }
+            Kind::Gossip => {}
+        }
+    }
+
+    /// Passes the answer of a relayed probe to the daemon that asked.
+    fn pass_on(&mut self, packet: &Packet, actions: &mut Vec<Action>) {
+        let Some(relayed) = self.relays.shift_remove(&packet.sequence) else {
+            return;
+        };
+        let mut forwarded = self.packet(Kind::Ack, relayed.sequence);
+        forwarded.members.push(packet.sender.clone());
+        actions.push(Action::Send {
+            address: relayed.origin,
+            packet: Box::new(forwarded),
+        });
+    }
+
+    /// Answers a ping, and tells the sender if it is held for suspect or dead, so that it refutes.
+    fn pong(&mut self, packet: &Packet, actions: &mut Vec<Action>) {
+        let sender = &packet.sender;
+        let known = self.peers.get(&sender.daemon).map(|p| p.member.clone());
+        let mut answer = self.packet(Kind::Ack, packet.sequence);
+        answer
+            .members
+            .extend(known.filter(|m| m.status > sender.status));
+        self.fill(&mut answer);
+        actions.push(Action::Send {
+            address: sender.address.clone(),
+            packet: Box::new(answer),
+        });
+    }
+
+    pub(super) fn send(
+        &mut self,
+        to: &Member,
+        kind: Kind,
+        sequence: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut packet = self.packet(kind, sequence);
+        let known = self.peers.get(&to.daemon).map(|p| &p.member);
+        // A suspect learns of it first, so that it can refute.
+        packet
+            .members
+            .extend(known.filter(|m| m.status == Status::Suspect).cloned());
+        self.fill(&mut packet);
+        actions.push(Action::Send {
+            address: to.address.clone(),
+            packet: Box::new(packet),
+        });
+    }
+}
--- /dev/null
+++ b/src/member/tests/endpoint.rs
@@ -0,0 +1,128 @@
+//! The list of endpoints under a lagging roster and reports of daemons.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::id;
+use crate::member::endpoint::{Effect, FAILURES, LEAVING, List, Regions, UNREACHABLE};
+use crate::member::{Evidence, Mark};
+use crate::platform::{Role, Vm};
+
+const SECOND: Time = Duration::from_secs(1);
+
+fn vm(id: &str, address: &str) -> Vm {
+    Vm {
+        id: id.into(),
+        role: Role::Endpoint,
+        address: address.into(),
+        zone: "split-a".into(),
+        pool: Some("kalendar".into()),
+        leaving: false,
+    }
+}
+
+fn list() -> List {
+    let mut regions = Regions::new();
+    regions.insert("split-a".into(), "primorje".into());
+    let mut list = List::new(regions);
+    list.roster(&[vm("e1", "a:1"), vm("e2", "a:2")], SECOND);
+    list
+}
+
+fn mark(endpoint: &str, evidence: Evidence, reporter: &str) -> Mark {
+    Mark {
+        endpoint: endpoint.into(),
+        evidence,
+        reporter: reporter.into(),
+        sequence: 1,
+    }
+}
+
+fn usable(list: &List, now: Time) -> Vec<id::Endpoint> {
+    list.candidates(now)
+        .into_iter()
+        .filter(|c| !c.leaving)
+        .map(|c| c.endpoint)
+        .collect()
+}
+
+#[test]
+fn leaving_mark_holds_while_roster_lags() {
+    let mut list = list();
+    let leaving = mark("e1", Evidence::Leaving, "d1");
+    assert_eq!(list.mark(&leaving, SECOND), Effect::Stopped);
+    assert_eq!(list.mark(&leaving, SECOND), Effect::Same);
+    list.roster(&[vm("e1", "a:1"), vm("e2", "a:2")], 60 * SECOND);
+    assert_eq!(usable(&list, 60 * SECOND), ["e2".into()]);
+    assert_eq!(
+        usable(&list, SECOND + LEAVING).len(),
+        2,
+        "a wrong mark lapses"
+    );
+}
+
+#[test]
+fn roster_mark_stops_new_work() {
+    let mut list = list();
+    let mut leaving = vm("e1", "a:1");
+    leaving.leaving = true;
+    list.roster(&[leaving, vm("e2", "a:2")], 2 * SECOND);
+    assert_eq!(usable(&list, 2 * SECOND), ["e2".into()]);
+}
+
+#[test]
+fn address_used_again_is_a_new_endpoint() {
+    let mut list = list();
+    list.mark(&mark("e1", Evidence::Leaving, "d1"), SECOND);
+    list.roster(&[vm("e9", "a:1"), vm("e2", "a:2")], 2 * SECOND);
+    let mut now = usable(&list, 2 * SECOND);
+    now.sort();
+    assert_eq!(now, ["e2".into(), "e9".into()]);
+    assert_eq!(list.at("a:1"), Some("e9".into()));
+}
+
+#[test]
+fn two_vms_at_one_address_use_the_newer() {
+    let mut list = list();
+    list.roster(&[vm("e1", "a:1"), vm("e9", "a:1")], 2 * SECOND);
+    assert_eq!(usable(&list, 2 * SECOND), ["e9".into()]);
+    list.roster(&[vm("e9", "a:1"), vm("e1", "a:1")], 3 * SECOND);
+    assert_eq!(usable(&list, 3 * SECOND), ["e9".into()]);
+}
+
+#[test]
+fn one_reporter_of_failures_stops_nothing() {
+    let mut list = list();
+    let report = |reporter| mark("e1", Evidence::Unreachable, reporter);
+    assert_eq!(list.mark(&report("d1"), SECOND), Effect::Same);
+    assert_eq!(list.mark(&report("d1"), SECOND), Effect::Same);
+    assert_eq!(list.mark(&report("d2"), SECOND), Effect::Stopped);
+    assert_eq!(usable(&list, SECOND), ["e2".into()]);
+    assert_eq!(usable(&list, SECOND + UNREACHABLE).len(), 2);
+}
+
+#[test]
+fn failures_in_a_row_are_reported() {
+    let mut list = list();
+    for _ in 1..FAILURES {
+        assert!(!list.connection("e1", false));
+    }
+    assert!(list.connection("e1", false));
+    assert!(!list.connection("e1", true));
+    assert!(!list.connection("e1", false), "counting starts again");
+}
+
+#[test]
+fn mark_before_listing_holds() {
+    let mut list = list();
+    list.mark(&mark("e3", Evidence::Leaving, "d1"), SECOND);
+    list.roster(&[vm("e3", "a:3")], 2 * SECOND);
+    assert!(usable(&list, 2 * SECOND).is_empty());
+}
+
+#[test]
+fn endpoint_off_the_roster_is_no_candidate() {
+    let mut list = list();
+    list.roster(&[vm("e2", "a:2")], 2 * SECOND);
+    assert_eq!(list.candidates(2 * SECOND).len(), 1);
+}
