Run configuration and membership behind one control plane

Cause: the folds and the probes had no threads. Change: Control with its builder: the tail of the stream with backoff, gossip over UDP, pulls from peers, the list of endpoints with the fleet's marks, checkpoints and expiries by rank, an append budget.

--- a/src/config/duty.rs
+++ b/src/config/duty.rs
@@ -9,11 +9,12 @@
 
 use super::fold::Fold;
 use super::record::{Body, Error, Expire, Record, Scope, VERSION};
-use crate::clock::Time;
 use crate::id;
 
 /// Share of the retention after which a checkpoint is written again.
 const CHECKPOINT_SHARE: u32 = 4;
+/// How long a daemon that saw no checkpoint waits before it writes one.
+const FIRST: Duration = Duration::from_secs(60);
 /// How much longer each rank waits before it writes in the place of those before it.
 pub const RANK_DELAY: Duration = Duration::from_secs(3);
 /// The longest that a rank waits.
@@ -36,9 +37,13 @@
     RANK_DELAY.saturating_mul(rank).min(MAX_DELAY)
 }
 
-/// Says when the next checkpoint is due for the first rank.
-pub fn checkpoint_due(last: Option<Time>, started: Time, retention: Duration) -> Time {
-    last.unwrap_or(started) + retention / CHECKPOINT_SHARE
+/// Says when the next checkpoint is due for the first rank, in milliseconds of the wall clock.
+pub fn checkpoint_due(written_ms: Option<u64>, started_ms: u64, retention: Duration) -> u64 {
+    let (from, wait) = match written_ms {
+        Some(at) => (at, retention / CHECKPOINT_SHARE),
+        None => (started_ms, FIRST),
+    };
+    from.saturating_add(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX))
 }
 
 /// Makes the record of a checkpoint.
@@ -46,12 +51,14 @@
 /// # Errors
 ///
 /// Fails when the state cannot be encoded.
-pub fn checkpoint(fold: &Fold, attempt: String, me: &str) -> Result<Record, Error> {
+pub fn checkpoint(fold: &Fold, attempt: String, now_ms: u64, me: &str) -> Result<Record, Error> {
+    let mut checkpoint = fold.checkpoint()?;
+    checkpoint.written_ms = now_ms;
     Ok(Record {
         version: VERSION,
         attempt,
         author: me.into(),
-        body: Body::Checkpoint(fold.checkpoint()?),
+        body: Body::Checkpoint(checkpoint),
     })
 }
 
--- a/src/config/fold.rs
+++ b/src/config/fold.rs
@@ -57,7 +57,12 @@
             verdict: Verdict,
         },
         /// A checkpoint that agrees with this fold.
-        Checkpointed(id::Revision),
+        Checkpointed {
+            /// Its revision.
+            revision: id::Revision,
+            /// When it was written, by the wall clock of the writer.
+            written_ms: u64,
+        },
         /// A checkpoint that cannot be compared: it is too old or malformed.
         Ignored,
         /// A checkpoint whose accepted changes differ from those of this fold.
--- a/src/config/fold/state.rs
+++ b/src/config/fold/state.rs
@@ -54,7 +54,11 @@
             history: self.history.iter().cloned().collect(),
         };
         let digest = record::digest(&state)?;
-        Ok(Checkpoint { state, digest })
+        Ok(Checkpoint {
+            state,
+            digest,
+            written_ms: 0,
+        })
     }
 
     /// Makes the fold that a verified checkpoint describes.
@@ -120,9 +124,10 @@
         let known = self.chains.iter().rev().find(|c| c.0 == state.revision);
         let is_old = self.chains.front().is_some_and(|c| state.revision < c.0);
         match known {
-            Some((_, chain)) if parse_chain(&state.chain) == Some(*chain) => {
-                Step::Checkpointed(state.revision)
-            }
+            Some((_, chain)) if parse_chain(&state.chain) == Some(*chain) => Step::Checkpointed {
+                revision: state.revision,
+                written_ms: checkpoint.written_ms,
+            },
             None if is_old => Step::Ignored,
             _ => Step::Diverged(state.revision),
         }
--- a/src/config/tail.rs
+++ b/src/config/tail.rs
@@ -30,7 +30,7 @@
     fold: Fold,
     mode: Mode,
     read: Option<Time>,
-    checkpointed: Option<Time>,
+    checkpointed: Option<u64>,
     diverged: Option<id::Revision>,
     is_regressed: bool,
 }
@@ -66,8 +66,8 @@
         matches!(self.mode, Mode::Scan { .. })
     }
 
-    /// When a checkpoint was last seen in the stream.
-    pub fn checkpointed(&self) -> Option<Time> {
+    /// When the last checkpoint in the stream was written, in milliseconds of the wall clock.
+    pub fn checkpointed(&self) -> Option<u64> {
         self.checkpointed
     }
 
@@ -103,13 +103,13 @@
             };
         }
         if self.is_lost() {
-            self.scan(page, now);
+            self.scan(page);
             return Vec::new();
         }
         let steps: Vec<Step> = page
             .records
             .iter()
-            .map(|record| self.follow(record, now))
+            .map(|record| self.follow(record))
             .collect();
         if self.fold.next() >= page.end {
             self.read = Some(now);
@@ -117,10 +117,10 @@
         steps
     }
 
-    fn follow(&mut self, record: &platform::Record, now: Time) -> Step {
+    fn follow(&mut self, record: &platform::Record) -> Step {
         let step = self.fold.apply(record);
         match &step {
-            Step::Checkpointed(_) => self.checkpointed = Some(now),
+            Step::Checkpointed { written_ms, .. } => self.checkpointed = Some(*written_ms),
             Step::Diverged(revision) => self.diverged = Some(*revision),
             _ => {}
         }
@@ -128,7 +128,7 @@
     }
 
     /// Remembers the newest checkpoint after which no record is missing, and takes it at the end.
-    fn scan(&mut self, page: &platform::Page, now: Time) {
+    fn scan(&mut self, page: &platform::Page) {
         let Mode::Scan { from, best } = &mut self.mode else {
             return;
         };
@@ -149,7 +149,7 @@
         if let Some(checkpoint) = taken
             && self.adopt(&checkpoint).is_ok()
         {
-            self.checkpointed = Some(now);
+            self.checkpointed = Some(checkpoint.written_ms);
         }
     }
 
--- a/src/config/tests/fold.rs
+++ b/src/config/tests/fold.rs
@@ -276,7 +276,10 @@
     let in_stream = record("c", Body::Checkpoint(foreign));
     assert_eq!(apply(&mut ours, &in_stream), Step::Diverged(1));
     let own = record("d", Body::Checkpoint(ours.checkpoint().unwrap()));
-    assert_eq!(apply(&mut ours, &own), Step::Checkpointed(1));
+    assert!(matches!(
+        apply(&mut ours, &own),
+        Step::Checkpointed { revision: 1, .. }
+    ));
 }
 
 #[test]
--- a/src/config/tests/schedule.rs
+++ b/src/config/tests/schedule.rs
@@ -99,7 +99,7 @@
         return;
     }
     let at = format!("checkpoint-{}", stream.end());
-    stream.append(&duty::checkpoint(tail.fold(), at, "d").unwrap());
+    stream.append(&duty::checkpoint(tail.fold(), at, 0, "d").unwrap());
 }
 
 /// Trims as a log does whose retention is longer than the period of checkpoints.
@@ -171,7 +171,7 @@
     let mut stream = stream_of(4, 30);
     let mut writer = Tail::new();
     writer.absorb(&stream.page(0, 10), SECOND);
-    let early = duty::checkpoint(writer.fold(), "early".into(), "d").unwrap();
+    let early = duty::checkpoint(writer.fold(), "early".into(), 0, "d").unwrap();
     stream.append(&early);
     stream.trim(15);
     let mut new = Tail::new();
@@ -183,7 +183,7 @@
     let mut reader = Tail::new();
     reader.absorb(&stream_of(4, 30).page(0, 30), SECOND);
     catch_up(&mut reader, &stream);
-    stream.append(&duty::checkpoint(reader.fold(), "late".into(), "d").unwrap());
+    stream.append(&duty::checkpoint(reader.fold(), "late".into(), 0, "d").unwrap());
     catch_up(&mut new, &stream);
     assert!(!new.is_lost());
     assert_eq!(new.fold().revision(), reader.fold().revision());
@@ -273,3 +273,13 @@
         "the second expiry changes nothing"
     );
 }
+
+#[test]
+fn checkpoint_is_due_by_the_time_it_was_written() {
+    let retention = Duration::from_secs(400);
+    assert_eq!(
+        duty::checkpoint_due(Some(1_000), 500_000, retention),
+        101_000
+    );
+    assert_eq!(duty::checkpoint_due(None, 500_000, retention), 560_000);
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,1 +1,348 @@
 //! The control plane of one daemon: threads around configuration, membership, leases and orders.
+//!
+//! Nothing here stands in the way of a request: the log and the platform's list are read by
+//! threads of their own, and what the others see is a snapshot.
+//! See [the design note](../docs/design/config.md).
+
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::{ResultExt, Snafu};
+
+use crate::clock::{Clock, System};
+use crate::config::record::{Change, Entry, Record};
+use crate::config::{View, edit};
+use crate::member::{Evidence, Status};
+use crate::policy::{Candidate, Observation};
+use crate::settings::Settings;
+use crate::timeline::Recorder;
+use crate::{id, peer, platform};
+
+pub mod budget;
+mod duty;
+mod gossip;
+mod handler;
+mod roster;
+mod shared;
+mod tail;
+
+use shared::Shared;
+
+/// The longest that one append may take.
+pub const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often a wait for other daemons is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Why control does not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// Something that it needs was not given.
+    #[snafu(display("start control: no {what} was given"))]
+    Missing {
+        /// What is missing.
+        what: &'static str,
+    },
+    /// The port for other daemons cannot be opened.
+    #[snafu(display("{step} at {peer}: {source}"))]
+    Port {
+        /// What was being done.
+        step: &'static str,
+        /// The address.
+        peer: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// What control is made of.
+#[derive(Clone, Default)]
+pub struct Options {
+    settings: Option<Arc<Settings>>,
+    log: Option<Arc<dyn platform::Log>>,
+    roster: Option<Arc<dyn platform::Roster>>,
+    link: Option<Arc<dyn peer::Link>>,
+    recorder: Option<Arc<Recorder>>,
+    clock: Option<Arc<dyn Clock>>,
+    seed: u64,
+}
+
+impl Options {
+    /// Starts with nothing given.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Gives the settings of the daemon.
+    #[must_use]
+    pub fn settings(mut self, settings: Arc<Settings>) -> Self {
+        self.settings = Some(settings);
+        self
+    }
+
+    /// Gives the log service.
+    #[must_use]
+    pub fn log(mut self, log: Arc<dyn platform::Log>) -> Self {
+        self.log = Some(log);
+        self
+    }
+
+    /// Gives the platform's list of VMs.
+    #[must_use]
+    pub fn roster(mut self, roster: Arc<dyn platform::Roster>) -> Self {
+        self.roster = Some(roster);
+        self
+    }
+
+    /// Gives the connections to other daemons; without them no state is pulled from peers.
+    #[must_use]
+    pub fn link(mut self, link: Arc<dyn peer::Link>) -> Self {
+        self.link = Some(link);
+        self
+    }
+
+    /// Gives the time line.
+    #[must_use]
+    pub fn recorder(mut self, recorder: Arc<Recorder>) -> Self {
+        self.recorder = Some(recorder);
+        self
+    }
+
+    /// Gives the clock; the system's when none is given.
+    #[must_use]
+    pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
+        self.clock = Some(clock);
+        self
+    }
+
+    /// Gives the seed of random choices.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
+
+/// Something that was not given, by name.
+fn given<T: Clone>(what: &'static str, option: Option<&T>) -> Result<T, Error> {
+    option.cloned().ok_or(Error::Missing { what })
+}
+
+value! {
+    /// A live daemon.
+    pub struct Peer {
+        /// The daemon.
+        pub daemon: id::Daemon,
+        /// Address and port for other daemons.
+        pub address: String,
+        /// Its availability zone.
+        pub zone: id::Zone,
+        /// How it stands.
+        pub status: Status,
+        /// The revision of its configuration, as last heard.
+        pub revision: id::Revision,
+    }
+
+    /// How the control plane of this daemon stands.
+    pub struct Standing {
+        /// The revision of the configuration.
+        pub revision: id::Revision,
+        /// Digest of the accepted changes; differs only between diverged daemons.
+        pub chain: id::Digest,
+        /// Whether the log was read to its end a short while ago.
+        pub is_fresh: bool,
+        /// Whether records are missing, so that a checkpoint or peer is awaited.
+        pub is_lost: bool,
+        /// Whether the log was reset.
+        pub is_regressed: bool,
+        /// The level that this daemon cannot read, if it met one.
+        pub halted: Option<u32>,
+        /// The revision at which others accepted other changes, if any.
+        pub diverged: Option<id::Revision>,
+        /// How much this daemon distrusts its judgement of others; 0 is healthy.
+        pub health: u32,
+    }
+}
+
+/// The control plane of one daemon.
+pub struct Control {
+    shared: Arc<Shared>,
+}
+
+impl Control {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when something was not given, or when the UDP port cannot be opened.
+    pub fn start(options: &Options) -> Result<Self, Error> {
+        let settings = given("settings", options.settings.as_ref())?;
+        let address = settings.daemon.peers_address.clone();
+        let socket = UdpSocket::bind(&address).context(PortSnafu {
+            step: "open the UDP port",
+            peer: &address,
+        })?;
+        socket
+            .set_read_timeout(Some(gossip::RECEIVE))
+            .context(PortSnafu {
+                step: "set up the UDP port",
+                peer: &address,
+            })?;
+        let local = socket.local_addr().context(PortSnafu {
+            step: "read the UDP port",
+            peer: &address,
+        })?;
+        let parts = shared::Parts {
+            address: local.to_string(),
+            log: given("log", options.log.as_ref())?,
+            roster: given("roster", options.roster.as_ref())?,
+            recorder: given("recorder", options.recorder.as_ref())?,
+            link: options.link.clone(),
+            clock: options
+                .clock
+                .clone()
+                .unwrap_or_else(|| Arc::new(System::new())),
+            seed: options.seed,
+            settings,
+        };
+        let shared = Arc::new(Shared::new(parts));
+        let spawn = |step, run: fn(&Shared)| {
+            let shared = Arc::clone(&shared);
+            std::thread::Builder::new()
+                .name(step)
+                .spawn(move || run(&shared))
+        };
+        let threads = [
+            spawn("control-tail".into(), tail::run),
+            spawn("control-roster".into(), roster::run),
+            spawn("control-duty".into(), duty::run),
+            {
+                let shared = Arc::clone(&shared);
+                std::thread::Builder::new()
+                    .name("control-gossip".into())
+                    .spawn(move || gossip::run(&shared, &socket))
+            },
+        ];
+        for thread in threads {
+            thread.context(PortSnafu {
+                step: "start a thread of control",
+                peer: &address,
+            })?;
+        }
+        Ok(Self { shared })
+    }
+
+    /// The configuration now; cheap, and never blocked by the log.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.shared.view.read())
+    }
+
+    /// The live daemons, this one included.
+    pub fn live(&self) -> Vec<Peer> {
+        self.shared.live()
+    }
+
+    /// The endpoints on the platform's list, with those that get nothing new marked.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let now = self.shared.clock.now();
+        self.shared.endpoints.lock().candidates(now)
+    }
+
+    /// Sends the list of endpoints, and those that leave, to `sender` from now on.
+    pub fn subscribe(&self, sender: flume::Sender<Observation>) {
+        drop(sender.send(Observation::Candidates(self.candidates())));
+        self.shared.subscribers.lock().push(sender);
+    }
+
+    /// The platform's list with the marks of this fleet, read from memory.
+    pub fn roster(&self) -> Arc<dyn platform::Roster> {
+        Arc::new(roster::Marked::new(Arc::clone(&self.shared)))
+    }
+
+    /// Reports what was seen of an endpoint to the whole fleet.
+    pub fn report(&self, endpoint: &id::Endpoint, evidence: Evidence) {
+        self.shared.report(endpoint, evidence);
+    }
+
+    /// Counts a connection to an endpoint, made or failed before a byte was sent.
+    pub fn connection(&self, endpoint: &id::Endpoint, is_made: bool) {
+        let is_due = self.shared.endpoints.lock().connection(endpoint, is_made);
+        if is_due {
+            self.shared.report(endpoint, Evidence::Unreachable);
+        }
+    }
+
+    /// Appends an edit and waits for its verdict.
+    pub fn edit(&self, record: Record, timeout: Duration) -> edit::Outcome {
+        self.shared.edit(record, timeout)
+    }
+
+    /// Waits until every live daemon has `revision`; returns those that do not in time.
+    pub fn await_in_force(&self, revision: id::Revision, timeout: Duration) -> Vec<id::Daemon> {
+        let deadline = self.shared.clock.now() + timeout;
+        loop {
+            self.shared.swim.lock().await_revision(revision);
+            let mut behind = self.shared.swim.lock().behind(revision);
+            if self.view().revision < revision {
+                behind.push(self.shared.me.clone());
+            }
+            if behind.is_empty() || self.shared.clock.now() >= deadline {
+                return behind;
+            }
+            if self.shared.sleep(LOOK) {
+                return behind;
+            }
+        }
+    }
+
+    /// The values in force, with author, reason and expiry.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.shared.tail.lock().fold().entries().cloned().collect()
+    }
+
+    /// Recent accepted changes, oldest first.
+    pub fn history(&self) -> Vec<Change> {
+        self.shared.tail.lock().fold().history().cloned().collect()
+    }
+
+    /// How control stands, for operators.
+    pub fn standing(&self) -> Standing {
+        let now = self.shared.clock.now();
+        let health = self.shared.swim.lock().health();
+        let tail = self.shared.tail.lock();
+        Standing {
+            revision: tail.fold().revision(),
+            chain: tail.fold().chain(),
+            is_fresh: tail.is_fresh(now),
+            is_lost: tail.is_lost(),
+            is_regressed: tail.is_regressed(),
+            halted: tail.fold().halted(),
+            diverged: tail.diverged(),
+            health,
+        }
+    }
+
+    /// Answers the configuration questions of other daemons.
+    pub fn config_handler(&self) -> Arc<dyn peer::Handler> {
+        Arc::new(handler::Config::new(Arc::clone(&self.shared)))
+    }
+
+    /// Answers the membership questions of other daemons.
+    pub fn member_handler(&self) -> Arc<dyn peer::Handler> {
+        Arc::new(handler::Member::new(Arc::clone(&self.shared)))
+    }
+
+    /// Tells the other daemons that this one is shutting down.
+    pub fn leave(&self) {
+        self.shared.leave();
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        self.shared.stop();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/control/roster.rs
@@ -0,0 +1,127 @@
+//! The thread that reads the platform's list, and the list as this fleet knows it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::handler;
+use super::shared::Shared;
+use crate::member::{Member, Status, wire};
+use crate::peer::Topic;
+use crate::platform::{self, Role, Roster, Vm};
+use crate::policy::Observation;
+
+/// The mean time between two reads of the list.
+const EVERY: Duration = Duration::from_secs(2);
+/// The longest mean wait after failed reads.
+const MAX_BACKOFF: Duration = Duration::from_secs(10);
+/// How long a peer may take to answer with what it knows.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Peers that are asked on joining.
+const JOINS: usize = 3;
+
+/// Reads the list until control stops.
+pub(super) fn run(shared: &Shared) {
+    let mut rng = ChaCha8Rng::seed_from_u64(shared.seed ^ 2);
+    let mut wait = EVERY;
+    let mut has_joined = false;
+    while !shared.is_stopped() {
+        match shared.platform.list() {
+            Ok(list) => {
+                wait = EVERY;
+                take(shared, &list);
+                has_joined = has_joined || join(shared);
+            }
+            Err(_) => wait = (wait * 2).min(MAX_BACKOFF),
+        }
+        if shared.sleep(wait.mul_f64(rng.random_range(0.75..1.25))) {
+            return;
+        }
+    }
+}
+
+fn member(vm: &Vm) -> Member {
+    Member {
+        daemon: vm.id.clone(),
+        address: vm.address.clone(),
+        zone: vm.zone.clone(),
+        incarnation: 0,
+        status: if vm.leaving {
+            Status::Leaving
+        } else {
+            Status::Alive
+        },
+    }
+}
+
+fn take(shared: &Shared, list: &[Vm]) {
+    let now = shared.clock.now();
+    let daemons: Vec<Member> = list
+        .iter()
+        .filter(|vm| vm.role == Role::Daemon)
+        .map(member)
+        .collect();
+    let actions = shared.swim.lock().roster(&daemons, now);
+    shared.act(actions);
+    let candidates = {
+        let mut endpoints = shared.endpoints.lock();
+        endpoints.roster(list, now);
+        endpoints.candidates(now)
+    };
+    *shared.listed.lock() = Some(list.to_vec());
+    shared.notify(&Observation::Candidates(candidates));
+}
+
+/// Asks a daemon for what it knows of the others and of endpoints; true when one answered.
+fn join(shared: &Shared) -> bool {
+    let Some(link) = &shared.link else {
+        return true;
+    };
+    let mut peers = shared.live();
+    peers.retain(|p| p.daemon != shared.me);
+    for peer in peers.iter().take(JOINS) {
+        let answer = link.ask(&peer.address, Topic::Member, handler::JOIN, JOIN_TIMEOUT);
+        let Some(packet) = answer.ok().and_then(|a| wire::decode(&a).ok()) else {
+            continue;
+        };
+        let now = shared.clock.now();
+        let actions = shared.swim.lock().receive(&packet, now);
+        shared.act(actions);
+        return true;
+    }
+    peers.is_empty()
+}
+
+/// The platform's list with the marks of the fleet, from memory.
+pub(super) struct Marked {
+    shared: Arc<Shared>,
+}
+
+impl Marked {
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl Roster for Marked {
+    fn list(&self) -> platform::Result<Vec<Vm>> {
+        let Some(mut list) = self.shared.listed.lock().clone() else {
+            return platform::NoEffectSnafu {
+                step: "read the list of VMs",
+                peer: "the platform",
+                reason: "it was not read yet",
+            }
+            .fail();
+        };
+        let now = self.shared.clock.now();
+        let candidates = self.shared.endpoints.lock().candidates(now);
+        for candidate in candidates.iter().filter(|c| c.leaving) {
+            for vm in list.iter_mut().filter(|vm| vm.id == candidate.endpoint) {
+                vm.leaving = true;
+            }
+        }
+        Ok(list)
+    }
+}
--- /dev/null
+++ b/src/control/shared.rs
@@ -0,0 +1,291 @@
+//! What the threads of control share.
+
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use indexmap::IndexMap;
+use parking_lot::{Mutex, RwLock};
+
+use super::budget::{Budget, Class};
+use super::{APPEND_TIMEOUT, Peer};
+use crate::clock::Clock;
+use crate::config::edit::{Action, Appended, Edit, Outcome};
+use crate::config::fold::Step;
+use crate::config::record::{self, Record, Verdict};
+use crate::config::tail::Tail;
+use crate::config::{Place, STREAM, View, setting};
+use crate::member::endpoint::{Effect, List, Regions};
+use crate::member::swim::{self, Config, Swim};
+use crate::member::{Evidence, Mark, Member, Status};
+use crate::policy::Observation;
+use crate::settings::Settings;
+use crate::timeline::{Kind, Recorder};
+use crate::{id, peer, platform};
+
+/// What control is given.
+pub(super) struct Parts {
+    pub settings: Arc<Settings>,
+    pub log: Arc<dyn platform::Log>,
+    pub roster: Arc<dyn platform::Roster>,
+    pub link: Option<Arc<dyn peer::Link>>,
+    pub recorder: Arc<Recorder>,
+    pub clock: Arc<dyn Clock>,
+    pub seed: u64,
+    /// Address and port that the socket has.
+    pub address: String,
+}
+
+/// The state of control, each part behind its own lock; no two locks are held at once.
+pub(super) struct Shared {
+    pub me: id::Daemon,
+    pub settings: Arc<Settings>,
+    pub log: Arc<dyn platform::Log>,
+    pub platform: Arc<dyn platform::Roster>,
+    pub link: Option<Arc<dyn peer::Link>>,
+    pub recorder: Arc<Recorder>,
+    pub clock: Arc<dyn Clock>,
+    pub seed: u64,
+    pub started_ms: u64,
+    pub tail: Mutex<Tail>,
+    pub view: RwLock<Arc<View>>,
+    pub swim: Mutex<Swim>,
+    pub endpoints: Mutex<List>,
+    pub listed: Mutex<Option<Vec<platform::Vm>>>,
+    pub subscribers: Mutex<Vec<flume::Sender<Observation>>>,
+    pub budget: Budget,
+    pub ahead: flume::Receiver<String>,
+    ahead_sender: flume::Sender<String>,
+    pub outbox: flume::Receiver<Vec<swim::Action>>,
+    outbox_sender: flume::Sender<Vec<swim::Action>>,
+    waiters: Mutex<IndexMap<String, flume::Sender<Verdict>>>,
+    stopped: flume::Receiver<()>,
+    stop: Mutex<Option<flume::Sender<()>>>,
+}
+
+fn regions(settings: &Settings) -> Regions {
+    settings
+        .zones
+        .iter()
+        .map(|z| (z.name.as_str().into(), z.region.as_str().into()))
+        .collect()
+}
+
+fn wall_ms(clock: &dyn Clock) -> u64 {
+    let wall = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Shared {
+    /// Milliseconds since the Unix epoch.
+    pub fn wall_ms(&self) -> u64 {
+        wall_ms(self.clock.as_ref())
+    }
+
+    pub fn new(parts: Parts) -> Self {
+        let daemon = &parts.settings.daemon;
+        let me: id::Daemon = daemon.name.as_str().into();
+        let member = Member {
+            daemon: me.clone(),
+            address: parts.address,
+            zone: daemon.availability_zone.as_str().into(),
+            incarnation: 0,
+            status: Status::Alive,
+        };
+        let (stop, stopped) = flume::bounded(0);
+        let (ahead_sender, ahead) = flume::bounded(1);
+        let (outbox_sender, outbox) = flume::unbounded();
+        Self {
+            endpoints: Mutex::new(List::new(regions(&parts.settings))),
+            swim: Mutex::new(Swim::new(member, parts.seed)),
+            started_ms: wall_ms(parts.clock.as_ref()),
+            me,
+            settings: parts.settings,
+            log: parts.log,
+            platform: parts.roster,
+            link: parts.link,
+            recorder: parts.recorder,
+            clock: parts.clock,
+            seed: parts.seed,
+            tail: Mutex::new(Tail::new()),
+            view: RwLock::new(Arc::new(View::default())),
+            listed: Mutex::new(None),
+            subscribers: Mutex::new(Vec::new()),
+            budget: Budget::new(),
+            ahead,
+            ahead_sender,
+            outbox,
+            outbox_sender,
+            waiters: Mutex::new(IndexMap::new()),
+            stopped,
+            stop: Mutex::new(Some(stop)),
+        }
+    }
+
+    /// Sleeps; true when control is to stop.
+    pub fn sleep(&self, time: Duration) -> bool {
+        let woken = self.stopped.recv_timeout(time);
+        woken != Err(flume::RecvTimeoutError::Timeout)
+    }
+
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.is_disconnected()
+    }
+
+    pub fn stop(&self) {
+        drop(self.stop.lock().take());
+    }
+
+    pub fn record(&self, kind: Kind, endpoint: Option<id::Endpoint>, what: impl Into<String>) {
+        self.recorder.record(kind, None, endpoint, what);
+    }
+
+    pub fn live(&self) -> Vec<Peer> {
+        let revision = self.view.read().revision;
+        let swim = self.swim.lock();
+        let me = (swim.me(), revision);
+        let others = swim.live().map(|(m, c)| (m, c.revision));
+        std::iter::once(me)
+            .chain(others)
+            .map(|(m, revision)| Peer {
+                daemon: m.daemon.clone(),
+                address: m.address.clone(),
+                zone: m.zone.clone(),
+                status: m.status,
+                revision,
+            })
+            .collect()
+    }
+
+    /// Makes a new state of the configuration known, here and to the other daemons.
+    pub fn publish(&self) {
+        let (view, fingerprint) = {
+            let tail = self.tail.lock();
+            (tail.fold().view(), tail.fold().fingerprint())
+        };
+        let config = Config {
+            revision: view.revision,
+            fingerprint,
+        };
+        let fleet = view.count(&setting::APPEND_BUDGET, &Place::default());
+        *self.view.write() = Arc::new(view);
+        let mut swim = self.swim.lock();
+        swim.set_config(config);
+        let daemons = swim.live().count() + 1;
+        drop(swim);
+        self.budget.share(fleet, daemons);
+    }
+
+    /// Tells the tail that the daemon at `address` has a later configuration.
+    pub fn tell_ahead(&self, address: String) {
+        drop(self.ahead_sender.try_send(address));
+    }
+
+    /// Appends to the configuration stream, within the budget.
+    pub fn append(&self, class: Class, record: &Record) -> Appended {
+        let Ok(body) = record::encode(record) else {
+            return Appended::NoEffect;
+        };
+        if self.budget.take(class, self.clock.now()).is_err() {
+            return Appended::NoEffect;
+        }
+        match self.log.append(STREAM, &body, APPEND_TIMEOUT) {
+            Ok(_) => Appended::Done,
+            Err(error) => {
+                self.budget.refused(self.clock.now());
+                match error {
+                    platform::Error::NoEffect { .. } => Appended::NoEffect,
+                    platform::Error::Unknown { .. } => Appended::Unknown,
+                }
+            }
+        }
+    }
+
+    pub fn edit(&self, record: Record, timeout: Duration) -> Outcome {
+        let attempt = record.attempt.clone();
+        let now = self.clock.now();
+        let mut edit = Edit::new(record, now, now + timeout);
+        let (sender, verdicts) = flume::bounded(1);
+        self.waiters.lock().insert(attempt.clone(), sender);
+        if let Some(verdict) = self.tail.lock().fold().verdict(&attempt) {
+            edit.decided(verdict);
+        }
+        let outcome = loop {
+            match edit.poll(self.clock.now()) {
+                Action::Finish(outcome) => break outcome,
+                Action::Append => {
+                    let how = self.append(Class::Control, edit.record());
+                    edit.appended(&how, self.clock.now());
+                }
+                Action::Wait(until) => {
+                    let left = until.saturating_sub(self.clock.now());
+                    if let Ok(verdict) = verdicts.recv_timeout(left) {
+                        edit.decided(&verdict);
+                    }
+                }
+            }
+        };
+        self.waiters.lock().shift_remove(&attempt);
+        outcome
+    }
+
+    /// Takes in what the fold did: answers who waits, and records what operators should see.
+    pub fn folded(&self, steps: &[Step]) {
+        for step in steps {
+            match step {
+                Step::Decided { attempt, verdict } => {
+                    let attempt = attempt.as_deref().unwrap_or("none");
+                    self.decided(attempt, verdict);
+                    self.record(Kind::Config, None, format!("{attempt}: {verdict:?}"));
+                }
+                Step::Repeated { attempt, verdict } => self.decided(attempt, verdict),
+                Step::Diverged(revision) => {
+                    let what = format!("a checkpoint differs at revision {revision}");
+                    self.record(Kind::Config, None, what);
+                }
+                Step::Halted(level) => {
+                    self.record(Kind::Config, None, format!("halted before level {level}"));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn decided(&self, attempt: &str, verdict: &Verdict) {
+        if let Some(waiter) = self.waiters.lock().get(attempt) {
+            drop(waiter.try_send(verdict.clone()));
+        }
+    }
+
+    pub fn report(&self, endpoint: &id::Endpoint, evidence: Evidence) {
+        let mark = self.swim.lock().mark(endpoint.clone(), evidence);
+        self.marked(&mark);
+    }
+
+    /// Takes in a report of this daemon or another.
+    pub fn marked(&self, mark: &Mark) {
+        let now = self.clock.now();
+        let effect = self.endpoints.lock().mark(mark, now);
+        if effect == Effect::Stopped {
+            let what = format!("{:?} by {}", mark.evidence, mark.reporter);
+            self.record(Kind::Member, Some(mark.endpoint.clone()), what);
+            self.notify(&Observation::Leaving(mark.endpoint.clone()));
+        }
+    }
+
+    pub fn notify(&self, observation: &Observation) {
+        self.subscribers
+            .lock()
+            .retain(|s| s.send(observation.clone()).is_ok());
+    }
+
+    /// Hands actions to the thread that has the socket.
+    pub fn act(&self, actions: Vec<swim::Action>) {
+        drop(self.outbox_sender.send(actions));
+    }
+
+    pub fn leave(&self) {
+        let actions = self.swim.lock().leave();
+        self.act(actions);
+        self.record(Kind::Member, None, "leaving");
+    }
+}
--- /dev/null
+++ b/src/control/tests.rs
@@ -0,0 +1,296 @@
+//! Control planes of several daemons in one process, over loopback.
+//!
+//! They wait on conditions; none says how long anything takes.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+
+use super::budget::{Budget, Class};
+use super::{Control, Error, Options};
+use crate::clock::{Clock, System};
+use crate::config::edit::{self, Outcome};
+use crate::config::record::{Body, Set, Value};
+use crate::config::{Place, setting};
+use crate::member::{Evidence, Status};
+use crate::peer::{self, Handler, Link, Topic};
+use crate::platform::memory::{Faults, Log, Roster};
+use crate::platform::{Role, Vm};
+use crate::timeline::Recorder;
+use crate::{endpoint, id, pipeline, settings};
+
+const PATIENCE: Duration = Duration::from_secs(60);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn until(what: &str, mut is_met: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !is_met() {
+        assert!(start.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Calls between the daemons of a test, without connections.
+#[derive(Default)]
+struct Wire {
+    handlers: Mutex<IndexMap<(String, Topic), Arc<dyn Handler>>>,
+}
+
+impl Link for Wire {
+    fn ask(&self, address: &str, topic: Topic, body: &[u8], _: Duration) -> peer::Result<Vec<u8>> {
+        let handler = self
+            .handlers
+            .lock()
+            .get(&(address.to_owned(), topic))
+            .cloned();
+        let failure = |reason: String| peer::Error::NotSent {
+            step: "ask",
+            peer: address.into(),
+            reason,
+        };
+        let handler = handler.ok_or_else(|| failure("nobody listens".into()))?;
+        handler.handle(&"test".into(), body).map_err(failure)
+    }
+
+    fn forward(
+        &self,
+        _: &str,
+        _: &str,
+        _: &endpoint::Call,
+        _: endpoint::Sink<'_>,
+    ) -> endpoint::Result<endpoint::Answer> {
+        unreachable!("control forwards no calls")
+    }
+
+    fn remainder(
+        &self,
+        _: &str,
+        _: &pipeline::Remainder,
+        _: endpoint::Sink<'_>,
+    ) -> peer::Result<pipeline::Remote> {
+        unreachable!("control moves no requests")
+    }
+}
+
+struct Site {
+    clock: Arc<dyn Clock>,
+    log: Arc<Log>,
+    roster: Arc<Roster>,
+    wire: Arc<Wire>,
+    vms: Vec<Vm>,
+}
+
+impl Site {
+    fn new() -> Self {
+        let clock: Arc<dyn Clock> = Arc::new(System::new());
+        let vms = vec![Vm {
+            id: "e1".into(),
+            role: Role::Endpoint,
+            address: "127.0.0.1:9".into(),
+            zone: "tallinn-a".into(),
+            pool: Some("orders".into()),
+            leaving: false,
+        }];
+        Self {
+            log: Arc::new(Log::new(clock.clone(), 1).blocking()),
+            roster: Arc::new(Roster::new(clock.clone(), Duration::ZERO)),
+            wire: Arc::new(Wire::default()),
+            clock,
+            vms,
+        }
+    }
+
+    fn start(&mut self, name: &str) -> Control {
+        let text = include_str!("../../samples/poldmaa.toml");
+        let mut settings = settings::parse("sample", text, &[]).unwrap();
+        settings.daemon.name = name.into();
+        settings.daemon.availability_zone = "tallinn-a".into();
+        settings.daemon.peers_address = "127.0.0.1:0".into();
+        let options = Options::new()
+            .settings(Arc::new(settings))
+            .log(self.log.clone())
+            .roster(self.roster.clone())
+            .link(self.wire.clone())
+            .recorder(Arc::new(Recorder::new(name.into(), self.clock.clone())))
+            .clock(self.clock.clone())
+            .seed(7);
+        let control = Control::start(&options).unwrap();
+        self.enlist(&control, name);
+        control
+    }
+
+    fn enlist(&mut self, control: &Control, name: &str) {
+        let address = control.live()[0].address.clone();
+        let mut handlers = self.wire.handlers.lock();
+        handlers.insert((address.clone(), Topic::Config), control.config_handler());
+        handlers.insert((address.clone(), Topic::Member), control.member_handler());
+        self.vms.push(Vm {
+            id: name.into(),
+            role: Role::Daemon,
+            address,
+            zone: "tallinn-a".into(),
+            pool: None,
+            leaving: false,
+        });
+        self.roster.set(self.vms.clone());
+    }
+}
+
+fn bound(value: u64, base: id::Revision) -> Body {
+    Body::Set(Set {
+        setting: "queue-bound".into(),
+        scope: None,
+        value: Value::Count(value),
+        base,
+        reason: "dawn".into(),
+        expires_ms: None,
+    })
+}
+
+fn queue_bound(control: &Control) -> u64 {
+    control
+        .view()
+        .count(&setting::QUEUE_BOUND, &Place::default())
+}
+
+#[test]
+fn edit_is_in_force_everywhere() {
+    let mut site = Site::new();
+    let fleet: Vec<Control> = ["a", "b", "c"].iter().map(|n| site.start(n)).collect();
+    until("all see all", || fleet.iter().all(|c| c.live().len() == 3));
+    let outcome = fleet[0].edit(edit::record("meelis", bound(77, 0)), PATIENCE);
+    assert_eq!(outcome, Outcome::Accepted(1));
+    assert!(fleet[0].await_in_force(1, PATIENCE).is_empty());
+    assert!(fleet.iter().all(|c| queue_bound(c) == 77));
+    let stale = fleet[1].edit(edit::record("ana", bound(5, 0)), PATIENCE);
+    assert!(matches!(stale, Outcome::Refused(_)));
+    assert_eq!(fleet[2].history().len(), 1);
+    assert!(fleet[2].standing().is_fresh);
+}
+
+#[test]
+fn lost_answers_are_read_back() {
+    let mut site = Site::new();
+    let control = site.start("a");
+    site.log.set(Faults {
+        lost_after: 1.0,
+        ..Faults::default()
+    });
+    let outcome = control.edit(edit::record("meelis", bound(9, 0)), PATIENCE);
+    assert_eq!(outcome, Outcome::Accepted(1));
+}
+
+#[test]
+fn new_daemon_in_outage_gets_state_from_peers() {
+    let mut site = Site::new();
+    let old = site.start("a");
+    old.edit(edit::record("meelis", bound(77, 0)), PATIENCE);
+    site.log.set(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    let new = site.start("b");
+    until("the new daemon has the state", || queue_bound(&new) == 77);
+    assert!(!new.standing().is_fresh, "it has not read the log itself");
+    let refused = new.edit(edit::record("ana", bound(5, 1)), SECOND);
+    assert_eq!(refused, Outcome::NotWritten);
+    assert_eq!(queue_bound(&new), 77);
+    site.log.set(Faults::default());
+    until("it is fresh", || new.standing().is_fresh);
+    assert_eq!(new.view().revision, 1);
+}
+
+#[test]
+fn report_of_endpoint_reaches_others() {
+    let mut site = Site::new();
+    let (a, b) = (site.start("a"), site.start("b"));
+    let (sender, observations) = flume::unbounded();
+    b.subscribe(sender);
+    until("both see both", || {
+        a.live().len() == 2 && b.live().len() == 2
+    });
+    until("both list the endpoint", || {
+        a.candidates().len() == 1 && b.candidates().len() == 1
+    });
+    a.report(&"e1".into(), Evidence::Leaving);
+    until("b stops", || b.candidates()[0].leaving);
+    assert!(b.roster().list().unwrap().iter().any(|vm| vm.leaving));
+    let leaving = crate::policy::Observation::Leaving("e1".into());
+    until("b's subscribers know", || {
+        observations.try_iter().any(|o| o == leaving)
+    });
+}
+
+#[test]
+fn joining_daemon_learns_of_marks() {
+    let mut site = Site::new();
+    let a = site.start("a");
+    until("a lists the endpoint", || a.candidates().len() == 1);
+    a.report(&"e1".into(), Evidence::Leaving);
+    let c = site.start("c");
+    until("c knows", || c.candidates().iter().any(|e| e.leaving));
+}
+
+#[test]
+fn leaving_daemon_is_told_to_others() {
+    let mut site = Site::new();
+    let (a, b) = (site.start("a"), site.start("b"));
+    until("both see both", || {
+        a.live().len() == 2 && b.live().len() == 2
+    });
+    a.leave();
+    until("b knows", || b.live().len() == 1);
+    assert_eq!(a.live()[0].status, Status::Leaving);
+}
+
+#[test]
+fn connection_failures_are_reported() {
+    let mut site = Site::new();
+    let (a, b) = (site.start("a"), site.start("b"));
+    until("both see both", || {
+        a.live().len() == 2 && b.live().len() == 2
+    });
+    until("both list the endpoint", || {
+        a.candidates().len() == 1 && b.candidates().len() == 1
+    });
+    until("two reporters stop it", || {
+        a.connection(&"e1".into(), false);
+        b.connection(&"e1".into(), false);
+        a.candidates()[0].leaving && b.candidates()[0].leaving
+    });
+}
+
+#[test]
+fn missing_parts_are_named() {
+    let error = Control::start(&Options::new()).err().unwrap();
+    assert!(matches!(error, Error::Missing { what: "settings" }));
+}
+
+#[test]
+fn budget_keeps_reserve_for_claims() {
+    let budget = Budget::new();
+    let count = |class| {
+        (0..100)
+            .filter(|_| budget.take(class, Duration::ZERO).is_ok())
+            .count()
+    };
+    assert_eq!(count(Class::Rest), 4);
+    assert_eq!(count(Class::Control), 3);
+    assert_eq!(count(Class::Claim), 3);
+    assert!(budget.take(Class::Claim, Duration::ZERO).is_err());
+}
+
+#[test]
+fn budget_follows_share_and_refusals() {
+    let budget = Budget::new();
+    budget.share(200, 10);
+    while budget.take(Class::Claim, Duration::ZERO).is_ok() {}
+    let wait = budget.take(Class::Claim, Duration::ZERO).unwrap_err();
+    assert_eq!(wait, SECOND / 20);
+    budget.refused(Duration::ZERO);
+    let slower = budget.take(Class::Claim, Duration::ZERO).unwrap_err();
+    assert_eq!(slower, SECOND / 10);
+    assert!(budget.take(Class::Rest, 60 * SECOND).is_ok());
+}
--- a/src/member/endpoint.rs
+++ b/src/member/endpoint.rs
@@ -30,7 +30,7 @@
     vm: platform::Vm,
     listed: Option<Time>,
     first: Time,
-    leaving: Option<Time>,
+    leaving: Option<(Time, Mark)>,
     reporters: IndexMap<id::Daemon, Time>,
     failures: u32,
 }
@@ -49,7 +49,7 @@
 pub struct List {
     regions: Regions,
     entries: IndexMap<id::Endpoint, Entry>,
-    early: IndexMap<id::Endpoint, Time>,
+    early: IndexMap<id::Endpoint, (Time, Mark)>,
     updated: Option<Time>,
 }
 
@@ -83,7 +83,8 @@
         }
         self.entries
             .retain(|_, e| e.listed.is_some() || now.saturating_sub(e.first) < FORGET);
-        self.early.retain(|_, at| now.saturating_sub(*at) < LEAVING);
+        self.early
+            .retain(|_, (at, _)| now.saturating_sub(*at) < LEAVING);
     }
 
     /// Takes in a report, of this daemon or another.
@@ -91,13 +92,14 @@
         let Some(entry) = self.entries.get_mut(&mark.endpoint) else {
             // The report came before the list: it holds as soon as the endpoint is listed.
             if mark.evidence == Evidence::Leaving {
-                self.early.insert(mark.endpoint.clone(), now);
+                self.early
+                    .insert(mark.endpoint.clone(), (now, mark.clone()));
             }
             return Effect::Same;
         };
         let before = entry.is_stopped(now);
         match mark.evidence {
-            Evidence::Leaving => entry.leaving = Some(now),
+            Evidence::Leaving => entry.leaving = Some((now, mark.clone())),
             Evidence::Unreachable => {
                 entry.reporters.insert(mark.reporter.clone(), now);
             }
@@ -145,6 +147,16 @@
             .map(|e| e.vm.id.clone())
     }
 
+    /// The reports that hold, for a daemon that joins.
+    pub fn marks(&self, now: Time) -> Vec<Mark> {
+        self.entries
+            .values()
+            .filter_map(|e| e.leaving.as_ref())
+            .filter(|(at, _)| now.saturating_sub(*at) < LEAVING)
+            .map(|(_, mark)| mark.clone())
+            .collect()
+    }
+
     /// When the platform's list was last read.
     pub fn updated(&self) -> Option<Time> {
         self.updated
@@ -185,7 +197,10 @@
             .values()
             .filter(|at| holds(**at, UNREACHABLE));
         self.vm.leaving
-            || self.leaving.is_some_and(|at| holds(at, LEAVING))
+            || self
+                .leaving
+                .as_ref()
+                .is_some_and(|(at, _)| holds(*at, LEAVING))
             || reporters.count() >= REPORTERS
     }
 }
