--- a/src/control.rs
+++ b/src/control.rs
@@ -6,6 +6,7 @@
 
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use snafu::{ResultExt, Snafu};
@@ -128,6 +129,56 @@
     option.cloned().ok_or(Error::Missing { what })
 }
 
+fn open(address: &str) -> std::io::Result<UdpSocket> {
+    let socket = UdpSocket::bind(address)?;
+    socket.set_read_timeout(Some(gossip::RECEIVE))?;
+    Ok(socket)
+}
+
+fn parts(
+    options: &Options,
+    settings: Arc<Settings>,
+    socket: &UdpSocket,
+) -> Result<shared::Parts, Error> {
+    let address = socket.local_addr().context(PortSnafu {
+        step: "read the UDP port",
+        peer: &settings.daemon.peers_address,
+    })?;
+    let clock = options.clock.clone();
+    Ok(shared::Parts {
+        address: address.to_string(),
+        log: given("log", options.log.as_ref())?,
+        roster: given("roster", options.roster.as_ref())?,
+        recorder: given("recorder", options.recorder.as_ref())?,
+        link: options.link.clone(),
+        clock: clock.unwrap_or_else(|| Arc::new(System::new())),
+        seed: options.seed,
+        settings,
+    })
+}
+
+/// What a thread of control runs until it stops.
+type Run = fn(&Shared);
+
+fn spawn(shared: &Arc<Shared>, socket: UdpSocket) -> std::io::Result<()> {
+    let runs: [(&str, Run); 3] = [
+        ("control-tail", tail::run),
+        ("control-roster", roster::run),
+        ("control-duty", duty::run),
+    ];
+    for (name, run) in runs {
+        let shared = Arc::clone(shared);
+        thread::Builder::new()
+            .name(name.into())
+            .spawn(move || run(&shared))?;
+    }
+    let shared = Arc::clone(shared);
+    thread::Builder::new()
+        .name("control-gossip".into())
+        .spawn(move || gossip::run(&shared, &socket))?;
+    Ok(())
+}
+
 value! {
     /// A live daemon.
     pub struct Peer {
@@ -177,58 +228,17 @@
     /// Fails when something was not given, or when the UDP port cannot be opened.
     pub fn start(options: &Options) -> Result<Self, Error> {
         let settings = given("settings", options.settings.as_ref())?;
-        let address = settings.daemon.peers_address.clone();
-        let socket = UdpSocket::bind(&address).context(PortSnafu {
+        let peer = settings.daemon.peers_address.clone();
+        let socket = open(&peer).context(PortSnafu {
             step: "open the UDP port",
-            peer: &address,
-        })?;
-        socket
-            .set_read_timeout(Some(gossip::RECEIVE))
-            .context(PortSnafu {
-                step: "set up the UDP port",
-                peer: &address,
-            })?;
-        let local = socket.local_addr().context(PortSnafu {
-            step: "read the UDP port",
-            peer: &address,
+            peer: &peer,
         })?;
-        let parts = shared::Parts {
-            address: local.to_string(),
-            log: given("log", options.log.as_ref())?,
-            roster: given("roster", options.roster.as_ref())?,
-            recorder: given("recorder", options.recorder.as_ref())?,
-            link: options.link.clone(),
-            clock: options
-                .clock
-                .clone()
-                .unwrap_or_else(|| Arc::new(System::new())),
-            seed: options.seed,
-            settings,
-        };
+        let parts = parts(options, settings, &socket)?;
         let shared = Arc::new(Shared::new(parts));
-        let spawn = |step, run: fn(&Shared)| {
-            let shared = Arc::clone(&shared);
-            std::thread::Builder::new()
-                .name(step)
-                .spawn(move || run(&shared))
-        };
-        let threads = [
-            spawn("control-tail".into(), tail::run),
-            spawn("control-roster".into(), roster::run),
-            spawn("control-duty".into(), duty::run),
-            {
-                let shared = Arc::clone(&shared);
-                std::thread::Builder::new()
-                    .name("control-gossip".into())
-                    .spawn(move || gossip::run(&shared, &socket))
-            },
-        ];
-        for thread in threads {
-            thread.context(PortSnafu {
-                step: "start a thread of control",
-                peer: &address,
-            })?;
-        }
+        spawn(&shared, socket).context(PortSnafu {
+            step: "start a thread of control",
+            peer: &peer,
+        })?;
         Ok(Self { shared })
     }
 
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -28,7 +28,7 @@
     let start = Instant::now();
     while !is_met() {
         assert!(start.elapsed() < PATIENCE, "{what}");
-        std::thread::sleep(Duration::from_millis(10));
+        std::thread::park_timeout(Duration::from_millis(10));
     }
 }
 
