--- a/src/peer.rs
+++ b/src/peer.rs
@@ -72,6 +72,10 @@
         rest: &pipeline::Remainder,
         sink: endpoint::Sink<'_>,
     ) -> Result<pipeline::Remote>;
+    /// Ends a remainder that runs at another daemon; its call then answers `Lost`.
+    ///
+    /// A link that cannot do so lets it run to its end.
+    fn recall(&self, _request: id::Request) {}
 }
 
 /// Answers the messages of one topic at the receiving daemon.
