--- a/src/bin/cyclamenrill-standin.rs
+++ b/src/bin/cyclamenrill-standin.rs
@@ -1,3 +1,6 @@
-//! A thin program around the library.
+//! The stand-ins' program; the library does the work.
 
-fn main() {}
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    std::process::exit(cyclamenrill::standin::command::run(&arguments));
+}
--- a/src/demo/crew.rs
+++ b/src/demo/crew.rs
@@ -9,13 +9,14 @@
 
 use crate::claim::desk::Desk;
 use crate::daemon::{Daemon, Ports};
-use crate::operate::Report;
+use crate::endpoint;
 use crate::platform::{self, Role, Vm};
 use crate::policy::adaptive::Adaptive;
 use crate::route;
 use crate::settings::{self, Kind as PoolKind, Settings};
 use crate::standin::fault::{Fault, Kind};
 use crate::standin::fleet::Fleet;
+use crate::standin::link::{Crossing, Link};
 
 /// How long a daemon that shuts down may take.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(30);
@@ -47,9 +48,9 @@
 pub struct Crew {
     settings: Settings,
     fleet: Arc<Fleet>,
+    link: Arc<Link>,
     seed: u64,
     posts: Mutex<Vec<Post>>,
-    reports: Mutex<Vec<Report>>,
 }
 
 impl Crew {
@@ -58,9 +59,9 @@
         let crew = Arc::new(Self {
             settings: settings.clone(),
             fleet: fleet.clone(),
+            link: Arc::new(Link::new(fleet.commons().clock.clone())),
             seed,
             posts: Mutex::new(Vec::new()),
-            reports: Mutex::new(Vec::new()),
         });
         for (number, zone) in (1..).zip(&settings.zones) {
             let member = Member {
@@ -85,14 +86,6 @@
         self.posts.lock().iter().map(|p| p.member.clone()).collect()
     }
 
-    /// Returns what the daemons booked, those that stopped included.
-    pub fn reports(&self) -> Vec<Report> {
-        let running: Vec<Arc<Daemon>> = self.running();
-        let mut reports = self.reports.lock().clone();
-        reports.extend(running.iter().map(|d| d.report()));
-        reports
-    }
-
     fn running(&self) -> Vec<Arc<Daemon>> {
         let posts = self.posts.lock();
         posts.iter().filter_map(|p| p.daemon.clone()).collect()
@@ -118,17 +111,44 @@
             pool: None,
             leaving: false,
         };
-        let started = Daemon::start(&settings, ports(&settings, self.seed)?);
+        let started = Daemon::start(&settings, self.ports(&settings)?);
         post.daemon = Some(Arc::new(started.map_err(|e| e.to_string())?));
         self.fleet.platform.roster.change(|list| list.push(vm));
         Ok(())
     }
 
+    fn ports(&self, settings: &Settings) -> Result<Ports, String> {
+        let log = Arc::new(platform::http::Log::new(&settings.platform.log_url));
+        let daemon = settings.daemon.name.as_str().into();
+        // Scripts of users send keys of any form.
+        let desk = Desk::builder(daemon, log).accepts_undated(true);
+        let desk = desk.claims(settings.claims.clone()).start();
+        let zone = &settings.daemon.availability_zone;
+        let region = settings::plan::region_of(settings, zone).unwrap_or_default();
+        let client = Arc::new(endpoint::http::Client::default());
+        let link = self.link.clone();
+        let engine = Crossing::new(client, link, self.fleet.clone(), &*region);
+        Ok(Ports::new()
+            .engine(Arc::new(engine))
+            .desk(Arc::new(desk.map_err(|e| e.to_string())?))
+            .policy(Box::new(policy(settings, self.seed)))
+            .seed(self.seed))
+    }
+
+    /// Returns the link between the regions.
+    pub fn link(&self) -> &Link {
+        &self.link
+    }
+
     /// Brings a fault about; false if its target does not exist.
     pub fn inject(self: &Arc<Self>, fault: &Fault) -> bool {
         match fault.kind {
             Kind::DaemonPause => self.pause(fault),
             Kind::DaemonStop => self.stop(fault),
+            Kind::LinkCut => {
+                self.link.cut(fault.length());
+                true
+            }
             _ => false,
         }
     }
@@ -183,7 +203,6 @@
             }
         });
         daemon.shutdown(SHUTDOWN_TIMEOUT);
-        self.reports.lock().push(daemon.report());
         roster.change(|list| list.retain(|vm| *vm.id != *name));
     }
 
@@ -209,18 +228,6 @@
     }
 }
 
-fn ports(settings: &Settings, seed: u64) -> Result<Ports, String> {
-    let log = Arc::new(platform::http::Log::new(&settings.platform.log_url));
-    let daemon = settings.daemon.name.as_str().into();
-    let desk = Desk::builder(daemon, log).claims(settings.claims.clone());
-    let desk = desk.start().map_err(|e| e.to_string())?;
-    let policy = policy(settings, seed);
-    Ok(Ports::new()
-        .desk(Arc::new(desk))
-        .policy(Box::new(policy))
-        .seed(seed))
-}
-
 fn policy(settings: &Settings, seed: u64) -> Adaptive {
     let zone = settings.daemon.availability_zone.as_str();
     let region = settings::plan::region_of(settings, zone).unwrap_or_default();
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -61,7 +61,7 @@
     pub engine_ms: f64,
     /// Tokens generated.
     pub tokens: u64,
-    /// Bytes that crossed the regional link, by the daemons' ledgers.
+    /// Bytes of bodies and tokens that crossed the regional link.
     pub link_bytes: u64,
     /// Time on endpoints whose result nobody used, in milliseconds.
     pub wasted_ms: f64,
@@ -245,15 +245,8 @@
             cost.wasted_ms += millis;
         }
     }
-    for report in site.crew.reports() {
-        for stage in report.stages {
-            let spent = costs
-                .values_mut()
-                .find(|c| *stage.name == format!("{}/{}", c.pipeline, c.stage));
-            if let Some(cost) = spent {
-                cost.link_bytes += stage.link_bytes;
-            }
-        }
+    for cost in costs.values_mut() {
+        cost.link_bytes = site.crew.link().bytes(&cost.pipeline, &cost.stage);
     }
     costs.sort_keys();
     costs.into_values().collect()
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use parking_lot::Mutex;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -61,6 +62,11 @@
         }
     }
 
+    fn is_at(&self, address: &str) -> bool {
+        let node = self.node.as_ref();
+        node.is_some_and(|n| n.address().to_string() == address)
+    }
+
     fn is_target(&self, target: &str) -> bool {
         self.id() == target || self.name == target || self.pool.name == target
     }
@@ -72,6 +78,7 @@
     pub platform: Platform,
     commons: Commons,
     host: IpAddr,
+    regions: IndexMap<String, String>,
     places: Mutex<Vec<Place>>,
     rng: Mutex<ChaCha8Rng>,
 }
@@ -87,6 +94,7 @@
             platform: Platform::new(&commons.clock, commons.store.clone(), seed),
             commons,
             host,
+            regions: regions(deployment),
             places: Mutex::new(places(deployment, seed)),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         });
@@ -116,6 +124,13 @@
         alive.filter(|p| p.node.is_some()).map(Place::id).collect()
     }
 
+    /// Returns the region of the endpoint at an address; none if there is none.
+    pub fn region_of(&self, address: &str) -> Option<String> {
+        let places = self.places.lock();
+        let place = places.iter().find(|p| p.is_at(address))?;
+        self.regions.get(&place.zone).cloned()
+    }
+
     fn fill_all(&self) -> io::Result<()> {
         let mut places = self.places.lock();
         let mut vms = Vec::new();
@@ -276,6 +291,12 @@
     }
 }
 
+/// Returns the region of each availability zone.
+fn regions(deployment: &Deployment) -> IndexMap<String, String> {
+    let zones = deployment.settings.zones.iter();
+    zones.map(|z| (z.name.clone(), z.region.clone())).collect()
+}
+
 fn places(deployment: &Deployment, seed: u64) -> Vec<Place> {
     let mut seeds = ChaCha8Rng::seed_from_u64(seed);
     let settings = &deployment.settings;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod callers;
+mod demo;
 mod docs;
 mod rig;
 mod schema;
