Carry calls between daemons over kept connections

Messages by topic, forwarded stage calls and remainders run over capnp-rpc in one thread. Dropping a call at one side cancels it at the other; a cut fails calls in progress as lost and refuses new ones as not sent.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,7 +24,7 @@
 mod core;
 mod drive;
 mod gate;
-mod pool;
+pub(crate) mod pool;
 mod ports;
 pub mod program;
 mod watch;
--- a/src/daemon/call.rs
+++ b/src/daemon/call.rs
@@ -49,7 +49,8 @@
         drop(sender.send(Event::Token(attempt, token)));
         Ok(())
     };
-    let via = relay(core, pick, &call)?;
+    let choice = u64::from(attempt) ^ call.request.as_u64_pair().1;
+    let via = relay(core, pick, choice);
     core.gate.pass();
     // A pause may have passed since the call was decided.
     call.remaining = due.saturating_sub(core.clock.now());
@@ -65,19 +66,22 @@
 }
 
 /// Returns the daemon through which an endpoint of another region is called.
-fn relay(core: &Core, pick: &Pick, call: &Call) -> Result<Option<String>> {
-    let Some(region) = core.site.regions.get(&pick.zone) else {
-        return Ok(None);
-    };
-    if *region == core.site.region || core.link.is_none() {
-        return Ok(None);
+fn relay(core: &Core, pick: &Pick, choice: u64) -> Option<String> {
+    core.link.as_ref()?;
+    let region = core.site.regions.get(&pick.zone)?;
+    if *region == core.site.region {
+        return None;
     }
-    let choice = u64::from(call.attempt) ^ call.request.as_u64_pair().1;
-    Ok(core.peer_in(region, choice))
+    core.peer_in(region, choice)
 }
 
 /// Tells an endpoint that a call is not needed any more.
 pub fn cancel(core: &Arc<Core>, request: id::Request, pick: Pick, attempt: id::Attempt) {
+    if relay(core, &pick, 0).is_some() {
+        // The daemon that forwards it tells the endpoint.
+        recall(core, request, attempt);
+        return;
+    }
     let job = {
         let core = core.clone();
         Box::new(move || {
@@ -141,9 +145,9 @@
 }
 
 /// Tells the other daemon that the rest of a request is not needed any more.
-pub fn recall(core: &Arc<Core>, request: id::Request) {
+pub fn recall(core: &Core, request: id::Request, attempt: id::Attempt) {
     if let Some(link) = &core.link {
-        link.recall(request);
+        link.recall(request, attempt);
     }
 }
 
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -8,18 +8,19 @@
 use parking_lot::Mutex;
 
 use super::Screen;
-use super::drive::Drive;
+use super::drive::{Drive, Relay};
 use super::gate::Gate;
 use super::pool::Pool;
 use crate::clock::{Clock, Time};
-use crate::entry::{Archive, Host, Submission, Transcript};
+use crate::endpoint::{Answer, Call, Sink};
+use crate::entry::{Archive, Host, Reader, Submission, Transcript};
 use crate::ledger::Ledger;
 use crate::pipeline::run::{Run, Tally};
 use crate::pipeline::{Event, Finish, Plan, Remainder};
 use crate::policy::{Admission, Arrival, Policy, Ticket};
 use crate::quarantine::Standing;
 use crate::timeline::{Kind, Recorder};
-use crate::{claim, endpoint, id, peer};
+use crate::{claim, endpoint, id, peer, pipeline};
 
 /// When to send again to another daemon, because this one is full or stops.
 const ELSEWHERE: Duration = Duration::from_secs(1);
@@ -158,23 +159,12 @@
         near.get(index).map(|p| p.address.clone())
     }
 
-    /// Runs the rest of another daemon's request.
-    pub fn run_rest(
+    fn start(
         &self,
-        rest: &Remainder,
-        digest: id::Digest,
-    ) -> Result<Arc<Transcript>, Finish> {
-        let Some(plan) = self.plan(&rest.pipeline) else {
-            return Err(refusal("the other daemon has no such pipeline", None));
-        };
-        let now = self.clock.now();
-        let run = Run::rest(plan, rest, digest, now);
-        let transcript = Transcript::new(rest.request, rest.workspace.clone());
-        self.start(run, transcript.clone())?;
-        Ok(transcript)
-    }
-
-    fn start(&self, run: Run, transcript: Arc<Transcript>) -> Result<(), Finish> {
+        run: Run,
+        transcript: Arc<Transcript>,
+        relay: Option<Relay>,
+    ) -> Result<(), Finish> {
         let Some(core) = self.this.upgrade() else {
             return Err(refusal("the daemon stops", Some(ELSEWHERE)));
         };
@@ -184,7 +174,7 @@
             return Err(refusal("the daemon is full", Some(ELSEWHERE)));
         }
         let run = run.with_regions(self.site.regions.clone());
-        tokio::spawn(Drive::new(core, run, transcript).run());
+        tokio::spawn(Drive::new(core, run, transcript, relay).run());
         Ok(())
     }
 
@@ -228,7 +218,7 @@
         let transcript = Transcript::new(request.id, request.workspace.clone());
         self.archive.add(transcript.clone(), now);
         let run = Run::new(submission.plan, request, deadline).with_suspect(suspect);
-        self.start(run, transcript.clone())?;
+        self.start(run, transcript.clone(), None)?;
         Ok(transcript)
     }
 }
@@ -265,6 +255,33 @@
     }
 }
 
+impl peer::Host for Core {
+    fn forward(&self, address: &str, call: &Call, sink: Sink<'_>) -> endpoint::Result<Answer> {
+        self.gate.pass();
+        self.engine.call(address, call, sink)
+    }
+
+    fn cancel(&self, address: &str, request: id::Request, attempt: id::Attempt) {
+        // An endpoint that does not hear it runs the call to its end for nothing.
+        drop(self.engine.cancel(address, request, attempt));
+    }
+
+    fn remainder(&self, rest: &Remainder, relay: Relay) -> Result<Reader, Finish> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err(refusal("the daemon stops", Some(ELSEWHERE)));
+        }
+        let Some(plan) = self.plan(&rest.pipeline) else {
+            return Err(refusal("the other daemon has no such pipeline", None));
+        };
+        let digest = pipeline::digest(&rest.pipeline, &rest.body);
+        let run = Run::rest(plan, rest, digest, self.clock.now());
+        let transcript = Transcript::new(rest.request, rest.workspace.clone());
+        let reader = transcript.read(0);
+        self.start(run, transcript, Some(relay))?;
+        Ok(reader)
+    }
+}
+
 fn refusal(reason: &str, retry_after: Option<Duration>) -> Finish {
     Finish::NotRun {
         reason: reason.to_owned(),
--- a/src/daemon/drive.rs
+++ b/src/daemon/drive.rs
@@ -9,10 +9,11 @@
 use super::call;
 use super::core::Core;
 use crate::claim::Verdict;
-use crate::endpoint::Token;
+use crate::endpoint::{Token, Usage};
 use crate::entry::Transcript;
+use crate::peer::Relayed;
 use crate::pipeline::run::Run;
-use crate::pipeline::{Action, Event, Finish};
+use crate::pipeline::{Action, Event, Finish, Remote};
 use crate::timeline::Kind;
 use crate::{claim, id};
 
@@ -23,23 +24,34 @@
 /// Events that are taken in one go, so that pending tokens share one write.
 const BATCH: usize = 64;
 
+/// Where the tokens and the end of another daemon's request go.
+pub type Relay = flume::Sender<Relayed<Remote>>;
+
 /// One request in progress.
 pub struct Drive {
     core: Arc<Core>,
     run: Run,
     transcript: Arc<Transcript>,
+    /// The daemon that handed the request over, if one did.
+    relay: Option<Relay>,
     sender: flume::Sender<Event>,
     receiver: flume::Receiver<Event>,
     verdict: Option<flume::Receiver<Verdict>>,
     /// Set to end a call that runs, by attempt.
     stops: IndexMap<id::Attempt, Arc<AtomicBool>>,
     tokens: Vec<Token>,
+    spent: Usage,
     is_gone: bool,
 }
 
 impl Drive {
     /// Makes the driver of a request and registers it.
-    pub fn new(core: Arc<Core>, run: Run, transcript: Arc<Transcript>) -> Self {
+    pub fn new(
+        core: Arc<Core>,
+        run: Run,
+        transcript: Arc<Transcript>,
+        relay: Option<Relay>,
+    ) -> Self {
         let (sender, receiver) = flume::unbounded();
         let request = run.request().id;
         core.requests.lock().insert(request, sender.clone());
@@ -47,11 +59,13 @@
             core,
             run,
             transcript,
+            relay,
             sender,
             receiver,
             verdict: None,
             stops: IndexMap::new(),
             tokens: Vec::new(),
+            spent: Usage::default(),
             is_gone: false,
         }
     }
@@ -101,9 +115,14 @@
     }
 
     fn flush_tokens(&mut self) {
-        if !self.tokens.is_empty() {
-            self.transcript.push(&self.tokens);
-            self.tokens.clear();
+        if self.tokens.is_empty() {
+            return;
+        }
+        let tokens = std::mem::take(&mut self.tokens);
+        match &self.relay {
+            None => self.transcript.push(&tokens),
+            // A daemon that does not wait any more drops its reader, which is seen as well.
+            Some(relay) => drop(relay.send(Relayed::Tokens(tokens))),
         }
     }
 
@@ -114,6 +133,7 @@
         };
         let is_told = self.transcript.ended().is_some();
         let watches = !self.is_gone && !is_told;
+        let may_reconnect = self.run.request().stream && self.relay.is_none();
         tokio::select! {
             biased;
             event = self.receiver.recv_async() => event.unwrap_or(Event::Wake),
@@ -122,7 +142,7 @@
                 Event::Claimed(verdict)
             }
             () = tokio::time::sleep(wait) => Event::Wake,
-            () = gone(&self.transcript, self.run.request().stream), if watches => {
+            () = gone(&self.transcript, may_reconnect), if watches => {
                 self.is_gone = true;
                 Event::Gone
             }
@@ -152,7 +172,7 @@
             }
             Action::Recall(attempt) => {
                 self.halt(attempt);
-                call::recall(&self.core, self.run.request().id);
+                call::recall(&self.core, self.run.request().id, attempt);
             }
             Action::Token(token) => self.tokens.push(token),
             Action::Finish(finish) => self.finish(finish),
@@ -197,9 +217,22 @@
             screen.clear(&self.run.request().digest, core.clock.now());
         }
         self.record(Kind::Request, None, told(&finish));
+        self.book();
+        if let (Some(relay), Some(remote)) = (&self.relay, self.run.remote(self.spent.clone())) {
+            drop(relay.send(Relayed::End(remote)));
+        }
         self.transcript.finish(finish);
     }
 
+    fn book(&mut self) {
+        let spends = self.run.take_spends();
+        for spend in &spends {
+            self.spent.add(&spend.usage);
+        }
+        let mut ledger = self.core.ledger.lock();
+        ledger.book(self.run.plan(), self.run.request(), &spends);
+    }
+
     fn record(&self, kind: Kind, endpoint: Option<id::Endpoint>, what: String) {
         let request = Some(self.run.request().id);
         self.core.recorder.record(kind, request, endpoint, what);
@@ -208,13 +241,10 @@
 
 impl Drop for Drive {
     fn drop(&mut self) {
+        self.book();
         let core = &self.core;
         core.requests.lock().swap_remove(&self.run.request().id);
         core.counts.add(self.run.tally());
-        let spends = self.run.take_spends();
-        let mut ledger = core.ledger.lock();
-        ledger.book(self.run.plan(), self.run.request(), &spends);
-        drop(ledger);
         core.active.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -185,6 +185,16 @@
     },
 }
 
+impl Usage {
+    /// Adds what another attempt spent.
+    pub fn add(&mut self, other: &Self) {
+        self.engine_time += other.engine_time;
+        self.prefill_tokens += other.prefill_tokens;
+        self.tokens += other.tokens;
+        self.link_bytes += other.link_bytes;
+    }
+}
+
 impl Error {
     /// Says whether the stage certainly did not run.
     pub fn is_not_run(&self) -> bool {
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -9,7 +9,6 @@
 use hyper::header::{ALLOW, CACHE_CONTROL, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::de::IgnoredAny;
-use sha2::{Digest, Sha256};
 
 use super::door::Shared;
 use super::head::Head;
@@ -103,7 +102,7 @@
         workspace,
         key: head.key,
         issued: head.issued,
-        digest: digest(&plan.name, &body),
+        digest: pipeline::digest(&plan.name, &body),
         body,
         stream: head.stream,
     };
@@ -206,15 +205,6 @@
     Some(text.into())
 }
 
-/// Returns the digest of pipeline and body, by which a resend is recognised.
-fn digest(pipeline: &str, body: &str) -> id::Digest {
-    let mut hash = Sha256::new();
-    hash.update(pipeline);
-    hash.update([0]);
-    hash.update(body);
-    hex::encode(hash.finalize()).into()
-}
-
 fn too_large(id: id::Request, max: usize) -> Problem {
     let detail = format!("the body is longer than {max} bytes");
     Problem::at_door(id, StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", detail)
--- a/src/generated.rs
+++ b/src/generated.rs
@@ -69,3 +69,17 @@
     clippy::redundant_closure_for_method_calls
 )]
 pub mod settings;
+
+#[allow(
+    dead_code,
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::needless_pass_by_value,
+    clippy::redundant_closure_for_method_calls
+)]
+pub mod peer_capnp;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,10 +1,20 @@
 //! The border between daemons: calls over kept connections.
+//!
+//! See [the design note](../docs/design/peer.md).
 
 use std::time::Duration;
 
 use snafu::Snafu;
 
-use crate::{endpoint, id, pipeline};
+use crate::{endpoint, entry, id, pipeline};
+
+mod client;
+mod net;
+mod server;
+mod slot;
+mod wire;
+
+pub use net::{Net, Options};
 
 token! {
     /// What a message between daemons is about; its owner module decodes the body.
@@ -72,10 +82,10 @@
         rest: &pipeline::Remainder,
         sink: endpoint::Sink<'_>,
     ) -> Result<pipeline::Remote>;
-    /// Ends a remainder that runs at another daemon; its call then answers `Lost`.
+    /// Ends a forwarded call or a remainder that runs at another daemon; it then answers `Lost`.
     ///
     /// A link that cannot do so lets it run to its end.
-    fn recall(&self, _request: id::Request) {}
+    fn recall(&self, _request: id::Request, _attempt: id::Attempt) {}
 }
 
 /// Answers the messages of one topic at the receiving daemon.
@@ -83,3 +93,34 @@
     /// Handles a message from another daemon.
     fn handle(&self, from: &id::Daemon, body: &[u8]) -> std::result::Result<Vec<u8>, String>;
 }
+
+/// What another daemon is sent back while its request runs here.
+#[derive(Debug)]
+pub enum Relayed<T> {
+    /// Tokens, in order.
+    Tokens(Vec<endpoint::Token>),
+    /// The end.
+    End(T),
+}
+
+/// Runs here what other daemons hand over.
+pub trait Host: Send + Sync {
+    /// Runs a stage at an endpoint near this daemon; it blocks.
+    fn forward(
+        &self,
+        address: &str,
+        call: &endpoint::Call,
+        sink: endpoint::Sink<'_>,
+    ) -> endpoint::Result<endpoint::Answer>;
+    /// Tells an endpoint that a forwarded call is not needed any more; it blocks.
+    fn cancel(&self, address: &str, request: id::Request, attempt: id::Attempt);
+    /// Starts the rest of a request, which is cancelled when the reader is dropped.
+    fn remainder(
+        &self,
+        rest: &pipeline::Remainder,
+        relay: flume::Sender<Relayed<pipeline::Remote>>,
+    ) -> std::result::Result<entry::Reader, pipeline::Finish>;
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use sha2::{Digest, Sha256};
+
 use crate::{claim, endpoint, id, peer, policy};
 
 pub mod input;
@@ -182,3 +184,12 @@
         Conflict,
     }
 }
+
+/// Returns the digest of pipeline and body, by which a resend is recognised.
+pub fn digest(pipeline: &str, body: &str) -> id::Digest {
+    let mut hash = Sha256::new();
+    hash.update(pipeline);
+    hash.update([0]);
+    hash.update(body);
+    hex::encode(hash.finalize()).into()
+}
