Drain calls of other daemons before the peers' port stops

A shutdown waits for forwarded calls and remainders and sends what is queued. A request that starts while the shutdown begins is either refused or waited for.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,6 +14,7 @@
 use crate::clock::Time;
 use crate::entry::{Bounds, Door, Ring, Shared};
 use crate::operate::Report;
+use crate::peer::{self, Net};
 use crate::policy::Policy;
 use crate::quarantine::Standing;
 use crate::settings::{self, Settings};
@@ -29,11 +30,10 @@
 pub mod program;
 mod watch;
 
-pub use self::core::{Core, Counts};
 pub use drive::RECONNECT;
 pub use ports::Ports;
 
-use self::core::Site;
+use self::core::{Core, Counts, Site};
 use gate::Gate;
 use pool::Pool;
 use watch::Watch;
@@ -95,6 +95,7 @@
 pub struct Daemon {
     core: Arc<Core>,
     door: Door,
+    net: Arc<Net>,
     watch: Mutex<Watch>,
 }
 
@@ -106,7 +107,8 @@
             Arc::new(platform::http::Roster::new(url))
         });
         let seed = ports.seed;
-        let core = build(settings, ports)?;
+        let (core, net) = build(settings, ports)?;
+        net.serve(core.clone());
         let shared = Shared {
             host: core.clone(),
             keys: Ring::new(&settings.workspaces),
@@ -122,6 +124,7 @@
         Ok(Self {
             core,
             door,
+            net,
             watch: Mutex::new(watch),
         })
     }
@@ -131,9 +134,9 @@
         self.door.address()
     }
 
-    /// Returns what all requests share, for handlers of messages from other daemons.
-    pub fn core(&self) -> &Arc<Core> {
-        &self.core
+    /// Returns the connections to other daemons.
+    pub fn net(&self) -> &Arc<Net> {
+        &self.net
     }
 
     /// Returns the recorder of the time line.
@@ -178,19 +181,20 @@
         let left = || end.saturating_duration_since(Instant::now());
         let record = |what: &str| self.core.recorder.record(Kind::Daemon, None, None, what);
         record("draining");
-        self.core.draining.store(true, Ordering::Release);
+        self.core.draining.store(true, Ordering::SeqCst);
         // Until then the door answers new requests with `not-run`, and the balancer with not ready.
         let ended = self.drain(end);
-        let closed = self.door.close(left());
+        let closed = self.net.drain(left()) & self.door.close(left());
         let flushed = self.core.desk.flush(left());
         self.watch.lock().stop();
         self.door.stop();
+        self.net.stop();
         record("stopped");
         closed && ended && flushed
     }
 
     fn drain(&self, end: Instant) -> bool {
-        while self.core.active.load(Ordering::Acquire) > 0 {
+        while self.core.active.load(Ordering::SeqCst) > 0 {
             if Instant::now() >= end {
                 return false;
             }
@@ -200,7 +204,25 @@
     }
 }
 
-fn build(settings: &Settings, ports: Ports) -> Result<Arc<Core>, Error> {
+fn open_net(
+    settings: &Settings,
+    daemon: &id::Daemon,
+    recorder: &Arc<Recorder>,
+    seed: u64,
+) -> Result<Arc<Net>, Error> {
+    let peer = &settings.daemon.peers_address;
+    let options = peer::Options {
+        address: peer.clone(),
+        daemon: daemon.clone(),
+        recorder: recorder.clone(),
+        seed,
+    };
+    let step = "peers' port";
+    let net = Net::open(options).context(OpenSnafu { step, peer })?;
+    Ok(Arc::new(net))
+}
+
+fn build(settings: &Settings, ports: Ports) -> Result<(Arc<Core>, Arc<Net>), Error> {
     let site = site(settings)?;
     let clock = ports.clock_or_system();
     let engine = ports.engine.unwrap_or_else(|| {
@@ -210,6 +232,10 @@
     let recorder = ports
         .recorder
         .unwrap_or_else(|| Arc::new(Recorder::new(site.daemon.clone(), clock.clone())));
+    let net = match ports.net {
+        Some(net) => net,
+        None => open_net(settings, &site.daemon, &recorder, ports.seed)?,
+    };
     let desk = ports
         .desk
         .unwrap_or_else(|| Arc::new(claim::naive::Naive::default()));
@@ -217,12 +243,12 @@
         .policy
         .unwrap_or_else(|| Box::new(policy::naive::Naive::new(ports.seed)));
     let max_threads = site.max_requests * THREADS_PER_REQUEST;
-    Ok(Arc::new_cyclic(|this| Core {
+    let core = Arc::new_cyclic(|this| Core {
         this: this.clone(),
         site,
         engine,
         desk,
-        link: ports.link,
+        link: net.clone(),
         recorder,
         screen: ports.screen,
         policy: Mutex::new(policy),
@@ -237,7 +263,8 @@
         active: 0.into(),
         draining: false.into(),
         listed: false.into(),
-    }))
+    });
+    Ok((core, net))
 }
 
 fn site(settings: &Settings) -> Result<Site, Error> {
--- a/src/daemon/call.rs
+++ b/src/daemon/call.rs
@@ -57,9 +57,9 @@
     if call.remaining.is_zero() || stop.load(Ordering::Acquire) {
         return Err(not_sent("the time for it has passed"));
     }
-    let result = match (&core.link, via) {
-        (Some(link), Some(peer)) => link.forward(&peer, &pick.address, &call, &mut sink),
-        _ => core.engine.call(&pick.address, &call, &mut sink),
+    let result = match via {
+        Some(peer) => core.link.forward(&peer, &pick.address, &call, &mut sink),
+        None => core.engine.call(&pick.address, &call, &mut sink),
     };
     core.gate.pass();
     result
@@ -67,7 +67,6 @@
 
 /// Returns the daemon through which an endpoint of another region is called.
 fn relay(core: &Core, pick: &Pick, choice: u64) -> Option<String> {
-    core.link.as_ref()?;
     let region = core.site.regions.get(&pick.zone)?;
     if *region == core.site.region {
         return None;
@@ -102,7 +101,7 @@
 ) {
     let attempt = rest.attempt;
     let choice = rest.request.as_u64_pair().1 ^ u64::from(attempt);
-    let (Some(link), Some(address)) = (core.link.clone(), core.peer_in(region, choice)) else {
+    let Some(address) = core.peer_in(region, choice) else {
         let error = unreachable(region, "no daemon of the region is known");
         drop(sender.send(Event::Cut(attempt, error)));
         return;
@@ -110,7 +109,7 @@
     let job = {
         let (core, sender) = (core.clone(), sender.clone());
         Box::new(move || {
-            let result = hand_over(&core, &*link, &address, &rest, &sender, &stop);
+            let result = hand_over(&core, &address, &rest, &sender, &stop);
             let event = match result {
                 Ok(remote) => Event::Moved(attempt, remote),
                 Err(error) => Event::Cut(attempt, error),
@@ -126,7 +125,6 @@
 
 fn hand_over(
     core: &Core,
-    link: &dyn peer::Link,
     address: &str,
     rest: &Remainder,
     sender: &flume::Sender<Event>,
@@ -141,14 +139,12 @@
         Ok(())
     };
     core.gate.pass();
-    link.remainder(address, rest, &mut sink)
+    core.link.remainder(address, rest, &mut sink)
 }
 
 /// Tells the other daemon that the rest of a request is not needed any more.
 pub fn recall(core: &Core, request: id::Request, attempt: id::Attempt) {
-    if let Some(link) = &core.link {
-        link.recall(request, attempt);
-    }
+    core.link.recall(request, attempt);
 }
 
 fn cancelled(peer: &str) -> Error {
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -109,7 +109,7 @@
     pub(super) clock: Arc<dyn Clock>,
     pub(super) engine: Arc<dyn endpoint::Engine>,
     pub(super) desk: Arc<dyn claim::Desk>,
-    pub(super) link: Option<Arc<dyn peer::Link>>,
+    pub(super) link: Arc<dyn peer::Link>,
     pub(super) recorder: Arc<Recorder>,
     pub(super) screen: Option<Arc<dyn Screen>>,
     pub(super) policy: Mutex<Box<dyn Policy>>,
@@ -168,10 +168,19 @@
         let Some(core) = self.this.upgrade() else {
             return Err(refusal("the daemon stops", Some(ELSEWHERE)));
         };
-        let active = self.active.fetch_add(1, Ordering::AcqRel);
-        if active >= self.site.max_requests {
-            self.active.fetch_sub(1, Ordering::AcqRel);
-            return Err(refusal("the daemon is full", Some(ELSEWHERE)));
+        // A shutdown sets `draining` and then reads `active`; here it is the other way round, so
+        // that one of the two sees the other.
+        let active = self.active.fetch_add(1, Ordering::SeqCst);
+        let reason = if self.draining.load(Ordering::SeqCst) {
+            Some("the daemon stops")
+        } else if active >= self.site.max_requests {
+            Some("the daemon is full")
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            self.active.fetch_sub(1, Ordering::SeqCst);
+            return Err(refusal(reason, Some(ELSEWHERE)));
         }
         let run = run.with_regions(self.site.regions.clone());
         tokio::spawn(Drive::new(core, run, transcript, relay).run());
@@ -257,6 +266,14 @@
 
 impl peer::Host for Core {
     fn forward(&self, address: &str, call: &Call, sink: Sink<'_>) -> endpoint::Result<Answer> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err(endpoint::Error::Refused {
+                step: "forwarded call",
+                peer: self.site.daemon.to_string(),
+                reason: "the daemon stops".into(),
+                leaving: false,
+            });
+        }
         self.gate.pass();
         self.engine.call(address, call, sink)
     }
--- a/src/daemon/ports.rs
+++ b/src/daemon/ports.rs
@@ -15,7 +15,7 @@
     pub(super) engine: Option<Arc<dyn endpoint::Engine>>,
     pub(super) policy: Option<Box<dyn policy::Policy>>,
     pub(super) desk: Option<Arc<dyn claim::Desk>>,
-    pub(super) link: Option<Arc<dyn peer::Link>>,
+    pub(super) net: Option<Arc<peer::Net>>,
     pub(super) recorder: Option<Arc<Recorder>>,
     pub(super) screen: Option<Arc<dyn Screen>>,
     pub(super) seed: u64,
@@ -62,10 +62,10 @@
         self
     }
 
-    /// Sets the connections to other daemons.
+    /// Sets the connections to other daemons; the daemon answers on them and stops them.
     #[must_use]
-    pub fn link(mut self, link: Arc<dyn peer::Link>) -> Self {
-        self.link = Some(link);
+    pub fn net(mut self, net: Arc<peer::Net>) -> Self {
+        self.net = Some(net);
         self
     }
 
--- a/src/peer/net.rs
+++ b/src/peer/net.rs
@@ -4,10 +4,11 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use parking_lot::Mutex;
+use tokio::net::TcpStream;
 use tokio::runtime::Builder;
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -25,6 +26,10 @@
 const MAX_CONNECTIONS: usize = 1024;
 /// How much longer than its own limit a call may take on the link.
 const GRACE: Duration = Duration::from_secs(1);
+/// How often a draining port looks whether the calls have ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(5);
+/// How long a port that stops waits until its last answers are sent.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long to wait after a failed accept.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -65,13 +70,21 @@
             let local = LocalSet::new();
             local.block_on(&runtime, async move {
                 let client = Client::new(options.daemon, options.recorder, options.seed);
-                spawn_local(accept(listener, served));
+                let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+                let acceptor = Acceptor {
+                    desk: served,
+                    permits: permits.clone(),
+                    stopping: stop.clone(),
+                };
+                spawn_local(acceptor.accept(listener));
                 spawn_local(async move {
                     while let Ok(command) = received.recv_async().await {
                         client.clone().take(command);
                     }
                 });
                 drop(stop.wait_for(|stop| *stop).await);
+                let all = u32::try_from(MAX_CONNECTIONS).unwrap_or(u32::MAX);
+                drop(tokio::time::timeout(FLUSH_TIMEOUT, permits.acquire_many(all)).await);
             });
         })?;
         Ok(Self {
@@ -103,7 +116,19 @@
         self.command(Command::Cut(address.to_owned(), duration));
     }
 
-    /// Ends all connections and the thread.
+    /// Waits until the calls of other daemons have ended; false when `timeout` passed first.
+    pub fn drain(&self, timeout: Duration) -> bool {
+        let end = Instant::now() + timeout;
+        while self.desk.busy() > 0 {
+            if Instant::now() >= end {
+                return false;
+            }
+            std::thread::sleep(DRAIN_CHECK);
+        }
+        true
+    }
+
+    /// Ends all connections, after the answers that are on their way, and the thread.
     pub fn stop(&self) {
         self.desk.serve(None);
         self.stopping.send_replace(true);
@@ -124,26 +149,52 @@
     }
 }
 
-async fn accept(listener: TcpListener, desk: Arc<Desk>) {
-    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
-        return;
-    };
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
+/// Takes connections from other daemons.
+struct Acceptor {
+    desk: Arc<Desk>,
+    permits: Arc<Semaphore>,
+    stopping: watch::Receiver<bool>,
+}
+
+impl Acceptor {
+    async fn accept(mut self, listener: TcpListener) {
+        let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
             return;
         };
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_AGAIN).await;
-            continue;
-        };
-        let server: daemon::Client = capnp_rpc::new_client(Server(desk.clone()));
-        let system = slot::system(stream, Side::Server, Some(server.client));
-        spawn_local(async move {
-            drop(system.await);
-            drop(permit);
-        });
+        loop {
+            let Ok(permit) = self.permits.clone().acquire_owned().await else {
+                return;
+            };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = self.stopping.wait_for(|stop| *stop) => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_AGAIN).await;
+                continue;
+            };
+            let serving = serve(stream, self.desk.clone(), self.stopping.clone());
+            spawn_local(async move {
+                serving.await;
+                drop(permit);
+            });
+        }
+    }
+}
+
+/// Answers on one connection until it breaks or the port stops.
+async fn serve(stream: TcpStream, desk: Arc<Desk>, mut stopping: watch::Receiver<bool>) {
+    let server: daemon::Client = capnp_rpc::new_client(Server(desk));
+    let system = slot::system(stream, Side::Server, Some(server.client));
+    let disconnector = system.get_disconnector();
+    let mut running = spawn_local(system);
+    tokio::select! {
+        _ = &mut running => return,
+        _ = stopping.wait_for(|stop| *stop) => {}
     }
+    // It sends what is queued before it ends the connection.
+    drop(disconnector.await);
+    drop(running.await);
 }
 
 impl Link for Net {
@@ -226,7 +277,7 @@
     limit: Duration,
     sink: Sink<'_>,
 ) -> endpoint::Result<Option<T>> {
-    let end = std::time::Instant::now() + limit;
+    let end = Instant::now() + limit;
     loop {
         match heard.recv_deadline(end) {
             Ok(Relayed::Tokens(tokens)) => tokens.into_iter().try_for_each(&mut *sink)?,
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,7 +1,7 @@
 //! The answering side: messages, forwarded calls and remainders of other daemons.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use capnp::Error;
 use futures::StreamExt;
@@ -51,6 +51,23 @@
     handlers: RwLock<IndexMap<Topic, Arc<dyn Handler>>>,
     host: Mutex<Option<Arc<dyn Host>>>,
     pool: Pool,
+    busy: AtomicUsize,
+}
+
+/// Counts a call of another daemon while it runs.
+struct Busy(Arc<Desk>);
+
+impl Busy {
+    fn new(desk: Arc<Desk>) -> Self {
+        desk.busy.fetch_add(1, Ordering::AcqRel);
+        Self(desk)
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Desk {
@@ -61,6 +78,7 @@
             handlers: RwLock::default(),
             host: Mutex::default(),
             pool: Pool::new(MAX_THREADS),
+            busy: 0.into(),
         }
     }
 
@@ -74,6 +92,11 @@
         *self.host.lock() = host;
     }
 
+    /// Returns how many calls of other daemons run now.
+    pub fn busy(&self) -> usize {
+        self.busy.load(Ordering::Acquire)
+    }
+
     fn host(&self) -> capnp::Result<Arc<dyn Host>> {
         let host = self.host.lock().clone();
         host.ok_or_else(|| Error::failed("the daemon takes no calls".into()))
@@ -94,7 +117,8 @@
         params: daemon::AskParams,
         mut results: daemon::AskResults,
     ) -> capnp::Result<()> {
-        let desk = self.0.clone();
+        let busy = Busy::new(self.0.clone());
+        let desk = &busy.0;
         let params = params.get()?;
         desk.recorder.witness(wire::read_stamp(params.get_stamp()?));
         let topic = topic_of(params.get_topic()?);
@@ -118,13 +142,14 @@
         params: daemon::ForwardParams,
         mut results: daemon::ForwardResults,
     ) -> capnp::Result<()> {
-        let desk = self.0.clone();
+        let busy = Busy::new(self.0.clone());
+        let desk = &busy.0;
         let params = params.get()?;
         desk.recorder.witness(wire::read_stamp(params.get_stamp()?));
         let address = params.get_address()?.to_string()?;
         let call = wire::read_call(params.get_call()?)?;
         let (sender, receiver) = flume::unbounded();
-        let mut forwarded = Forwarded::new(&desk, address, &call)?;
+        let mut forwarded = Forwarded::new(desk, address, &call)?;
         let job = forwarded.job(call, sender);
         desk.run(job)?;
         let result = pump(&receiver, params.get_sink()?).await?;
@@ -140,7 +165,8 @@
         params: daemon::RemainderParams,
         mut results: daemon::RemainderResults,
     ) -> capnp::Result<()> {
-        let desk = self.0.clone();
+        let busy = Busy::new(self.0.clone());
+        let desk = &busy.0;
         let params = params.get()?;
         desk.recorder.witness(wire::read_stamp(params.get_stamp()?));
         let rest = wire::read_rest(params.get_rest()?)?;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod docs;
+mod regions;
 mod rig;
 mod schema;
 mod shutdown;
--- a/tests/integration/rig.rs
+++ b/tests/integration/rig.rs
@@ -36,6 +36,9 @@
 [[zones]]
 name = "zagreb-a"
 region = "kontinent"
+[[zones]]
+name = "split-a"
+region = "primorje"
 [[pools]]
 name = "pisari"
 kind = "engine"
@@ -156,19 +159,28 @@
     }
 }
 
-struct List;
+/// A list of VMs that the test changes.
+#[derive(Clone, Default)]
+pub struct List(Arc<parking_lot::Mutex<Vec<Vm>>>);
 
-impl Roster for List {
-    fn list(&self) -> platform::Result<Vec<Vm>> {
-        let vm = |id: &str, pool: &str| Vm {
+impl List {
+    /// Adds an endpoint, or a daemon when there is no pool.
+    pub fn add(&self, id: &str, zone: &str, pool: Option<&str>, address: &str) {
+        let role = pool.map_or(Role::Daemon, |_| Role::Endpoint);
+        self.0.lock().push(Vm {
             id: id.into(),
-            role: Role::Endpoint,
-            address: "127.0.0.1:1".into(),
-            zone: "zagreb-a".into(),
-            pool: Some(pool.into()),
+            role,
+            address: address.into(),
+            zone: zone.into(),
+            pool: pool.map(Into::into),
             leaving: false,
-        };
-        Ok(vec![vm("e1", "pisari"), vm("s1", "clanarina")])
+        });
+    }
+}
+
+impl Roster for List {
+    fn list(&self) -> platform::Result<Vec<Vm>> {
+        Ok(self.0.lock().clone())
     }
 }
 
@@ -187,11 +199,21 @@
 
     /// Starts a daemon with some of its borders given.
     pub fn start_with(ports: Ports) -> Self {
-        let settings = settings::parse("rig", SETTINGS, &[]).unwrap();
+        let list = List::default();
+        list.add("e1", "zagreb-a", Some("pisari"), "127.0.0.1:1");
+        list.add("s1", "zagreb-a", Some("clanarina"), "127.0.0.1:1");
+        Self::start_at("entry-1", "zagreb-a", list, ports)
+    }
+
+    /// Starts a daemon of a zone.
+    pub fn start_at(name: &str, zone: &str, list: List, ports: Ports) -> Self {
+        let text = SETTINGS.replacen("entry-1", name, 1);
+        let text = text.replacen("zagreb-a", zone, 1);
+        let settings = settings::parse("rig", &text, &[]).unwrap();
         let (opened, calls) = flume::unbounded();
         let (cancelled, cancels) = flume::unbounded();
         let engine = Arc::new(Stage { opened, cancelled });
-        let ports = ports.roster(Arc::new(List)).engine(engine);
+        let ports = ports.roster(Arc::new(list)).engine(engine);
         let daemon = Arc::new(Daemon::start(&settings, ports).unwrap());
         let rig = Self {
             daemon,
