--- a/src/daemon/call.rs
+++ b/src/daemon/call.rs
@@ -49,35 +49,38 @@
         drop(sender.send(Event::Token(attempt, token)));
         Ok(())
     };
-    let via = relay(core, pick, &call)?;
+    let choice = u64::from(attempt) ^ call.request.as_u64_pair().1;
+    let via = relay(core, pick, choice);
     core.gate.pass();
     // A pause may have passed since the call was decided.
     call.remaining = due.saturating_sub(core.clock.now());
     if call.remaining.is_zero() || stop.load(Ordering::Acquire) {
         return Err(not_sent("the time for it has passed"));
     }
-    let result = match (&core.link, via) {
-        (Some(link), Some(peer)) => link.forward(&peer, &pick.address, &call, &mut sink),
-        _ => core.engine.call(&pick.address, &call, &mut sink),
+    let result = match via {
+        Some(peer) => core.link.forward(&peer, &pick.address, &call, &mut sink),
+        None => core.engine.call(&pick.address, &call, &mut sink),
     };
     core.gate.pass();
     result
 }
 
 /// Returns the daemon through which an endpoint of another region is called.
-fn relay(core: &Core, pick: &Pick, call: &Call) -> Result<Option<String>> {
-    let Some(region) = core.site.regions.get(&pick.zone) else {
-        return Ok(None);
-    };
-    if *region == core.site.region || core.link.is_none() {
-        return Ok(None);
+fn relay(core: &Core, pick: &Pick, choice: u64) -> Option<String> {
+    let region = core.site.regions.get(&pick.zone)?;
+    if *region == core.site.region {
+        return None;
     }
-    let choice = u64::from(call.attempt) ^ call.request.as_u64_pair().1;
-    Ok(core.peer_in(region, choice))
+    core.peer_in(region, choice)
 }
 
 /// Tells an endpoint that a call is not needed any more.
 pub fn cancel(core: &Arc<Core>, request: id::Request, pick: Pick, attempt: id::Attempt) {
+    if relay(core, &pick, 0).is_some() {
+        // The daemon that forwards it tells the endpoint.
+        recall(core, request, attempt);
+        return;
+    }
     let job = {
         let core = core.clone();
         Box::new(move || {
@@ -98,7 +101,7 @@
 ) {
     let attempt = rest.attempt;
     let choice = rest.request.as_u64_pair().1 ^ u64::from(attempt);
-    let (Some(link), Some(address)) = (core.link.clone(), core.peer_in(region, choice)) else {
+    let Some(address) = core.peer_in(region, choice) else {
         let error = unreachable(region, "no daemon of the region is known");
         drop(sender.send(Event::Cut(attempt, error)));
         return;
@@ -106,7 +109,7 @@
     let job = {
         let (core, sender) = (core.clone(), sender.clone());
         Box::new(move || {
-            let result = hand_over(&core, &*link, &address, &rest, &sender, &stop);
+            let result = hand_over(&core, &address, &rest, &sender, &stop);
             let event = match result {
                 Ok(remote) => Event::Moved(attempt, remote),
                 Err(error) => Event::Cut(attempt, error),
@@ -122,7 +125,6 @@
 
 fn hand_over(
     core: &Core,
-    link: &dyn peer::Link,
     address: &str,
     rest: &Remainder,
     sender: &flume::Sender<Event>,
@@ -137,14 +139,12 @@
         Ok(())
     };
     core.gate.pass();
-    link.remainder(address, rest, &mut sink)
+    core.link.remainder(address, rest, &mut sink)
 }
 
 /// Tells the other daemon that the rest of a request is not needed any more.
-pub fn recall(core: &Arc<Core>, request: id::Request) {
-    if let Some(link) = &core.link {
-        link.recall(request);
-    }
+pub fn recall(core: &Core, request: id::Request, attempt: id::Attempt) {
+    core.link.recall(request, attempt);
 }
 
 fn cancelled(peer: &str) -> Error {
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -8,18 +8,19 @@
 use parking_lot::Mutex;
 
 use super::Screen;
-use super::drive::Drive;
+use super::drive::{Drive, Relay};
 use super::gate::Gate;
 use super::pool::Pool;
 use crate::clock::{Clock, Time};
-use crate::entry::{Archive, Host, Submission, Transcript};
+use crate::endpoint::{Answer, Call, Sink};
+use crate::entry::{Archive, Host, Reader, Submission, Transcript};
 use crate::ledger::Ledger;
 use crate::pipeline::run::{Run, Tally};
 use crate::pipeline::{Event, Finish, Plan, Remainder};
 use crate::policy::{Admission, Arrival, Policy, Ticket};
 use crate::quarantine::Standing;
 use crate::timeline::{Kind, Recorder};
-use crate::{claim, endpoint, id, peer};
+use crate::{claim, endpoint, id, peer, pipeline};
 
 /// When to send again to another daemon, because this one is full or stops.
 const ELSEWHERE: Duration = Duration::from_secs(1);
@@ -108,7 +109,7 @@
     pub(super) clock: Arc<dyn Clock>,
     pub(super) engine: Arc<dyn endpoint::Engine>,
     pub(super) desk: Arc<dyn claim::Desk>,
-    pub(super) link: Option<Arc<dyn peer::Link>>,
+    pub(super) link: Arc<dyn peer::Link>,
     pub(super) recorder: Arc<Recorder>,
     pub(super) screen: Option<Arc<dyn Screen>>,
     pub(super) policy: Mutex<Box<dyn Policy>>,
@@ -158,33 +159,31 @@
         near.get(index).map(|p| p.address.clone())
     }
 
-    /// Runs the rest of another daemon's request.
-    pub fn run_rest(
+    fn start(
         &self,
-        rest: &Remainder,
-        digest: id::Digest,
-    ) -> Result<Arc<Transcript>, Finish> {
-        let Some(plan) = self.plan(&rest.pipeline) else {
-            return Err(refusal("the other daemon has no such pipeline", None));
-        };
-        let now = self.clock.now();
-        let run = Run::rest(plan, rest, digest, now);
-        let transcript = Transcript::new(rest.request, rest.workspace.clone());
-        self.start(run, transcript.clone())?;
-        Ok(transcript)
-    }
-
-    fn start(&self, run: Run, transcript: Arc<Transcript>) -> Result<(), Finish> {
+        run: Run,
+        transcript: Arc<Transcript>,
+        relay: Option<Relay>,
+    ) -> Result<(), Finish> {
         let Some(core) = self.this.upgrade() else {
             return Err(refusal("the daemon stops", Some(ELSEWHERE)));
         };
-        let active = self.active.fetch_add(1, Ordering::AcqRel);
-        if active >= self.site.max_requests {
-            self.active.fetch_sub(1, Ordering::AcqRel);
-            return Err(refusal("the daemon is full", Some(ELSEWHERE)));
+        // A shutdown sets `draining` and then reads `active`; here it is the other way round, so
+        // that one of the two sees the other.
+        let active = self.active.fetch_add(1, Ordering::SeqCst);
+        let reason = if self.draining.load(Ordering::SeqCst) {
+            Some("the daemon stops")
+        } else if active >= self.site.max_requests {
+            Some("the daemon is full")
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            self.active.fetch_sub(1, Ordering::SeqCst);
+            return Err(refusal(reason, Some(ELSEWHERE)));
         }
         let run = run.with_regions(self.site.regions.clone());
-        tokio::spawn(Drive::new(core, run, transcript).run());
+        tokio::spawn(Drive::new(core, run, transcript, relay).run());
         Ok(())
     }
 
@@ -228,7 +227,7 @@
         let transcript = Transcript::new(request.id, request.workspace.clone());
         self.archive.add(transcript.clone(), now);
         let run = Run::new(submission.plan, request, deadline).with_suspect(suspect);
-        self.start(run, transcript.clone())?;
+        self.start(run, transcript.clone(), None)?;
         Ok(transcript)
     }
 }
@@ -265,6 +264,41 @@
     }
 }
 
+impl peer::Host for Core {
+    fn forward(&self, address: &str, call: &Call, sink: Sink<'_>) -> endpoint::Result<Answer> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err(endpoint::Error::Refused {
+                step: "forwarded call",
+                peer: self.site.daemon.to_string(),
+                reason: "the daemon stops".into(),
+                leaving: false,
+            });
+        }
+        self.gate.pass();
+        self.engine.call(address, call, sink)
+    }
+
+    fn cancel(&self, address: &str, request: id::Request, attempt: id::Attempt) {
+        // An endpoint that does not hear it runs the call to its end for nothing.
+        drop(self.engine.cancel(address, request, attempt));
+    }
+
+    fn remainder(&self, rest: &Remainder, relay: Relay) -> Result<Reader, Finish> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err(refusal("the daemon stops", Some(ELSEWHERE)));
+        }
+        let Some(plan) = self.plan(&rest.pipeline) else {
+            return Err(refusal("the other daemon has no such pipeline", None));
+        };
+        let digest = pipeline::digest(&rest.pipeline, &rest.body);
+        let run = Run::rest(plan, rest, digest, self.clock.now());
+        let transcript = Transcript::new(rest.request, rest.workspace.clone());
+        let reader = transcript.read(0);
+        self.start(run, transcript, Some(relay))?;
+        Ok(reader)
+    }
+}
+
 fn refusal(reason: &str, retry_after: Option<Duration>) -> Finish {
     Finish::NotRun {
         reason: reason.to_owned(),
