--- a/src/generated.rs
+++ b/src/generated.rs
@@ -1,5 +1,33 @@
 //! Code generated from the schemas in `schema/` by `schema/generate.sh`.
 
+#[allow(
+    dead_code,
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::needless_pass_by_value,
+    clippy::redundant_closure_for_method_calls
+)]
+pub mod claim;
+
+#[allow(
+    dead_code,
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::needless_pass_by_value,
+    clippy::redundant_closure_for_method_calls
+)]
+pub mod claim_capnp;
+
 #[allow(
     dead_code,
     missing_docs,
@@ -14,6 +42,20 @@
 )]
 pub mod config;
 
+#[allow(
+    dead_code,
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::needless_pass_by_value,
+    clippy::redundant_closure_for_method_calls
+)]
+pub mod member_capnp;
+
 #[allow(
     dead_code,
     missing_docs,
@@ -27,3 +69,17 @@
     clippy::redundant_closure_for_method_calls
 )]
 pub mod settings;
+
+#[allow(
+    dead_code,
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::needless_pass_by_value,
+    clippy::redundant_closure_for_method_calls
+)]
+pub mod peer_capnp;
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use sha2::{Digest, Sha256};
+
 use crate::{claim, endpoint, id, peer, policy};
 
 pub mod input;
@@ -159,7 +161,7 @@
     pub enum Finish {
         /// The whole answer, as JSON text.
         Answer(id::Name),
-        /// Nothing ran, or nothing that may not be repeated; it is safe to send again.
+        /// Nothing ran; it is safe to send again.
         NotRun {
             /// What stood in the way.
             reason: String,
@@ -175,8 +177,19 @@
         Failed {
             /// Why.
             reason: String,
+            /// When to send again; none when a stage that may not be repeated ran.
+            retry_after: Option<Duration>,
         },
         /// The key was used with another body.
         Conflict,
     }
 }
+
+/// Returns the digest of pipeline and body, by which a resend is recognised.
+pub fn digest(pipeline: &str, body: &str) -> id::Digest {
+    let mut hash = Sha256::new();
+    hash.update(pipeline);
+    hash.update([0]);
+    hash.update(body);
+    hex::encode(hash.finalize()).into()
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,5 +2,10 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod callers;
+mod demo;
 mod docs;
+mod regions;
+mod rig;
 mod schema;
+mod shutdown;
