--- a/benches/policy/driver.rs
+++ b/benches/policy/driver.rs
@@ -647,7 +647,7 @@
         }
         if let Finish::NotRun { reason, .. }
         | Finish::Unknown { reason }
-        | Finish::Failed { reason } = finish
+        | Finish::Failed { reason, .. } = finish
         {
             self.outcome.blame(reason);
         }
