--- a/src/policy/adaptive/retrying.rs
+++ b/src/policy/adaptive/retrying.rs
@@ -4,9 +4,9 @@
 
 use super::{Adaptive, Mechanism};
 use crate::clock::Time;
+use crate::endpoint;
 use crate::policy::{Ask, Pick, Retry};
 use crate::retry::backoff;
-use crate::{endpoint, id};
 
 /// The most attempts of one stage.
 const MAX_ATTEMPTS: usize = 4;
@@ -15,7 +15,9 @@
     pub(super) fn retry_stage(&mut self, ask: &Ask, error: &endpoint::Error, now: Time) -> Retry {
         let may_repeat = ask.repeatable || error.is_not_run();
         let tries = ask.exclude.len();
-        if !may_repeat || ask.suspect || tries >= MAX_ATTEMPTS {
+        // Content that cost two endpoints may cost every one that runs it.
+        let is_deadly = tries >= 2 && matches!(error, endpoint::Error::Lost { .. });
+        if is_deadly || !may_repeat || ask.suspect || tries >= MAX_ATTEMPTS {
             return Retry::Stop;
         }
         let is_leaving = matches!(error, endpoint::Error::Refused { leaving: true, .. });
@@ -32,7 +34,8 @@
         if !self.is_on(Mechanism::Retry) {
             return Retry::Stop;
         }
-        let is_free = is_leaving || !self.is_on(Mechanism::RetryBudget);
+        // What did not run put no load on the pool.
+        let is_free = error.is_not_run() || !self.is_on(Mechanism::RetryBudget);
         if is_free || self.pool(&ask.pool).retries.spend() {
             Retry::After(delay)
         } else {
@@ -56,12 +59,11 @@
             return None;
         }
         let pool = self.pools.get(&ask.pool)?;
-        if pool.is_full() || !pool.hedges.has_one() {
+        if pool.is_full() || !self.hedges.has_one() {
             return None;
         }
-        let busy = self.running(ask);
-        let pick = self.choose_near(ask, &busy, now)?;
-        if !self.pool(&ask.pool).hedges.spend() {
+        let pick = self.choose_near(ask, false, now)?;
+        if !self.hedges.spend() {
             return None;
         }
         self.begin(ask, &pick, now);
@@ -70,12 +72,4 @@
             ..pick
         })
     }
-
-    /// The endpoints that run other attempts of the request now.
-    fn running(&self, ask: &Ask) -> Vec<id::Endpoint> {
-        (0..=ask.attempt)
-            .filter_map(|attempt| self.flights.get(&(ask.request, attempt)))
-            .map(|flight| flight.endpoint.clone())
-            .collect()
-    }
 }
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -19,6 +19,11 @@
 const TRIES: usize = 6;
 /// Latency taken for an endpoint of which nothing is known, in seconds.
 const UNKNOWN: f64 = 0.05;
+/// Factor on the score of an endpoint in another availability zone: fewer daemons share an
+/// endpoint when most keep to their zone, so that each knows more of its load.
+const ZONE_FACTOR: f64 = 1.3;
+/// Share of the remaining time that a failure costs where the call may be repeated.
+const REPEAT_LOSS: f64 = 0.3;
 /// Added for an endpoint in another availability zone of the region, in seconds.
 const ZONE_DELAY: f64 = 0.003;
 
@@ -62,12 +67,12 @@
 pub struct Rule<'a> {
     /// The stage.
     pub ask: &'a Ask,
-    /// Endpoints of other attempts of the stage that run now.
-    pub busy: &'a [id::Endpoint],
     /// Prefix affinity, when it is used.
     pub affinity: Option<&'a Index>,
     /// How long newcomers start slowly.
     pub slow_start: Duration,
+    /// Whether ejected endpoints are taken as well, because no other is left.
+    pub takes_ejected: bool,
     /// Whether two choices are compared; one is taken otherwise.
     pub compares: bool,
 }
@@ -175,6 +180,26 @@
         }
     }
 
+    /// Calls that wait and that are busy at the median endpoint of a pool, by fresh reports of
+    /// those that this daemon calls. The median keeps one straggler from closing a pool.
+    pub fn pressure(&self, pool: &str, now: Time) -> Option<(f64, f64)> {
+        let members = self.pools.get(pool)?;
+        let has_near = members.near().next().is_some();
+        let mut reports: Vec<(f64, f64)> = members
+            .all()
+            .take(if has_near {
+                members.width()
+            } else {
+                usize::MAX
+            })
+            .filter_map(|i| self.entry(i))
+            .filter(|e| !e.breaker.is_ejected())
+            .filter_map(|e| e.reported(now))
+            .collect();
+        reports.sort_by(|a, b| a.0.total_cmp(&b.0));
+        reports.get(reports.len() / 2).copied()
+    }
+
     /// Computes the median of the mean latencies of a pool again.
     pub fn refresh(&mut self, pool: &str) {
         let Some(members) = self.pools.get(pool) else {
@@ -207,16 +232,39 @@
         ejected < most
     }
 
+    /// Readmits an endpoint of a pool that was ejected for being slow, so that a failing one can
+    /// take its place; false when there is none or the cap allows no ejection at all.
+    pub fn readmit_slow(&mut self, pool: &str, share: f64) -> bool {
+        let Some(members) = self.pools.get(pool) else {
+            return false;
+        };
+        let usable = members.all().filter_map(|i| self.entry(i));
+        let usable = usable.filter(|e| !e.candidate.leaving).count();
+        if usable as f64 * share < 1.0 {
+            return false;
+        }
+        let slow = members.all().find(|i| {
+            self.entry(*i)
+                .is_some_and(|e| e.is_slow && e.breaker.is_ejected() && !e.candidate.leaving)
+        });
+        let Some((_, entry)) = slow.and_then(|i| self.entries.get_index_mut(i)) else {
+            return false;
+        };
+        entry.breaker.close();
+        entry.is_slow = false;
+        true
+    }
+
     fn is_eligible(&self, entry: &Entry, members: &Members, rule: &Rule<'_>, now: Time) -> bool {
         let ask = rule.ask;
         let name = &entry.candidate.endpoint;
         if entry.candidate.leaving || entry.is_alone {
             return false;
         }
-        if ask.exclude.contains(name) || rule.busy.contains(name) {
+        if ask.exclude.contains(name) {
             return false;
         }
-        if entry.breaker.is_ejected() && !entry.may_probe(ask, now) {
+        if entry.breaker.is_ejected() && !rule.takes_ejected && !entry.may_probe(ask, now) {
             return false;
         }
         if members.has_versions && entry.lacks_model() == Some(true) {
@@ -234,12 +282,13 @@
             let share = index.share(&entry.candidate.endpoint, &rule.ask.prefixes);
             work -= share * index.worth();
         }
-        let distance = if entry.candidate.zone == self.zone {
-            0.0
+        let (factor, delay) = if entry.candidate.zone == self.zone {
+            (1.0, 0.0)
         } else {
-            ZONE_DELAY
+            (ZONE_FACTOR, ZONE_DELAY)
         };
-        work * latency / entry.share(rule.slow_start, now) + distance
+        let wait = work * latency * factor / entry.share(rule.slow_start, now) + delay;
+        wait + entry.risk(now) * loss(rule.ask, now)
     }
 
     /// Chooses an endpoint in the own region.
@@ -305,6 +354,16 @@
     }
 }
 
+/// Seconds that a failed call costs: all that is left where it may not be repeated.
+fn loss(ask: &Ask, now: Time) -> f64 {
+    let left = ask.deadline.saturating_sub(now).as_secs_f64();
+    if ask.repeatable {
+        left * REPEAT_LOSS
+    } else {
+        left
+    }
+}
+
 #[derive(Default)]
 struct Best<'a> {
     score: f64,
