Check claims by seeded histories and mend what they found

Found and mended: a writer that was given up could append a claim nobody released; a withdrawn claim could land late; a stream released a claim that another daemon had granted; one long pause hid trimmed claims from a reader that then took its own for the first; a pass declared keys covered that its writer had not read; a bar of an unreadable key did not bind other readers. Change: the executor's daemon alone releases, bars are entries of their own, carried keys count from the position whose state they repeat. Conclusion: seven faults put into the decisions are each caught in a test.

--- a/schema/claim.capnp
+++ b/schema/claim.capnp
@@ -40,11 +40,12 @@
   reason @0 :Text;
   hasRetryAfter @1 :Bool;
   retryAfterMs @2 :UInt64;
-  # Whether the claim may stand all the same, so that its executor must release it.
-  stands @3 :Bool;
 }
 
 struct Reply {
+  # Whether a claim may stand although the request will not run, so that its executor must
+  # release it.
+  stands @8 :Bool;
   union {
     # Not decided yet; the asker asks again.
     pending @0 :Void;
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -6,6 +6,7 @@
 
 use crate::id;
 
+pub mod course;
 pub mod desk;
 pub mod fold;
 pub mod message;
@@ -88,3 +89,6 @@
     /// Waits until every outcome is durable; false when `timeout` passed first.
     fn flush(&self, timeout: Duration) -> bool;
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/claim/desk.rs
+++ b/src/claim/desk.rs
@@ -12,7 +12,8 @@
 use parking_lot::{Condvar, Mutex};
 use snafu::Snafu;
 
-use self::lane::{Decision, Job};
+use self::lane::Job;
+use super::course::{Course, Decision};
 use super::message::{Message, Reply, Settle};
 use super::router::{self, Peer, View};
 use super::stream::wait::{MARGIN, RETRY_AFTER};
@@ -159,35 +160,54 @@
             })
     }
 
-    fn ask_writer(&self, writer: &Peer, ask: &Ask, timeout: Duration) -> Option<Reply> {
+    /// Asks the preferred writer; none when it did not answer.
+    fn ask_writer(
+        &self,
+        writer: &Peer,
+        ask: &Ask,
+        timeout: Duration,
+        course: &mut Course,
+    ) -> Option<Reply> {
         let link = self.link.as_ref()?;
         let body = Message::Ask(ask.clone()).encode();
-        let answer = link.ask(&writer.address, peer::Topic::Claim, &body, timeout);
-        Reply::decode(&answer.ok()?).ok()
+        course.asked(&writer.address);
+        let answer = match link.ask(&writer.address, peer::Topic::Claim, &body, timeout) {
+            Ok(answer) => answer,
+            Err(peer::Error::NotSent { .. }) => {
+                course.settled(&writer.address);
+                return None;
+            }
+            Err(peer::Error::Lost { .. }) => return None,
+        };
+        let reply = Reply::decode(&answer).ok()?;
+        if matches!(reply, Reply::Decided(..)) {
+            course.settled(&writer.address);
+        }
+        Some(reply)
     }
 
     /// Decides a claim through the preferred writer, and here when that one does not answer.
     fn decide(self: &Arc<Self>, mut ask: Ask) -> Decision {
         let deadline = Instant::now() + ask.remaining.saturating_sub(MARGIN);
         let stream = self.stream(&ask);
+        let mut course = Course::default();
         while let Some(writer) = self.writer(stream) {
             ask.remaining = deadline.saturating_duration_since(Instant::now());
             if ask.remaining.is_zero() {
-                return Decision {
-                    verdict: refusal("an earlier request with the key still runs"),
-                    stands: true,
-                };
+                let verdict = refusal("an earlier request with the key still runs");
+                return course.decide(verdict, false);
             }
-            let timeout = WRITER_PATIENCE.min(ask.remaining / 2);
-            match self.ask_writer(&writer, &ask, timeout.max(MARGIN)) {
-                Some(Reply::Decided(verdict, stands)) => return Decision { verdict, stands },
+            let timeout = WRITER_PATIENCE.min(ask.remaining / 2).max(MARGIN);
+            match self.ask_writer(&writer, &ask, timeout, &mut course) {
+                Some(Reply::Decided(verdict, stands)) => return course.decide(verdict, stands),
                 Some(Reply::Pending) => {}
                 Some(Reply::Durable(_)) | None => self.avoid(stream),
             }
         }
         ask.remaining = deadline.saturating_duration_since(Instant::now());
         let patience = ask.remaining;
-        self.decide_here(ask, patience)
+        let here = self.decide_here(ask, patience);
+        course.decide(here.verdict, here.stands)
     }
 }
 
--- a/src/claim/desk/lane.rs
+++ b/src/claim/desk/lane.rs
@@ -5,10 +5,11 @@
 
 use indexmap::IndexMap;
 
+use super::super::course::Decision;
 use super::super::router;
 use super::super::stream::{Action, Event, Fetch, Now, Stream};
 use super::super::writer::{self, Receipt};
-use super::super::{Ask, Outcome, Verdict};
+use super::super::{Ask, Outcome};
 use super::{REFRESH, Shared};
 use crate::clock::Time;
 use crate::{id, platform};
@@ -18,13 +19,6 @@
 /// How long a stream that this daemon does not write stays open without work.
 pub const IDLE: Duration = Duration::from_secs(60);
 
-/// A verdict, and whether the claim may stand although the request will not run.
-#[derive(Clone, Debug)]
-pub(crate) struct Decision {
-    pub(crate) verdict: Verdict,
-    pub(crate) stands: bool,
-}
-
 /// What a lane is given to do.
 pub(crate) enum Job {
     /// Decide a claim for an executor.
--- a/src/claim/fold.rs
+++ b/src/claim/fold.rs
@@ -8,7 +8,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::mutation::{self, Mutation};
-use super::record::{self, Carried, Claim, Covered, Entry, Group, Mark, Outcome, Place, Release};
+use super::record::{
+    self, Bar, Carried, Claim, Covered, Entry, Group, Mark, Outcome, Place, Release,
+};
 use super::window;
 use crate::{id, platform};
 
@@ -33,8 +35,10 @@
         pub executor: u32,
         /// When the key was issued, in milliseconds since the Unix epoch.
         pub issued_ms: u64,
-        /// The record that still tells of this state once those before it are trimmed.
+        /// Whoever reads from this offset on learns of this state.
         pub support: id::Offset,
+        /// Whether the claim is known to be the first; an earlier one may be trimmed unread.
+        pub is_first: bool,
         /// Where it stands.
         pub state: State,
     }
@@ -57,6 +61,8 @@
         Release,
         /// An outcome.
         Outcome,
+        /// A bar.
+        Bar,
         /// A key that was carried forward.
         Carried,
         /// The end of a pass that carried keys forward.
@@ -94,6 +100,17 @@
         self.position
     }
 
+    /// Returns the lowest offset read since records were last trimmed unread.
+    pub fn start(&self) -> id::Offset {
+        self.start
+    }
+
+    /// Returns the time of issue, in milliseconds since the Unix epoch, from which on every
+    /// claimed key is known.
+    pub fn complete_from_ms(&self) -> u64 {
+        self.complete_from_ms
+    }
+
     /// Returns how many keys are remembered.
     pub fn len(&self) -> usize {
         self.slots.len()
@@ -111,11 +128,16 @@
 
     /// Returns what is known of a key.
     pub fn find(&self, place: Place, issued_ms: u64) -> Found {
+        let is_unread = self.is_unread(issued_ms);
         if let Some(slot) = self.slots.get(&place) {
-            return Found::Held(*slot);
+            let is_sure = slot.is_first || slot.state != State::Open || !is_unread;
+            return if is_sure {
+                Found::Held(*slot)
+            } else {
+                Found::Unread
+            };
         }
-        let trusted = mutation::is_active(Mutation::TrustTrimmed);
-        if issued_ms < self.complete_from_ms && !trusted {
+        if is_unread {
             return Found::Unread;
         }
         let expired = mutation::is_active(Mutation::TrustExpiredWindow);
@@ -125,14 +147,20 @@
         Found::Absent
     }
 
+    /// Says whether a key of that time of issue may have claims that were trimmed unread.
+    fn is_unread(&self, issued_ms: u64) -> bool {
+        issued_ms < self.complete_from_ms && !mutation::is_active(Mutation::TrustTrimmed)
+    }
+
     /// Says whether a request gave its claim back.
     pub fn is_released(&self, request: id::Request) -> bool {
         self.released.contains_key(&request)
     }
 
-    /// Folds a page that was read from the position on, and returns the groups in it.
+    /// Folds a page that was read from the position on, and returns the groups in it, each with
+    /// the offset after it.
     /// Records below the position were folded before and are passed over.
-    pub fn apply(&mut self, page: &platform::Page) -> Vec<Group> {
+    pub fn apply(&mut self, page: &platform::Page) -> Vec<(id::Offset, Group)> {
         if page.first > self.position {
             self.jump(page);
         }
@@ -143,14 +171,15 @@
             }
             if let Some(group) = record::decode(&record.body) {
                 self.group(&group, record.offset);
-                groups.push(group);
+                groups.push((record.offset + 1, group));
             }
             self.position = record.offset + 1;
         }
         groups
     }
 
-    /// Records were trimmed before they were read: only keys issued later are complete.
+    /// Records were trimmed before they were read: only keys issued later are complete, and
+    /// what was open may have ended.
     fn jump(&mut self, page: &platform::Page) {
         let at = page
             .records
@@ -159,6 +188,7 @@
             .map_or(u64::MAX, |g| g.at_ms);
         let skew = record::span_millis(window::SKEW);
         self.complete_from_ms = self.complete_from_ms.max(at.saturating_add(2 * skew));
+        self.slots.retain(|_, slot| slot.state != State::Open);
         self.position = page.first;
         self.start = page.first;
     }
@@ -169,6 +199,7 @@
                 Entry::Claim(claim) => self.claim(claim, offset),
                 Entry::Release(release) => self.release(release),
                 Entry::Outcome(outcome) => self.outcome(outcome, offset),
+                Entry::Bar(bar) => self.bar(bar, offset),
                 Entry::Carried(carried) => self.carried(carried, offset),
                 Entry::Covered(covered) => self.covered(covered),
             }
@@ -177,7 +208,7 @@
 
     fn covered(&mut self, covered: &Covered) {
         if covered.position >= self.start && covered.below >= self.start {
-            self.complete_from_ms = 0;
+            self.complete_from_ms = self.complete_from_ms.min(covered.since_ms);
         }
     }
 
@@ -193,12 +224,14 @@
         }
         let executor = self.number(&claim.executor);
         let place = record::place(&claim.workspace, &claim.key);
+        let is_first = !self.is_unread(claim.issued_ms);
         self.slots.entry(place).or_insert(Slot {
             request: claim.request,
             mark: record::mark(&claim.digest),
             executor,
             issued_ms: claim.issued_ms,
             support: offset,
+            is_first,
             state: State::Open,
         });
     }
@@ -226,29 +259,49 @@
         }
         let place = record::place(&outcome.workspace, &outcome.key);
         let state = state_of(&outcome.ending, offset);
+        // Only a request that held the key has an outcome: if its claim is not here, it was
+        // trimmed unread, and another claim that stands here was not the first.
+        let is_known = |slot: &Slot| slot.request == outcome.request || slot.is_first;
         match self.slots.get_mut(&place) {
             Some(slot) if slot.request == outcome.request && slot.state == State::Open => {
                 slot.state = state;
                 slot.support = offset;
             }
-            Some(_) => {}
-            // Only a request that held the key has an outcome, so its claim was trimmed.
-            None => {
-                self.slots.insert(
-                    place,
-                    Slot {
-                        request: outcome.request,
-                        mark: record::mark(&outcome.digest),
-                        executor: u32::MAX,
-                        issued_ms: outcome.issued_ms,
-                        support: offset,
-                        state,
-                    },
-                );
+            Some(slot) if is_known(slot) || state == State::Unknown => {}
+            _ => {
+                let slot = Slot {
+                    request: outcome.request,
+                    mark: record::mark(&outcome.digest),
+                    executor: u32::MAX,
+                    issued_ms: outcome.issued_ms,
+                    support: offset,
+                    is_first: true,
+                    state,
+                };
+                self.slots.insert(place, slot);
             }
         }
     }
 
+    /// A bar ends a key that has not ended, whoever holds it. Its writer could not know the
+    /// holder, nor whether that one gave its claim back.
+    fn bar(&mut self, bar: &Bar, offset: id::Offset) {
+        let place = record::place(&bar.workspace, &bar.key);
+        let slot = self.slots.entry(place).or_insert(Slot {
+            request: bar.request,
+            mark: record::mark(&bar.digest),
+            executor: u32::MAX,
+            issued_ms: bar.issued_ms,
+            support: offset,
+            is_first: true,
+            state: State::Open,
+        });
+        if slot.state == State::Open {
+            slot.state = State::Unknown;
+            slot.support = offset;
+        }
+    }
+
     /// A carried entry counts only when every record after the state that it repeats was
     /// read; it never changes a state, so that the order of claims and outcomes still decides.
     fn carried(&mut self, carried: &Carried, offset: id::Offset) {
@@ -273,7 +326,8 @@
             mark,
             executor,
             issued_ms: carried.issued_ms,
-            support: offset,
+            support: carried.position,
+            is_first: true,
             state,
         };
         let slot = self.slots.entry(place).or_insert(fresh);
@@ -282,7 +336,7 @@
             *slot = fresh;
         }
         if slot.request == carried.request && carried.position > slot.support {
-            slot.support = offset;
+            slot.support = carried.position;
             if let (State::Ended(_), State::Ended(_)) = (slot.state, state) {
                 slot.state = state;
             }
@@ -314,6 +368,7 @@
         Entry::Claim(claim) => (claim.request, Kind::Claim),
         Entry::Release(release) => (release.request, Kind::Release),
         Entry::Outcome(outcome) => (outcome.request, Kind::Outcome),
+        Entry::Bar(bar) => (bar.request, Kind::Bar),
         Entry::Carried(carried) => (carried.request, Kind::Carried),
         Entry::Covered(_) => (id::Request::nil(), Kind::Covered),
     };
--- a/src/claim/message.rs
+++ b/src/claim/message.rs
@@ -154,7 +154,10 @@
         match self {
             Self::Pending => root.set_pending(()),
             Self::Durable(all) => root.set_durable(*all),
-            Self::Decided(verdict, stands) => put_verdict(root, verdict, *stands),
+            Self::Decided(verdict, stands) => {
+                root.set_stands(*stands);
+                put_verdict(root, verdict);
+            }
         }
         serialize::write_message_to_words(&message)
     }
@@ -172,13 +175,13 @@
             Which::Resume(parts) => Verdict::Resume(get_parts(parts?)?),
             Which::Conflict(()) => Verdict::Conflict,
             Which::Unknown(()) => Verdict::Unknown,
-            Which::NotRun(refusal) => return get_refusal(refusal?),
+            Which::NotRun(refusal) => get_refusal(refusal?)?,
         };
-        Ok(Self::Decided(verdict, false))
+        Ok(Self::Decided(verdict, root.get_stands()))
     }
 }
 
-fn put_verdict(mut root: wire::reply::Builder<'_>, verdict: &Verdict, stands: bool) {
+fn put_verdict(mut root: wire::reply::Builder<'_>, verdict: &Verdict) {
     match verdict {
         Verdict::Granted => root.set_granted(()),
         Verdict::Answered(body) => root.set_answered(&**body),
@@ -193,16 +196,14 @@
             to.set_reason(reason.as_str());
             to.set_has_retry_after(retry_after.is_some());
             to.set_retry_after_ms(retry_after.map_or(0, record::span_millis));
-            to.set_stands(stands);
         }
     }
 }
 
-fn get_refusal(from: wire::refusal::Reader<'_>) -> Result<Reply> {
+fn get_refusal(from: wire::refusal::Reader<'_>) -> Result<Verdict> {
     let retry_after = Duration::from_millis(from.get_retry_after_ms());
-    let verdict = Verdict::NotRun {
+    Ok(Verdict::NotRun {
         reason: from.get_reason()?.to_str()?.to_owned(),
         retry_after: from.get_has_retry_after().then_some(retry_after),
-    };
-    Ok(Reply::Decided(verdict, from.get_stands()))
+    })
 }
--- a/src/claim/naive.rs
+++ b/src/claim/naive.rs
@@ -13,7 +13,7 @@
     request: id::Request,
     digest: id::Digest,
     outcome: Option<Outcome>,
-    waiters: Vec<flume::Sender<Verdict>>,
+    waiters: Vec<(id::Request, flume::Sender<Verdict>)>,
 }
 
 /// A desk that remembers every key in memory.
@@ -22,16 +22,14 @@
     entries: Mutex<IndexMap<(id::Workspace, id::Key), Entry>>,
 }
 
-fn verdict(outcome: &Outcome) -> Verdict {
-    match outcome {
+/// Returns what a later request is told; none after a release, which leaves nothing to tell.
+fn verdict(outcome: &Outcome) -> Option<Verdict> {
+    Some(match outcome {
         Outcome::Answered(body) => Verdict::Answered(body.clone()),
         Outcome::Partial(parts) => Verdict::Resume(parts.clone()),
         Outcome::Unknown => Verdict::Unknown,
-        Outcome::Released => Verdict::NotRun {
-            reason: "the request that held the key was released".into(),
-            retry_after: Some(Duration::ZERO),
-        },
-    }
+        Outcome::Released => return None,
+    })
 }
 
 impl Desk for Naive {
@@ -55,24 +53,30 @@
             drop(reply.send(Verdict::Conflict));
             return;
         }
-        match &entry.outcome {
-            Some(outcome) => drop(reply.send(verdict(outcome))),
-            None => entry.waiters.push(reply),
+        match entry.outcome.as_ref().and_then(verdict) {
+            Some(verdict) => drop(reply.send(verdict)),
+            None => entry.waiters.push((ask.request, reply)),
         }
     }
 
+    /// A release passes the key on to the request that waited longest.
     fn settle(&self, request: id::Request, outcome: Outcome) {
         let mut entries = self.entries.lock();
         let Some(index) = entries.values().position(|e| e.request == request) else {
             return;
         };
-        for waiter in entries[index].waiters.drain(..) {
-            drop(waiter.send(verdict(&outcome)));
-        }
-        if outcome == Outcome::Released {
+        let entry = &mut entries[index];
+        if let Some(verdict) = verdict(&outcome) {
+            for (_, waiter) in entry.waiters.drain(..) {
+                drop(waiter.send(verdict.clone()));
+            }
+            entry.outcome = Some(outcome);
+        } else if entry.waiters.is_empty() {
             entries.swap_remove_index(index);
         } else {
-            entries[index].outcome = Some(outcome);
+            let (next, waiter) = entry.waiters.remove(0);
+            entry.request = next;
+            drop(waiter.send(Verdict::Granted));
         }
     }
 
--- a/src/claim/record.rs
+++ b/src/claim/record.rs
@@ -9,7 +9,7 @@
 use crate::id;
 
 pub use crate::generated::claim::{
-    Carried, Claim, Covered, Ending, Entry, Group, Outcome, Part as Piece, Release,
+    Bar, Carried, Claim, Covered, Ending, Entry, Group, Outcome, Part as Piece, Release,
 };
 
 /// A key of a workspace, hashed so that an index holds 16 bytes for it.
--- a/src/claim/stream.rs
+++ b/src/claim/stream.rs
@@ -280,11 +280,14 @@
         if !self.writer.is_failing() {
             self.note_log(true, now.mono);
         }
+        if page.first > self.fold.position() {
+            // Keys that were carried forward may stand anywhere up to the end.
+            self.is_ready = false;
+        }
         self.reading.not_before = now.mono;
         self.reading.warm_at = now.mono + WARM_EVERY;
-        for group in self.fold.apply(page) {
-            self.pass
-                .sample(self.fold.position(), &group, self.retention);
+        for (next, group) in self.fold.apply(page) {
+            self.pass.sample(next, &group, self.retention);
             self.group(group, out);
         }
         if self.fold.position() >= page.end {
@@ -300,6 +303,7 @@
             let seen = fold::seen(&entry);
             self.writer.seen(seen);
             self.reconsider(seen);
+            self.pass.seen(seen);
             durable(seen, out);
             if let Entry::Outcome(outcome) = entry {
                 self.keep(outcome.request, outcome.ending);
@@ -340,9 +344,15 @@
         out.push(Action::Read(self.fold.position(), wait));
     }
 
+    /// Says whether something waits for the next records.
+    fn is_eager(&self) -> bool {
+        let is_failing = self.failing_since.is_some();
+        !self.waits.is_empty() || self.writer.is_doubtful() || self.pass.is_waiting() || is_failing
+    }
+
     fn wants_read(&self, now: Time) -> bool {
         let warm = self.is_writer && now >= self.reading.warm_at;
-        !self.waits.is_empty() || self.writer.is_doubtful() || self.failing_since.is_some() || warm
+        self.is_eager() || warm
     }
 
     fn expire(&mut self, now: Now) {
@@ -355,11 +365,9 @@
     /// Returns when `Event::Wake` is due.
     pub fn next_wake(&self) -> Option<Time> {
         let waits = self.waits.values().map(Wait::next_wake).min();
-        let busy =
-            !self.waits.is_empty() || self.writer.is_doubtful() || self.failing_since.is_some();
         let read = match self.reading.in_flight {
             true => None,
-            false if busy => Some(self.reading.not_before),
+            false if self.is_eager() => Some(self.reading.not_before),
             false if self.is_writer => Some(self.reading.warm_at),
             false => None,
         };
--- a/src/claim/stream/carry.rs
+++ b/src/claim/stream/carry.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::super::fold::{Kind, Slot, State};
+use indexmap::IndexSet;
+
+use super::super::fold::{Kind, Seen, Slot, State};
 use super::super::record::{self, Carried, Covered, Ending, Entry, Group, Place};
 use super::{Action, Now, Stream};
 use crate::id;
@@ -16,7 +18,7 @@
 /// A pass over the keys whose records will be trimmed.
 #[derive(Debug, Default)]
 pub(super) struct Pass {
-    /// Offsets with the time of their records, some for each retention.
+    /// Ends of runs of records with the time of their first, some for each retention.
     samples: VecDeque<(id::Offset, u64)>,
     /// The pass covers records below this offset; none while no pass runs.
     below: Option<id::Offset>,
@@ -24,28 +26,42 @@
     position: id::Offset,
     /// Records below this offset were covered by an earlier pass.
     covered: id::Offset,
+    /// Requests whose keys were carried and not read back yet.
+    carried: IndexSet<id::Request>,
     /// Keys whose answers are being read for the pass.
     fetching: Vec<(Place, Slot)>,
 }
 
 impl Pass {
-    /// Remembers when a record was written.
+    /// Remembers when a record was written; records of about the same time share a sample.
     pub(super) fn sample(&mut self, next: id::Offset, group: &Group, retention: Duration) {
         let step = record::span_millis(retention / (4 * PASSES)).max(1);
-        let is_later = |(_, at): &(id::Offset, u64)| group.at_ms >= at + step;
-        if self.samples.back().is_none_or(is_later) {
-            self.samples.push_back((next - 1, group.at_ms));
+        match self.samples.back_mut() {
+            Some((end, at)) if group.at_ms < *at + step => *end = next,
+            _ => self.samples.push_back((next, group.at_ms)),
         }
     }
 
-    /// Returns the lowest sampled offset that is not older than `age_ms`, and forgets older ones.
+    /// Learns that an entry stands in the log.
+    pub(super) fn seen(&mut self, seen: Seen) {
+        if seen.kind == Kind::Carried {
+            self.carried.swap_remove(&seen.request);
+        }
+    }
+
+    /// Says whether entries of the pass are still to be read back.
+    pub(super) fn is_waiting(&self) -> bool {
+        !self.carried.is_empty()
+    }
+
+    /// Returns the end of the records that are older than this, and forgets their samples.
     fn older_than(&mut self, age_ms: u64, now_ms: u64) -> id::Offset {
         let mut below = 0;
-        while let Some((offset, at)) = self.samples.front() {
+        while let Some((end, at)) = self.samples.front() {
             if now_ms.saturating_sub(*at) < age_ms {
                 break;
             }
-            below = *offset;
+            below = *end;
             self.samples.pop_front();
         }
         below
@@ -67,7 +83,7 @@
             self.pass.below = Some(below);
             self.pass.position = self.fold.position();
         }
-        let is_busy = self.writer.carries() || !self.pass.fetching.is_empty();
+        let is_busy = self.pass.is_waiting() || !self.pass.fetching.is_empty();
         if let Some(below) = self.pass.below
             && !is_busy
         {
@@ -93,15 +109,20 @@
         }
     }
 
+    /// Records that the pass is done, unless records were trimmed unread meanwhile.
     fn end_pass(&mut self, below: id::Offset) {
+        self.pass.below = None;
+        if self.pass.position < self.fold.start() {
+            return;
+        }
         let covered = Covered {
             below,
             position: self.pass.position,
+            since_ms: self.fold.complete_from_ms(),
         };
         self.writer
             .push(id::Request::nil(), Kind::Covered, Entry::Covered(covered));
         self.pass.covered = below;
-        self.pass.below = None;
     }
 
     /// An answer could not be read now; its key is carried by a later batch.
@@ -140,6 +161,7 @@
             ending,
             position: self.fold.position(),
         });
+        self.pass.carried.insert(slot.request);
         self.writer.push(slot.request, Kind::Carried, entry);
     }
 }
--- a/src/claim/stream/wait.rs
+++ b/src/claim/stream/wait.rs
@@ -6,7 +6,7 @@
 use super::super::mutation::{self, Mutation};
 use super::super::record::{self, Ending, Entry, Mark, Place};
 use super::super::window::{self, Age};
-use super::super::writer::Receipt;
+use super::super::writer::{Receipt, Trace};
 use super::super::{Ask, Verdict};
 use super::{Action, Fetch, GONE_GRACE, Now, Stream};
 use crate::clock::Time;
@@ -112,11 +112,8 @@
     pub(super) fn review(&mut self, now: Now, out: &mut Vec<Action>) {
         for (request, mut wait) in std::mem::take(&mut self.waits) {
             let verdict = self.judge(&mut wait, now, out);
-            let verdict = verdict
-                .map(|v| (v, false))
-                .or_else(|| self.give_up(&wait, now));
-            match verdict {
-                Some((verdict, stands)) => out.push(Action::Decide(request, verdict, stands)),
+            match verdict.or_else(|| self.give_up(&wait, now)) {
+                Some(verdict) => self.decide(&wait, verdict, out),
                 None => {
                     self.waits.insert(request, wait);
                 }
@@ -124,6 +121,21 @@
         }
     }
 
+    /// Gives a verdict, and says whether a claim may come to stand although the request does
+    /// not run. Only the daemon that would have run it may release such a claim, because it
+    /// may have been granted the claim by another daemon meanwhile.
+    fn decide(&mut self, wait: &Wait, verdict: Verdict, out: &mut Vec<Action>) {
+        let request = wait.ask.request;
+        let is_unread = match self.writer.withdraw(request) {
+            Trace::None => false,
+            Trace::Settled => matches!(wait.phase, Phase::Claiming | Phase::Barring),
+            Trace::Unsure => true,
+        };
+        let is_open = matches!(verdict, Verdict::NotRun { .. } | Verdict::Conflict);
+        let stands = is_open && is_unread;
+        out.push(Action::Decide(request, verdict, stands));
+    }
+
     /// A waiting request's own claim was folded: the index says what became of it.
     pub(super) fn reconsider(&mut self, seen: Seen) {
         if let Some(wait) = self.waits.get_mut(&seen.request)
@@ -148,7 +160,7 @@
                 None
             }
             Found::Unread => {
-                self.bar(wait, now);
+                self.bar(wait);
                 None
             }
         }
@@ -164,10 +176,6 @@
             return;
         }
         wait.phase = Phase::Claiming;
-        self.push_claim(wait);
-    }
-
-    fn push_claim(&mut self, wait: &Wait) {
         let entry = Entry::Claim(record::Claim {
             workspace: wait.ask.workspace.to_string(),
             key: wait.ask.key.to_string(),
@@ -180,13 +188,19 @@
     }
 
     /// Ends a key whose claim may have been trimmed unread, so that it stays unknown to all.
-    fn bar(&mut self, wait: &mut Wait, now: Now) {
+    fn bar(&mut self, wait: &mut Wait) {
         if wait.phase == Phase::Barring {
             return;
         }
         wait.phase = Phase::Barring;
-        self.push_claim(wait);
-        self.push_outcome(&wait.ask, wait.ask.request, Ending::Unknown, now);
+        let entry = Entry::Bar(record::Bar {
+            workspace: wait.ask.workspace.to_string(),
+            key: wait.ask.key.to_string(),
+            digest: wait.ask.digest.to_string(),
+            request: wait.ask.request,
+            issued_ms: wait.issued_ms,
+        });
+        self.writer.push(wait.ask.request, Kind::Bar, entry);
     }
 
     fn held(
@@ -202,7 +216,6 @@
             return Some(Verdict::Conflict);
         }
         match slot.state {
-            State::Open if own && wait.phase == Phase::Barring => None,
             State::Open if own => Some(Verdict::Granted),
             State::Open => {
                 self.join(wait, slot, now);
@@ -290,7 +303,7 @@
         self.carry_fetched(offset, group.as_ref());
     }
 
-    fn give_up(&mut self, wait: &Wait, now: Now) -> Option<(Verdict, bool)> {
+    fn give_up(&self, wait: &Wait, now: Now) -> Option<Verdict> {
         let early = self.is_outage(now.mono) && wait.phase == Phase::Reading;
         if now.mono < wait.limit() && !early {
             return None;
@@ -303,11 +316,7 @@
                 "the log did not decide the claim in time"
             }
         };
-        let stands = wait.phase == Phase::Claiming && !self.writer.withdraw(wait.ask.request);
-        if stands && wait.executor == self.daemon {
-            self.push_release(&wait.ask, now);
-        }
-        Some((not_run(reason, retry), stands))
+        Some(not_run(reason, retry))
     }
 
     /// The fault that the checks must catch: a claim that was appended counts as granted.
@@ -316,7 +325,7 @@
             return;
         }
         for (request, wait) in std::mem::take(&mut self.waits) {
-            if wait.phase == Phase::Claiming && !self.writer.withdraw(request) {
+            if wait.phase == Phase::Claiming {
                 out.push(Action::Decide(request, Verdict::Granted, false));
             } else {
                 self.waits.insert(request, wait);
--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::fold::{Kind, Seen};
 use super::record::Entry;
@@ -39,6 +39,18 @@
     }
 }
 
+token! {
+    /// What is left of a claim that was taken back.
+    pub enum Trace {
+        /// It was in no append.
+        None,
+        /// Its appends ended with known results.
+        Settled,
+        /// A copy may come to stand after everything that was read so far.
+        Unsure,
+    }
+}
+
 /// Forms groups of entries.
 #[derive(Debug)]
 pub struct Writer {
@@ -46,6 +58,9 @@
     flight: IndexMap<Seen, Entry>,
     /// Entries whose append ended without a known result; reading tells.
     doubtful: IndexMap<Seen, Entry>,
+    /// Claims that were in such an append, which may have its effect even after it was read
+    /// that it had none so far.
+    unsure: IndexSet<id::Request>,
     rate: f64,
     tokens: f64,
     filled: Time,
@@ -61,6 +76,7 @@
             queue: IndexMap::new(),
             flight: IndexMap::new(),
             doubtful: IndexMap::new(),
+            unsure: IndexSet::new(),
             rate,
             tokens: BURST,
             filled: Time::ZERO,
@@ -89,10 +105,19 @@
             || self.doubtful.contains_key(&at)
     }
 
-    /// Takes back a claim that was not sent in any append; false when it may stand.
-    pub fn withdraw(&mut self, request: id::Request) -> bool {
+    /// Takes back a claim whose request is decided, and tells what is left of it.
+    pub fn withdraw(&mut self, request: id::Request) -> Trace {
         let kind = Kind::Claim;
-        self.queue.shift_remove(&Seen { request, kind }).is_some()
+        let at = Seen { request, kind };
+        let is_queued = self.queue.shift_remove(&at).is_some();
+        let is_unsure = self.unsure.swap_remove(&request);
+        if is_unsure || self.flight.contains_key(&at) || self.doubtful.contains_key(&at) {
+            Trace::Unsure
+        } else if is_queued {
+            Trace::None
+        } else {
+            Trace::Settled
+        }
     }
 
     /// Says whether anything is on its way.
@@ -100,13 +125,6 @@
         self.queue.is_empty() && !self.is_appending && self.doubtful.is_empty()
     }
 
-    /// Says whether keys that are carried forward are on their way.
-    pub fn carries(&self) -> bool {
-        [&self.queue, &self.flight, &self.doubtful]
-            .iter()
-            .any(|part| part.keys().any(|seen| seen.kind == Kind::Carried))
-    }
-
     /// Says whether an append is in flight.
     pub fn is_appending(&self) -> bool {
         self.is_appending
@@ -183,7 +201,11 @@
         let wait = BACKOFF * 2_u32.saturating_pow(self.failures.min(8) - 1);
         self.not_before = now + wait.min(BACKOFF_MAX);
         match receipt {
-            Receipt::Unknown => self.doubtful = flight,
+            Receipt::Unknown => {
+                let claims = flight.keys().filter(|seen| seen.kind == Kind::Claim);
+                self.unsure.extend(claims.map(|seen| seen.request));
+                self.doubtful = flight;
+            }
             _ => self.requeue(flight),
         }
         Vec::new()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,10 @@
 //! Decisions are state machines that do no I/O; threads, sockets and channels are a shell
 //! around them. See [the architecture](../docs/ARCHITECTURE.md).
 
+// The histories of claims are checked in unit tests, whole-program tests and benches alike.
+#[cfg(test)]
+extern crate self as cyclamenrill;
+
 #[macro_use]
 mod derive;
 
