--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -80,6 +80,5 @@
     let arguments = Arguments::parse_args_default_or_exit();
     if let Some(count) = arguments.histories {
         assert!(histories(&arguments, count), "histories failed");
-        return;
     }
 }
