--- /dev/null
+++ b/src/order/reconcile.rs
@@ -0,0 +1,254 @@
+//! Reconciliation: what an engine shall be against what it reports, until they are the same.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::READ_EVERY;
+use crate::clock::Time;
+use crate::endpoint::{Order, State};
+use crate::id;
+
+/// The wait after the first order that did not show; it doubles.
+const BACKOFF: Duration = Duration::from_secs(2);
+/// The longest wait between two orders to one engine.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+
+event! {
+    /// What an engine shall be.
+    pub struct Desire {
+        /// Versions that shall be loaded, none besides; empty leaves them alone.
+        pub versions: Vec<id::Version>,
+        /// The role to play; none leaves it alone.
+        pub role: Option<id::Name>,
+    }
+
+    /// What the shell shall do.
+    pub enum Action {
+        /// Read the state of an engine.
+        Read {
+            /// The engine.
+            endpoint: id::Endpoint,
+            /// Its address and port.
+            address: String,
+        },
+        /// Give an order to an engine.
+        Give {
+            /// The engine.
+            endpoint: id::Endpoint,
+            /// Its address and port.
+            address: String,
+            /// The order.
+            order: Order,
+        },
+    }
+
+    /// How an engine stands, for operators.
+    pub struct Standing {
+        /// The engine.
+        pub endpoint: id::Endpoint,
+        /// Whether it refuses an order with an old fencing token.
+        pub checks_fencing: bool,
+        /// Whether it is as desired.
+        pub is_settled: bool,
+        /// Orders given since it was last as desired.
+        pub orders: u32,
+        /// How long orders to it are held back, because a predecessor's may still arrive.
+        pub held_back: Duration,
+    }
+
+    /// The lease under which orders are given.
+    #[derive(Copy)]
+    pub struct Authority {
+        /// The fencing token.
+        pub fence: id::Fence,
+        /// When this daemon acquired the lease.
+        pub since: Time,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    address: String,
+    checks_fencing: bool,
+    desire: Desire,
+    state: Option<(State, Time)>,
+    reading: Option<Time>,
+    giving: Option<Time>,
+    next: Time,
+    backoff: Duration,
+    orders: u32,
+}
+
+/// The engines of one controller.
+#[derive(Debug)]
+pub struct Reconciler {
+    tasks: IndexMap<id::Endpoint, Task>,
+    timeout: Duration,
+}
+
+impl Desire {
+    /// Says whether an engine is as desired.
+    pub fn is_met(&self, state: &State) -> bool {
+        let is_set = self.versions.iter().all(|v| state.versions.contains(v))
+            && state.versions.len() == self.versions.len();
+        let has_versions = self.versions.is_empty() || is_set;
+        let has_role = self.role.is_none() || self.role == state.role;
+        has_versions && has_role
+    }
+
+    /// Says whether an engine is on its way there.
+    fn is_underway(&self, state: &State) -> bool {
+        let missing = |v: &&id::Version| !state.versions.contains(*v);
+        let mut missing = self.versions.iter().filter(missing).peekable();
+        missing.peek().is_some() && missing.all(|v| state.loading.contains(v))
+    }
+}
+
+impl Reconciler {
+    /// Makes a reconciler whose orders are on their way for `timeout` at most.
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            tasks: IndexMap::new(),
+            timeout,
+        }
+    }
+
+    /// Sets what an engine shall be.
+    pub fn desire(
+        &mut self,
+        endpoint: &id::Endpoint,
+        address: &str,
+        checks_fencing: bool,
+        desire: Desire,
+    ) {
+        let task = self.tasks.entry(endpoint.clone()).or_insert_with(|| Task {
+            address: address.into(),
+            checks_fencing,
+            desire: desire.clone(),
+            state: None,
+            reading: None,
+            giving: None,
+            next: Time::ZERO,
+            backoff: BACKOFF,
+            orders: 0,
+        });
+        if task.desire != desire {
+            task.desire = desire;
+            task.next = Time::ZERO;
+            task.backoff = BACKOFF;
+        }
+    }
+
+    /// Forgets the engines that are gone.
+    pub fn retain(&mut self, is_present: impl Fn(&id::Endpoint) -> bool) {
+        self.tasks.retain(|endpoint, _| is_present(endpoint));
+    }
+
+    /// Says what to do now.
+    pub fn tick(&mut self, authority: Authority, now: Time) -> Vec<Action> {
+        let timeout = self.timeout;
+        let turn = |(endpoint, task): (&id::Endpoint, &mut Task)| {
+            task.turn(endpoint, authority, timeout, now)
+        };
+        self.tasks.iter_mut().filter_map(turn).collect()
+    }
+
+    /// Learns the state of an engine; none when it did not answer.
+    pub fn read(&mut self, endpoint: &str, state: Option<State>, now: Time) {
+        let Some(task) = self.tasks.get_mut(endpoint) else {
+            return;
+        };
+        task.reading = None;
+        task.state = state.map(|s| (s, now));
+        if task.is_settled() {
+            task.orders = 0;
+            task.backoff = BACKOFF;
+        }
+    }
+
+    /// Learns that an order ended, with or without an answer: only the read-back counts.
+    pub fn given(&mut self, endpoint: &str, now: Time) {
+        if let Some(task) = self.tasks.get_mut(endpoint) {
+            task.giving = None;
+            task.state = None;
+            task.next = now + task.backoff;
+            task.backoff = (task.backoff * 2).min(MAX_BACKOFF);
+        }
+    }
+
+    /// The state of an engine as last read.
+    pub fn state(&self, endpoint: &str) -> Option<&State> {
+        self.tasks.get(endpoint)?.state.as_ref().map(|(s, _)| s)
+    }
+
+    /// How the engines stand.
+    pub fn standings(&self, authority: Authority, now: Time) -> Vec<Standing> {
+        let standing = |(endpoint, task): (&id::Endpoint, &Task)| Standing {
+            endpoint: endpoint.clone(),
+            checks_fencing: task.checks_fencing,
+            is_settled: task.is_settled(),
+            orders: task.orders,
+            held_back: task.not_before(authority, self.timeout).saturating_sub(now),
+        };
+        self.tasks.iter().map(standing).collect()
+    }
+}
+
+impl Task {
+    fn is_settled(&self) -> bool {
+        self.state
+            .as_ref()
+            .is_some_and(|(state, _)| self.desire.is_met(state))
+    }
+
+    /// An engine that ignores fencing may still take an order that the predecessor sent last.
+    fn not_before(&self, authority: Authority, timeout: Duration) -> Time {
+        if self.checks_fencing {
+            Time::ZERO
+        } else {
+            authority.since + timeout
+        }
+    }
+
+    fn turn(
+        &mut self,
+        endpoint: &id::Endpoint,
+        authority: Authority,
+        timeout: Duration,
+        now: Time,
+    ) -> Option<Action> {
+        let is_open = |sent: Option<Time>| sent.is_some_and(|at| now < at + timeout);
+        if is_open(self.giving) || is_open(self.reading) {
+            return None;
+        }
+        let is_recent = |at: Time| now < at + READ_EVERY;
+        let Some((state, _)) = self.state.as_ref().filter(|(_, at)| is_recent(*at)) else {
+            self.reading = Some(now);
+            return Some(Action::Read {
+                endpoint: endpoint.clone(),
+                address: self.address.clone(),
+            });
+        };
+        let is_done = self.desire.is_met(state) || self.desire.is_underway(state);
+        if is_done || now < self.next || now < self.not_before(authority, timeout) {
+            return None;
+        }
+        let versions = if self.desire.versions.is_empty() {
+            state.versions.clone()
+        } else {
+            self.desire.versions.clone()
+        };
+        self.giving = Some(now);
+        self.orders += 1;
+        Some(Action::Give {
+            endpoint: endpoint.clone(),
+            address: self.address.clone(),
+            order: Order {
+                fence: authority.fence,
+                versions,
+                role: self.desire.role.clone(),
+            },
+        })
+    }
+}
--- /dev/null
+++ b/src/order/upgrade/plan.rs
@@ -0,0 +1,109 @@
+//! Rates, floors and windows of an upgrade.
+
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::order::Unit;
+
+/// How long daemons may still send to an engine after it was reported as draining.
+const SPREAD: Duration = Duration::from_secs(3);
+/// How many times the expected load time an engine may take before it counts as failed.
+const LOAD_FACTOR: u32 = 4;
+/// Time that loading takes besides reading the weights.
+const LOAD_MARGIN: Duration = Duration::from_secs(60);
+/// Minutes of a day.
+const DAY: u64 = 24 * 60;
+
+event! {
+    /// The limits of an upgrade.
+    pub struct Rule {
+        /// The most engines that are out of service at once.
+        pub batch: usize,
+        /// The share of engines that stays in service.
+        pub floor: f64,
+        /// The share of upgraded engines that may be unhealthy.
+        pub errors: f64,
+        /// Whether failing health leads back to the version before.
+        pub rollback: bool,
+        /// How long an engine may take to finish its calls.
+        pub drain: Duration,
+        /// Bytes that an engine loads.
+        pub bytes: u64,
+        /// Bytes a second that this pool and zone may read from the weight store.
+        pub rate: f64,
+    }
+
+    /// Where the time stands in the nightly window.
+    #[derive(Copy)]
+    pub struct Window {
+        /// Time until it ends; zero when it is closed.
+        pub left: Duration,
+    }
+
+    /// Paces the reads of the weight store.
+    #[derive(Copy, Default)]
+    pub struct Budget {
+        next: Time,
+    }
+}
+
+impl Rule {
+    /// Says whether an engine that is drained since `since` may be ordered.
+    pub fn is_drained(&self, unit: &Unit, since: Time, now: Time) -> bool {
+        let age = now.saturating_sub(since);
+        let is_idle = age >= SPREAD && (unit.is_idle() || !unit.is_healthy());
+        is_idle || age >= self.drain + SPREAD
+    }
+
+    /// Time between the starts of two loads.
+    pub fn spacing(&self) -> Duration {
+        Duration::from_secs_f64(self.bytes as f64 / self.rate.max(1.0))
+    }
+
+    /// How long an engine may load before it counts as failed.
+    pub fn load_limit(&self) -> Duration {
+        self.spacing() * LOAD_FACTOR + LOAD_MARGIN
+    }
+
+    /// Engines that must stay in service.
+    pub fn floor(&self, engines: usize) -> usize {
+        (self.floor * engines as f64).ceil() as usize
+    }
+
+    /// An estimate of the time that `engines` need.
+    pub fn estimate(&self, engines: usize) -> Duration {
+        let each = self.drain + SPREAD + self.spacing();
+        let batches = engines.div_ceil(self.batch.max(1));
+        let by_batch = each * u32::try_from(batches).unwrap_or(u32::MAX);
+        let by_rate = self.spacing() * u32::try_from(engines).unwrap_or(u32::MAX);
+        by_batch.max(by_rate)
+    }
+}
+
+impl Budget {
+    /// Takes the next load, if the weight store's rate allows it now.
+    pub fn take(&mut self, rule: &Rule, now: Time) -> bool {
+        let is_due = now >= self.next;
+        if is_due {
+            self.next = now + rule.spacing();
+        }
+        is_due
+    }
+}
+
+impl Window {
+    /// Makes the window from minutes after midnight; it may pass midnight.
+    pub fn new(start: u64, end: u64, minute: u64) -> Self {
+        let length = (end + DAY - start) % DAY;
+        let passed = (minute + DAY - start) % DAY;
+        let left = length.saturating_sub(passed);
+        Self {
+            left: Duration::from_secs(left * 60),
+        }
+    }
+
+    /// Whether engines may be taken out of service.
+    pub fn is_open(&self) -> bool {
+        !self.left.is_zero()
+    }
+}
