Control the engines of a zone under its lease

Cause: upgrades and role changes had no daemon that carries them out. Change: threads for the control stream and for zones; a controller that reads engines back, plans, drains by gossip and orders under a valid lease; boards and leases for operators.

--- a/schema/member.capnp
+++ b/schema/member.capnp
@@ -19,6 +19,8 @@
 enum Evidence {
   leaving @0;
   unreachable @1;
+  draining @2;
+  returned @3;
 }
 
 struct Member {
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,24 +11,31 @@
 
 use snafu::{ResultExt, Snafu};
 
-use crate::clock::{Clock, System};
+use crate::clock::System;
 use crate::config::record::{Change, Entry, Record};
 use crate::config::{View, edit};
-use crate::member::{Evidence, Status};
+use crate::member::Evidence;
 use crate::policy::{Candidate, Observation};
 use crate::settings::Settings;
-use crate::timeline::Recorder;
-use crate::{id, peer, platform};
+use crate::{id, lease, peer, platform};
 
 pub mod budget;
+mod controller;
 mod duty;
 mod gossip;
 mod handler;
+mod leases;
+mod options;
 mod roster;
+mod scene;
 mod shared;
+mod status;
 mod tail;
+mod zone;
 
+pub use options::Options;
 use shared::Shared;
+pub use status::{Board, Lease, Peer, Progress, Standing};
 
 /// The longest that one append may take.
 pub const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
@@ -56,74 +63,6 @@
     },
 }
 
-/// What control is made of.
-#[derive(Clone, Default)]
-pub struct Options {
-    settings: Option<Arc<Settings>>,
-    log: Option<Arc<dyn platform::Log>>,
-    roster: Option<Arc<dyn platform::Roster>>,
-    link: Option<Arc<dyn peer::Link>>,
-    recorder: Option<Arc<Recorder>>,
-    clock: Option<Arc<dyn Clock>>,
-    seed: u64,
-}
-
-impl Options {
-    /// Starts with nothing given.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Gives the settings of the daemon.
-    #[must_use]
-    pub fn settings(mut self, settings: Arc<Settings>) -> Self {
-        self.settings = Some(settings);
-        self
-    }
-
-    /// Gives the log service.
-    #[must_use]
-    pub fn log(mut self, log: Arc<dyn platform::Log>) -> Self {
-        self.log = Some(log);
-        self
-    }
-
-    /// Gives the platform's list of VMs.
-    #[must_use]
-    pub fn roster(mut self, roster: Arc<dyn platform::Roster>) -> Self {
-        self.roster = Some(roster);
-        self
-    }
-
-    /// Gives the connections to other daemons; without them no state is pulled from peers.
-    #[must_use]
-    pub fn link(mut self, link: Arc<dyn peer::Link>) -> Self {
-        self.link = Some(link);
-        self
-    }
-
-    /// Gives the time line.
-    #[must_use]
-    pub fn recorder(mut self, recorder: Arc<Recorder>) -> Self {
-        self.recorder = Some(recorder);
-        self
-    }
-
-    /// Gives the clock; the system's when none is given.
-    #[must_use]
-    pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
-        self.clock = Some(clock);
-        self
-    }
-
-    /// Gives the seed of random choices.
-    #[must_use]
-    pub fn seed(mut self, seed: u64) -> Self {
-        self.seed = seed;
-        self
-    }
-}
-
 /// Something that was not given, by name.
 fn given<T: Clone>(what: &'static str, option: Option<&T>) -> Result<T, Error> {
     option.cloned().ok_or(Error::Missing { what })
@@ -145,13 +84,16 @@
         peer: &settings.daemon.peers_address,
     })?;
     let clock = options.clock.clone();
+    let clock = clock.unwrap_or_else(|| Arc::new(System::new()));
+    let engines = options.engine.clone().zip(options.weights.clone());
     Ok(shared::Parts {
+        tools: engines.map(|(e, w)| shared::Tools::new(e, w, Arc::clone(&clock))),
         address: address.to_string(),
         log: given("log", options.log.as_ref())?,
         roster: given("roster", options.roster.as_ref())?,
         recorder: given("recorder", options.recorder.as_ref())?,
         link: options.link.clone(),
-        clock: clock.unwrap_or_else(|| Arc::new(System::new())),
+        clock,
         seed: options.seed,
         settings,
     })
@@ -161,10 +103,12 @@
 type Run = fn(&Shared);
 
 fn spawn(shared: &Arc<Shared>, socket: UdpSocket) -> std::io::Result<()> {
-    let runs: [(&str, Run); 3] = [
+    let runs: [(&str, Run); 5] = [
         ("control-tail", tail::run),
         ("control-roster", roster::run),
         ("control-duty", duty::run),
+        ("control-leases", leases::run),
+        ("control-zone", zone::run),
     ];
     for (name, run) in runs {
         let shared = Arc::clone(shared);
@@ -179,42 +123,6 @@
     Ok(())
 }
 
-value! {
-    /// A live daemon.
-    pub struct Peer {
-        /// The daemon.
-        pub daemon: id::Daemon,
-        /// Address and port for other daemons.
-        pub address: String,
-        /// Its availability zone.
-        pub zone: id::Zone,
-        /// How it stands.
-        pub status: Status,
-        /// The revision of its configuration, as last heard.
-        pub revision: id::Revision,
-    }
-
-    /// How the control plane of this daemon stands.
-    pub struct Standing {
-        /// The revision of the configuration.
-        pub revision: id::Revision,
-        /// Digest of the accepted changes; differs only between diverged daemons.
-        pub chain: id::Digest,
-        /// Whether the log was read to its end a short while ago.
-        pub is_fresh: bool,
-        /// Whether records are missing, so that a checkpoint or peer is awaited.
-        pub is_lost: bool,
-        /// Whether the log was reset.
-        pub is_regressed: bool,
-        /// The level that this daemon cannot read, if it met one.
-        pub halted: Option<u32>,
-        /// The revision at which others accepted other changes, if any.
-        pub diverged: Option<id::Revision>,
-        /// How much this daemon distrusts its judgement of others; 0 is healthy.
-        pub health: u32,
-    }
-}
-
 /// The control plane of one daemon.
 pub struct Control {
     shared: Arc<Shared>,
@@ -315,6 +223,29 @@
         self.shared.tail.lock().fold().history().cloned().collect()
     }
 
+    /// The leases that this daemon knows.
+    pub fn leases(&self) -> Vec<Lease> {
+        let now = self.shared.clock.now();
+        let leases = self.shared.leases.lock();
+        let is_ours = |name: &id::Name| {
+            let mut keepers = leases.keepers.values();
+            keepers.any(|k| k.lease() == name && k.is_valid(now))
+        };
+        let lease = |(name, lease): (&id::Name, &lease::fold::Lease)| Lease {
+            name: name.clone(),
+            holder: lease.holder.clone(),
+            fence: lease.fence,
+            is_ours: is_ours(name),
+        };
+        leases.fold.leases().map(lease).collect()
+    }
+
+    /// The zones that this daemon controls.
+    pub fn boards(&self) -> Vec<(id::Zone, Board)> {
+        let boards = self.shared.orders.lock();
+        boards.iter().map(|(z, b)| (z.clone(), b.clone())).collect()
+    }
+
     /// How control stands, for operators.
     pub fn standing(&self) -> Standing {
         let now = self.shared.clock.now();
--- /dev/null
+++ b/src/control/options.rs
@@ -0,0 +1,90 @@
+//! What control is made of.
+
+use std::sync::Arc;
+
+use crate::clock::Clock;
+use crate::settings::Settings;
+use crate::timeline::Recorder;
+use crate::{endpoint, peer, platform};
+
+/// What control is made of.
+#[derive(Clone, Default)]
+pub struct Options {
+    pub(super) settings: Option<Arc<Settings>>,
+    pub(super) log: Option<Arc<dyn platform::Log>>,
+    pub(super) roster: Option<Arc<dyn platform::Roster>>,
+    pub(super) link: Option<Arc<dyn peer::Link>>,
+    pub(super) engine: Option<Arc<dyn endpoint::Engine>>,
+    pub(super) weights: Option<Arc<dyn platform::Weights>>,
+    pub(super) recorder: Option<Arc<Recorder>>,
+    pub(super) clock: Option<Arc<dyn Clock>>,
+    pub(super) seed: u64,
+}
+
+impl Options {
+    /// Starts with nothing given.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Gives the settings of the daemon.
+    #[must_use]
+    pub fn settings(mut self, settings: Arc<Settings>) -> Self {
+        self.settings = Some(settings);
+        self
+    }
+
+    /// Gives the log service.
+    #[must_use]
+    pub fn log(mut self, log: Arc<dyn platform::Log>) -> Self {
+        self.log = Some(log);
+        self
+    }
+
+    /// Gives the platform's list of VMs.
+    #[must_use]
+    pub fn roster(mut self, roster: Arc<dyn platform::Roster>) -> Self {
+        self.roster = Some(roster);
+        self
+    }
+
+    /// Gives the connections to other daemons; without them no state is pulled from peers.
+    #[must_use]
+    pub fn link(mut self, link: Arc<dyn peer::Link>) -> Self {
+        self.link = Some(link);
+        self
+    }
+
+    /// Gives the engines and the weight store; without both this daemon controls no zone.
+    #[must_use]
+    pub fn engines(
+        mut self,
+        engine: Arc<dyn endpoint::Engine>,
+        weights: Arc<dyn platform::Weights>,
+    ) -> Self {
+        self.engine = Some(engine);
+        self.weights = Some(weights);
+        self
+    }
+
+    /// Gives the time line.
+    #[must_use]
+    pub fn recorder(mut self, recorder: Arc<Recorder>) -> Self {
+        self.recorder = Some(recorder);
+        self
+    }
+
+    /// Gives the clock; the system's when none is given.
+    #[must_use]
+    pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
+        self.clock = Some(clock);
+        self
+    }
+
+    /// Gives the seed of random choices.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
--- /dev/null
+++ b/src/control/scene.rs
@@ -0,0 +1,147 @@
+//! What a controller sees of its zone: engines, settings and the weight store's rate.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::shared::{Shared, Tools};
+use crate::config::{Place, View, setting};
+use crate::id;
+use crate::order::Unit;
+use crate::order::role::{self, Shares};
+use crate::order::upgrade::{Rule, Window};
+use crate::platform::Role;
+use crate::settings::{Kind, Pool};
+
+/// Milliseconds of a minute.
+const MINUTE_MS: u64 = 60_000;
+/// The share of a lease, as a divisor, that an order may take.
+const LEASE_SHARE: u32 = 3;
+/// Minutes of a day.
+const DAY: u64 = 24 * 60;
+
+/// The engines of a zone by pool.
+pub(super) type Pools = IndexMap<id::Pool, Vec<Unit>>;
+
+/// The settings of a zone at one moment.
+pub(super) struct Scene {
+    view: Arc<View>,
+    zone: id::Zone,
+    region: Option<id::Region>,
+    pools: IndexMap<id::Pool, Pool>,
+    minute: u64,
+    engines: usize,
+}
+
+impl Scene {
+    pub fn new(shared: &Shared, zone: &id::Zone) -> Self {
+        let settings = &shared.settings;
+        let engines = settings.pools.iter().filter(|p| p.kind == Kind::Engine);
+        let pools: IndexMap<id::Pool, Pool> = engines
+            .map(|p| (id::Pool::from(p.name.as_str()), p.clone()))
+            .collect();
+        let listed = shared.listed.lock();
+        let is_engine = |vm: &&crate::platform::Vm| {
+            let pool = vm.pool.as_ref();
+            vm.role == Role::Endpoint && pool.is_some_and(|p| pools.contains_key(p))
+        };
+        let count = listed.iter().flatten().filter(is_engine).count();
+        drop(listed);
+        let region = settings.zones.iter().find(|z| *z.name == **zone);
+        Self {
+            view: Arc::clone(&shared.view.read()),
+            zone: zone.clone(),
+            region: region.map(|z| z.region.as_str().into()),
+            pools,
+            minute: shared.wall_ms() / MINUTE_MS % DAY,
+            engines: count,
+        }
+    }
+
+    fn place<'a>(&'a self, pool: &'a str) -> Place<'a> {
+        Place {
+            region: self.region.as_deref(),
+            zone: Some(&self.zone),
+            pool: Some(pool),
+            ..Place::default()
+        }
+    }
+
+    /// The engines of the zone on the platform's list, without what they report.
+    pub fn pools(&self, shared: &Shared) -> Pools {
+        let mut pools = Pools::new();
+        for vm in shared.listed.lock().iter().flatten() {
+            let settings = vm.pool.as_ref().and_then(|p| self.pools.get(p));
+            let Some(settings) = settings.filter(|_| vm.zone == self.zone) else {
+                continue;
+            };
+            let units = pools.entry(settings.name.as_str().into()).or_default();
+            units.push(Unit {
+                endpoint: vm.id.clone(),
+                address: vm.address.clone(),
+                state: None,
+                load: None,
+                checks_fencing: settings.checks_fencing,
+                is_leaving: vm.leaving,
+            });
+        }
+        pools
+    }
+
+    /// The version that a pool shall serve; empty when it is left alone.
+    pub fn target(&self, pool: &str) -> id::Version {
+        self.view.text(&setting::MODEL_VERSION, &self.place(pool))
+    }
+
+    /// The longest that an order may be on its way: it must end well within the lease.
+    pub fn order_timeout(&self) -> Duration {
+        let duration = |setting| self.view.duration(setting, &Place::default());
+        let lease = duration(&setting::LEASE_TIME);
+        duration(&setting::ORDER_TIMEOUT).min(lease / LEASE_SHARE)
+    }
+
+    pub fn window(&self) -> Window {
+        let place = self.place("");
+        let start = self.view.count(&setting::UPGRADE_START, &place);
+        let end = self.view.count(&setting::UPGRADE_END, &place);
+        Window::new(start, end, self.minute)
+    }
+
+    pub fn shares(&self, pool: &str) -> Shares {
+        role::parse(&self.view.names(&setting::ROLE_SHARES, &self.place(pool)))
+    }
+
+    pub fn role_rule(&self, pool: &str) -> role::Rule {
+        let place = self.place(pool);
+        role::Rule {
+            hysteresis: self.view.ratio(&setting::ROLE_HYSTERESIS, &place),
+            period: self.view.duration(&setting::ROLE_PERIOD, &place),
+        }
+    }
+
+    /// The limits of an upgrade; none while the weight store does not say what the target is.
+    ///
+    /// The store's rate is shared among all engines of the fleet, so that the controllers of
+    /// all zones keep to it without asking each other.
+    pub fn rule(&self, tools: &Tools, pool: &str, target: &str, engines: usize) -> Option<Rule> {
+        let model = self.pools.get(pool).and_then(|p| p.model.clone());
+        let manifests = tools.manifests();
+        let manifest = manifests
+            .iter()
+            .find(|m| &*m.version == target && model.as_deref().is_none_or(|n| n == &*m.model))?;
+        let place = self.place(pool);
+        let count = |setting| self.view.count(setting, &place);
+        let allowed = count(&setting::WEIGHT_RATE).min(manifest.rate) as f64;
+        let share = engines as f64 / self.engines.max(1) as f64;
+        Some(Rule {
+            batch: usize::try_from(count(&setting::UPGRADE_BATCH)).unwrap_or(usize::MAX),
+            floor: self.view.ratio(&setting::UPGRADE_FLOOR, &place),
+            errors: self.view.ratio(&setting::UPGRADE_ERRORS, &place),
+            rollback: self.view.flag(&setting::UPGRADE_ROLLBACK, &place),
+            drain: self.view.duration(&setting::DRAIN_TIME, &place),
+            bytes: manifest.bytes,
+            rate: allowed * share,
+        })
+    }
+}
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -7,8 +7,9 @@
 use parking_lot::{Mutex, RwLock};
 
 use super::budget::{Budget, Class};
-use super::{APPEND_TIMEOUT, Peer};
-use crate::clock::Clock;
+use super::leases::Leases;
+use super::{APPEND_TIMEOUT, Board, Peer};
+use crate::clock::{Clock, Time};
 use crate::config::edit::{Action, Appended, Edit, Outcome};
 use crate::config::fold::Step;
 use crate::config::record::{self, Record, Verdict};
@@ -20,7 +21,46 @@
 use crate::policy::Observation;
 use crate::settings::Settings;
 use crate::timeline::{Kind, Recorder};
-use crate::{id, peer, platform};
+use crate::{endpoint, id, peer, platform};
+
+/// How long the weight store's answer is used before it is asked again.
+const MANIFESTS: Duration = Duration::from_secs(30);
+
+/// What a controller of zones needs.
+pub(super) struct Tools {
+    pub engine: Arc<dyn endpoint::Engine>,
+    weights: Arc<dyn platform::Weights>,
+    clock: Arc<dyn Clock>,
+    known: Mutex<(Option<Time>, Vec<platform::Manifest>)>,
+}
+
+impl Tools {
+    pub fn new(
+        engine: Arc<dyn endpoint::Engine>,
+        weights: Arc<dyn platform::Weights>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            engine,
+            weights,
+            clock,
+            known: Mutex::new((None, Vec::new())),
+        }
+    }
+
+    /// The versions that the weight store has, as it said a short while ago.
+    pub fn manifests(&self) -> Vec<platform::Manifest> {
+        let now = self.clock.now();
+        let mut known = self.known.lock();
+        if known.0.is_none_or(|at| now >= at + MANIFESTS) {
+            known.0 = Some(now);
+            if let Ok(manifests) = self.weights.manifests() {
+                known.1 = manifests;
+            }
+        }
+        known.1.clone()
+    }
+}
 
 /// What control is given.
 pub(super) struct Parts {
@@ -28,6 +68,7 @@
     pub log: Arc<dyn platform::Log>,
     pub roster: Arc<dyn platform::Roster>,
     pub link: Option<Arc<dyn peer::Link>>,
+    pub tools: Option<Tools>,
     pub recorder: Arc<Recorder>,
     pub clock: Arc<dyn Clock>,
     pub seed: u64,
@@ -42,6 +83,9 @@
     pub log: Arc<dyn platform::Log>,
     pub platform: Arc<dyn platform::Roster>,
     pub link: Option<Arc<dyn peer::Link>>,
+    pub tools: Option<Tools>,
+    pub leases: Mutex<Leases>,
+    pub orders: Mutex<IndexMap<id::Zone, Board>>,
     pub recorder: Arc<Recorder>,
     pub clock: Arc<dyn Clock>,
     pub seed: u64,
@@ -94,7 +138,12 @@
         let (stop, stopped) = flume::bounded(0);
         let (ahead_sender, ahead) = flume::bounded(1);
         let (outbox_sender, outbox) = flume::unbounded();
+        let zones = parts.settings.zones.iter();
+        let leases = Leases::new(zones.map(|z| z.name.as_str().into()), &me);
         Self {
+            leases: Mutex::new(leases),
+            orders: Mutex::new(IndexMap::new()),
+            tools: parts.tools,
             endpoints: Mutex::new(List::new(regions(&parts.settings))),
             swim: Mutex::new(Swim::new(member, parts.seed)),
             started_ms: wall_ms(parts.clock.as_ref()),
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -2,13 +2,15 @@
 //!
 //! They wait on conditions; none says how long anything takes.
 
+mod budget;
+mod upgrade;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
-use super::budget::{Budget, Class};
 use super::{Control, Error, Options};
 use crate::clock::{Clock, System};
 use crate::config::edit::{self, Outcome};
@@ -16,8 +18,8 @@
 use crate::config::{Place, setting};
 use crate::member::{Evidence, Status};
 use crate::peer::{self, Handler, Link, Topic};
-use crate::platform::memory::{Faults, Log, Roster};
-use crate::platform::{Role, Vm};
+use crate::platform::memory::{Faults, Log, Roster, Weights};
+use crate::platform::{Manifest, Role, Vm};
 use crate::timeline::Recorder;
 use crate::{endpoint, id, pipeline, settings};
 
@@ -79,6 +81,8 @@
     log: Arc<Log>,
     roster: Arc<Roster>,
     wire: Arc<Wire>,
+    engines: Option<Arc<upgrade::Engines>>,
+    weights: Arc<Weights>,
     vms: Vec<Vm>,
 }
 
@@ -97,6 +101,13 @@
             log: Arc::new(Log::new(clock.clone(), 1).blocking()),
             roster: Arc::new(Roster::new(clock.clone(), Duration::ZERO)),
             wire: Arc::new(Wire::default()),
+            engines: None,
+            weights: Arc::new(Weights::new(vec![Manifest {
+                model: "menu".into(),
+                version: "v2".into(),
+                bytes: 1_000,
+                rate: 1_000_000,
+            }])),
             clock,
             vms,
         }
@@ -116,6 +127,10 @@
             .recorder(Arc::new(Recorder::new(name.into(), self.clock.clone())))
             .clock(self.clock.clone())
             .seed(7);
+        let options = match &self.engines {
+            Some(engines) => options.engines(engines.clone(), self.weights.clone()),
+            None => options,
+        };
         let control = Control::start(&options).unwrap();
         self.enlist(&control, name);
         control
@@ -267,30 +282,3 @@
     let error = Control::start(&Options::new()).err().unwrap();
     assert!(matches!(error, Error::Missing { what: "settings" }));
 }
-
-#[test]
-fn budget_keeps_reserve_for_claims() {
-    let budget = Budget::new();
-    let count = |class| {
-        (0..100)
-            .filter(|_| budget.take(class, Duration::ZERO).is_ok())
-            .count()
-    };
-    assert_eq!(count(Class::Rest), 4);
-    assert_eq!(count(Class::Control), 3);
-    assert_eq!(count(Class::Claim), 3);
-    assert!(budget.take(Class::Claim, Duration::ZERO).is_err());
-}
-
-#[test]
-fn budget_follows_share_and_refusals() {
-    let budget = Budget::new();
-    budget.share(200, 10);
-    while budget.take(Class::Claim, Duration::ZERO).is_ok() {}
-    let wait = budget.take(Class::Claim, Duration::ZERO).unwrap_err();
-    assert_eq!(wait, SECOND / 20);
-    budget.refused(Duration::ZERO);
-    let slower = budget.take(Class::Claim, Duration::ZERO).unwrap_err();
-    assert_eq!(slower, SECOND / 10);
-    assert!(budget.take(Class::Rest, 60 * SECOND).is_ok());
-}
--- a/src/member.rs
+++ b/src/member.rs
@@ -29,6 +29,10 @@
         Leaving,
         /// Connections to it fail before a byte is sent.
         Unreachable,
+        /// Its controller takes it out of service for an order.
+        Draining,
+        /// Its controller brings it back into service.
+        Returned,
     }
 }
 
--- a/src/member/endpoint.rs
+++ b/src/member/endpoint.rs
@@ -15,6 +15,8 @@
 pub const LEAVING: Duration = Duration::from_secs(120);
 /// How long a report of failed connections holds.
 pub const UNREACHABLE: Duration = Duration::from_secs(10);
+/// How long a draining mark holds unless its controller repeats it.
+pub const DRAINING: Duration = Duration::from_secs(180);
 /// Reporters of failed connections after which an endpoint gets nothing new.
 pub const REPORTERS: usize = 2;
 /// Failed connections in a row after which a daemon reports an endpoint.
@@ -31,6 +33,7 @@
     listed: Option<Time>,
     first: Time,
     leaving: Option<(Time, Mark)>,
+    draining: Option<(Time, Mark)>,
     reporters: IndexMap<id::Daemon, Time>,
     failures: u32,
 }
@@ -75,6 +78,7 @@
                 listed: None,
                 first: now,
                 leaving: early,
+                draining: None,
                 reporters: IndexMap::new(),
                 failures: 0,
             });
@@ -100,6 +104,8 @@
         let before = entry.is_stopped(now);
         match mark.evidence {
             Evidence::Leaving => entry.leaving = Some((now, mark.clone())),
+            Evidence::Draining => entry.draining = Some((now, mark.clone())),
+            Evidence::Returned => entry.draining = None,
             Evidence::Unreachable => {
                 entry.reporters.insert(mark.reporter.clone(), now);
             }
@@ -147,14 +153,25 @@
             .map(|e| e.vm.id.clone())
     }
 
+    /// The endpoints that a controller took out of service.
+    pub fn draining(&self, now: Time) -> IndexSet<id::Endpoint> {
+        let is_draining = |e: &&Entry| {
+            let draining = e.draining.as_ref();
+            draining.is_some_and(|(at, _)| now.saturating_sub(*at) < DRAINING)
+        };
+        let draining = self.entries.values().filter(is_draining);
+        draining.map(|e| e.vm.id.clone()).collect()
+    }
+
     /// The reports that hold, for a daemon that joins.
     pub fn marks(&self, now: Time) -> Vec<Mark> {
-        self.entries
-            .values()
-            .filter_map(|e| e.leaving.as_ref())
-            .filter(|(at, _)| now.saturating_sub(*at) < LEAVING)
-            .map(|(_, mark)| mark.clone())
-            .collect()
+        let holds = |held: &&(Time, Mark), time| now.saturating_sub(held.0) < time;
+        let marks = self.entries.values().flat_map(|e| {
+            let leaving = e.leaving.as_ref().filter(|held| holds(held, LEAVING));
+            let draining = e.draining.as_ref().filter(|held| holds(held, DRAINING));
+            leaving.into_iter().chain(draining)
+        });
+        marks.map(|(_, mark)| mark.clone()).collect()
     }
 
     /// When the platform's list was last read.
@@ -201,6 +218,10 @@
                 .leaving
                 .as_ref()
                 .is_some_and(|(at, _)| holds(*at, LEAVING))
+            || self
+                .draining
+                .as_ref()
+                .is_some_and(|(at, _)| holds(*at, DRAINING))
             || reporters.count() >= REPORTERS
     }
 }
--- a/src/member/tests/endpoint.rs
+++ b/src/member/tests/endpoint.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Time;
 use crate::id;
-use crate::member::endpoint::{Effect, FAILURES, LEAVING, List, Regions, UNREACHABLE};
+use crate::member::endpoint::{DRAINING, Effect, FAILURES, LEAVING, List, Regions, UNREACHABLE};
 use crate::member::{Evidence, Mark};
 use crate::platform::{Role, Vm};
 
@@ -126,3 +126,20 @@
     list.roster(&[vm("e2", "a:2")], 2 * SECOND);
     assert_eq!(list.candidates(2 * SECOND).len(), 1);
 }
+
+#[test]
+fn draining_ends_with_its_return() {
+    let mut list = list();
+    let draining = mark("e1", Evidence::Draining, "d1");
+    assert_eq!(list.mark(&draining, SECOND), Effect::Stopped);
+    assert_eq!(list.marks(2 * SECOND), [draining]);
+    list.mark(&mark("e1", Evidence::Returned, "d2"), 2 * SECOND);
+    assert_eq!(usable(&list, 2 * SECOND).len(), 2);
+    list.mark(&mark("e1", Evidence::Draining, "d1"), 3 * SECOND);
+    assert_eq!(usable(&list, 3 * SECOND).len(), 1);
+    assert_eq!(
+        usable(&list, 3 * SECOND + DRAINING).len(),
+        2,
+        "a vanished controller"
+    );
+}
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -113,6 +113,8 @@
         to.set_evidence(match self.evidence {
             Evidence::Leaving => schema::Evidence::Leaving,
             Evidence::Unreachable => schema::Evidence::Unreachable,
+            Evidence::Draining => schema::Evidence::Draining,
+            Evidence::Returned => schema::Evidence::Returned,
         });
     }
 
@@ -124,6 +126,8 @@
             evidence: match from.get_evidence()? {
                 schema::Evidence::Leaving => Evidence::Leaving,
                 schema::Evidence::Unreachable => Evidence::Unreachable,
+                schema::Evidence::Draining => Evidence::Draining,
+                schema::Evidence::Returned => Evidence::Returned,
             },
         })
     }
