Measure the control plane and keep its bytes within the bounds

Cause: at 2,700 engines a read of the platform's list has 313 kB; every 2 s that is 157 kB/s against 11 kB/s. Rounds of gossip peaked at 7.9 kB/s sent when a zone of 400 daemons was lost. A floor that spares no engine of a small pool stopped its upgrade without a word.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,7 @@
 mod handler;
 mod leases;
 mod options;
+mod pull;
 mod roster;
 mod scene;
 mod shared;
@@ -103,8 +104,9 @@
 type Run = fn(&Shared);
 
 fn spawn(shared: &Arc<Shared>, socket: UdpSocket) -> std::io::Result<()> {
-    let runs: [(&str, Run); 5] = [
+    let runs: [(&str, Run); 6] = [
         ("control-tail", tail::run),
+        ("control-pull", pull::run),
         ("control-roster", roster::run),
         ("control-duty", duty::run),
         ("control-leases", leases::run),
--- a/src/control/controller.rs
+++ b/src/control/controller.rs
@@ -137,7 +137,7 @@
         if is_new && is_read && !is_served && scene.window().is_open() {
             self.begin(shared, pool, &target, units, is_over);
         }
-        let Some(rule) = scene.rule(tools, pool, &target, units.len()) else {
+        let Some(rule) = scene.rule(shared, tools, pool, &target, units.len()) else {
             self.alarm(shared, pool, &format!("the weight store has no {target}"));
             return;
         };
--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -72,7 +72,9 @@
                 shared.record(Kind::Member, None, what);
             }
             Action::Marked(mark) => shared.marked(&mark),
-            Action::Behind { address, .. } => shared.tell_ahead(address),
+            Action::Behind {
+                address, revision, ..
+            } => shared.tell_ahead(address, revision),
         }
     }
 }
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -8,13 +8,17 @@
 
 use super::handler;
 use super::shared::Shared;
-use crate::member::{Member, Status, wire};
+use crate::member::{Evidence, Member, Status, wire};
 use crate::peer::Topic;
 use crate::platform::{self, Role, Roster, Vm};
 use crate::policy::Observation;
 
-/// The mean time between two reads of the list.
+/// The least mean time between two reads of the list.
 const EVERY: Duration = Duration::from_secs(2);
+/// Bytes a second that reads of the list may take on average.
+const RATE: f64 = 4_000.0;
+/// Bytes of one VM on the list.
+const VM_BYTES: f64 = 120.0;
 /// The longest mean wait after failed reads.
 const MAX_BACKOFF: Duration = Duration::from_secs(10);
 /// How long a peer may take to answer with what it knows.
@@ -30,7 +34,7 @@
     while !shared.is_stopped() {
         match shared.platform.list() {
             Ok(list) => {
-                wait = EVERY;
+                wait = period(list.len());
                 take(shared, &list);
                 has_joined = has_joined || join(shared);
             }
@@ -42,6 +46,13 @@
     }
 }
 
+/// The time between reads grows with the list, so that its bytes stay within their rate.
+///
+/// At any moment some daemon of a large fleet has just read it, and reports who leaves.
+fn period(vms: usize) -> Duration {
+    EVERY.max(Duration::from_secs_f64(vms as f64 * VM_BYTES / RATE))
+}
+
 fn member(vm: &Vm) -> Member {
     Member {
         daemon: vm.id.clone(),
@@ -65,12 +76,15 @@
         .collect();
     let actions = shared.swim.lock().roster(&daemons, now);
     shared.act(actions);
-    let candidates = {
+    let (news, candidates) = {
         let mut endpoints = shared.endpoints.lock();
         endpoints.roster(list, now);
-        endpoints.candidates(now)
+        (endpoints.unreported(now), endpoints.candidates(now))
     };
     *shared.listed.lock() = Some(list.to_vec());
+    for endpoint in news {
+        shared.report(&endpoint, Evidence::Leaving);
+    }
     shared.notify(&Observation::Candidates(candidates));
 }
 
--- a/src/control/scene.rs
+++ b/src/control/scene.rs
@@ -10,7 +10,7 @@
 use crate::id;
 use crate::order::Unit;
 use crate::order::role::{self, Shares};
-use crate::order::upgrade::{Rule, Window};
+use crate::order::upgrade::{Rule, Window, spare, spare_of_zone};
 use crate::platform::Role;
 use crate::settings::{Kind, Pool};
 
@@ -18,6 +18,8 @@
 const MINUTE_MS: u64 = 60_000;
 /// The share of a lease, as a divisor, that an order may take.
 const LEASE_SHARE: u32 = 3;
+/// Minutes of a zone's turn, when the floor spares fewer engines than there are zones.
+const TURN_MINUTES: u64 = 10;
 /// Minutes of a day.
 const DAY: u64 = 24 * 60;
 
@@ -124,7 +126,14 @@
     ///
     /// The store's rate is shared among all engines of the fleet, so that the controllers of
     /// all zones keep to it without asking each other.
-    pub fn rule(&self, tools: &Tools, pool: &str, target: &str, engines: usize) -> Option<Rule> {
+    pub fn rule(
+        &self,
+        shared: &Shared,
+        tools: &Tools,
+        pool: &str,
+        target: &str,
+        engines: usize,
+    ) -> Option<Rule> {
         let model = self.pools.get(pool).and_then(|p| p.model.clone());
         let manifests = tools.manifests();
         let manifest = manifests
@@ -134,9 +143,15 @@
         let count = |setting| self.view.count(setting, &place);
         let allowed = count(&setting::WEIGHT_RATE).min(manifest.rate) as f64;
         let share = engines as f64 / self.engines.max(1) as f64;
+        let crowd = self.crowd(shared, pool);
+        let spare = spare(
+            self.view.ratio(&setting::UPGRADE_FLOOR, &place),
+            crowd.engines,
+        );
         Some(Rule {
+            spare: spare_of_zone(spare, engines, crowd.engines, crowd.is_turn),
+            is_stuck: spare == 0,
             batch: usize::try_from(count(&setting::UPGRADE_BATCH)).unwrap_or(usize::MAX),
-            floor: self.view.ratio(&setting::UPGRADE_FLOOR, &place),
             errors: self.view.ratio(&setting::UPGRADE_ERRORS, &place),
             rollback: self.view.flag(&setting::UPGRADE_ROLLBACK, &place),
             drain: self.view.duration(&setting::DRAIN_TIME, &place),
@@ -144,4 +159,30 @@
             rate: allowed * share,
         })
     }
+
+    /// The engines of a pool in all zones, and whether it is this zone's turn to go alone.
+    ///
+    /// Turns go by the wall clock. Clocks differ and loads outlast a turn, so that a zone also
+    /// waits while an engine of another zone is out, which gossip tells within seconds.
+    fn crowd(&self, shared: &Shared, pool: &str) -> Crowd {
+        let now = shared.clock.now();
+        let mut candidates = shared.endpoints.lock().candidates(now);
+        candidates.retain(|c| &*c.pool == pool);
+        let mut zones: Vec<&id::Zone> = candidates.iter().map(|c| &c.zone).collect();
+        zones.sort();
+        zones.dedup();
+        let turn = self.minute / TURN_MINUTES % zones.len().max(1) as u64;
+        let is_ours = usize::try_from(turn).is_ok_and(|t| zones.get(t) == Some(&&self.zone));
+        let is_out_elsewhere = candidates.iter().any(|c| c.leaving && c.zone != self.zone);
+        Crowd {
+            engines: candidates.len(),
+            is_turn: is_ours && !is_out_elsewhere,
+        }
+    }
+}
+
+/// The engines of a pool in all zones.
+struct Crowd {
+    engines: usize,
+    is_turn: bool,
 }
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -97,8 +97,8 @@
     pub listed: Mutex<Option<Vec<platform::Vm>>>,
     pub subscribers: Mutex<Vec<flume::Sender<Observation>>>,
     pub budget: Budget,
-    pub ahead: flume::Receiver<String>,
-    ahead_sender: flume::Sender<String>,
+    pub ahead: flume::Receiver<(String, id::Revision)>,
+    ahead_sender: flume::Sender<(String, id::Revision)>,
     pub outbox: flume::Receiver<Vec<swim::Action>>,
     outbox_sender: flume::Sender<Vec<swim::Action>>,
     waiters: Mutex<IndexMap<String, flume::Sender<Verdict>>>,
@@ -224,9 +224,9 @@
         self.budget.share(fleet, daemons);
     }
 
-    /// Tells the tail that the daemon at `address` has a later configuration.
-    pub fn tell_ahead(&self, address: String) {
-        drop(self.ahead_sender.try_send(address));
+    /// Notes that the daemon at `address` has a later configuration.
+    pub fn tell_ahead(&self, address: String, revision: id::Revision) {
+        drop(self.ahead_sender.try_send((address, revision)));
     }
 
     /// Appends to the configuration stream, within the budget.
--- a/src/member/endpoint.rs
+++ b/src/member/endpoint.rs
@@ -153,6 +153,17 @@
             .map(|e| e.vm.id.clone())
     }
 
+    /// The endpoints that leave by the platform's list, and that no daemon has reported yet.
+    pub fn unreported(&self, now: Time) -> Vec<id::Endpoint> {
+        let is_reported = |e: &Entry| {
+            let leaving = e.leaving.as_ref();
+            leaving.is_some_and(|(at, _)| now.saturating_sub(*at) < LEAVING)
+        };
+        let leaving = self.entries.values().filter(|e| e.vm.leaving);
+        let news = leaving.filter(|e| !is_reported(e));
+        news.map(|e| e.vm.id.clone()).collect()
+    }
+
     /// The endpoints that a controller took out of service.
     pub fn draining(&self, now: Time) -> IndexSet<id::Endpoint> {
         let is_draining = |e: &&Entry| {
--- a/src/member/swim/gossip.rs
+++ b/src/member/swim/gossip.rs
@@ -20,9 +20,9 @@
 /// Bytes of news that a round's datagram carries.
 const ROUND_BYTES: usize = 1_000;
 /// Bytes a second that rounds may send.
-const RATE: f64 = 3_000.0;
+const RATE: f64 = 2_500.0;
 /// Bytes that rounds may send at once after a quiet time.
-const BURST: f64 = 12_000.0;
+const BURST: f64 = 2_500.0;
 /// Bytes of a datagram besides its news.
 const HEADER: usize = 130;
 /// How often each daemon sends an item, beyond the logarithm of the number of members.
--- a/src/member/tests/endpoint.rs
+++ b/src/member/tests/endpoint.rs
@@ -143,3 +143,14 @@
         "a vanished controller"
     );
 }
+
+#[test]
+fn leaving_on_the_list_is_reported_once() {
+    let mut list = list();
+    let mut leaving = vm("e1", "a:1");
+    leaving.leaving = true;
+    list.roster(&[leaving], 2 * SECOND);
+    assert_eq!(list.unreported(2 * SECOND), ["e1".into()]);
+    list.mark(&mark("e1", Evidence::Leaving, "d1"), 2 * SECOND);
+    assert!(list.unreported(3 * SECOND).is_empty());
+}
--- a/src/order/upgrade.rs
+++ b/src/order/upgrade.rs
@@ -15,7 +15,7 @@
 
 mod plan;
 
-pub use plan::{Budget, Rule, Window};
+pub use plan::{Budget, Rule, Window, spare, spare_of_zone};
 
 event! {
     /// What an upgrade is about.
@@ -56,6 +56,8 @@
     Closed,
     /// It will close first.
     Late,
+    /// The floor lets no engine go out of service.
+    Stuck,
 }
 
 /// The upgrade of one pool in one zone.
@@ -215,6 +217,9 @@
         let (alarm, reason) = if !window.is_open() {
             let reason = format!("{pending} engines wait and the window is closed");
             (Alarm::Closed, reason)
+        } else if rule.is_stuck {
+            let reason = "the floor lets no engine go out of service".to_owned();
+            (Alarm::Stuck, reason)
         } else if need > left {
             let reason = format!("the upgrade needs {need:?} and the window ends in {left:?}");
             (Alarm::Late, reason)
@@ -240,17 +245,17 @@
         let mut pending = pending.to_vec();
         pending.sort_by_key(|u| u.is_healthy());
         let in_service = |u: &&Unit| u.is_healthy() && !self.holds(&u.endpoint);
-        let mut serving = units.iter().filter(in_service).count();
-        let floor = rule.floor(units.len());
+        let serving = units.iter().filter(in_service).count();
+        let mut out = units.len() - serving;
         for unit in pending {
             if self.stages.len() >= rule.batch {
                 return;
             }
             if unit.is_healthy() {
-                if serving <= floor {
+                if out >= rule.spare {
                     return;
                 }
-                serving -= 1;
+                out += 1;
             }
             self.stages
                 .insert(unit.endpoint.clone(), Stage::Draining { since: now });
--- a/src/order/upgrade/plan.rs
+++ b/src/order/upgrade/plan.rs
@@ -19,8 +19,10 @@
     pub struct Rule {
         /// The most engines that are out of service at once.
         pub batch: usize,
-        /// The share of engines that stays in service.
-        pub floor: f64,
+        /// Engines of this pool and zone that may be out of service at once, by the floor.
+        pub spare: usize,
+        /// Whether the floor lets no engine of the whole pool go out.
+        pub is_stuck: bool,
         /// The share of upgraded engines that may be unhealthy.
         pub errors: f64,
         /// Whether failing health leads back to the version before.
@@ -65,21 +67,31 @@
         self.spacing() * LOAD_FACTOR + LOAD_MARGIN
     }
 
-    /// Engines that must stay in service.
-    pub fn floor(&self, engines: usize) -> usize {
-        (self.floor * engines as f64).ceil() as usize
-    }
-
     /// An estimate of the time that `engines` need.
     pub fn estimate(&self, engines: usize) -> Duration {
         let each = self.drain + SPREAD + self.spacing();
-        let batches = engines.div_ceil(self.batch.max(1));
+        let width = self.batch.min(self.spare).max(1);
+        let batches = engines.div_ceil(width);
         let by_batch = each * u32::try_from(batches).unwrap_or(u32::MAX);
         let by_rate = self.spacing() * u32::try_from(engines).unwrap_or(u32::MAX);
         by_batch.max(by_rate)
     }
 }
 
+/// Engines of a pool that the floor lets go out of service.
+pub fn spare(floor: f64, engines: usize) -> usize {
+    engines - ((floor * engines as f64).ceil() as usize).min(engines)
+}
+
+/// Engines of one zone that may go out of service, of the `spare` ones of the whole pool.
+///
+/// Zones share them by their engines. A zone whose share is less than one takes all while it is
+/// its turn and no engine of another zone is out, so that small pools keep the floor too.
+pub fn spare_of_zone(spare: usize, engines: usize, of: usize, is_turn: bool) -> usize {
+    let share = spare * engines / of.max(1);
+    if share == 0 && is_turn { spare } else { share }
+}
+
 impl Budget {
     /// Takes the next load, if the weight store's rate allows it now.
     pub fn take(&mut self, rule: &Rule, now: Time) -> bool {
