--- a/src/policy/naive.rs
+++ b/src/policy/naive.rs
@@ -21,6 +21,7 @@
 /// The naive policy.
 #[derive(Debug)]
 pub struct Naive {
+    timeout: Duration,
     candidates: Vec<Candidate>,
     rng: ChaCha8Rng,
 }
@@ -29,10 +30,18 @@
     /// Makes a policy whose choices follow from `seed`.
     pub fn new(seed: u64) -> Self {
         Self {
+            timeout: TIMEOUT,
             candidates: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
+
+    /// Sets how long a call may take.
+    #[must_use]
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
 }
 
 impl Policy for Naive {
@@ -51,7 +60,7 @@
                 endpoint: c.endpoint.clone(),
                 address: c.address.clone(),
                 zone: c.zone.clone(),
-                timeout: TIMEOUT,
+                timeout: self.timeout,
                 hedge_after: None,
             }),
             None => Placement::Refuse {
