Do not wait for tokens to be taken before a forwarded call ends

The answering side waited for the acknowledgement of the last tokens, a round trip of the link. It now says how many it sent, and the calling side waits for these.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -122,6 +122,7 @@
 
 interface Daemon {
   ask @0 (stamp :Stamp, from :Text, topic :Topic, body :Data) -> (stamp :Stamp, body :Data);
-  forward @1 (stamp :Stamp, address :Text, call :Call, sink :Sink) -> (stamp :Stamp, result :Result);
-  remainder @2 (stamp :Stamp, rest :Remainder, sink :Sink) -> (stamp :Stamp, remote :Remote);
+  # `tokens` counts those that were put, so that the end is not taken before them.
+  forward @1 (stamp :Stamp, address :Text, call :Call, sink :Sink) -> (stamp :Stamp, tokens :UInt32, result :Result);
+  remainder @2 (stamp :Stamp, rest :Remainder, sink :Sink) -> (stamp :Stamp, tokens :UInt32, remote :Remote);
 }
--- a/src/entry/door.rs
+++ b/src/entry/door.rs
@@ -28,7 +28,7 @@
 /// How often a closing door looks whether its connections have ended.
 const CLOSE_CHECK: Duration = Duration::from_millis(5);
 /// The most threads that serve callers.
-const MAX_THREADS: usize = 4;
+const MAX_THREADS: usize = 2;
 
 /// Bounds on what callers may send and hold.
 #[derive(Clone, Debug)]
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
 use super::slot::Slot;
@@ -172,18 +172,17 @@
         wire::write_stamp(self.recorder.stamp(), params.reborrow().init_stamp());
         params.set_address(forward.endpoint.as_str());
         wire::write_call(&forward.call, params.reborrow().init_call());
-        let bytes = Rc::new(Cell::new(size(
-            params.reborrow().into_reader().total_size(),
-        )));
-        params.set_sink(funnel(forward.reply.clone(), bytes.clone()));
+        let taken = Taken::new(size(params.reborrow().into_reader().total_size()));
+        params.set_sink(funnel(forward.reply.clone(), taken.clone()));
         let response = request.send().promise.await.map_err(lost)?;
         let results = response.get().map_err(lost)?;
         let stamp = results.get_stamp().map_err(lost)?;
         self.recorder.witness(wire::read_stamp(stamp));
-        bytes.set(bytes.get() + size(results.total_size()));
+        taken.add(size(results.total_size()));
+        taken.wait_for(results.get_tokens()).await;
         let result = wire::read_result(results.get_result().map_err(lost)?);
         let mut answer = result.map_err(lost)??;
-        answer.usage.link_bytes += bytes.get();
+        answer.usage.link_bytes += taken.bytes.get();
         Ok(answer)
     }
 
@@ -204,17 +203,16 @@
         let mut params = request.get();
         wire::write_stamp(self.recorder.stamp(), params.reborrow().init_stamp());
         wire::write_rest(&rest.rest, params.reborrow().init_rest());
-        let bytes = Rc::new(Cell::new(size(
-            params.reborrow().into_reader().total_size(),
-        )));
-        params.set_sink(funnel(rest.reply.clone(), bytes.clone()));
+        let taken = Taken::new(size(params.reborrow().into_reader().total_size()));
+        params.set_sink(funnel(rest.reply.clone(), taken.clone()));
         let response = request.send().promise.await.map_err(lost)?;
         let results = response.get().map_err(lost)?;
         let stamp = results.get_stamp().map_err(lost)?;
         self.recorder.witness(wire::read_stamp(stamp));
-        bytes.set(bytes.get() + size(results.total_size()));
+        taken.add(size(results.total_size()));
+        taken.wait_for(results.get_tokens()).await;
         let mut remote = wire::read_remote(results.get_remote().map_err(lost)?).map_err(lost)?;
-        remote.usage.link_bytes += bytes.get();
+        remote.usage.link_bytes += taken.bytes.get();
         Ok(remote)
     }
 }
@@ -240,14 +238,42 @@
     ENVELOPE_BYTES + body.map_or(0, |size| size.word_count * 8)
 }
 
+/// What was received of a call so far.
+#[derive(Default)]
+struct Taken {
+    /// Bytes on the link, in both directions.
+    bytes: Cell<u64>,
+    tokens: Cell<u32>,
+    changed: Notify,
+}
+
+impl Taken {
+    fn new(bytes: u64) -> Rc<Self> {
+        let taken = Self::default();
+        taken.add(bytes);
+        Rc::new(taken)
+    }
+
+    fn add(&self, bytes: u64) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
+    /// Waits for tokens whose messages came before the end, but are handled after it.
+    async fn wait_for(&self, tokens: u32) {
+        while self.tokens.get() < tokens {
+            self.changed.notified().await;
+        }
+    }
+}
+
 /// Receives tokens from the other daemon for a blocking thread.
 struct Funnel<T> {
     reply: flume::Sender<Relayed<T>>,
-    bytes: Rc<Cell<u64>>,
+    taken: Rc<Taken>,
 }
 
-fn funnel<T: 'static>(reply: flume::Sender<Relayed<T>>, bytes: Rc<Cell<u64>>) -> sink::Client {
-    capnp_rpc::new_client(Funnel { reply, bytes })
+fn funnel<T: 'static>(reply: flume::Sender<Relayed<T>>, taken: Rc<Taken>) -> sink::Client {
+    capnp_rpc::new_client(Funnel { reply, taken })
 }
 
 impl<T: 'static> sink::Server for Funnel<T> {
@@ -267,9 +293,11 @@
 impl<T> Funnel<T> {
     fn take(&self, params: &sink::PutParams) -> capnp::Result<()> {
         let params: sink::put_params::Reader<'_> = params.get()?;
-        let message = size(params.total_size()) + RETURN_BYTES;
-        self.bytes.set(self.bytes.get() + message);
+        self.taken.add(size(params.total_size()) + RETURN_BYTES);
         let tokens = wire::read_tokens(params.get_tokens()?)?;
+        let count = self.taken.tokens.get() + wire::count(tokens.len());
+        self.taken.tokens.set(count);
+        self.taken.changed.notify_one();
         let sent = self.reply.send(Relayed::Tokens(tokens));
         sent.map_err(|_| capnp::Error::failed("nobody waits for the tokens".into()))
     }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -152,10 +152,11 @@
         let mut forwarded = Forwarded::new(desk, address, &call)?;
         let job = forwarded.job(call, sender);
         desk.run(job)?;
-        let result = pump(&receiver, params.get_sink()?).await?;
+        let (tokens, result) = pump(&receiver, params.get_sink()?).await?;
         forwarded.is_ended = true;
         let mut results = results.get();
         wire::write_stamp(desk.recorder.stamp(), results.reborrow().init_stamp());
+        results.set_tokens(tokens);
         wire::write_result(&result, results.init_result());
         Ok(())
     }
@@ -171,17 +172,18 @@
         desk.recorder.witness(wire::read_stamp(params.get_stamp()?));
         let rest = wire::read_rest(params.get_rest()?)?;
         let (sender, receiver) = flume::unbounded();
-        let remote = match desk.host()?.remainder(&rest, sender) {
+        let (tokens, remote) = match desk.host()?.remainder(&rest, sender) {
             Ok(reader) => {
-                let remote = pump(&receiver, params.get_sink()?).await?;
+                let ended = pump(&receiver, params.get_sink()?).await?;
                 // Until here, dropping this call drops the reader, which cancels the request.
                 drop(reader);
-                remote
+                ended
             }
-            Err(finish) => refused(finish),
+            Err(finish) => (0, refused(finish)),
         };
         let mut results = results.get();
         wire::write_stamp(desk.recorder.stamp(), results.reborrow().init_stamp());
+        results.set_tokens(tokens);
         wire::write_remote(&remote, results.init_remote());
         Ok(())
     }
@@ -265,9 +267,15 @@
     }
 }
 
-/// Sends tokens back until the end; tokens that come while the window is full share a message.
-async fn pump<T>(receiver: &flume::Receiver<Relayed<T>>, sink: sink::Client) -> capnp::Result<T> {
+/// Sends tokens back until the end, and returns their number with it.
+///
+/// Tokens that come while the window is full share a message.
+async fn pump<T>(
+    receiver: &flume::Receiver<Relayed<T>>,
+    sink: sink::Client,
+) -> capnp::Result<(u32, T)> {
     let mut sent = FuturesUnordered::new();
+    let mut count = 0;
     loop {
         let relayed = tokio::select! {
             Some(done) = sent.next(), if !sent.is_empty() => {
@@ -281,16 +289,16 @@
         };
         let (tokens, end) = gather(relayed, receiver);
         if !tokens.is_empty() {
+            count += wire::count(tokens.len());
             let mut request = sink.put_request();
             let list = request.get().init_tokens(wire::count(tokens.len()));
             wire::write_tokens(&tokens, list);
             sent.push(request.send().promise);
         }
         if let Some(end) = end {
-            while let Some(done) = sent.next().await {
-                done?;
-            }
-            return Ok(end);
+            // Waiting for the other side to take the last tokens would cost a round trip.
+            tokio::task::spawn_local(async move { while sent.next().await.is_some() {} });
+            return Ok((count, end));
         }
     }
 }
