Compress stages across the regional link

Cause: a forwarded stage of 64 tokens took 6,421 bytes on a kept connection and 4,025 with a connection for each call, because each token is a message of its own. Change: connections for stages are compressed with the history of the connection (async-compression, deflate); messages between daemons stay plain. Bytes are booked by the share of the connection.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -5,6 +5,8 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+#[path = "relay/bare.rs"]
+mod bare;
 #[path = "relay/caller.rs"]
 mod caller;
 #[path = "relay/cost.rs"]
@@ -45,6 +47,7 @@
     first_token_us: Added,
     token_gap_us: Added,
     paced: stream::Throughput,
+    bare_tokens_per_core_second: f64,
     unpaced: stream::Throughput,
     requests_per_core_second: f64,
     link: link::Report,
@@ -90,6 +93,8 @@
     token_gap_us.print("gap between tokens");
     let paced = stream::paced(arguments.streams, arguments.rate, arguments.seconds);
     paced.print("paced");
+    let bare = stream::bare(arguments.streams, arguments.rate, arguments.seconds);
+    println!("bare relay, same pace   {bare:.0} tokens a core-second");
     let unpaced = stream::unpaced(arguments.streams);
     unpaced.print("as fast as it goes");
     let requests_per_core_second = stream::requests(arguments.requests);
@@ -101,6 +106,7 @@
         first_token_us,
         token_gap_us,
         paced,
+        bare_tokens_per_core_second: bare,
         unpaced,
         requests_per_core_second,
         link,
--- a/benches/relay/cost.rs
+++ b/benches/relay/cost.rs
@@ -1,4 +1,4 @@
-//! Processor time of the daemon's threads, told apart from the bench's own by their names.
+//! Processor time of the daemon's threads or the bare relay's, told apart from the bench's own by their names.
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -7,11 +7,18 @@
 use indexmap::IndexMap;
 
 /// Names of the daemon's threads.
-const DAEMON: [&str; 5] = ["door-", "call", "roster", "waker", "peers"];
+const DAEMON: [&str; 6] = [
+    "door-",
+    "call",
+    "roster",
+    "waker",
+    "peers",
+    crate::bare::NAME,
+];
 
 /// The processor time of each of the daemon's threads at one moment.
 pub struct Mark {
-    nanos: IndexMap<PathBuf, (String, u64)>,
+    nanos: IndexMap<PathBuf, u64>,
 }
 
 impl Mark {
@@ -28,28 +35,20 @@
         }
     }
 
-    /// Returns the time used since `before`, by the kind of thread.
-    pub fn since(&self, before: &Self) -> IndexMap<&'static str, Duration> {
-        let mut used = IndexMap::new();
-        for (path, (name, nanos)) in &self.nanos {
-            let earlier = before.nanos.get(path).map_or(0, |(_, nanos)| *nanos);
-            let kind = DAEMON.iter().find(|d| name.starts_with(**d)).unwrap();
-            let sum: &mut Duration = used.entry(*kind).or_default();
-            *sum += Duration::from_nanos(nanos.saturating_sub(earlier));
-        }
-        used
-    }
-
-    /// Returns the time used since `before`.
+    /// Returns the time used since `before`; a thread that has ended is left out.
     pub fn total_since(&self, before: &Self) -> Duration {
-        self.since(before).values().sum()
+        let used = self.nanos.iter().map(|(path, nanos)| {
+            let earlier = before.nanos.get(path).copied().unwrap_or(0);
+            nanos.saturating_sub(earlier)
+        });
+        Duration::from_nanos(used.sum())
     }
 }
 
-fn read(task: &Path) -> Option<(String, u64)> {
+fn read(task: &Path) -> Option<u64> {
     let name = fs::read_to_string(task.join("comm")).ok()?;
     let is_daemon = DAEMON.iter().any(|d| name.starts_with(d));
     let times = fs::read_to_string(task.join("schedstat")).ok()?;
     let nanos = times.split(' ').next()?.parse().ok()?;
-    is_daemon.then(|| (name.trim().to_owned(), nanos))
+    is_daemon.then_some(nanos)
 }
--- a/benches/relay/stream.rs
+++ b/benches/relay/stream.rs
@@ -1,11 +1,13 @@
 //! Streams: latency beside a direct call, and throughput per core-second.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
 
 use crate::Added;
+use crate::bare;
 use crate::caller::{self, Caller, Seen, Times};
 use crate::cost::Mark;
 use crate::engine::{Engine, Pace, spawn};
@@ -64,14 +66,15 @@
 
 /// Streams at a given rate of tokens over all.
 pub fn paced(streams: usize, rate: u64, seconds: u64) -> Throughput {
+    run(streams, pace(streams, rate, seconds))
+}
+
+fn pace(streams: usize, rate: u64, seconds: u64) -> Pace {
     let per_stream = rate as f64 / streams as f64;
-    run(
-        streams,
-        Pace {
-            tokens: (per_stream * seconds as f64) as u32,
-            gap: Duration::from_secs_f64(1.0 / per_stream),
-        },
-    )
+    Pace {
+        tokens: (per_stream * seconds as f64) as u32,
+        gap: Duration::from_secs_f64(1.0 / per_stream),
+    }
 }
 
 /// Streams as fast as they go.
@@ -85,10 +88,28 @@
     )
 }
 
+/// Returns tokens per core-second of a bare relay at the same rate.
+pub fn bare(streams: usize, rate: u64, seconds: u64) -> f64 {
+    let pace = pace(streams, rate, seconds);
+    let engine = Engine::start(pace);
+    let (tokens, _, used) = carry(bare::start(engine.address), streams, pace);
+    tokens as f64 / used.as_secs_f64()
+}
+
 fn run(streams: usize, pace: Pace) -> Throughput {
     let engine = Engine::start(pace);
     let daemon = caller::daemon(engine.address);
-    let address = daemon.callers_address();
+    let (tokens, wall, used) = carry(daemon.callers_address(), streams, pace);
+    daemon.shutdown(Duration::from_secs(5));
+    Throughput {
+        tokens_per_second: tokens as f64 / wall.as_secs_f64(),
+        tokens_per_core_second: tokens as f64 / used.as_secs_f64(),
+        cores: used.as_secs_f64() / wall.as_secs_f64(),
+    }
+}
+
+/// Reads streams to their end; returns the tokens, the time and the processor time of the relay.
+fn carry(address: SocketAddr, streams: usize, pace: Pace) -> (usize, Duration, Duration) {
     let barrier = Arc::new(Barrier::new(streams + 1));
     let callers: Vec<_> = (0..streams)
         .map(|_| {
@@ -103,18 +124,9 @@
     barrier.wait();
     let (start, before) = (Instant::now(), Mark::now());
     let tokens: usize = callers.into_iter().map(|c| c.join().unwrap()).sum();
-    let (wall, after) = (start.elapsed(), Mark::now());
-    let used = after.total_since(&before);
-    for (kind, time) in after.since(&before) {
-        println!("  {kind:<10} {time:?}");
-    }
+    let (wall, used) = (start.elapsed(), Mark::now().total_since(&before));
     assert_eq!(tokens, streams * pace.tokens as usize, "each token once");
-    daemon.shutdown(Duration::from_secs(5));
-    Throughput {
-        tokens_per_second: tokens as f64 / wall.as_secs_f64(),
-        tokens_per_core_second: tokens as f64 / used.as_secs_f64(),
-        cores: used.as_secs_f64() / wall.as_secs_f64(),
-    }
+    (tokens, wall, used)
 }
 
 /// Plain requests on kept connections; returns requests per core-second of the daemon.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -12,6 +12,7 @@
 mod net;
 mod server;
 mod slot;
+mod stream;
 mod wire;
 
 pub use net::{Net, Options};
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::slot::Slot;
+use super::stream::Coding;
 use super::{Error, Relayed, Result, Topic, wire};
 use crate::endpoint::{self, Answer, Call};
 use crate::generated::peer_capnp::{daemon, sink};
@@ -68,7 +69,7 @@
 pub struct Client {
     daemon: id::Daemon,
     recorder: Arc<Recorder>,
-    slots: RefCell<IndexMap<String, Rc<Slot>>>,
+    slots: RefCell<IndexMap<(String, Coding), Rc<Slot>>>,
     jobs: RefCell<IndexMap<Job, oneshot::Sender<()>>>,
     rng: RefCell<ChaCha8Rng>,
 }
@@ -108,7 +109,9 @@
                 drop(job);
             }
             Command::Cut(address, duration) => {
-                self.slot(&address).cut(Instant::now() + duration);
+                for coding in [Coding::Plain, Coding::Deflate] {
+                    self.slot(&address, coding).cut(Instant::now() + duration);
+                }
             }
         }
     }
@@ -119,13 +122,19 @@
         receiver
     }
 
-    fn slot(&self, address: &str) -> Rc<Slot> {
+    fn slot(&self, address: &str, coding: Coding) -> Rc<Slot> {
         let mut slots = self.slots.borrow_mut();
-        slots.entry(address.to_owned()).or_default().clone()
+        let slot = slots.entry((address.to_owned(), coding));
+        slot.or_insert_with(|| Rc::new(Slot::new(coding))).clone()
     }
 
-    async fn connect(&self, step: &'static str, address: &str) -> Result<daemon::Client> {
-        let slot = self.slot(address);
+    async fn connect(
+        &self,
+        step: &'static str,
+        address: &str,
+        coding: Coding,
+    ) -> Result<daemon::Client> {
+        let slot = self.slot(address, coding);
         slot.client(address, &self.rng).await.map_err(|reason| {
             let peer = address.to_owned();
             Error::NotSent { step, peer, reason }
@@ -133,7 +142,7 @@
     }
 
     async fn ask(&self, ask: &Ask) -> Result<Vec<u8>> {
-        let client = self.connect("message", &ask.address).await?;
+        let client = self.connect("message", &ask.address, Coding::Plain).await?;
         let mut request = client.ask_request();
         let mut params = request.get();
         wire::write_stamp(self.recorder.stamp(), params.reborrow().init_stamp());
@@ -160,7 +169,9 @@
 
     async fn forward(&self, forward: &Forward) -> endpoint::Result<Answer> {
         let address = &forward.address;
-        let client = self.connect("forwarded call", address).await;
+        let client = self
+            .connect("forwarded call", address, Coding::Deflate)
+            .await;
         let client = client.map_err(|error| endpoint::Error::NotSent {
             step: "forwarded call",
             peer: address.clone(),
@@ -182,7 +193,8 @@
         taken.wait_for(results.get_tokens()).await;
         let result = wire::read_result(results.get_result().map_err(lost)?);
         let mut answer = result.map_err(lost)??;
-        answer.usage.link_bytes += taken.bytes.get();
+        let slot = self.slot(address, Coding::Deflate);
+        answer.usage.link_bytes += slot.book(taken.bytes.get());
         Ok(answer)
     }
 
@@ -197,7 +209,9 @@
     }
 
     async fn rest(&self, rest: &Rest) -> Result<Remote> {
-        let client = self.connect("remainder", &rest.address).await?;
+        let client = self
+            .connect("remainder", &rest.address, Coding::Deflate)
+            .await?;
         let lost = |e: capnp::Error| lost("remainder", &rest.address, &e);
         let mut request = client.remainder_request();
         let mut params = request.get();
@@ -212,7 +226,8 @@
         taken.add(size(results.total_size()));
         taken.wait_for(results.get_tokens()).await;
         let mut remote = wire::read_remote(results.get_remote().map_err(lost)?).map_err(lost)?;
-        remote.usage.link_bytes += taken.bytes.get();
+        let slot = self.slot(&rest.address, Coding::Deflate);
+        remote.usage.link_bytes += slot.book(taken.bytes.get());
         Ok(remote)
     }
 }
--- a/src/peer/net.rs
+++ b/src/peer/net.rs
@@ -6,7 +6,6 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use capnp_rpc::rpc_twoparty_capnp::Side;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 use tokio::runtime::Builder;
@@ -15,7 +14,7 @@
 
 use super::client::{Ask, Client, Command, Forward, Rest};
 use super::server::{Desk, Server};
-use super::{Error, Handler, Host, Link, Relayed, Result, Topic, slot};
+use super::{Error, Handler, Host, Link, Relayed, Result, Topic, stream};
 use crate::endpoint::{self, Answer, Call, Sink};
 use crate::generated::peer_capnp::daemon;
 use crate::id;
@@ -30,6 +29,8 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(5);
 /// How long a port that stops waits until its last answers are sent.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a new connection may take to say its coding.
+const CODING_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long to wait after a failed accept.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -185,7 +186,10 @@
 /// Answers on one connection until it breaks or the port stops.
 async fn serve(stream: TcpStream, desk: Arc<Desk>, mut stopping: watch::Receiver<bool>) {
     let server: daemon::Client = capnp_rpc::new_client(Server(desk));
-    let system = slot::system(stream, Side::Server, Some(server.client));
+    let accepted = stream::accept(stream, server.client);
+    let Ok(Ok(system)) = tokio::time::timeout(CODING_TIMEOUT, accepted).await else {
+        return;
+    };
     let disconnector = system.get_disconnector();
     let mut running = spawn_local(system);
     tokio::select! {
--- a/src/peer/slot.rs
+++ b/src/peer/slot.rs
@@ -4,53 +4,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use capnp_rpc::twoparty::VatNetwork;
-use capnp_rpc::{Disconnector, RpcSystem, rpc_twoparty_capnp::Side};
-use futures::AsyncReadExt;
-use futures::io::{BufReader, BufWriter};
+use capnp_rpc::Disconnector;
+use capnp_rpc::rpc_twoparty_capnp::Side;
 use rand::{Rng, RngExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
-use tokio_util::compat::TokioAsyncReadCompatExt;
 
+use super::stream::{self, Coding, Count};
 use crate::generated::peer_capnp::daemon;
 
-/// The most words of a message, 8 bytes each; larger ones end the connection.
-const MAX_MESSAGE_WORDS: usize = 2 << 20;
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long sent bytes may stay without an acknowledgement.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(5);
 /// The first wait after a broken connection, before jitter.
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// The longest wait after a broken connection, before jitter.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
-/// Options of every connection: messages are bounded.
-pub fn options() -> capnp::message::ReaderOptions {
-    let mut options = capnp::message::ReaderOptions::new();
-    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
-    options
-}
-
-/// Runs the protocol over a stream.
-pub fn system(stream: TcpStream, side: Side, host: Option<capnp::capability::Client>) -> System {
-    drop(stream.set_nodelay(true));
-    let socket = socket2::SockRef::from(&stream);
-    drop(socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
-    let (reader, writer) = stream.compat().split();
-    let network = VatNetwork::new(
-        BufReader::new(reader),
-        BufWriter::new(writer),
-        side,
-        options(),
-    );
-    RpcSystem::new(Box::new(network), host)
-}
-
-/// The protocol over one connection.
-pub type System = RpcSystem<Side>;
-
 struct Up {
     client: daemon::Client,
     disconnector: Disconnector<Side>,
@@ -58,8 +27,12 @@
 }
 
 /// The connection to one daemon.
-#[derive(Default)]
 pub struct Slot {
+    coding: Coding,
+    /// Bytes on the link.
+    sent: Count,
+    /// Bytes of the messages, before they were coded.
+    booked: Cell<u64>,
     up: RefCell<Option<Up>>,
     connecting: tokio::sync::Mutex<()>,
     backoff: Cell<Duration>,
@@ -67,6 +40,29 @@
 }
 
 impl Slot {
+    /// Makes a slot without a connection.
+    pub fn new(coding: Coding) -> Self {
+        Self {
+            coding,
+            sent: Count::default(),
+            booked: Cell::default(),
+            up: RefCell::default(),
+            connecting: tokio::sync::Mutex::default(),
+            backoff: Cell::default(),
+            retry_at: Cell::default(),
+        }
+    }
+
+    /// Returns the bytes on the link that messages of `bytes` took, by the share so far.
+    ///
+    /// Calls share a connection and its compression, so that none has bytes of its own.
+    pub fn book(&self, bytes: u64) -> u64 {
+        let booked = self.booked.get() + bytes;
+        self.booked.set(booked);
+        let share = self.sent.get() as f64 / booked.max(1) as f64;
+        (bytes as f64 * share) as u64
+    }
+
     /// Returns the connection, and makes it when there is none; an error says why not.
     pub async fn client(
         &self,
@@ -83,7 +79,7 @@
         match connect(address).await {
             Ok(stream) => {
                 self.backoff.set(Duration::ZERO);
-                Ok(self.open(stream))
+                self.open(stream).await.map_err(|e| e.to_string())
             }
             Err(reason) => {
                 self.delay(rng);
@@ -107,8 +103,8 @@
         Some(up.client.clone())
     }
 
-    fn open(&self, stream: TcpStream) -> daemon::Client {
-        let mut system = system(stream, Side::Client, None);
+    async fn open(&self, stream: TcpStream) -> std::io::Result<daemon::Client> {
+        let mut system = stream::open(stream, self.coding, self.sent.clone()).await?;
         let client: daemon::Client = system.bootstrap(Side::Server);
         let is_broken = Rc::new(Cell::new(false));
         let broken = is_broken.clone();
@@ -122,7 +118,7 @@
             disconnector,
             is_broken,
         });
-        client
+        Ok(client)
     }
 
     fn delay(&self, rng: &RefCell<impl Rng>) {
