--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod limit;
 pub mod load;
 pub mod member;
+pub mod node;
 pub mod operate;
 pub mod order;
 pub mod peer;
--- /dev/null
+++ b/src/node/console.rs
@@ -0,0 +1,301 @@
+//! What the operators' port needs, answered by a whole daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config::record::{self, Body, Clear, Level, Scope, Set, Value};
+use crate::config::setting::{CATALOGUE, Preset, Setting};
+use crate::config::{Place, edit};
+use crate::control::Control;
+use crate::daemon::Daemon;
+use crate::member::Status as Standing;
+use crate::operate::status::{Count, Endpoint, Member};
+use crate::operate::{
+    Answer, Change, Console, Edit, Error, Event, Line, Query, Result, Sheet, Status, Verdict,
+};
+use crate::settings::{Settings, plan};
+use crate::timeline::Recorder;
+use crate::{id, timeline};
+
+/// Answers operators.
+pub struct Board {
+    pub(super) settings: Arc<Settings>,
+    pub(super) daemon: Arc<Daemon>,
+    pub(super) control: Arc<Control>,
+    pub(super) recorder: Arc<Recorder>,
+    pub(super) drain: flume::Sender<()>,
+}
+
+impl Board {
+    fn me(&self) -> id::Daemon {
+        self.settings.daemon.name.as_str().into()
+    }
+
+    fn status(&self) -> Status {
+        let zone = &self.settings.daemon.availability_zone;
+        let status = self.daemon.status();
+        let standing = self.control.standing();
+        Status {
+            daemon: self.me(),
+            zone: zone.as_str().into(),
+            region: plan::region_of(&self.settings, zone).unwrap_or_default(),
+            ready: status.ready,
+            uptime: status.uptime,
+            requests: status.requests as u64,
+            revision: standing.revision,
+            fresh: standing.is_fresh,
+            members: self.members(),
+            endpoints: self.endpoints(),
+            leases: Vec::new(),
+            quarantine: Vec::new(),
+            counts: counts(status.counts),
+        }
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let live = self.control.live().into_iter();
+        live.map(|peer| Member {
+            state: state(peer.status).into(),
+            daemon: peer.daemon,
+            zone: peer.zone,
+            revision: peer.revision,
+        })
+        .collect()
+    }
+
+    fn endpoints(&self) -> Vec<Endpoint> {
+        let checks = |pool: &id::Pool| {
+            let pools = &self.settings.pools;
+            pools.iter().any(|p| *p.name == **pool && p.checks_fencing)
+        };
+        let all = self.control.candidates().into_iter();
+        all.map(|c| Endpoint {
+            checks_fencing: checks(&c.pool),
+            endpoint: c.endpoint,
+            pool: c.pool,
+            zone: c.zone,
+            leaving: c.leaving,
+        })
+        .collect()
+    }
+
+    fn body(&self, change: &Change) -> Result<Body> {
+        let here = self.control.standing().revision;
+        match change {
+            Change::Set {
+                setting,
+                scope,
+                value,
+                reason,
+                expires_ms,
+                base,
+            } => Ok(Body::Set(Set {
+                value: parse(find(setting)?, value)?,
+                setting: setting.clone(),
+                scope: scope.as_deref().map(self::scope).transpose()?,
+                base: base.unwrap_or(here),
+                reason: reason.clone(),
+                expires_ms: *expires_ms,
+            })),
+            Change::Clear {
+                setting,
+                scope,
+                reason,
+                base,
+            } => Ok(Body::Clear(Clear {
+                setting: find(setting)?.name.to_owned(),
+                scope: scope.as_deref().map(self::scope).transpose()?,
+                base: base.unwrap_or(here),
+                reason: reason.clone(),
+            })),
+            Change::Rollback { revision } => {
+                let history = self.control.history();
+                let change = history.iter().find(|c| c.revision == *revision);
+                let change = change.ok_or_else(|| Error::Input {
+                    reason: format!("no accepted change has revision {revision}"),
+                })?;
+                Ok(edit::rollback(change, here))
+            }
+        }
+    }
+
+    /// Lines of the built-in defaults and what operators changed.
+    fn lines(&self) -> Vec<Line> {
+        let entries = self.control.entries();
+        let view = self.control.view();
+        let mut lines = Vec::new();
+        for setting in CATALOGUE {
+            let is_set = |e: &&record::Entry| e.setting == setting.name;
+            let mine: Vec<&record::Entry> = entries.iter().filter(is_set).collect();
+            if mine.iter().all(|e| e.scope.is_some()) {
+                let value = view.get(setting, &Place::default());
+                lines.push(line(setting, &value, None));
+            }
+            lines.extend(mine.iter().map(|e| line(setting, &e.value, Some(e))));
+        }
+        lines
+    }
+}
+
+fn state(status: Standing) -> &'static str {
+    match status {
+        Standing::Alive => "alive",
+        Standing::Suspect => "suspect",
+        Standing::Leaving => "leaving",
+        Standing::Dead => "dead",
+    }
+}
+
+fn counts(list: Vec<(&'static str, u64)>) -> Vec<Count> {
+    let list = list.into_iter();
+    list.map(|(name, value)| Count {
+        name: name.into(),
+        value,
+    })
+    .collect()
+}
+
+fn line(setting: &Setting, value: &Value, entry: Option<&&record::Entry>) -> Line {
+    Line {
+        setting: setting.name.to_owned(),
+        scope: entry.and_then(|e| e.scope.as_ref()).map(show_scope),
+        value: show(value),
+        unit: setting.unit.to_owned(),
+        meaning: setting.meaning.to_owned(),
+        reason: entry.map(|e| e.reason.clone()),
+        author: entry.map(|e| e.author.clone()),
+        revision: entry.map_or(0, |e| e.revision),
+        expires_ms: entry.and_then(|e| e.expires_ms),
+    }
+}
+
+fn find(name: &str) -> Result<&'static Setting> {
+    let found = CATALOGUE.iter().find(|s| s.name == name);
+    found.copied().ok_or_else(|| Error::Input {
+        reason: format!("no setting `{name}`; see `cyclamenrill config show`"),
+    })
+}
+
+/// Reads a value in the notation of its setting.
+fn parse(setting: &Setting, text: &str) -> Result<Value> {
+    let wrong = |wanted: &str| Error::Input {
+        reason: format!("{}: `{text}` is not {wanted}", setting.name),
+    };
+    let number = |wanted| text.parse::<u64>().map_err(|_| wrong(wanted));
+    match setting.preset {
+        Preset::Milliseconds(_) => Ok(Value::Ms(number("a number of milliseconds")?)),
+        Preset::Count(_) => Ok(Value::Count(number("a whole number")?)),
+        Preset::Ratio(_) => match text.parse::<f64>() {
+            Ok(ratio) if ratio.is_finite() => Ok(Value::Ratio(ratio)),
+            _ => Err(wrong("a number")),
+        },
+        Preset::Flag(_) => match text {
+            "true" | "yes" => Ok(Value::Flag(true)),
+            "false" | "no" => Ok(Value::Flag(false)),
+            _ => Err(wrong("true or false")),
+        },
+        Preset::Text(_) => Ok(Value::Text(text.to_owned())),
+        Preset::Names(_) => {
+            let names = text.split(',').map(str::trim).filter(|n| !n.is_empty());
+            Ok(Value::Names(names.map(str::to_owned).collect()))
+        }
+    }
+}
+
+fn show(value: &Value) -> String {
+    match value {
+        Value::Ms(number) | Value::Count(number) => number.to_string(),
+        Value::Ratio(ratio) => ratio.to_string(),
+        Value::Flag(flag) => flag.to_string(),
+        Value::Text(text) => text.clone(),
+        Value::Names(names) => names.join(","),
+    }
+}
+
+/// Reads `level:name`.
+fn scope(text: &str) -> Result<Scope> {
+    let wrong = || Error::Input {
+        reason: format!(
+            "scope `{text}`: expected LEVEL:NAME with the level region, availability-zone, pool, \
+             endpoint, workspace or pipeline"
+        ),
+    };
+    let (level, name) = text.split_once(':').ok_or_else(wrong)?;
+    let level: Level = level.parse().map_err(|_| wrong())?;
+    Ok(Scope {
+        level,
+        name: name.to_owned(),
+    })
+}
+
+fn show_scope(scope: &Scope) -> String {
+    format!("{}:{}", scope.level, scope.name)
+}
+
+fn event(change: &record::Change) -> Event {
+    Event {
+        revision: change.revision,
+        author: change.author.clone(),
+        setting: change.setting.clone(),
+        scope: change.scope.as_ref().map(show_scope),
+        before: change.before.as_ref().map(show),
+        after: change.after.as_ref().map(show),
+        reason: change.reason.clone(),
+    }
+}
+
+impl Console for Board {
+    fn answer(&self, query: &Query) -> Answer {
+        match query {
+            Query::Status => Answer::Status(Box::new(self.status())),
+            Query::Report => Answer::Report(self.daemon.report()),
+            Query::Events(since) => Answer::Events(self.recorder.since(*since)),
+        }
+    }
+
+    fn drain(&self) {
+        self.recorder
+            .record(timeline::Kind::Daemon, None, None, "an operator asked for a shutdown");
+        // A shutdown that was asked for before is not asked for again.
+        let _ = self.drain.try_send(());
+    }
+
+    fn sheet(&self) -> Sheet {
+        let standing = self.control.standing();
+        Sheet {
+            revision: standing.revision,
+            fresh: standing.is_fresh,
+            lines: self.lines(),
+        }
+    }
+
+    fn history(&self) -> Vec<Event> {
+        self.control.history().iter().map(event).collect()
+    }
+
+    fn edit(&self, edit: &Edit, timeout: Duration) -> Result<Verdict> {
+        let body = self.body(&edit.change)?;
+        let record = edit::record(&edit.author, body);
+        Ok(match self.control.edit(record, timeout) {
+            edit::Outcome::Accepted(revision) => Verdict::Accepted(revision),
+            edit::Outcome::Refused(refusal) => {
+                Verdict::Refused(format!("{}: {}", refusal.cause, refusal.detail))
+            }
+            edit::Outcome::NotWritten => Verdict::NotWritten,
+            edit::Outcome::Undecided => Verdict::Undecided,
+        })
+    }
+
+    fn behind(&self, revision: id::Revision) -> Vec<id::Daemon> {
+        self.control.await_in_force(revision, Duration::ZERO)
+    }
+
+    fn peers(&self) -> Vec<(id::Daemon, String)> {
+        let me = self.me();
+        let others = self.control.live().into_iter();
+        others
+            .filter(|peer| peer.daemon != me)
+            .map(|peer| (peer.daemon, peer.address))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/node/knobs.rs
@@ -0,0 +1,111 @@
+//! Turns the configuration in force into the knobs of the policy.
+
+use std::sync::Arc;
+
+use crate::config::setting::{self, Setting};
+use crate::config::{Place, View};
+use crate::id;
+use crate::policy::Observation;
+use crate::policy::knobs::{Knobs, Scope};
+use crate::route;
+use crate::settings::{self, Settings};
+
+/// Returns the kind of a pool as routing names it.
+pub fn kind(kind: settings::Kind) -> route::Kind {
+    match kind {
+        settings::Kind::Encoder => route::Kind::Encoder,
+        settings::Kind::Retriever => route::Kind::Retriever,
+        settings::Kind::Reranker => route::Kind::Reranker,
+        settings::Kind::Engine => route::Kind::Engine,
+        settings::Kind::Service => route::Kind::Service,
+    }
+}
+
+/// Passes each new revision on, once.
+pub struct Feed {
+    settings: Arc<Settings>,
+    revision: Option<id::Revision>,
+}
+
+impl Feed {
+    /// Knows the scopes of a deployment.
+    pub fn new(settings: Arc<Settings>) -> Self {
+        Self {
+            settings,
+            revision: None,
+        }
+    }
+
+    /// Returns what a policy must learn, if the revision is new.
+    pub fn changes(&mut self, view: &View) -> Vec<Observation> {
+        if self.revision.is_some_and(|seen| seen >= view.revision) {
+            return Vec::new();
+        }
+        self.revision = Some(view.revision);
+        let here = self.here();
+        let fleet = knobs(view, &here);
+        let mut changes = vec![Observation::Knobs(Scope::Fleet, Some(Box::new(fleet.clone())))];
+        for scope in self.scopes() {
+            let place = match &scope {
+                Scope::Fleet => here,
+                Scope::Workspace(name) => Place {
+                    workspace: Some(name),
+                    ..here
+                },
+                Scope::Pipeline(name) => Place {
+                    pipeline: Some(name),
+                    ..here
+                },
+                Scope::Pool(name) => Place {
+                    pool: Some(name),
+                    ..here
+                },
+            };
+            let knobs = knobs(view, &place);
+            let exception = (knobs != fleet).then(|| Box::new(knobs));
+            changes.push(Observation::Knobs(scope.clone(), exception));
+        }
+        changes
+    }
+
+    fn here(&self) -> Place<'_> {
+        let zone = &self.settings.daemon.availability_zone;
+        let known = self.settings.zones.iter().find(|z| z.name == *zone);
+        Place {
+            zone: Some(zone),
+            region: known.map(|z| z.region.as_str()),
+            ..Place::default()
+        }
+    }
+
+    fn scopes(&self) -> Vec<Scope> {
+        let s = &self.settings;
+        let workspaces = s.workspaces.iter().map(|w| Scope::Workspace(w.name.as_str().into()));
+        let pipelines = s.pipelines.iter().map(|p| Scope::Pipeline(p.name.as_str().into()));
+        let pools = s.pools.iter().map(|p| Scope::Pool(p.name.as_str().into()));
+        workspaces.chain(pipelines).chain(pools).collect()
+    }
+}
+
+/// Resolves the knobs of a place.
+pub fn knobs(view: &View, place: &Place<'_>) -> Knobs {
+    let ratio = |setting: &Setting| view.ratio(setting, place);
+    let count = |setting: &Setting| u32::try_from(view.count(setting, place)).unwrap_or(u32::MAX);
+    let time = |setting: &Setting| view.duration(setting, place);
+    Knobs {
+        weight: ratio(&setting::WORKSPACE_WEIGHT),
+        max_in_flight: count(&setting::MAX_IN_FLIGHT),
+        max_queue: count(&setting::QUEUE_BOUND),
+        sojourn_target: time(&setting::SOJOURN_TARGET),
+        retry_ratio: ratio(&setting::RETRY_BUDGET),
+        retry_base: time(&setting::RETRY_BACKOFF),
+        hedge_ratio: ratio(&setting::HEDGE_BUDGET),
+        hedge_quantile: ratio(&setting::HEDGE_QUANTILE),
+        eject_failures: count(&setting::EJECTION_ERRORS),
+        eject_outlier: ratio(&setting::SLOW_FACTOR),
+        eject_share: ratio(&setting::EJECTION_CAP),
+        eject_time: time(&setting::EJECTION_TIME),
+        slow_start: time(&setting::SLOW_START),
+        ..Knobs::default()
+    }
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -90,7 +90,7 @@
         settings.pipelines.iter().map(|p| p.name.as_str()),
     )?;
     daemon(&settings.daemon, &zones)?;
-    platform(settings)?;
+    platform(settings, &regions)?;
     bounds(settings)?;
     claims(settings)?;
     let mut keys = IndexSet::new();
@@ -146,7 +146,13 @@
     )
 }
 
-fn platform(settings: &Settings) -> Check {
+fn platform(settings: &Settings, regions: &IndexSet<&str>) -> Check {
+    let region = settings.platform.region.as_deref();
+    ensure(
+        region.is_none_or(|region| regions.contains(region)),
+        "platform.region",
+        format!("no region of this name; allowed: {}", list(regions)),
+    )?;
     let urls = [
         ("platform.log-url", &settings.platform.log_url),
         ("platform.roster-url", &settings.platform.roster_url),
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
+use slog::Logger;
 
 use crate::clock::Clock;
 use crate::id;
@@ -84,6 +85,7 @@
     daemon: id::Daemon,
     clock: Arc<dyn Clock>,
     state: Mutex<State>,
+    logger: Option<Logger>,
 }
 
 impl Recorder {
@@ -97,6 +99,29 @@
             daemon,
             clock,
             state: Mutex::new(state),
+            logger: None,
+        }
+    }
+
+    /// Writes each event to a log as well: requests and calls for debugging, the rest as news.
+    #[must_use]
+    pub fn with_logger(mut self, logger: Logger) -> Self {
+        self.logger = Some(logger);
+        self
+    }
+
+    fn log(&self, event: &Event) {
+        let Some(logger) = &self.logger else {
+            return;
+        };
+        let request = event.request.map(|r| r.to_string()).unwrap_or_default();
+        let endpoint = event.endpoint.as_deref().unwrap_or_default();
+        let kind = format!("{:?}", event.kind).to_lowercase();
+        let fields = slog::o!("kind" => kind, "request" => request, "endpoint" => endpoint.to_owned());
+        let logger = logger.new(fields);
+        match event.kind {
+            Kind::Request | Kind::Call | Kind::Claim => slog::debug!(logger, "{}", event.what),
+            _ => slog::info!(logger, "{}", event.what),
         }
     }
 
@@ -138,6 +163,7 @@
             endpoint,
             what: what.into(),
         };
+        self.log(&event);
         let mut state = self.state.lock();
         if state.events.len() == CAPACITY {
             state.events.pop_front();
