--- a/src/bin/cyclamenrilld.rs
+++ b/src/bin/cyclamenrilld.rs
@@ -2,5 +2,5 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    std::process::exit(cyclamenrill::daemon::program::run(&arguments));
+    std::process::exit(cyclamenrill::node::program::run(&arguments));
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,7 +26,6 @@
 mod gate;
 mod pool;
 mod ports;
-pub mod program;
 mod watch;
 
 pub use self::core::{Core, Counts};
--- a/src/entry/key.rs
+++ b/src/entry/key.rs
@@ -1,6 +1,6 @@
 //! Bearer keys: each names a workspace.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
@@ -18,19 +18,28 @@
 #[derive(Default)]
 pub struct Ring {
     workspaces: IndexMap<Hash, id::Workspace>,
+    /// Workspaces whose idempotency keys must tell when they were issued.
+    dated: IndexSet<id::Workspace>,
 }
 
 impl Ring {
     /// Takes the keys from the settings.
     pub fn new(workspaces: &[settings::Workspace]) -> Self {
         let entries = workspaces.iter();
+        let dated = entries.clone().filter(|w| w.requires_issue_time);
         Self {
+            dated: dated.map(|w| w.name.as_str().into()).collect(),
             workspaces: entries
                 .map(|w| (hash(&w.key), w.name.as_str().into()))
                 .collect(),
         }
     }
 
+    /// Says whether a workspace's idempotency keys must tell when they were issued.
+    pub fn requires_issue_time(&self, workspace: &str) -> bool {
+        self.dated.contains(workspace)
+    }
+
     /// Returns the workspace that an `Authorization` header names.
     pub fn workspace(&self, authorization: &str) -> Option<id::Workspace> {
         let (scheme, key) = authorization.split_once(' ')?;
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -96,6 +96,11 @@
         let detail = "this pipeline has a stage that may not be repeated; send Idempotency-Key";
         return Err(bad_request(id, "key-required", detail));
     }
+    let is_dated = plan.is_repeatable() || head.issued.is_some();
+    if !is_dated && shared.keys.requires_issue_time(&workspace) {
+        let detail = "this workspace's keys must be UUIDv7, or come with X-Request-Issued-At";
+        return Err(bad_request(id, "issue-time-required", detail));
+    }
     let body = read_body(shared, id, request).await?;
     let timeout = head.timeout.map_or(plan.deadline, |t| t.min(plan.deadline));
     let request = pipeline::Request {
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -28,8 +28,11 @@
         key: "split-key-0123456789".into(),
         weight: 1.0,
         home_region: None,
+        requires_issue_time: true,
     };
     let ring = Ring::new(&[workspace]);
+    assert!(ring.requires_issue_time("split"));
+    assert!(!ring.requires_issue_time("zagreb"));
     let found = ring.workspace("bearer split-key-0123456789");
     assert_eq!(found.as_deref(), Some("split"));
     for wrong in ["", "Bearer", "Bearer x", "Basic split-key-0123456789"] {
--- a/src/node.rs
+++ b/src/node.rs
@@ -26,6 +26,7 @@
 mod console;
 mod knobs;
 mod meter;
+pub mod program;
 mod view;
 
 use console::Board;
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -254,8 +254,12 @@
     }
 
     fn drain(&self) {
-        self.recorder
-            .record(timeline::Kind::Daemon, None, None, "an operator asked for a shutdown");
+        self.recorder.record(
+            timeline::Kind::Daemon,
+            None,
+            None,
+            "an operator asked for a shutdown",
+        );
         // A shutdown that was asked for before is not asked for again.
         let _ = self.drain.try_send(());
     }
--- a/src/node/knobs.rs
+++ b/src/node/knobs.rs
@@ -44,7 +44,10 @@
         self.revision = Some(view.revision);
         let here = self.here();
         let fleet = knobs(view, &here);
-        let mut changes = vec![Observation::Knobs(Scope::Fleet, Some(Box::new(fleet.clone())))];
+        let mut changes = vec![Observation::Knobs(
+            Scope::Fleet,
+            Some(Box::new(fleet.clone())),
+        )];
         for scope in self.scopes() {
             let place = match &scope {
                 Scope::Fleet => here,
@@ -80,8 +83,14 @@
 
     fn scopes(&self) -> Vec<Scope> {
         let s = &self.settings;
-        let workspaces = s.workspaces.iter().map(|w| Scope::Workspace(w.name.as_str().into()));
-        let pipelines = s.pipelines.iter().map(|p| Scope::Pipeline(p.name.as_str().into()));
+        let workspaces = s
+            .workspaces
+            .iter()
+            .map(|w| Scope::Workspace(w.name.as_str().into()));
+        let pipelines = s
+            .pipelines
+            .iter()
+            .map(|p| Scope::Pipeline(p.name.as_str().into()));
         let pools = s.pools.iter().map(|p| Scope::Pool(p.name.as_str().into()));
         workspaces.chain(pipelines).chain(pools).collect()
     }
--- a/src/daemon/program.rs
+++ b/src/node/program.rs
@@ -9,7 +9,7 @@
 use signal_hook::iterator::Signals;
 use slog::{Logger, error, info, warn};
 
-use super::{Daemon, Ports};
+use super::{Node, Options as Joints};
 use crate::settings::{self, Override, Settings};
 use crate::telemetry;
 
@@ -97,13 +97,35 @@
 
 fn serve_until_signal(settings: &Settings, logger: &Logger) -> Result<bool, String> {
     // Signals are taken before the port opens, so that none is missed.
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e: io::Error| e.to_string())?;
-    let ports = Ports::new().seed(rand::random());
-    let daemon = Daemon::start(settings, ports).map_err(|e| e.to_string())?;
-    info!(logger, "serving"; "callers" => daemon.callers_address().to_string());
-    let signal = signals.forever().next();
-    info!(logger, "draining"; "signal" => signal);
-    let whole = daemon.shutdown(SHUTDOWN_TIMEOUT);
+    let signals = Signals::new([SIGTERM, SIGINT]).map_err(|e: io::Error| e.to_string())?;
+    let handle = signals.handle();
+    let signals = forward(signals).map_err(|e| e.to_string())?;
+    let options = Joints::new(settings.clone()).logger(logger.clone());
+    let mut node = Node::start(options).map_err(|e| e.to_string())?;
+    info!(logger, "serving"; "callers" => node.daemon().callers_address().to_string());
+    let cause = flume::Selector::new()
+        .recv(&signals, |signal| {
+            format!("signal {}", signal.unwrap_or_default())
+        })
+        .recv(node.drains(), |_| "an operator asked for it".to_owned())
+        .wait();
+    info!(logger, "draining"; "cause" => cause);
+    let whole = node.shutdown(SHUTDOWN_TIMEOUT);
+    handle.close();
     info!(logger, "stopped"; "whole" => whole);
     Ok(whole)
 }
+
+/// Passes signals on to a channel, so that they can be waited for beside other causes.
+fn forward(mut signals: Signals) -> io::Result<flume::Receiver<i32>> {
+    let (sender, receiver) = flume::unbounded();
+    let thread = std::thread::Builder::new().name("signals".to_owned());
+    thread.spawn(move || {
+        for signal in signals.forever() {
+            if sender.send(signal).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(receiver)
+}
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -117,7 +117,8 @@
         let request = event.request.map(|r| r.to_string()).unwrap_or_default();
         let endpoint = event.endpoint.as_deref().unwrap_or_default();
         let kind = format!("{:?}", event.kind).to_lowercase();
-        let fields = slog::o!("kind" => kind, "request" => request, "endpoint" => endpoint.to_owned());
+        let fields =
+            slog::o!("kind" => kind, "request" => request, "endpoint" => endpoint.to_owned());
         let logger = logger.new(fields);
         match event.kind {
             Kind::Request | Kind::Call | Kind::Claim => slog::debug!(logger, "{}", event.what),
