Put defaults and exceptions in force at the policy and the door

Cause: the catalogue of settings and the knobs of the policy had other defaults and limits, and several settings changed nothing. Change: one set; each setting that is offered is passed on, with its exceptions, when its revision arrives. Settings that nothing read are out. Conclusion: 9 tests over loopback; defaults and limits are compared.

--- a/src/config/setting/catalogue/fleet.rs
+++ b/src/config/setting/catalogue/fleet.rs
@@ -134,17 +134,6 @@
     meaning: "How long an engine or daemon finishes its requests before it goes.",
 };
 
-/// How long an idempotency key is remembered.
-pub const CLAIM_WINDOW: Setting = Setting {
-    name: "claim-window",
-    unit: "ms",
-    preset: Preset::Milliseconds(86_400_000),
-    min: 60_000.0,
-    max: 604_800_000.0,
-    since: 1,
-    meaning: "How long an idempotency key is remembered.",
-};
-
 /// The longest that one order to an engine may be on its way.
 pub const ORDER_TIMEOUT: Setting = Setting {
     name: "order-timeout",
--- a/src/config/setting/catalogue/traffic.rs
+++ b/src/config/setting/catalogue/traffic.rs
@@ -6,69 +6,80 @@
 pub const REQUEST_TIMEOUT: Setting = Setting {
     name: "request-timeout",
     unit: "ms",
-    preset: Preset::Milliseconds(3_000),
+    preset: Preset::Milliseconds(600_000),
     min: 50.0,
     max: 600_000.0,
     since: 1,
     meaning: "The longest that a request may take, unless its pipeline or caller says less.",
 };
 
-/// The shortest timeout of one call to an endpoint.
-pub const CALL_TIMEOUT_FLOOR: Setting = Setting {
-    name: "call-timeout-floor",
-    unit: "ms",
-    preset: Preset::Milliseconds(50),
-    min: 1.0,
-    max: 60_000.0,
+/// Which pipelines keep running when there is too much work; 8 takes the priority of the settings.
+pub const PIPELINE_PRIORITY: Setting = Setting {
+    name: "pipeline-priority",
+    unit: "0 first to 7 last; 8 as in the settings",
+    preset: Preset::Count(8),
+    min: 0.0,
+    max: 8.0,
+    since: 1,
+    meaning: "Which pipelines keep running when there is too much work; 8 takes the priority of the settings.",
+};
+
+/// The share of its time left that a request of priority 0 may be predicted to need; above it the request is refused at once.
+pub const ADMISSION_SHARE: Setting = Setting {
+    name: "admission-share",
+    unit: "share of the time left",
+    preset: Preset::Ratio(0.9),
+    min: 0.1,
+    max: 1.0,
+    since: 1,
+    meaning: "The share of its time left that a request of priority 0 may be predicted to need; above it the request is refused at once.",
+};
+
+/// How much that share falls with each step of priority: what is degraded first.
+pub const PRIORITY_STEP: Setting = Setting {
+    name: "priority-step",
+    unit: "share",
+    preset: Preset::Ratio(0.05),
+    min: 0.0,
+    max: 0.1,
     since: 1,
-    meaning: "The shortest timeout of one call to an endpoint.",
+    meaning: "How much that share falls with each step of priority: what is degraded first.",
 };
 
-/// The quantile of past latencies after which a second endpoint is tried; 1 turns hedging off.
+/// The quantile of past latencies after which a second endpoint is tried.
 pub const HEDGE_QUANTILE: Setting = Setting {
     name: "hedge-quantile",
     unit: "share",
-    preset: Preset::Ratio(0.95),
+    preset: Preset::Ratio(0.97),
     min: 0.5,
-    max: 1.0,
+    max: 0.999,
     since: 1,
-    meaning: "The quantile of past latencies after which a second endpoint is tried; 1 turns hedging off.",
+    meaning: "The quantile of past latencies after which a second endpoint is tried.",
 };
 
-/// The share of calls that may be hedged.
+/// The share of calls that may be hedged; 0 turns hedging off.
 pub const HEDGE_BUDGET: Setting = Setting {
     name: "hedge-budget",
     unit: "share of calls",
-    preset: Preset::Ratio(0.05),
+    preset: Preset::Ratio(0.04),
     min: 0.0,
-    max: 0.5,
+    max: 0.05,
     since: 1,
-    meaning: "The share of calls that may be hedged.",
+    meaning: "The share of calls that may be hedged; 0 turns hedging off.",
 };
 
-/// The share of calls that may be retries.
+/// The share of calls to a pool that may be retries.
 pub const RETRY_BUDGET: Setting = Setting {
     name: "retry-budget",
     unit: "share of calls",
-    preset: Preset::Ratio(0.1),
+    preset: Preset::Ratio(0.15),
     min: 0.0,
     max: 1.0,
     since: 1,
-    meaning: "The share of calls that may be retries.",
-};
-
-/// The most attempts at one stage.
-pub const RETRY_ATTEMPTS: Setting = Setting {
-    name: "retry-attempts",
-    unit: "attempts",
-    preset: Preset::Count(3),
-    min: 1.0,
-    max: 10.0,
-    since: 1,
-    meaning: "The most attempts at one stage.",
+    meaning: "The share of calls to a pool that may be retries.",
 };
 
-/// The mean wait before the first retry; it doubles and is jittered.
+/// The longest wait before the first retry; later ones wait longer.
 pub const RETRY_BACKOFF: Setting = Setting {
     name: "retry-backoff",
     unit: "ms",
@@ -76,225 +87,148 @@
     min: 0.0,
     max: 10_000.0,
     since: 1,
-    meaning: "The mean wait before the first retry; it doubles and is jittered.",
+    meaning: "The longest wait before the first retry; later ones wait longer.",
 };
 
-/// The most stages that wait in the queue of a pool.
+/// The most stages that wait for a pool at one daemon.
 pub const QUEUE_BOUND: Setting = Setting {
     name: "queue-bound",
     unit: "stages",
-    preset: Preset::Count(1_024),
-    min: 1.0,
-    max: 65_536.0,
+    preset: Preset::Count(1024),
+    min: 0.0,
+    max: 100_000.0,
     since: 1,
-    meaning: "The most stages that wait in the queue of a pool.",
+    meaning: "The most stages that wait for a pool at one daemon.",
 };
 
-/// The time in the queue above which the newest work is refused.
+/// How long the shortest wait in a queue may stay before waiting stages are refused.
 pub const SOJOURN_TARGET: Setting = Setting {
     name: "sojourn-target",
     unit: "ms",
-    preset: Preset::Milliseconds(100),
+    preset: Preset::Milliseconds(250),
     min: 1.0,
     max: 60_000.0,
     since: 1,
-    meaning: "The time in the queue above which the newest work is refused.",
-};
-
-/// The share of a workspace in a contended pool, relative to others.
-pub const WORKSPACE_WEIGHT: Setting = Setting {
-    name: "workspace-weight",
-    unit: "relative share",
-    preset: Preset::Ratio(1.0),
-    min: 0.001,
-    max: 1_000.0,
-    since: 1,
-    meaning: "The share of a workspace in a contended pool, relative to others.",
+    meaning: "How long the shortest wait in a queue may stay before waiting stages are refused.",
 };
 
-/// The cost that a workspace may have in flight beyond its share.
-pub const WORKSPACE_BURST: Setting = Setting {
-    name: "workspace-burst",
-    unit: "tokens",
-    preset: Preset::Count(1_000_000),
+/// The most calls in flight for each known endpoint of a pool.
+pub const MAX_IN_FLIGHT: Setting = Setting {
+    name: "max-in-flight",
+    unit: "calls",
+    preset: Preset::Count(64),
     min: 1.0,
-    max: 100_000_000.0,
-    since: 1,
-    meaning: "The cost that a workspace may have in flight beyond its share.",
-};
-
-/// Pipelines in the order in which they are refused under overload.
-pub const DEGRADATION_ORDER: Setting = Setting {
-    name: "degradation-order",
-    unit: "pipelines",
-    preset: Preset::Names(&[]),
-    min: 0.0,
-    max: 0.0,
+    max: 1_024.0,
     since: 1,
-    meaning: "Pipelines in the order in which they are refused under overload.",
+    meaning: "The most calls in flight for each known endpoint of a pool.",
 };
 
-/// The priority of a pipeline.
-pub const PIPELINE_PRIORITY: Setting = Setting {
-    name: "pipeline-priority",
-    unit: "0 first to 7 last",
-    preset: Preset::Count(4),
+/// Calls that may wait inside an endpoint before fewer are sent.
+pub const WAITING_TARGET: Setting = Setting {
+    name: "waiting-target",
+    unit: "calls",
+    preset: Preset::Ratio(1.0),
     min: 0.0,
-    max: 7.0,
+    max: 64.0,
     since: 1,
-    meaning: "The priority of a pipeline.",
+    meaning: "Calls that may wait inside an endpoint before fewer are sent.",
 };
 
-/// Bytes a second over a regional link for requests with priority 0 to 3.
-pub const LINK_BUDGET_INTERACTIVE: Setting = Setting {
-    name: "link-budget-interactive",
-    unit: "bytes/s",
-    preset: Preset::Count(2_000_000),
-    min: 0.0,
-    max: 1_250_000_000.0,
+/// The share of a contended pool, multiplied with the weight in the settings.
+pub const WORKSPACE_WEIGHT: Setting = Setting {
+    name: "workspace-weight",
+    unit: "relative share",
+    preset: Preset::Ratio(1.0),
+    min: 0.01,
+    max: 1_000.0,
     since: 1,
-    meaning: "Bytes a second over a regional link for requests with priority 0 to 3.",
+    meaning: "The share of a contended pool, multiplied with the weight in the settings.",
 };
 
-/// Bytes a second over a regional link for requests with priority 4 to 7.
-pub const LINK_BUDGET_BATCH: Setting = Setting {
-    name: "link-budget-batch",
-    unit: "bytes/s",
-    preset: Preset::Count(500_000),
+/// The share of the regional link that one daemon may fill.
+pub const LINK_SHARE: Setting = Setting {
+    name: "link-share",
+    unit: "share of the link",
+    preset: Preset::Ratio(0.25),
     min: 0.0,
-    max: 1_250_000_000.0,
-    since: 1,
-    meaning: "Bytes a second over a regional link for requests with priority 4 to 7.",
-};
-
-/// Bytes a second over a regional link for the system's own messages.
-pub const LINK_BUDGET_CONTROL: Setting = Setting {
-    name: "link-budget-control",
-    unit: "bytes/s",
-    preset: Preset::Count(250_000),
-    min: 1_000.0,
-    max: 125_000_000.0,
-    since: 1,
-    meaning: "Bytes a second over a regional link for the system's own messages.",
-};
-
-/// How long a request that crashes endpoints is refused.
-pub const QUARANTINE_TIME: Setting = Setting {
-    name: "quarantine-time",
-    unit: "ms",
-    preset: Preset::Milliseconds(600_000),
-    min: 1_000.0,
-    max: 86_400_000.0,
-    since: 1,
-    meaning: "How long a request that crashes endpoints is refused.",
-};
-
-/// Endpoints that must die running a request before it is refused.
-pub const QUARANTINE_DEATHS: Setting = Setting {
-    name: "quarantine-deaths",
-    unit: "endpoints",
-    preset: Preset::Count(2),
-    min: 1.0,
-    max: 10.0,
+    max: 1.0,
     since: 1,
-    meaning: "Endpoints that must die running a request before it is refused.",
+    meaning: "The share of the regional link that one daemon may fill.",
 };
 
-/// Consecutive errors after which an endpoint is ejected.
+/// Failures in a row after which an endpoint gets nothing for a while.
 pub const EJECTION_ERRORS: Setting = Setting {
     name: "ejection-errors",
     unit: "errors",
-    preset: Preset::Count(5),
+    preset: Preset::Count(3),
     min: 1.0,
-    max: 1_000.0,
+    max: 100.0,
     since: 1,
-    meaning: "Consecutive errors after which an endpoint is ejected.",
+    meaning: "Failures in a row after which an endpoint gets nothing for a while.",
 };
 
-/// How long an endpoint stays ejected the first time.
+/// How long an endpoint is ejected the first time.
 pub const EJECTION_TIME: Setting = Setting {
     name: "ejection-time",
     unit: "ms",
-    preset: Preset::Milliseconds(10_000),
+    preset: Preset::Milliseconds(2_000),
     min: 100.0,
-    max: 3_600_000.0,
+    max: 600_000.0,
     since: 1,
-    meaning: "How long an endpoint stays ejected the first time.",
+    meaning: "How long an endpoint is ejected the first time.",
 };
 
-/// The largest share of a pool that may be ejected.
+/// The most of a pool that may be ejected.
 pub const EJECTION_CAP: Setting = Setting {
     name: "ejection-cap",
     unit: "share of the pool",
-    preset: Preset::Ratio(0.3),
+    preset: Preset::Ratio(0.34),
     min: 0.0,
-    max: 1.0,
+    max: 0.9,
     since: 1,
-    meaning: "The largest share of a pool that may be ejected.",
+    meaning: "The most of a pool that may be ejected.",
 };
 
-/// The latency at which an endpoint counts as a straggler.
+/// How slow an endpoint must be, against its pool, to count as a straggler.
 pub const SLOW_FACTOR: Setting = Setting {
     name: "slow-factor",
     unit: "times the pool's median",
     preset: Preset::Ratio(3.0),
-    min: 1.1,
+    min: 1.5,
     max: 100.0,
     since: 1,
-    meaning: "The latency at which an endpoint counts as a straggler.",
+    meaning: "How slow an endpoint must be, against its pool, to count as a straggler.",
 };
 
-/// How long a new endpoint takes to reach its full share.
+/// How long a new endpoint takes to get its full share.
 pub const SLOW_START: Setting = Setting {
     name: "slow-start",
     unit: "ms",
     preset: Preset::Milliseconds(10_000),
     min: 0.0,
-    max: 3_600_000.0,
-    since: 1,
-    meaning: "How long a new endpoint takes to reach its full share.",
-};
-
-/// Endpoints of a pool that one daemon uses.
-pub const SUBSET_SIZE: Setting = Setting {
-    name: "subset-size",
-    unit: "endpoints",
-    preset: Preset::Count(64),
-    min: 1.0,
-    max: 4_096.0,
-    since: 1,
-    meaning: "Endpoints of a pool that one daemon uses.",
-};
-
-/// The worth of a cached prompt token against a queued one.
-pub const PREFIX_WEIGHT: Setting = Setting {
-    name: "prefix-weight",
-    unit: "tokens per token",
-    preset: Preset::Ratio(1.0),
-    min: 0.0,
-    max: 10.0,
+    max: 600_000.0,
     since: 1,
-    meaning: "The worth of a cached prompt token against a queued one.",
+    meaning: "How long a new endpoint takes to get its full share.",
 };
 
-/// The load up to which a zone keeps its own requests.
-pub const LOCAL_PREFERENCE: Setting = Setting {
-    name: "local-preference",
-    unit: "share of load",
-    preset: Preset::Ratio(0.8),
-    min: 0.0,
-    max: 1.0,
+/// How long content that crashes endpoints is refused.
+pub const QUARANTINE_TIME: Setting = Setting {
+    name: "quarantine-time",
+    unit: "ms",
+    preset: Preset::Milliseconds(600_000),
+    min: 1_000.0,
+    max: 86_400_000.0,
     since: 1,
-    meaning: "The load up to which a zone keeps its own requests.",
+    meaning: "How long content that crashes endpoints is refused.",
 };
 
-/// Calls in flight to one endpoint from one daemon.
-pub const MAX_IN_FLIGHT: Setting = Setting {
-    name: "max-in-flight",
-    unit: "calls",
-    preset: Preset::Count(64),
+/// How many endpoints must die of the same content before it is refused.
+pub const QUARANTINE_DEATHS: Setting = Setting {
+    name: "quarantine-deaths",
+    unit: "endpoints",
+    preset: Preset::Count(2),
     min: 1.0,
-    max: 65_536.0,
+    max: 10.0,
     since: 1,
-    meaning: "Calls in flight to one endpoint from one daemon.",
+    meaning: "How many endpoints must die of the same content before it is refused.",
 };
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,7 +28,7 @@
 mod ports;
 mod watch;
 
-pub use self::core::{Core, Counts};
+pub use self::core::{Core, Counts, Limit};
 pub use drive::RECONNECT;
 pub use ports::Ports;
 
@@ -146,6 +146,11 @@
         self.core.policy.lock().observe(observation, now);
     }
 
+    /// Puts a limit of a pipeline in force for requests that arrive from now on.
+    pub fn limit(&self, pipeline: id::Pipeline, limit: Limit) {
+        self.core.limits.lock().insert(pipeline, limit);
+    }
+
     /// Returns what the daemon does now.
     pub fn status(&self) -> Status {
         use crate::entry::Host;
@@ -231,6 +236,7 @@
         gate: Gate::new(clock.clone()),
         clock,
         counts: Counts::default(),
+        limits: Mutex::default(),
         peers: Mutex::default(),
         requests: Mutex::default(),
         active: 0.into(),
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -87,6 +87,15 @@
     }
 }
 
+/// What the configuration says of a pipeline, over the settings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// The longest that a request may take.
+    pub timeout: Duration,
+    /// 0 is the most important, 7 the least; none for what the settings say.
+    pub priority: Option<u8>,
+}
+
 /// What does not change while the daemon runs.
 pub struct Site {
     /// The daemon.
@@ -117,6 +126,7 @@
     pub(super) pool: Pool,
     pub(super) gate: Gate,
     pub(super) counts: Counts,
+    pub(super) limits: Mutex<IndexMap<id::Pipeline, Limit>>,
     pub(super) peers: Mutex<Vec<Peer>>,
     pub(super) requests: Mutex<IndexMap<id::Request, flume::Sender<Event>>>,
     pub(super) active: AtomicUsize,
@@ -239,7 +249,15 @@
     }
 
     fn plan(&self, name: &str) -> Option<Arc<Plan>> {
-        self.site.plans.get(name).cloned()
+        let plan = self.site.plans.get(name)?;
+        let Some(limit) = self.limits.lock().get(name).copied() else {
+            return Some(plan.clone());
+        };
+        Some(Arc::new(Plan {
+            deadline: plan.deadline.min(limit.timeout),
+            priority: limit.priority.unwrap_or(plan.priority),
+            ..Plan::clone(plan)
+        }))
     }
 
     fn submit(&self, submission: Submission) -> Result<Arc<Transcript>, Finish> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -210,9 +210,7 @@
         let control = self.control.clone();
         self.spawn("node-feed", move |stop| {
             while !stop.load(Ordering::Acquire) {
-                for observation in feed.changes(&control.view()) {
-                    daemon.observe(&observation);
-                }
+                feed.pass(&control.view(), &daemon);
                 if let Ok(observation) = observations.recv_timeout(TICK) {
                     daemon.observe(&observation);
                 }
--- a/src/node/knobs.rs
+++ b/src/node/knobs.rs
@@ -4,10 +4,12 @@
 
 use crate::config::setting::{self, Setting};
 use crate::config::{Place, View};
+use crate::daemon::{Daemon, Limit};
 use crate::id;
 use crate::policy::Observation;
 use crate::policy::knobs::{Knobs, Scope};
 use crate::route;
+use crate::settings::check::MAX_PRIORITY;
 use crate::settings::{self, Settings};
 
 /// Returns the kind of a pool as routing names it.
@@ -36,12 +38,26 @@
         }
     }
 
-    /// Returns what a policy must learn, if the revision is new.
-    pub fn changes(&mut self, view: &View) -> Vec<Observation> {
+    /// Passes a revision on to the daemon, if it is new.
+    pub fn pass(&mut self, view: &View, daemon: &Daemon) {
         if self.revision.is_some_and(|seen| seen >= view.revision) {
-            return Vec::new();
+            return;
         }
         self.revision = Some(view.revision);
+        for observation in self.observations(view) {
+            daemon.observe(&observation);
+        }
+        for pipeline in &self.settings.pipelines {
+            let place = Place {
+                pipeline: Some(&pipeline.name),
+                ..self.here()
+            };
+            daemon.limit(pipeline.name.as_str().into(), limit(view, &place));
+        }
+    }
+
+    /// Returns what a policy must learn of a revision.
+    pub fn observations(&self, view: &View) -> Vec<Observation> {
         let here = self.here();
         let fleet = knobs(view, &here);
         let mut changes = vec![Observation::Knobs(
@@ -96,6 +112,15 @@
     }
 }
 
+/// Resolves the limit of a pipeline.
+fn limit(view: &View, place: &Place<'_>) -> Limit {
+    let priority = u8::try_from(view.count(&setting::PIPELINE_PRIORITY, place));
+    Limit {
+        timeout: view.duration(&setting::REQUEST_TIMEOUT, place),
+        priority: priority.ok().filter(|p| *p <= MAX_PRIORITY),
+    }
+}
+
 /// Resolves the knobs of a place.
 pub fn knobs(view: &View, place: &Place<'_>) -> Knobs {
     let ratio = |setting: &Setting| view.ratio(setting, place);
@@ -115,6 +140,9 @@
         eject_share: ratio(&setting::EJECTION_CAP),
         eject_time: time(&setting::EJECTION_TIME),
         slow_start: time(&setting::SLOW_START),
-        ..Knobs::default()
+        waiting_target: ratio(&setting::WAITING_TARGET),
+        admission_share: ratio(&setting::ADMISSION_SHARE),
+        priority_step: ratio(&setting::PRIORITY_STEP),
+        link_share: ratio(&setting::LINK_SHARE),
     }
 }
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -1,1 +1,268 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use super::{Node, Options, knobs};
+use crate::clock::System;
+use crate::config::record::{Level, Value};
+use crate::config::setting::{CATALOGUE, Preset};
+use crate::config::view::Key;
+use crate::config::{Place, View};
+use crate::endpoint::memory::Fleet;
+use crate::entry::Host;
+use crate::operate::client::Client;
+use crate::operate::{Answer, Change, Edit, Verdict};
+use crate::platform::memory::{Log, Roster};
+use crate::platform::{Role, Vm};
+use crate::policy::Observation;
+use crate::policy::knobs::{Knobs, Scope};
+use crate::settings::{self, Override, Settings};
+use crate::standin::journal::{Entry, Event};
+
+const SAMPLE: &str = include_str!("../../samples/vijesti.toml");
+const POOLS: [&str; 7] = [
+    "rill-pisari",
+    "encoders",
+    "rerankers",
+    "tajnistvo",
+    "kalendar",
+    "clanarina",
+    "obavijesti",
+];
+/// Ends a test that has failed; nothing is measured against it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn sample() -> Settings {
+    let port = |name: &str| Override {
+        source: "test".into(),
+        key: format!("daemon.{name}-address"),
+        value: "\"127.0.0.1:0\"".into(),
+    };
+    let ports = ["callers", "operators", "peers"].map(port);
+    settings::parse("sample", SAMPLE, &ports).unwrap()
+}
+
+struct Rig {
+    node: Node,
+    fleet: Arc<Fleet>,
+    operator: Client,
+}
+
+fn rig() -> Rig {
+    let clock = Arc::new(System::new());
+    let roster = Roster::new(clock.clone(), Duration::ZERO);
+    let fleet = Arc::new(Fleet::default());
+    let vms = POOLS.map(|pool| {
+        fleet.add(pool, pool, None);
+        Vm {
+            id: pool.into(),
+            role: Role::Endpoint,
+            address: pool.into(),
+            zone: "zagreb-a".into(),
+            pool: Some(pool.into()),
+            leaving: false,
+        }
+    });
+    roster.set(vms.to_vec());
+    let settings = sample();
+    let key = settings.daemon.operators_key.clone();
+    let options = Options::new(settings)
+        .log(Arc::new(Log::new(clock, 1).blocking()))
+        .roster(Arc::new(roster))
+        .engine(fleet.clone())
+        .seed(1);
+    let node = Node::start(options).unwrap();
+    let address = node.operators_address().unwrap().to_string();
+    Rig {
+        node,
+        fleet,
+        operator: Client::new(&address, &key),
+    }
+}
+
+impl Rig {
+    fn donate(&self, key: &str) -> (u16, String) {
+        let address = self.node.daemon().callers_address();
+        let url = format!("http://{address}/v1/pipelines/donation");
+        let response = attohttpc::post(url)
+            .bearer_auth("change-me-treasurers")
+            .header("Idempotency-Key", key)
+            .timeout(PATIENCE)
+            .text("{\"euro\":20}")
+            .send()
+            .unwrap();
+        (response.status().as_u16(), response.text().unwrap())
+    }
+
+    /// Sends until the daemon has read the list of endpoints.
+    fn donate_when_ready(&self, key: &str) -> (u16, String) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.donate(key);
+            if answer.0 != 503 || Instant::now() > end {
+                return answer;
+            }
+        }
+    }
+
+    fn runs(&self, stage: &str) -> usize {
+        let entries = self.fleet.journal().since(0);
+        let began = |e: &&Entry| &*e.stage == stage && e.event == Event::Began;
+        entries.iter().filter(began).count()
+    }
+}
+
+#[test]
+fn node_answers_and_resend_gets_same() {
+    let mut rig = rig();
+    let first = rig.donate_when_ready("gift-1");
+    assert_eq!(first.0, 200, "{}", first.1);
+    assert_eq!(rig.donate("gift-1"), first);
+    assert_eq!(rig.runs("donate"), 1);
+    assert!(rig.node.shutdown(PATIENCE));
+}
+
+fn set(value: &str) -> Edit {
+    Edit {
+        author: "ana".into(),
+        change: Change::Set {
+            setting: "hedge-budget".into(),
+            scope: Some("pool:kalendar".into()),
+            value: value.into(),
+            reason: "the calendar is small".into(),
+            expires_ms: None,
+            base: None,
+        },
+    }
+}
+
+#[test]
+fn node_puts_edit_in_force() {
+    let rig = rig();
+    let verdict = rig.operator.edit(&set("0.01"), PATIENCE).unwrap();
+    let Verdict::Accepted(revision) = verdict else {
+        panic!("{verdict:?}");
+    };
+    let reach = rig.operator.reach(revision, PATIENCE).unwrap();
+    assert!(reach.behind.is_empty());
+    let sheet = rig.operator.sheet().unwrap();
+    let lines = sheet.lines.iter();
+    let mine: Vec<_> = lines.filter(|l| l.revision == revision).collect();
+    assert_eq!(mine.len(), 1);
+    assert_eq!(mine[0].scope.as_deref(), Some("pool:kalendar"));
+    assert_eq!(mine[0].value, "0.01");
+    let history = rig.operator.history().unwrap();
+    assert_eq!(history[0].reason, "the calendar is small");
+}
+
+#[test]
+fn node_refuses_value_outside_limits() {
+    let rig = rig();
+    let verdict = rig.operator.edit(&set("7"), PATIENCE).unwrap();
+    assert!(matches!(verdict, Verdict::Refused(_)), "{verdict:?}");
+    let error = rig.operator.edit(&set("much"), PATIENCE).unwrap_err();
+    assert!(
+        error.to_string().contains("`much` is not a number"),
+        "{error}"
+    );
+}
+
+#[test]
+fn node_shows_status() {
+    let rig = rig();
+    rig.donate_when_ready("gift-2");
+    let found = rig.operator.status(true).unwrap();
+    let [Answer::Status(status)] = &found.answers[..] else {
+        panic!("{found:?}");
+    };
+    assert!(status.ready);
+    assert_eq!(status.endpoints.len(), POOLS.len());
+    assert_eq!(&*status.region, "kontinent");
+}
+
+#[test]
+fn node_drains_when_asked() {
+    let rig = rig();
+    rig.operator.drain().unwrap();
+    assert_eq!(rig.node.drains().recv_timeout(PATIENCE), Ok(()));
+}
+
+#[test]
+fn knobs_of_catalogue_are_the_policy_defaults() {
+    let view = View::new(0, "".into(), std::iter::empty());
+    assert_eq!(knobs::knobs(&view, &Place::default()), Knobs::default());
+}
+
+#[test]
+fn knobs_at_every_limit_of_catalogue_are_allowed() {
+    for (index, setting) in CATALOGUE.iter().enumerate() {
+        for bound in [setting.min, setting.max] {
+            let value = match setting.preset {
+                Preset::Milliseconds(_) => Value::Ms(bound as u64),
+                Preset::Count(_) => Value::Count(bound as u64),
+                Preset::Ratio(_) => Value::Ratio(bound),
+                _ => continue,
+            };
+            let key = Key {
+                setting: index,
+                level: None,
+                name: "".into(),
+            };
+            let view = View::new(1, "".into(), [(&key, &value)].into_iter());
+            let knobs = knobs::knobs(&view, &Place::default());
+            assert_eq!(knobs.check(), Ok(()), "{} at {bound}", setting.name);
+        }
+    }
+}
+
+#[test]
+fn feed_names_only_exceptions() {
+    let settings = Arc::new(sample());
+    let feed = knobs::Feed::new(settings.clone());
+    let index = CATALOGUE
+        .iter()
+        .position(|s| s.name == "hedge-budget")
+        .unwrap();
+    let key = Key {
+        setting: index,
+        level: Some(Level::Pool),
+        name: "kalendar".into(),
+    };
+    let value = Value::Ratio(0.01);
+    let view = View::new(1, "".into(), [(&key, &value)].into_iter());
+    let exceptions: Vec<_> = feed
+        .observations(&view)
+        .into_iter()
+        .filter_map(|o| match o {
+            Observation::Knobs(Scope::Fleet, _) | Observation::Knobs(_, None) => None,
+            Observation::Knobs(scope, Some(knobs)) => Some((scope, knobs.hedge_ratio)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(exceptions, [(Scope::Pool("kalendar".into()), 0.01)]);
+}
+
+#[test]
+fn node_puts_request_timeout_in_force() {
+    let rig = rig();
+    let change = Change::Set {
+        setting: "request-timeout".into(),
+        scope: Some("pipeline:donation".into()),
+        value: "50".into(),
+        reason: "a test of limits".into(),
+        expires_ms: None,
+        base: None,
+    };
+    let edit = Edit {
+        author: "ana".into(),
+        change,
+    };
+    let deadline = || rig.node.daemon().core().plan("donation").unwrap().deadline;
+    assert_eq!(deadline(), Duration::from_secs(3));
+    let verdict = rig.operator.edit(&edit, PATIENCE).unwrap();
+    assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
+    let end = Instant::now() + PATIENCE;
+    while deadline() != Duration::from_millis(50) {
+        assert!(Instant::now() < end, "the limit is not in force");
+        std::thread::yield_now();
+    }
+}
