Join daemons by their peers' port in the assembled node

Change: claims, configuration, membership and operators' questions travel over the kept connections; TCP and UDP share the port's number. Conclusion: a resend to another daemon gets the first one's answer, an edit is in force at the other daemon, and one daemon collects from all.

--- a/src/node.rs
+++ b/src/node.rs
@@ -15,8 +15,9 @@
 use crate::clock::{Clock, System};
 use crate::control::{self, Control};
 use crate::daemon::{self, Daemon, Ports};
-use crate::operate::fleet::Fleet;
+use crate::operate::fleet::{Fleet, Responder};
 use crate::operate::port::Port;
+use crate::peer::{Net, Topic};
 use crate::policy::adaptive::Adaptive;
 use crate::settings::{Settings, plan};
 use crate::telemetry::{self, Meter};
@@ -49,6 +50,14 @@
         /// What went wrong.
         source: control::Error,
     },
+    /// The port for other daemons.
+    #[snafu(display("opening the port for other daemons at {peer}: {source}"))]
+    Peers {
+        /// The address.
+        peer: String,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
     /// The desk of claims.
     #[snafu(display("{source}"))]
     Desk {
@@ -117,6 +126,13 @@
         self
     }
 
+    /// Sets the clock.
+    #[must_use]
+    pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// Sets the log service.
     #[must_use]
     pub fn log(mut self, log: Arc<dyn platform::Log>) -> Self {
@@ -159,21 +175,35 @@
         let settings = Arc::new(options.settings);
         let recorder = Recorder::new(settings.daemon.name.as_str().into(), options.clock.clone());
         let recorder = Arc::new(recorder.with_logger(options.logger));
+        let net = net(&settings, &recorder, options.seed)?;
+        let settings = Arc::new(at(&settings, &net));
         let control = control::Options::new()
             .settings(settings.clone())
             .log(options.log.clone())
             .roster(options.roster)
+            .link(net.clone())
             .recorder(recorder.clone())
             .clock(options.clock.clone())
             .seed(options.seed);
         let control = Arc::new(Control::start(&control).context(ControlSnafu)?);
-        let desk = desk(&settings, options.log, &options.clock, &control, None)?;
+        let desk = desk(
+            &settings,
+            options.log,
+            &options.clock,
+            &control,
+            net.clone(),
+        )?;
+        let desk = Arc::new(desk);
+        net.handle(Topic::Config, control.config_handler());
+        net.handle(Topic::Member, control.member_handler());
+        net.handle(Topic::Claim, desk.clone());
         let ports = Ports::new()
             .clock(options.clock.clone())
             .roster(control.roster())
             .engine(options.engine)
             .policy(Box::new(policy(&settings, options.seed)))
-            .desk(Arc::new(desk))
+            .desk(desk)
+            .net(net.clone())
             .recorder(recorder.clone())
             .seed(options.seed);
         let daemon = Arc::new(Daemon::start(&settings, ports).context(DaemonSnafu)?);
@@ -185,7 +215,8 @@
             recorder,
             drain,
         });
-        let fleet = Fleet::new(board.clone(), None);
+        net.handle(Topic::Operate, Arc::new(Responder::new(board.clone())));
+        let fleet = Fleet::new(board.clone(), Some(net));
         let address = &settings.daemon.operators_address;
         let key = &settings.daemon.operators_key;
         let port = Port::start(address, key, board, fleet).context(OperatorsSnafu)?;
@@ -278,12 +309,30 @@
     }
 }
 
+fn net(settings: &Settings, recorder: &Arc<Recorder>, seed: u64) -> Result<Arc<Net>, Error> {
+    let address = &settings.daemon.peers_address;
+    let net = Net::open(peer::Options {
+        address: address.clone(),
+        daemon: settings.daemon.name.as_str().into(),
+        recorder: recorder.clone(),
+        seed,
+    });
+    net.map(Arc::new).context(PeersSnafu { peer: address })
+}
+
+/// Names the port for other daemons that was opened, so that TCP and UDP share its number.
+fn at(settings: &Settings, net: &Net) -> Settings {
+    let mut settings = settings.clone();
+    settings.daemon.peers_address = net.address().to_string();
+    settings
+}
+
 fn desk(
     settings: &Settings,
     log: Arc<dyn platform::Log>,
     clock: &Arc<dyn Clock>,
     control: &Arc<Control>,
-    link: Option<Arc<dyn peer::Link>>,
+    link: Arc<dyn peer::Link>,
 ) -> Result<Desk, Error> {
     let view = view::Live::new(control.clone(), settings);
     let mut builder = Desk::builder(settings.daemon.name.as_str().into(), log)
@@ -294,10 +343,7 @@
     if let Some(region) = &settings.platform.region {
         builder = builder.near(region.as_str().into());
     }
-    if let Some(link) = link {
-        builder = builder.link(link);
-    }
-    builder.start().context(DeskSnafu)
+    builder.link(link).start().context(DeskSnafu)
 }
 
 fn policy(settings: &Settings, seed: u64) -> Adaptive {
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -8,7 +8,6 @@
 use crate::config::view::Key;
 use crate::config::{Place, View};
 use crate::endpoint::memory::Fleet;
-use crate::entry::Host;
 use crate::operate::client::Client;
 use crate::operate::{Answer, Change, Edit, Verdict};
 use crate::platform::memory::{Log, Roster};
@@ -41,44 +40,76 @@
     settings::parse("sample", SAMPLE, &ports).unwrap()
 }
 
+/// The platform and endpoints that daemons share.
+struct Site {
+    clock: Arc<System>,
+    log: Arc<Log>,
+    roster: Arc<Roster>,
+    fleet: Arc<Fleet>,
+}
+
 struct Rig {
     node: Node,
     fleet: Arc<Fleet>,
     operator: Client,
 }
 
-fn rig() -> Rig {
+fn site() -> Site {
     let clock = Arc::new(System::new());
     let roster = Roster::new(clock.clone(), Duration::ZERO);
     let fleet = Arc::new(Fleet::default());
     let vms = POOLS.map(|pool| {
         fleet.add(pool, pool, None);
-        Vm {
-            id: pool.into(),
-            role: Role::Endpoint,
-            address: pool.into(),
-            zone: "zagreb-a".into(),
-            pool: Some(pool.into()),
-            leaving: false,
-        }
+        vm(pool, Role::Endpoint, pool, Some(pool.into()))
     });
     roster.set(vms.to_vec());
-    let settings = sample();
-    let key = settings.daemon.operators_key.clone();
-    let options = Options::new(settings)
-        .log(Arc::new(Log::new(clock, 1).blocking()))
-        .roster(Arc::new(roster))
-        .engine(fleet.clone())
-        .seed(1);
-    let node = Node::start(options).unwrap();
-    let address = node.operators_address().unwrap().to_string();
-    Rig {
-        node,
+    Site {
+        log: Arc::new(Log::new(clock.clone(), 1).blocking()),
+        roster: Arc::new(roster),
+        clock,
         fleet,
-        operator: Client::new(&address, &key),
     }
 }
 
+fn vm(id: &str, role: Role, address: &str, pool: Option<crate::id::Pool>) -> Vm {
+    Vm {
+        id: id.into(),
+        role,
+        address: address.into(),
+        zone: "zagreb-a".into(),
+        pool,
+        leaving: false,
+    }
+}
+
+impl Site {
+    fn start(&self, name: &str) -> Rig {
+        let mut settings = sample();
+        settings.daemon.name = name.into();
+        let key = settings.daemon.operators_key.clone();
+        let options = Options::new(settings)
+            .clock(self.clock.clone())
+            .log(self.log.clone())
+            .roster(self.roster.clone())
+            .engine(self.fleet.clone())
+            .seed(1);
+        let node = Node::start(options).unwrap();
+        let peers = node.daemon().net().address().to_string();
+        self.roster
+            .change(|vms| vms.push(vm(name, Role::Daemon, &peers, None)));
+        let address = node.operators_address().unwrap().to_string();
+        Rig {
+            node,
+            fleet: self.fleet.clone(),
+            operator: Client::new(&address, &key),
+        }
+    }
+}
+
+fn rig() -> Rig {
+    site().start("entry-1")
+}
+
 impl Rig {
     fn donate(&self, key: &str) -> (u16, String) {
         let address = self.node.daemon().callers_address();
@@ -109,6 +140,15 @@
         let began = |e: &&Entry| &*e.stage == stage && e.event == Event::Began;
         entries.iter().filter(began).count()
     }
+
+    /// Waits until the daemon knows so many daemons.
+    fn wait_for_members(&self, count: usize) {
+        let end = Instant::now() + PATIENCE;
+        while self.node.control().live().len() < count {
+            assert!(Instant::now() < end, "the other daemon is not seen");
+            std::thread::yield_now();
+        }
+    }
 }
 
 #[test]
@@ -121,6 +161,49 @@
     assert!(rig.node.shutdown(PATIENCE));
 }
 
+#[test]
+fn node_answers_resend_of_other_daemon() {
+    let site = site();
+    let (one, mut two) = (site.start("entry-1"), site.start("entry-2"));
+    one.wait_for_members(2);
+    two.wait_for_members(2);
+    for number in 0..8 {
+        let key = format!("gift-{number}");
+        let first = one.donate_when_ready(&key);
+        assert_eq!(first.0, 200, "{}", first.1);
+        assert_eq!(two.donate_when_ready(&key), first);
+    }
+    assert_eq!(one.runs("donate"), 8);
+    assert!(two.node.shutdown(PATIENCE));
+}
+
+#[test]
+fn node_puts_edit_in_force_at_other_daemon() {
+    let site = site();
+    let (one, two) = (site.start("entry-1"), site.start("entry-2"));
+    one.wait_for_members(2);
+    two.wait_for_members(2);
+    let verdict = one.operator.edit(&set("0.01"), PATIENCE).unwrap();
+    let Verdict::Accepted(revision) = verdict else {
+        panic!("{verdict:?}");
+    };
+    let reach = one.operator.reach(revision, PATIENCE).unwrap();
+    assert!(reach.behind.is_empty(), "{reach:?}");
+    assert_eq!(two.operator.sheet().unwrap().revision, revision);
+}
+
+#[test]
+fn node_collects_from_other_daemon() {
+    let site = site();
+    let (one, two) = (site.start("entry-1"), site.start("entry-2"));
+    one.wait_for_members(2);
+    two.wait_for_members(2);
+    let found = one.operator.status(true).unwrap();
+    assert_eq!((found.answers.len(), found.missing.len()), (2, 0));
+    let found = one.operator.events(true, 0).unwrap();
+    assert_eq!(found.answers.len(), 2);
+}
+
 fn set(value: &str) -> Edit {
     Edit {
         author: "ana".into(),
@@ -261,7 +344,7 @@
         author: "ana".into(),
         change,
     };
-    let deadline = || rig.node.daemon().core().plan("donation").unwrap().deadline;
+    let deadline = || rig.node.daemon().plan("donation").unwrap().deadline;
     assert_eq!(deadline(), Duration::from_secs(3));
     let verdict = rig.operator.edit(&edit, PATIENCE).unwrap();
     assert!(matches!(verdict, Verdict::Accepted(_)), "{verdict:?}");
