Open TCP and UDP at one number, and join orders and leases to the node

Cause: with a number that the system picks for TCP, the same number may be taken over UDP, and a test failed. Change: another number is tried until both are free.

--- a/src/control.rs
+++ b/src/control.rs
@@ -68,8 +68,11 @@
     option.cloned().ok_or(Error::Missing { what })
 }
 
-fn open(address: &str) -> std::io::Result<UdpSocket> {
-    let socket = UdpSocket::bind(address)?;
+fn open(given: Option<&UdpSocket>, address: &str) -> std::io::Result<UdpSocket> {
+    let socket = match given {
+        Some(socket) => socket.try_clone()?,
+        None => UdpSocket::bind(address)?,
+    };
     socket.set_read_timeout(Some(gossip::RECEIVE))?;
     Ok(socket)
 }
@@ -137,7 +140,7 @@
     pub fn start(options: &Options) -> Result<Self, Error> {
         let settings = given("settings", options.settings.as_ref())?;
         let peer = settings.daemon.peers_address.clone();
-        let socket = open(&peer).context(PortSnafu {
+        let socket = open(options.socket.as_deref(), &peer).context(PortSnafu {
             step: "open the UDP port",
             peer: &peer,
         })?;
--- a/src/control/options.rs
+++ b/src/control/options.rs
@@ -1,5 +1,6 @@
 //! What control is made of.
 
+use std::net::UdpSocket;
 use std::sync::Arc;
 
 use crate::clock::Clock;
@@ -18,6 +19,7 @@
     pub(super) weights: Option<Arc<dyn platform::Weights>>,
     pub(super) recorder: Option<Arc<Recorder>>,
     pub(super) clock: Option<Arc<dyn Clock>>,
+    pub(super) socket: Option<Arc<UdpSocket>>,
     pub(super) seed: u64,
 }
 
@@ -81,6 +83,13 @@
         self
     }
 
+    /// Gives the UDP socket for other daemons; without it the port of the settings is opened.
+    #[must_use]
+    pub fn socket(mut self, socket: Arc<UdpSocket>) -> Self {
+        self.socket = Some(socket);
+        self
+    }
+
     /// Gives the seed of random choices.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,7 +2,7 @@
 //!
 //! See [the architecture](../docs/ARCHITECTURE.md).
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -35,6 +35,9 @@
 /// How often what control learned is passed on.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Numbers tried for the port for other daemons when the system picks it.
+const PORT_ATTEMPTS: usize = 32;
+
 /// Why a daemon does not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -92,6 +95,7 @@
     clock: Arc<dyn Clock>,
     log: Arc<dyn platform::Log>,
     roster: Arc<dyn platform::Roster>,
+    weights: Arc<dyn platform::Weights>,
     engine: Arc<dyn endpoint::Engine>,
     logger: Logger,
     seed: u64,
@@ -105,6 +109,7 @@
             clock: Arc::new(System::new()),
             log: Arc::new(platform::http::Log::new(&settings.platform.log_url)),
             roster: Arc::new(platform::http::Roster::new(&settings.platform.roster_url)),
+            weights: Arc::new(platform::http::Weights::new(&settings.platform.weights_url)),
             engine: Arc::new(endpoint::http::Client::new(max_answer)),
             logger: telemetry::silent(),
             seed: uuid::Uuid::new_v4().as_u64_pair().0,
@@ -147,6 +152,13 @@
         self
     }
 
+    /// Sets the weight store.
+    #[must_use]
+    pub fn weights(mut self, weights: Arc<dyn platform::Weights>) -> Self {
+        self.weights = weights;
+        self
+    }
+
     /// Sets the client of the endpoints.
     #[must_use]
     pub fn engine(mut self, engine: Arc<dyn endpoint::Engine>) -> Self {
@@ -175,13 +187,15 @@
         let settings = Arc::new(options.settings);
         let recorder = Recorder::new(settings.daemon.name.as_str().into(), options.clock.clone());
         let recorder = Arc::new(recorder.with_logger(options.logger));
-        let net = net(&settings, &recorder, options.seed)?;
+        let (net, socket) = ports(&settings, &recorder, options.seed)?;
         let settings = Arc::new(at(&settings, &net));
         let control = control::Options::new()
             .settings(settings.clone())
             .log(options.log.clone())
             .roster(options.roster)
             .link(net.clone())
+            .engines(options.engine.clone(), options.weights)
+            .socket(Arc::new(socket))
             .recorder(recorder.clone())
             .clock(options.clock.clone())
             .seed(options.seed);
@@ -320,6 +334,28 @@
     net.map(Arc::new).context(PeersSnafu { peer: address })
 }
 
+/// Opens the port for other daemons, over TCP and UDP.
+///
+/// When the system picks the number, one that is free over TCP may be taken over UDP.
+fn ports(
+    settings: &Settings,
+    recorder: &Arc<Recorder>,
+    seed: u64,
+) -> Result<(Arc<Net>, UdpSocket), Error> {
+    let peer = &settings.daemon.peers_address;
+    let is_picked = peer.ends_with(":0");
+    for _ in 0..PORT_ATTEMPTS {
+        let net = net(settings, recorder, seed)?;
+        match UdpSocket::bind(net.address()) {
+            Ok(socket) => return Ok((net, socket)),
+            Err(_) if is_picked => net.stop(),
+            Err(source) => return Err(source).context(PeersSnafu { peer }),
+        }
+    }
+    let source = std::io::ErrorKind::AddrInUse.into();
+    Err(source).context(PeersSnafu { peer })
+}
+
 /// Names the port for other daemons that was opened, so that TCP and UDP share its number.
 fn at(settings: &Settings, net: &Net) -> Settings {
     let mut settings = settings.clone();
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -9,7 +9,7 @@
 use crate::control::Control;
 use crate::daemon::Daemon;
 use crate::member::Status as Standing;
-use crate::operate::status::{Count, Endpoint, Member};
+use crate::operate::status::{Count, Endpoint, Lease, Member};
 use crate::operate::{
     Answer, Change, Console, Edit, Error, Event, Line, Query, Result, Sheet, Status, Verdict,
 };
@@ -46,7 +46,7 @@
             fresh: standing.is_fresh,
             members: self.members(),
             endpoints: self.endpoints(),
-            leases: Vec::new(),
+            leases: self.leases(),
             quarantine: Vec::new(),
             counts: counts(status.counts),
         }
@@ -79,6 +79,17 @@
         .collect()
     }
 
+    fn leases(&self) -> Vec<Lease> {
+        let leases = self.control.leases().into_iter();
+        leases
+            .map(|lease| Lease {
+                name: lease.name,
+                holder: lease.holder,
+                fence: lease.fence,
+            })
+            .collect()
+    }
+
     fn body(&self, change: &Change) -> Result<Body> {
         let here = self.control.standing().revision;
         match change {
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -10,7 +10,7 @@
 use crate::endpoint::memory::Fleet;
 use crate::operate::client::Client;
 use crate::operate::{Answer, Change, Edit, Verdict};
-use crate::platform::memory::{Log, Roster};
+use crate::platform::memory::{Log, Roster, Weights};
 use crate::platform::{Role, Vm};
 use crate::policy::Observation;
 use crate::policy::knobs::{Knobs, Scope};
@@ -91,6 +91,7 @@
             .clock(self.clock.clone())
             .log(self.log.clone())
             .roster(self.roster.clone())
+            .weights(Arc::new(Weights::new(Vec::new())))
             .engine(self.fleet.clone())
             .seed(1);
         let node = Node::start(options).unwrap();
