--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -125,7 +125,7 @@
             Outcome::NotRun | Outcome::NotSent => has_time,
             Outcome::Cut => true,
             Outcome::Unknown => unknowns.count() < 2,
-            Outcome::Failed => self.is_repeatable && has_time,
+            Outcome::Failed => has_time && (self.is_repeatable || reply.may_send_again),
         }
     }
 
--- a/src/demo/crew.rs
+++ b/src/demo/crew.rs
@@ -10,6 +10,7 @@
 use crate::claim::desk::Desk;
 use crate::daemon::{Daemon, Ports};
 use crate::endpoint;
+use crate::operate::Report;
 use crate::platform::{self, Role, Vm};
 use crate::policy::adaptive::Adaptive;
 use crate::route;
@@ -17,6 +18,7 @@
 use crate::standin::fault::{Fault, Kind};
 use crate::standin::fleet::Fleet;
 use crate::standin::link::{Crossing, Link};
+use crate::standin::relay::Relay;
 
 /// How long a daemon that shuts down may take.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(30);
@@ -42,6 +44,8 @@
     member: Member,
     generation: u32,
     daemon: Option<Arc<Daemon>>,
+    /// The link in front of its peers' port; every daemon stands in a region of its own.
+    relay: Option<Relay>,
 }
 
 /// The daemons, one in each availability zone.
@@ -51,6 +55,7 @@
     link: Arc<Link>,
     seed: u64,
     posts: Mutex<Vec<Post>>,
+    reports: Mutex<Vec<Report>>,
 }
 
 impl Crew {
@@ -62,6 +67,7 @@
             link: Arc::new(Link::new(fleet.commons().clock.clone())),
             seed,
             posts: Mutex::new(Vec::new()),
+            reports: Mutex::new(Vec::new()),
         });
         for (number, zone) in (1..).zip(&settings.zones) {
             let member = Member {
@@ -74,6 +80,7 @@
                 member,
                 generation: 0,
                 daemon: None,
+                relay: None,
             };
             crew.fill(&mut post)?;
             crew.posts.lock().push(post);
@@ -86,6 +93,13 @@
         self.posts.lock().iter().map(|p| p.member.clone()).collect()
     }
 
+    /// Returns what the daemons booked, those that stopped included.
+    pub fn reports(&self) -> Vec<Report> {
+        let mut reports = self.reports.lock().clone();
+        reports.extend(self.running().iter().map(|d| d.report()));
+        reports
+    }
+
     fn running(&self) -> Vec<Arc<Daemon>> {
         let posts = self.posts.lock();
         posts.iter().filter_map(|p| p.daemon.clone()).collect()
@@ -102,17 +116,21 @@
         daemon.availability_zone.clone_from(&post.member.zone);
         daemon.callers_address.clone_from(&post.member.address);
         daemon.operators_address.clone_from(&post.member.operators);
-        daemon.peers_address = free_address()?;
+        daemon.peers_address = "127.0.0.1:0".into();
+        let started = Daemon::start(&settings, self.ports(&settings)?);
+        let started = started.map_err(|e| e.to_string())?;
+        let relay = Relay::start(started.net().address(), self.link.clone());
+        let relay = relay.map_err(|e| e.to_string())?;
         let vm = Vm {
-            id: daemon.name.as_str().into(),
+            id: settings.daemon.name.as_str().into(),
             role: Role::Daemon,
-            address: daemon.peers_address.clone(),
-            zone: daemon.availability_zone.as_str().into(),
+            address: relay.address().to_string(),
+            zone: settings.daemon.availability_zone.as_str().into(),
             pool: None,
             leaving: false,
         };
-        let started = Daemon::start(&settings, self.ports(&settings)?);
-        post.daemon = Some(Arc::new(started.map_err(|e| e.to_string())?));
+        post.daemon = Some(Arc::new(started));
+        post.relay = Some(relay);
         self.fleet.platform.roster.change(|list| list.push(vm));
         Ok(())
     }
@@ -203,6 +221,7 @@
             }
         });
         daemon.shutdown(SHUTDOWN_TIMEOUT);
+        self.reports.lock().push(daemon.report());
         roster.change(|list| list.retain(|vm| *vm.id != *name));
     }
 
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -12,6 +12,7 @@
 use crate::id;
 use crate::load::call::Outcome;
 use crate::load::report::Latency;
+use crate::operate;
 use crate::standin::fault::Fault;
 use crate::standin::journal::{Entry, Event};
 
@@ -61,7 +62,7 @@
     pub engine_ms: f64,
     /// Tokens generated.
     pub tokens: u64,
-    /// Bytes of bodies and tokens that crossed the regional link.
+    /// Bytes that crossed the regional link for it, by the daemons' ledgers.
     pub link_bytes: u64,
     /// Time on endpoints whose result nobody used, in milliseconds.
     pub wasted_ms: f64,
@@ -82,6 +83,8 @@
     pub doubled: usize,
     /// Results that reached another request.
     pub crossed: usize,
+    /// All bytes that crossed the regional link, counted by the link.
+    pub link_bytes: u64,
     /// Whether every daemon shut down without cutting anything off.
     pub graceful: bool,
     /// How each pipeline fared.
@@ -108,6 +111,7 @@
             lost: found.lost.len(),
             doubled: found.doubled.len(),
             crossed: found.crossed.len(),
+            link_bytes: site.crew.link().total(),
             graceful: true,
             pipelines: rows.filter(|r| r.requests > 0).collect(),
             stages: costs(site, journal),
@@ -245,13 +249,21 @@
             cost.wasted_ms += millis;
         }
     }
+    let reports = site.crew.reports();
     for cost in costs.values_mut() {
-        cost.link_bytes = site.crew.link().bytes(&cost.pipeline, &cost.stage);
+        cost.link_bytes = link_bytes(&reports, cost);
     }
     costs.sort_keys();
     costs.into_values().collect()
 }
 
+fn link_bytes(reports: &[operate::Report], cost: &Cost) -> u64 {
+    let name = format!("{}/{}", cost.pipeline, cost.stage);
+    let stages = reports.iter().flat_map(|r| &r.stages);
+    let mine = stages.filter(|s| *s.name == *name);
+    mine.map(|s| s.link_bytes).sum()
+}
+
 fn free((pipeline, stage): &(id::Pipeline, id::Stage)) -> Cost {
     Cost {
         pipeline: pipeline.clone(),
@@ -327,7 +339,11 @@
         for cost in &self.stages {
             writeln!(f, "{cost}")?;
         }
-        writeln!(f)?;
+        writeln!(
+            f,
+            "\n{} bytes crossed the regional link, control included\n",
+            self.link_bytes
+        )?;
         for (reason, count) in &self.reasons {
             writeln!(f, "{count:>4} x {reason}")?;
         }
--- a/src/load/call.rs
+++ b/src/load/call.rs
@@ -52,6 +52,8 @@
     pub status: u16,
     /// The id that the daemon gave the request.
     pub request: Option<id::Request>,
+    /// Whether the daemon said when to send again.
+    pub may_send_again: bool,
     /// The answer as JSON text, or what went wrong.
     pub text: String,
     /// Time to the first token, of a streamed answer.
@@ -148,6 +150,7 @@
         let mut reply = Reply::new(Outcome::Cut);
         reply.status = head.status;
         reply.request = head.header("X-Request-Id").and_then(|id| id.parse().ok());
+        reply.may_send_again = head.header("Retry-After").is_some();
         if self.stream && head.status == 200 {
             reply.follow(head, start);
         } else {
@@ -167,6 +170,7 @@
             outcome,
             status: 0,
             request: None,
+            may_send_again: false,
             text: String::new(),
             first_token: None,
             gaps: Vec::new(),
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod platform;
 pub mod profile;
+pub mod relay;
 pub mod server;
 pub mod store;
 pub mod text;
--- a/src/standin/link.rs
+++ b/src/standin/link.rs
@@ -4,6 +4,7 @@
 //! which delays, counts and cuts what goes to another region.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
     clock: Arc<dyn Clock>,
     cut_until: Mutex<Time>,
     bytes: Mutex<IndexMap<(id::Pipeline, id::Stage), u64>>,
+    total: AtomicU64,
 }
 
 impl Link {
@@ -39,6 +41,7 @@
             clock,
             cut_until: Mutex::new(Time::ZERO),
             bytes: Mutex::new(IndexMap::new()),
+            total: AtomicU64::new(0),
         }
     }
 
@@ -59,7 +62,18 @@
         bytes.get(&place).copied().unwrap_or(0)
     }
 
+    /// Returns all bytes that crossed.
+    pub fn total(&self) -> u64 {
+        self.total.load(Ordering::Relaxed)
+    }
+
+    /// Counts bytes that belong to no stage, or whose stage is not known here.
+    pub(super) fn count_raw(&self, bytes: usize) {
+        self.total.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     fn count(&self, call: &Call, bytes: usize) {
+        self.count_raw(bytes);
         let place = (call.pipeline.clone(), call.stage.clone());
         *self.bytes.lock().entry(place).or_default() += bytes as u64;
     }
