--- a/src/policy/knobs.rs
+++ b/src/policy/knobs.rs
@@ -85,8 +85,8 @@
             max_queue: 1024,
             sojourn_target: Duration::from_millis(250),
             waiting_target: 1.0,
-            admission_share: 0.9,
-            priority_step: 0.05,
+            admission_share: 0.95,
+            priority_step: 0.02,
             retry_ratio: 0.15,
             retry_base: Duration::from_millis(20),
             hedge_ratio: 0.04,
@@ -95,7 +95,7 @@
             eject_outlier: 3.0,
             eject_share: 0.34,
             eject_time: Duration::from_secs(2),
-            slow_start: Duration::from_secs(10),
+            slow_start: Duration::from_secs(2),
             link_share: 0.25,
         }
     }
