--- a/src/policy/adaptive/placing.rs
+++ b/src/policy/adaptive/placing.rs
@@ -13,9 +13,11 @@
 /// How soon a refused stage may be sent again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The quantile of a stage's latency whose multiple counts as stuck.
-const STUCK_QUANTILE: f64 = 0.99;
+const STUCK_QUANTILE: f64 = 0.95;
 /// That multiple.
-const STUCK_FACTOR: u32 = 3;
+const STUCK_FACTOR: u32 = 2;
+/// Share of the slack that a slow call gets on top.
+const PATIENCE: f64 = 0.25;
 /// The shortest timeout of a call.
 const MIN_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -49,7 +51,7 @@
     }
 
     fn enqueue(&mut self, ask: &Ask, now: Time) -> Placement {
-        let need = self.forecast.mean(&ask.pipeline, ask.index);
+        let need = self.forecast.need(&ask.pipeline, ask.index);
         let latest = ask.deadline.saturating_sub(need);
         if latest <= now {
             return refuse("no time left to wait for the pool");
@@ -89,65 +91,84 @@
     }
 
     fn send(&mut self, ask: &Ask, now: Time) -> Placement {
-        if let Some(pick) = self.choose_near(ask, &[], now) {
+        if let Some(pick) = self.choose_near(ask, false, now) {
             self.begin(ask, &pick, now);
             return Placement::Send(pick);
         }
-        self.send_far(ask, now)
+        if let Some(placement) = self.send_far(ask, now) {
+            return placement;
+        }
+        let Some(pick) = self.choose_near(ask, true, now) else {
+            return refuse("no endpoint of the pool can take it");
+        };
+        self.begin(ask, &pick, now);
+        Placement::Send(pick)
     }
 
     /// Nothing in the own region can take it: the remainder moves, or the call crosses the link.
-    fn send_far(&mut self, ask: &Ask, now: Time) -> Placement {
+    fn send_far(&mut self, ask: &Ask, now: Time) -> Option<Placement> {
         let rule = Rule {
             ask,
-            busy: &[],
             affinity: None,
             slow_start: self.sheet.pool(&ask.pool).slow_start,
+            takes_ejected: false,
             compares: true,
         };
         let found = self.table.choose_far(&rule, now, &mut self.rng);
-        let Some((pick, region)) = found.map(|e| {
+        let (pick, region) = found.map(|e| {
             (
                 self.pick(ask, &e.candidate, now),
                 e.candidate.region.clone(),
             )
-        }) else {
-            return refuse("no endpoint of the pool can take it");
-        };
+        })?;
         let class = Class::of(ask.repeatable, ask.priority);
         if self.is_on(Mechanism::LinkBudget) && !self.link.has(class, ask.bytes, now) {
-            return refuse("the regional link has no room");
+            return Some(refuse("the regional link has no room"));
         }
         self.link.spend(ask.bytes, now);
         if self.is_on(Mechanism::Move) && self.should_move(ask, &region) {
-            return Placement::Move(region);
+            return Some(Placement::Move(region));
         }
         let pick = Pick {
             hedge_after: None,
             ..pick
         };
         self.begin(ask, &pick, now);
-        Placement::Send(pick)
+        Some(Placement::Send(pick))
     }
 
-    /// Whether every later stage is served in `region` and some only there, so that the bytes of
-    /// one move replace those of several calls.
+    /// Whether every later stage is served in `region` and some only there, so that one move
+    /// replaces several crossings. Otherwise one call crosses and the rest use what is near.
     fn should_move(&self, ask: &Ask, region: &id::Region) -> bool {
-        let has = |pool: &id::Pool| {
-            self.table.members(pool).is_some_and(|m| {
-                m.far
-                    .iter()
-                    .filter_map(|i| self.table.entry(*i))
-                    .any(|e| e.candidate.region == *region && !e.candidate.leaving)
-            })
+        let is_near = |pool: &id::Pool| {
+            let members = self.table.members(pool);
+            members.is_some_and(|m| self.has_usable(m.near(), None))
         };
-        !ask.rest.is_empty() && ask.rest.iter().all(has)
+        let is_there = |pool: &id::Pool| {
+            let members = self.table.members(pool);
+            members.is_some_and(|m| self.has_usable(m.far.iter().copied(), Some(region)))
+        };
+        !ask.rest.iter().all(is_near) && ask.rest.iter().all(is_there)
+    }
+
+    fn has_usable(
+        &self,
+        mut members: impl Iterator<Item = usize>,
+        region: Option<&id::Region>,
+    ) -> bool {
+        members.any(|index| {
+            self.table.entry(index).is_some_and(|entry| {
+                let candidate = &entry.candidate;
+                let is_there = region.is_none_or(|r| *r == candidate.region);
+                is_there && !candidate.leaving && !entry.breaker.is_ejected()
+            })
+        })
     }
 
     pub(super) fn choose_near(
         &mut self,
         ask: &Ask,
-        busy: &[id::Endpoint],
+        takes_ejected: bool,
         now: Time,
     ) -> Option<Pick> {
         let has_affinity = self.is_on(Mechanism::Affinity) && !ask.prefixes.is_empty();
@@ -156,13 +177,13 @@
         let pool = self.pools.get(&ask.pool)?;
         let rule = Rule {
             ask,
-            busy,
             affinity: (has_affinity && pool.kind.has_prefix_cache()).then_some(&pool.affinity),
             slow_start: if slow {
                 knobs.slow_start
             } else {
                 Duration::ZERO
             },
+            takes_ejected,
             compares: self.is_on(Mechanism::Score),
         };
         let found = self.table.choose(&rule, now, &mut self.rng)?;
@@ -190,11 +211,20 @@
             .forecast
             .allowance(&ask.pipeline, ask.index, remaining)
             .max(MIN_TIMEOUT);
-        let stuck = self
-            .forecast
-            .quantile(&ask.pipeline, ask.index, STUCK_QUANTILE)
-            .map(|q| (q * STUCK_FACTOR).max(MIN_TIMEOUT));
-        stuck.map_or(allowance, |s| s.min(allowance))
+        self.cut(ask, remaining)
+            .map_or(allowance, |cut| cut.min(allowance))
+    }
+
+    /// When a call counts as stuck: late enough for a slow one, early enough for another try.
+    fn cut(&self, ask: &Ask, remaining: Duration) -> Option<Duration> {
+        if !self.pools.get(&ask.pool)?.retries.has_one() {
+            return None;
+        }
+        let (pipeline, index) = (&ask.pipeline, ask.index);
+        let slow = self.forecast.quantile(pipeline, index, STUCK_QUANTILE)?;
+        let slack = remaining.checked_sub(self.forecast.mean(pipeline, index))?;
+        let patient = slow * STUCK_FACTOR + slack.mul_f64(PATIENCE);
+        (slack > slow).then(|| patient.min(slack).max(MIN_TIMEOUT))
     }
 
     pub(super) fn begin(&mut self, ask: &Ask, pick: &Pick, now: Time) {
@@ -204,7 +234,7 @@
         pool.in_flight += 1;
         let knobs = self.sheet.pool(&ask.pool);
         pool.retries.earn(knobs.retry_ratio);
-        pool.hedges.earn(knobs.hedge_ratio);
+        self.hedges.earn(knobs.hedge_ratio);
         let share = pool.affinity.share(&pick.endpoint, &ask.prefixes);
         if pool.kind.has_prefix_cache() {
             pool.affinity.presume(&pick.endpoint, &ask.prefixes);
