Take the catalogue's defaults from the policy's knobs

Cause: two lists of defaults drifted apart as soon as the policy was tuned. Change: the catalogue refers to the constants of the knobs.

--- a/src/config/setting/catalogue/traffic.rs
+++ b/src/config/setting/catalogue/traffic.rs
@@ -1,6 +1,14 @@
 //! Settings of requests, calls and pools.
 
+use std::time::Duration;
+
 use crate::config::setting::{Preset, Setting};
+use crate::policy::knobs::Knobs;
+
+/// Returns the whole milliseconds of a default.
+const fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
 
 /// The longest that a request may take, unless its pipeline or caller says less.
 pub const REQUEST_TIMEOUT: Setting = Setting {
@@ -28,7 +36,7 @@
 pub const ADMISSION_SHARE: Setting = Setting {
     name: "admission-share",
     unit: "share of the time left",
-    preset: Preset::Ratio(0.9),
+    preset: Preset::Ratio(Knobs::DEFAULT.admission_share),
     min: 0.1,
     max: 1.0,
     since: 1,
@@ -39,7 +47,7 @@
 pub const PRIORITY_STEP: Setting = Setting {
     name: "priority-step",
     unit: "share",
-    preset: Preset::Ratio(0.05),
+    preset: Preset::Ratio(Knobs::DEFAULT.priority_step),
     min: 0.0,
     max: 0.1,
     since: 1,
@@ -50,7 +58,7 @@
 pub const HEDGE_QUANTILE: Setting = Setting {
     name: "hedge-quantile",
     unit: "share",
-    preset: Preset::Ratio(0.97),
+    preset: Preset::Ratio(Knobs::DEFAULT.hedge_quantile),
     min: 0.5,
     max: 0.999,
     since: 1,
@@ -61,7 +69,7 @@
 pub const HEDGE_BUDGET: Setting = Setting {
     name: "hedge-budget",
     unit: "share of calls",
-    preset: Preset::Ratio(0.04),
+    preset: Preset::Ratio(Knobs::DEFAULT.hedge_ratio),
     min: 0.0,
     max: 0.05,
     since: 1,
@@ -72,7 +80,7 @@
 pub const RETRY_BUDGET: Setting = Setting {
     name: "retry-budget",
     unit: "share of calls",
-    preset: Preset::Ratio(0.15),
+    preset: Preset::Ratio(Knobs::DEFAULT.retry_ratio),
     min: 0.0,
     max: 1.0,
     since: 1,
@@ -83,7 +91,7 @@
 pub const RETRY_BACKOFF: Setting = Setting {
     name: "retry-backoff",
     unit: "ms",
-    preset: Preset::Milliseconds(20),
+    preset: Preset::Milliseconds(millis(Knobs::DEFAULT.retry_base)),
     min: 0.0,
     max: 10_000.0,
     since: 1,
@@ -94,7 +102,7 @@
 pub const QUEUE_BOUND: Setting = Setting {
     name: "queue-bound",
     unit: "stages",
-    preset: Preset::Count(1024),
+    preset: Preset::Count(Knobs::DEFAULT.max_queue as u64),
     min: 0.0,
     max: 100_000.0,
     since: 1,
@@ -105,7 +113,7 @@
 pub const SOJOURN_TARGET: Setting = Setting {
     name: "sojourn-target",
     unit: "ms",
-    preset: Preset::Milliseconds(250),
+    preset: Preset::Milliseconds(millis(Knobs::DEFAULT.sojourn_target)),
     min: 1.0,
     max: 60_000.0,
     since: 1,
@@ -116,7 +124,7 @@
 pub const MAX_IN_FLIGHT: Setting = Setting {
     name: "max-in-flight",
     unit: "calls",
-    preset: Preset::Count(64),
+    preset: Preset::Count(Knobs::DEFAULT.max_in_flight as u64),
     min: 1.0,
     max: 1_024.0,
     since: 1,
@@ -127,7 +135,7 @@
 pub const WAITING_TARGET: Setting = Setting {
     name: "waiting-target",
     unit: "calls",
-    preset: Preset::Ratio(1.0),
+    preset: Preset::Ratio(Knobs::DEFAULT.waiting_target),
     min: 0.0,
     max: 64.0,
     since: 1,
@@ -149,7 +157,7 @@
 pub const LINK_SHARE: Setting = Setting {
     name: "link-share",
     unit: "share of the link",
-    preset: Preset::Ratio(0.25),
+    preset: Preset::Ratio(Knobs::DEFAULT.link_share),
     min: 0.0,
     max: 1.0,
     since: 1,
@@ -160,7 +168,7 @@
 pub const EJECTION_ERRORS: Setting = Setting {
     name: "ejection-errors",
     unit: "errors",
-    preset: Preset::Count(3),
+    preset: Preset::Count(Knobs::DEFAULT.eject_failures as u64),
     min: 1.0,
     max: 100.0,
     since: 1,
@@ -171,7 +179,7 @@
 pub const EJECTION_TIME: Setting = Setting {
     name: "ejection-time",
     unit: "ms",
-    preset: Preset::Milliseconds(2_000),
+    preset: Preset::Milliseconds(millis(Knobs::DEFAULT.eject_time)),
     min: 100.0,
     max: 600_000.0,
     since: 1,
@@ -182,7 +190,7 @@
 pub const EJECTION_CAP: Setting = Setting {
     name: "ejection-cap",
     unit: "share of the pool",
-    preset: Preset::Ratio(0.34),
+    preset: Preset::Ratio(Knobs::DEFAULT.eject_share),
     min: 0.0,
     max: 0.9,
     since: 1,
@@ -193,7 +201,7 @@
 pub const SLOW_FACTOR: Setting = Setting {
     name: "slow-factor",
     unit: "times the pool's median",
-    preset: Preset::Ratio(3.0),
+    preset: Preset::Ratio(Knobs::DEFAULT.eject_outlier),
     min: 1.5,
     max: 100.0,
     since: 1,
@@ -204,7 +212,7 @@
 pub const SLOW_START: Setting = Setting {
     name: "slow-start",
     unit: "ms",
-    preset: Preset::Milliseconds(10_000),
+    preset: Preset::Milliseconds(millis(Knobs::DEFAULT.slow_start)),
     min: 0.0,
     max: 600_000.0,
     since: 1,
--- a/src/policy/knobs.rs
+++ b/src/policy/knobs.rs
@@ -79,29 +79,32 @@
 
 impl Default for Knobs {
     fn default() -> Self {
-        Self {
-            weight: 1.0,
-            max_in_flight: 64,
-            max_queue: 1024,
-            sojourn_target: Duration::from_millis(250),
-            waiting_target: 1.0,
-            admission_share: 0.95,
-            priority_step: 0.02,
-            retry_ratio: 0.15,
-            retry_base: Duration::from_millis(20),
-            hedge_ratio: 0.04,
-            hedge_quantile: 0.97,
-            eject_failures: 3,
-            eject_outlier: 3.0,
-            eject_share: 0.34,
-            eject_time: Duration::from_secs(2),
-            slow_start: Duration::from_secs(2),
-            link_share: 0.25,
-        }
+        Self::DEFAULT
     }
 }
 
 impl Knobs {
+    /// The built-in defaults.
+    pub const DEFAULT: Self = Self {
+        weight: 1.0,
+        max_in_flight: 64,
+        max_queue: 1024,
+        sojourn_target: Duration::from_millis(250),
+        waiting_target: 1.0,
+        admission_share: 0.95,
+        priority_step: 0.02,
+        retry_ratio: 0.15,
+        retry_base: Duration::from_millis(20),
+        hedge_ratio: 0.04,
+        hedge_quantile: 0.97,
+        eject_failures: 3,
+        eject_outlier: 3.0,
+        eject_share: 0.34,
+        eject_time: Duration::from_secs(2),
+        slow_start: Duration::from_secs(2),
+        link_share: 0.25,
+    };
+
     /// Checks every knob against its documented limits.
     ///
     /// # Errors
