Keep content that crashes endpoints in quarantine

Cause: a sender that changes its request id can kill one endpoint after another. Change: a table of blame by content digest, shared by gossip and kept in the log; refusal after two endpoints, three while another content shares both.

--- a/src/generated.rs
+++ b/src/generated.rs
@@ -70,6 +70,34 @@
 )]
 pub mod settings;
 
+#[allow(
+    dead_code,
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::needless_pass_by_value,
+    clippy::redundant_closure_for_method_calls
+)]
+pub mod quarantine;
+
+#[allow(
+    dead_code,
+    missing_docs,
+    clippy::all,
+    clippy::pedantic,
+    unused_qualifications,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::needless_pass_by_value,
+    clippy::redundant_closure_for_method_calls
+)]
+pub mod quarantine_capnp;
+
 #[allow(
     dead_code,
     missing_docs,
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -4,6 +4,10 @@
 
 use crate::clock::Time;
 
+pub mod keeper;
+pub mod message;
+pub mod table;
+
 event! {
     /// How a request's content stands.
     pub enum Standing {
--- /dev/null
+++ b/src/quarantine/keeper/tests.rs
@@ -0,0 +1,229 @@
+//! Tests of the keeper: a crash loop over several daemons.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+use super::{Keeper, Ports};
+use crate::claim::router::{Peer, View};
+use crate::clock::{self, Manual};
+use crate::daemon::Screen;
+use crate::platform::memory::Log;
+use crate::quarantine::Standing;
+use crate::{endpoint, id, peer, pipeline};
+
+const PATIENT: Duration = Duration::from_secs(30);
+const SECOND: Duration = Duration::from_secs(1);
+
+#[derive(Default)]
+struct Network {
+    keepers: Mutex<Vec<(String, Arc<Keeper>)>>,
+}
+
+struct Wire(id::Daemon, Arc<Network>);
+
+fn unsent(peer: &str) -> peer::Error {
+    peer::Error::NotSent {
+        step: "ask",
+        peer: peer.into(),
+        reason: "nobody is there".into(),
+    }
+}
+
+impl peer::Link for Wire {
+    fn ask(
+        &self,
+        address: &str,
+        _topic: peer::Topic,
+        body: &[u8],
+        _timeout: Duration,
+    ) -> peer::Result<Vec<u8>> {
+        let keepers = self.1.keepers.lock();
+        let keeper = keepers.iter().find(|(at, _)| at == address);
+        let keeper = keeper.map(|(_, k)| k.clone()).ok_or(unsent(address))?;
+        drop(keepers);
+        Ok(peer::Handler::handle(&*keeper, &self.0, body).unwrap())
+    }
+
+    fn forward(
+        &self,
+        address: &str,
+        _endpoint: &str,
+        _call: &endpoint::Call,
+        _sink: endpoint::Sink<'_>,
+    ) -> endpoint::Result<endpoint::Answer> {
+        Err(endpoint::Error::NotSent {
+            step: "forward",
+            peer: address.into(),
+            reason: "nobody is there".into(),
+        })
+    }
+
+    fn remainder(
+        &self,
+        address: &str,
+        _rest: &pipeline::Remainder,
+        _sink: endpoint::Sink<'_>,
+    ) -> peer::Result<pipeline::Remote> {
+        Err(unsent(address))
+    }
+}
+
+struct Fixed(Vec<Peer>);
+
+impl View for Fixed {
+    fn peers(&self) -> Vec<Peer> {
+        self.0.clone()
+    }
+}
+
+fn log() -> Arc<Log> {
+    Arc::new(Log::new(Arc::new(clock::System::new()), 1).blocking())
+}
+
+fn clock() -> Arc<Manual> {
+    let clock = Arc::new(Manual::default());
+    clock.advance(SECOND);
+    clock
+}
+
+fn ports(
+    log: &Arc<Log>,
+    names: &[&str],
+    link: Option<Arc<dyn peer::Link>>,
+    clock: &Arc<Manual>,
+) -> Ports {
+    let peer = |name: &&str| Peer {
+        daemon: (*name).into(),
+        address: (*name).to_owned(),
+        region: "r".into(),
+        leaving: false,
+    };
+    Ports {
+        log: log.clone(),
+        link,
+        view: Arc::new(Fixed(names.iter().map(peer).collect())),
+        clock: clock.clone(),
+    }
+}
+
+fn network(log: &Arc<Log>, names: &[&str], clock: &Arc<Manual>) -> Arc<Network> {
+    let network = Arc::new(Network::default());
+    for name in names {
+        let link: Arc<dyn peer::Link> = Arc::new(Wire((*name).into(), network.clone()));
+        let keeper = Keeper::start((*name).into(), ports(log, names, Some(link), clock)).unwrap();
+        let entry = ((*name).to_owned(), Arc::new(keeper));
+        network.keepers.lock().push(entry);
+    }
+    network
+}
+
+fn until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENT;
+    while !is_so() {
+        assert!(Instant::now() < end, "{what}");
+        std::thread::yield_now();
+    }
+}
+
+/// Sends the content to one daemon after the other; each run kills another endpoint.
+fn crash(keepers: &[Arc<Keeper>], digest: &id::Digest) -> usize {
+    let mut dead = 0;
+    for round in 0..20 {
+        let keeper = &keepers[round % keepers.len()];
+        let next = &keepers[(round + 1) % keepers.len()];
+        let before = keeper.standing(digest, Duration::ZERO);
+        if matches!(before, Standing::Refused { .. }) {
+            continue;
+        }
+        dead += 1;
+        let endpoint: id::Endpoint = format!("e{dead}").into();
+        keeper.blame(digest, &endpoint, Duration::ZERO);
+        until("the next daemon hears of it", || {
+            next.standing(digest, Duration::ZERO) != before
+        });
+    }
+    dead
+}
+
+#[test]
+fn crash_loop_over_daemons() {
+    let (log, clock) = (log(), clock());
+    let network = network(&log, &["a", "b", "c"], &clock);
+    let keepers: Vec<Arc<Keeper>> = network
+        .keepers
+        .lock()
+        .iter()
+        .map(|(_, k)| k.clone())
+        .collect();
+    // The digest is that of the content, so another request id changes nothing.
+    let digest: id::Digest = "content".into();
+    assert_eq!(crash(&keepers, &digest), 2);
+    for keeper in &keepers {
+        until("everybody refuses", || {
+            matches!(
+                keeper.standing(&digest, Duration::ZERO),
+                Standing::Refused { .. }
+            )
+        });
+    }
+    network.keepers.lock().clear();
+}
+
+#[test]
+fn blame_survives_its_daemon() {
+    let (log, clock) = (log(), clock());
+    let first = Keeper::start("a".into(), ports(&log, &["a"], None, &clock)).unwrap();
+    let digest: id::Digest = "content".into();
+    first.blame(&digest, &"e1".into(), Duration::ZERO);
+    first.blame(&digest, &"e2".into(), Duration::ZERO);
+    until("the log keeps it", || log.appended() > 0);
+    drop(first);
+    until("a new daemon learns it", || {
+        let next = Keeper::start("b".into(), ports(&log, &["b"], None, &clock)).unwrap();
+        matches!(
+            next.standing(&digest, Duration::ZERO),
+            Standing::Refused { .. }
+        )
+    });
+}
+
+#[test]
+fn blame_kept_after_outage() {
+    let (log, clock) = (log(), clock());
+    log.change(|faults| faults.outage = true);
+    let keeper = Keeper::start("a".into(), ports(&log, &["a"], None, &clock)).unwrap();
+    keeper.blame(&"content".into(), &"e1".into(), Duration::ZERO);
+    assert_eq!(
+        keeper.standing(&"content".into(), Duration::ZERO),
+        Standing::Suspect
+    );
+    log.change(|faults| faults.outage = false);
+    until("the log keeps it", || log.appended() > 0);
+}
+
+#[test]
+fn clear_completed_elsewhere() {
+    let (log, clock) = (log(), clock());
+    let network = network(&log, &["a", "b"], &clock);
+    let keepers: Vec<Arc<Keeper>> = network
+        .keepers
+        .lock()
+        .iter()
+        .map(|(_, k)| k.clone())
+        .collect();
+    let digest: id::Digest = "neighbour".into();
+    keepers[0].blame(&digest, &"e1".into(), Duration::ZERO);
+    until("b hears of it", || {
+        keepers[1].standing(&digest, Duration::ZERO) == Standing::Suspect
+    });
+    assert_eq!(keepers[1].list().len(), 1);
+    // A clear counts against earlier blame alone.
+    clock.advance(SECOND);
+    keepers[1].clear(&digest, Duration::ZERO);
+    until("a hears of it", || {
+        keepers[0].standing(&digest, Duration::ZERO) == Standing::Clear
+    });
+    network.keepers.lock().clear();
+}
--- /dev/null
+++ b/src/quarantine/table.rs
@@ -0,0 +1,211 @@
+//! The table of blamed content. It does no I/O and is given the time.
+//!
+//! Blame belongs to the digest of the content, because a sender changes the request id. See
+//! [the design note](../../docs/design/quarantine.md).
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::id;
+
+/// Distinct endpoints that must die while they run a content before it is refused.
+pub const ENDPOINTS: usize = 2;
+/// How long a content is refused after the endpoint that completed the blame died.
+pub const REFUSAL: Duration = Duration::from_secs(600);
+/// How long a content stays suspect after an endpoint died.
+pub const SUSPICION: Duration = Duration::from_secs(600);
+/// Contents that are remembered.
+pub const CONTENTS: usize = 4_096;
+/// Endpoints that are remembered for one content.
+pub const BLAMES: usize = 4;
+/// Endpoints that die together by another cause, such as a rack without power.
+pub const MASS: usize = 3;
+/// The time in which endpoints count as having died together.
+pub const MASS_SPAN: Duration = Duration::from_secs(2);
+
+/// Time since the Unix epoch, which daemons compare within their tolerance.
+pub type Wall = Duration;
+
+value! {
+    /// Something that daemons tell each other about a content.
+    pub struct Event {
+        /// Digest of the content.
+        pub digest: id::Digest,
+        /// The endpoint that died while it ran the content; none when it was answered whole.
+        pub endpoint: Option<id::Endpoint>,
+        /// When.
+        pub at: Wall,
+    }
+
+    /// How a content stands.
+    pub enum Verdict {
+        /// Nothing is held against it.
+        Clear,
+        /// It runs alone.
+        Suspect,
+        /// It is refused until then.
+        Refused(Wall),
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    /// Endpoints that died, with the time of each.
+    blames: IndexMap<id::Endpoint, Wall>,
+    cleared: Wall,
+}
+
+impl Entry {
+    fn last(&self) -> Wall {
+        self.blames.values().copied().max().unwrap_or(self.cleared)
+    }
+}
+
+/// The blamed content that one daemon knows of.
+#[derive(Debug, Default)]
+pub struct Table {
+    entries: IndexMap<id::Digest, Entry>,
+    /// Endpoints that died recently, whatever they ran.
+    deaths: VecDeque<(id::Endpoint, Wall)>,
+}
+
+impl Table {
+    /// Returns how many contents are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Says whether no content is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the digests that are remembered.
+    pub fn digests(&self) -> impl Iterator<Item = &id::Digest> {
+        self.entries.keys()
+    }
+
+    /// Says whether a content has blame that completing it would clear.
+    pub fn is_blamed(&self, digest: &str) -> bool {
+        self.entries
+            .get(digest)
+            .is_some_and(|e| !e.blames.is_empty())
+    }
+
+    /// Takes an event and says whether it was news; the order of events does not matter.
+    pub fn apply(&mut self, event: &Event, now: Wall) -> bool {
+        if event.at + SUSPICION.max(REFUSAL) < now {
+            return false;
+        }
+        match &event.endpoint {
+            Some(endpoint) => self.blame(&event.digest, endpoint, event.at, now),
+            None => self.clear(&event.digest, event.at, now),
+        }
+    }
+
+    fn blame(&mut self, digest: &id::Digest, endpoint: &id::Endpoint, at: Wall, now: Wall) -> bool {
+        self.note_death(endpoint, at, now);
+        let entry = self.entries.entry(digest.clone()).or_default();
+        if at <= entry.cleared || entry.blames.contains_key(endpoint) {
+            return false;
+        }
+        if entry.blames.len() == BLAMES {
+            entry.blames.shift_remove_index(0);
+        }
+        entry.blames.insert(endpoint.clone(), at);
+        self.bound(now);
+        true
+    }
+
+    fn clear(&mut self, digest: &id::Digest, at: Wall, now: Wall) -> bool {
+        let entry = self.entries.entry(digest.clone()).or_default();
+        if at <= entry.cleared {
+            return false;
+        }
+        entry.cleared = at;
+        entry.blames.retain(|_, blamed| *blamed > at);
+        self.bound(now);
+        true
+    }
+
+    fn note_death(&mut self, endpoint: &id::Endpoint, at: Wall, now: Wall) {
+        self.deaths.retain(|(_, died)| *died + REFUSAL > now);
+        if self.deaths.iter().any(|(known, _)| known == endpoint) {
+            return;
+        }
+        if self.deaths.len() == CONTENTS {
+            self.deaths.pop_front();
+        }
+        self.deaths.push_back((endpoint.clone(), at));
+    }
+
+    /// Forgets what is old, and above the bound the content that was blamed longest ago.
+    fn bound(&mut self, now: Wall) {
+        if self.entries.len() <= CONTENTS {
+            return;
+        }
+        let span = SUSPICION.max(REFUSAL);
+        self.entries.retain(|_, entry| entry.last() + span > now);
+        while self.entries.len() > CONTENTS {
+            let fewest = |e: &Entry| (e.blames.len(), e.last());
+            let oldest = self.entries.values().enumerate();
+            let Some((index, _)) = oldest.min_by_key(|(_, e)| fewest(e)) else {
+                return;
+            };
+            self.entries.swap_remove_index(index);
+        }
+    }
+
+    /// Says how a content stands.
+    pub fn standing(&self, digest: &str, now: Wall) -> Verdict {
+        let Some(entry) = self.entries.get(digest) else {
+            return Verdict::Clear;
+        };
+        let recent = |at: Wall| at + SUSPICION > now;
+        if !entry.blames.values().any(|at| recent(*at)) {
+            return Verdict::Clear;
+        }
+        let mut counted: Vec<Wall> = entry
+            .blames
+            .iter()
+            .filter(|(_, at)| recent(**at) && !self.is_mass(entry, **at))
+            .map(|(_, at)| *at)
+            .collect();
+        counted.sort();
+        let needed = ENDPOINTS + usize::from(self.has_companion(digest, entry, now));
+        match counted.last() {
+            Some(last) if counted.len() >= needed => Verdict::Refused(*last + REFUSAL),
+            _ => Verdict::Suspect,
+        }
+    }
+
+    /// Says whether endpoints that did not run the content died at about the same time, so that
+    /// this death has another cause.
+    fn is_mass(&self, entry: &Entry, at: Wall) -> bool {
+        let others = self.deaths.iter().filter(|(endpoint, died)| {
+            died.abs_diff(at) <= MASS_SPAN && !entry.blames.contains_key(endpoint)
+        });
+        others.count() >= MASS
+    }
+
+    /// Says whether another content lost the same endpoints and has not completed since; then
+    /// one endpoint more must tell which of them is the cause.
+    fn has_companion(&self, digest: &str, entry: &Entry, now: Wall) -> bool {
+        let shared = |other: &Entry| {
+            let blames = other.blames.iter();
+            let common =
+                blames.filter(|(e, at)| **at + SUSPICION > now && entry.blames.contains_key(*e));
+            common.count() >= ENDPOINTS
+        };
+        let mut others = self
+            .entries
+            .iter()
+            .filter(|(other, _)| other.as_ref() != digest);
+        entry.blames.len() == ENDPOINTS && others.any(|(_, other)| shared(other))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/quarantine/table/tests.rs
@@ -0,0 +1,137 @@
+//! Tests of the table of blamed content.
+
+use std::time::Duration;
+
+use super::{CONTENTS, Event, MASS_SPAN, REFUSAL, Table, Verdict, Wall};
+
+const NOW: Wall = Duration::from_secs(1_000_000);
+
+fn blame(digest: &str, endpoint: &str, at: Wall) -> Event {
+    Event {
+        digest: digest.into(),
+        endpoint: Some(endpoint.into()),
+        at,
+    }
+}
+
+fn clear(digest: &str, at: Wall) -> Event {
+    Event {
+        digest: digest.into(),
+        endpoint: None,
+        at,
+    }
+}
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn table(events: &[Event]) -> Table {
+    let mut table = Table::default();
+    for event in events {
+        table.apply(event, NOW);
+    }
+    table
+}
+
+#[test]
+fn standing_unknown_content() {
+    assert_eq!(Table::default().standing("a", NOW), Verdict::Clear);
+}
+
+#[test]
+fn standing_first_endpoint() {
+    let table = table(&[blame("a", "e1", NOW)]);
+    assert_eq!(table.standing("a", NOW), Verdict::Suspect);
+    assert_eq!(table.standing("b", NOW), Verdict::Clear);
+}
+
+#[test]
+fn standing_same_endpoint_twice() {
+    let table = table(&[blame("a", "e1", NOW), blame("a", "e1", NOW + seconds(3))]);
+    assert_eq!(table.standing("a", NOW), Verdict::Suspect);
+}
+
+#[test]
+fn standing_second_endpoint_refused_for_time() {
+    let at = NOW + seconds(3);
+    let table = table(&[blame("a", "e1", NOW), blame("a", "e2", at)]);
+    assert_eq!(table.standing("a", at), Verdict::Refused(at + REFUSAL));
+    assert_eq!(table.standing("a", at + REFUSAL), Verdict::Clear);
+}
+
+#[test]
+fn standing_neighbour_cleared() {
+    let at = NOW + seconds(3);
+    let mut table = table(&[
+        blame("culprit", "e1", NOW),
+        blame("neighbour", "e1", NOW),
+        clear("neighbour", NOW + seconds(1)),
+    ]);
+    assert_eq!(table.standing("neighbour", at), Verdict::Clear);
+    table.apply(&blame("culprit", "e2", at), at);
+    assert!(matches!(table.standing("culprit", at), Verdict::Refused(_)));
+}
+
+#[test]
+fn standing_companions_need_third_endpoint() {
+    let at = NOW + seconds(5);
+    let mut table = table(&[
+        blame("culprit", "e1", NOW),
+        blame("neighbour", "e1", NOW),
+        blame("culprit", "e2", at),
+        blame("neighbour", "e2", at),
+    ]);
+    assert_eq!(table.standing("culprit", at), Verdict::Suspect);
+    assert_eq!(table.standing("neighbour", at), Verdict::Suspect);
+    table.apply(&clear("neighbour", at + seconds(1)), at);
+    assert!(matches!(table.standing("culprit", at), Verdict::Refused(_)));
+    assert_eq!(table.standing("neighbour", at), Verdict::Clear);
+}
+
+#[test]
+fn standing_rack_lost() {
+    let at = NOW + MASS_SPAN / 2;
+    let table = table(&[
+        blame("a", "e1", NOW),
+        blame("a", "e2", at),
+        blame("b", "e3", at),
+        blame("c", "e4", at),
+        blame("d", "e5", at),
+    ]);
+    assert_eq!(table.standing("a", at), Verdict::Suspect);
+}
+
+#[test]
+fn apply_order_does_not_matter() {
+    let early = clear("a", NOW + seconds(1));
+    let events = [
+        blame("a", "e1", NOW),
+        early.clone(),
+        blame("a", "e2", NOW + seconds(2)),
+    ];
+    let reversed: Vec<Event> = events.iter().rev().cloned().collect();
+    let at = NOW + seconds(3);
+    assert_eq!(table(&events).standing("a", at), Verdict::Suspect);
+    assert_eq!(table(&reversed).standing("a", at), Verdict::Suspect);
+}
+
+#[test]
+fn apply_known_is_no_news() {
+    let mut table = Table::default();
+    assert!(table.apply(&blame("a", "e1", NOW), NOW));
+    assert!(!table.apply(&blame("a", "e1", NOW), NOW));
+    assert!(!table.apply(&blame("a", "e2", NOW), NOW + REFUSAL + seconds(1)));
+}
+
+#[test]
+fn apply_bounded_memory() {
+    let mut table = table(&[blame("culprit", "e1", NOW), blame("culprit", "e2", NOW)]);
+    for index in 0..2 * CONTENTS {
+        let digest = format!("d{index}");
+        table.apply(&blame(&digest, "e9", NOW + seconds(10)), NOW + seconds(10));
+    }
+    assert!(table.len() <= CONTENTS);
+    let standing = table.standing("culprit", NOW + seconds(10));
+    assert!(matches!(standing, Verdict::Refused(_)));
+}
