Wait in the crash loop until the next daemon heard of the blame

Cause: the test took any change of standing for the news of the last blame, so that a daemon that had heard nothing ran the content once more. Change: it waits until both daemons agree. Conclusion: what a sender can kill is bounded by how fast blame travels.

--- a/src/quarantine/keeper/tests.rs
+++ b/src/quarantine/keeper/tests.rs
@@ -133,15 +133,15 @@
     for round in 0..20 {
         let keeper = &keepers[round % keepers.len()];
         let next = &keepers[(round + 1) % keepers.len()];
-        let before = keeper.standing(digest, Duration::ZERO);
-        if matches!(before, Standing::Refused { .. }) {
+        let standing = keeper.standing(digest, Duration::ZERO);
+        if matches!(standing, Standing::Refused { .. }) {
             continue;
         }
         dead += 1;
         let endpoint: id::Endpoint = format!("e{dead}").into();
         keeper.blame(digest, &endpoint, Duration::ZERO);
         until("the next daemon hears of it", || {
-            next.standing(digest, Duration::ZERO) != before
+            next.standing(digest, Duration::ZERO) == keeper.standing(digest, Duration::ZERO)
         });
     }
     dead
