--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,9 +12,10 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::clock::Time;
-use crate::entry::{Bounds, Door, Ring, Shared};
+use crate::entry::{Bounds, Door, Host, Ring, Shared};
 use crate::operate::Report;
 use crate::peer::{self, Net};
+use crate::pipeline::Plan;
 use crate::policy::Policy;
 use crate::quarantine::Standing;
 use crate::settings::{self, Settings};
@@ -27,9 +28,9 @@
 mod gate;
 pub(crate) mod pool;
 mod ports;
-pub mod program;
 mod watch;
 
+pub use self::core::Limit;
 pub use drive::RECONNECT;
 pub use ports::Ports;
 
@@ -150,9 +151,18 @@
         self.core.policy.lock().observe(observation, now);
     }
 
+    /// Puts a limit of a pipeline in force for requests that arrive from now on.
+    pub fn limit(&self, pipeline: id::Pipeline, limit: Limit) {
+        self.core.limits.lock().insert(pipeline, limit);
+    }
+
+    /// Returns the plan of a pipeline, limits applied.
+    pub fn plan(&self, pipeline: &str) -> Option<Arc<Plan>> {
+        self.core.plan(pipeline)
+    }
+
     /// Returns what the daemon does now.
     pub fn status(&self) -> Status {
-        use crate::entry::Host;
         Status {
             ready: self.core.is_ready(),
             uptime: self.core.clock.now(),
@@ -258,6 +268,7 @@
         gate: Gate::new(clock.clone()),
         clock,
         counts: Counts::default(),
+        limits: Mutex::default(),
         peers: Mutex::default(),
         requests: Mutex::default(),
         active: 0.into(),
