Run the demo's daemons as whole nodes

The daemons of the demo are assembled like those of production: control, claims through the preferred writer, operators' port. A node can be reached under another address than the one it listens on, so that the relay stands between.

--- a/src/demo/crew.rs
+++ b/src/demo/crew.rs
@@ -1,20 +1,18 @@
 //! The daemons of the demo, and the faults that they can be put through.
 
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 
-use crate::claim::desk::Desk;
-use crate::daemon::{Daemon, Ports};
+use crate::daemon::Daemon;
 use crate::endpoint;
+use crate::node::{Node, Options};
 use crate::operate::Report;
-use crate::platform::{self, Role, Vm};
-use crate::policy::adaptive::Adaptive;
-use crate::route;
-use crate::settings::{self, Kind as PoolKind, Settings};
+use crate::platform::{Role, Vm};
+use crate::settings::{Settings, plan};
 use crate::standin::fault::{Fault, Kind};
 use crate::standin::fleet::Fleet;
 use crate::standin::link::{Crossing, Link};
@@ -40,10 +38,11 @@
     pub zone: String,
 }
 
+/// A place in the crew, which one daemon after the other fills.
 struct Post {
     member: Member,
     generation: u32,
-    daemon: Option<Arc<Daemon>>,
+    node: Option<Node>,
     /// The link in front of its peers' port; every daemon stands in a region of its own.
     relay: Option<Relay>,
 }
@@ -79,12 +78,13 @@
             let mut post = Post {
                 member,
                 generation: 0,
-                daemon: None,
+                node: None,
                 relay: None,
             };
             crew.fill(&mut post)?;
             crew.posts.lock().push(post);
         }
+        fleet.platform.roster.settle();
         Ok(crew)
     }
 
@@ -96,66 +96,56 @@
     /// Returns what the daemons booked, those that stopped included.
     pub fn reports(&self) -> Vec<Report> {
         let mut reports = self.reports.lock().clone();
-        reports.extend(self.running().iter().map(|d| d.report()));
+        let posts = self.posts.lock();
+        let running = posts.iter().filter_map(|p| p.node.as_ref());
+        reports.extend(running.map(|n| n.daemon().report()));
         reports
     }
 
-    fn running(&self) -> Vec<Arc<Daemon>> {
-        let posts = self.posts.lock();
-        posts.iter().filter_map(|p| p.daemon.clone()).collect()
+    /// Returns the link between the regions.
+    pub fn link(&self) -> &Link {
+        &self.link
     }
 
     fn fill(&self, post: &mut Post) -> Result<(), String> {
-        let mut settings = self.settings.clone();
-        let daemon = &mut settings.daemon;
         if post.generation > 0 {
             let base = post.member.name.split('.').next().unwrap_or_default();
             post.member.name = format!("{base}.{}", post.generation);
         }
-        daemon.name.clone_from(&post.member.name);
-        daemon.availability_zone.clone_from(&post.member.zone);
-        daemon.callers_address.clone_from(&post.member.address);
-        daemon.operators_address.clone_from(&post.member.operators);
-        daemon.peers_address = "127.0.0.1:0".into();
-        let started = Daemon::start(&settings, self.ports(&settings)?);
-        let started = started.map_err(|e| e.to_string())?;
-        let relay = Relay::start(started.net().address(), self.link.clone());
+        let relay = Relay::start(Ipv4Addr::LOCALHOST.into(), &self.link);
         let relay = relay.map_err(|e| e.to_string())?;
         let vm = Vm {
-            id: settings.daemon.name.as_str().into(),
+            id: post.member.name.as_str().into(),
             role: Role::Daemon,
             address: relay.address().to_string(),
-            zone: settings.daemon.availability_zone.as_str().into(),
+            zone: post.member.zone.as_str().into(),
             pool: None,
             leaving: false,
         };
-        post.daemon = Some(Arc::new(started));
-        post.relay = Some(relay);
+        let options = self.options(&post.member).advertised(relay.address());
+        let node = Node::start(options).map_err(|e| e.to_string())?;
+        relay.lead_to(node.daemon().net().address());
         self.fleet.platform.roster.change(|list| list.push(vm));
+        post.node = Some(node);
+        post.relay = Some(relay);
         Ok(())
     }
 
-    fn ports(&self, settings: &Settings) -> Result<Ports, String> {
-        let log = Arc::new(platform::http::Log::new(&settings.platform.log_url));
-        let daemon = settings.daemon.name.as_str().into();
-        // Scripts of users send keys of any form.
-        let desk = Desk::builder(daemon, log).accepts_undated(true);
-        let desk = desk.claims(settings.claims.clone()).start();
-        let zone = &settings.daemon.availability_zone;
-        let region = settings::plan::region_of(settings, zone).unwrap_or_default();
+    fn options(&self, member: &Member) -> Options {
+        let mut settings = self.settings.clone();
+        let daemon = &mut settings.daemon;
+        daemon.name.clone_from(&member.name);
+        daemon.availability_zone.clone_from(&member.zone);
+        daemon.callers_address.clone_from(&member.address);
+        daemon.operators_address.clone_from(&member.operators);
+        daemon.peers_address = "127.0.0.1:0".into();
+        let region = plan::region_of(&settings, &member.zone).unwrap_or_default();
         let client = Arc::new(endpoint::http::Client::default());
         let link = self.link.clone();
         let engine = Crossing::new(client, link, self.fleet.clone(), &*region);
-        Ok(Ports::new()
+        Options::new(settings)
             .engine(Arc::new(engine))
-            .desk(Arc::new(desk.map_err(|e| e.to_string())?))
-            .policy(Box::new(policy(settings, self.seed)))
-            .seed(self.seed))
-    }
-
-    /// Returns the link between the regions.
-    pub fn link(&self) -> &Link {
-        &self.link
+            .seed(self.seed)
     }
 
     /// Brings a fault about; false if its target does not exist.
@@ -172,56 +162,63 @@
     }
 
     /// Returns the place of the daemon that a fault is aimed at.
-    fn aim(&self, fault: &Fault) -> Option<(usize, Arc<Daemon>)> {
-        let posts = self.posts.lock();
+    fn aim(&self, fault: &Fault) -> Option<usize> {
         let target = fault.target.as_deref();
         let fits = |m: &Member| target.is_none_or(|t| m.name == t || m.address == t || m.zone == t);
-        let index = posts
+        let posts = self.posts.lock();
+        posts
             .iter()
-            .position(|p| p.daemon.is_some() && fits(&p.member))?;
-        let daemon = posts[index].daemon.clone()?;
-        Some((index, daemon))
+            .position(|p| p.node.is_some() && fits(&p.member))
     }
 
     fn pause(&self, fault: &Fault) -> bool {
-        let Some((_, daemon)) = self.aim(fault) else {
+        let Some(daemon) = self.aim(fault).and_then(|i| self.daemon(i)) else {
             return false;
         };
         daemon.pause(fault.length());
         true
     }
 
+    fn daemon(&self, index: usize) -> Option<Arc<Daemon>> {
+        let posts = self.posts.lock();
+        posts[index].node.as_ref().map(|n| n.daemon().clone())
+    }
+
     fn stop(self: &Arc<Self>, fault: &Fault) -> bool {
-        let Some((index, daemon)) = self.aim(fault) else {
+        let Some(index) = self.aim(fault) else {
             return false;
         };
-        let name = {
-            let mut posts = self.posts.lock();
-            posts[index].daemon = None;
-            posts[index].member.name.clone()
+        let Some((name, node)) = self.take(index) else {
+            return false;
         };
         let crew = self.clone();
         let length = fault.length();
         let spawned = thread::Builder::new()
             .name("replace daemon".into())
             .spawn(move || {
-                crew.retire(&name, &daemon);
-                drop(daemon);
+                crew.retire(&name, node);
                 thread::sleep(length);
                 crew.refill(index);
             });
         spawned.is_ok()
     }
 
-    fn retire(&self, name: &str, daemon: &Daemon) {
+    fn take(&self, index: usize) -> Option<(String, Node)> {
+        let mut posts = self.posts.lock();
+        let post = &mut posts[index];
+        let node = post.node.take()?;
+        Some((post.member.name.clone(), node))
+    }
+
+    fn retire(&self, name: &str, mut node: Node) {
         let roster = &self.fleet.platform.roster;
         roster.change(|list| {
             for vm in list.iter_mut().filter(|vm| *vm.id == *name) {
                 vm.leaving = true;
             }
         });
-        daemon.shutdown(SHUTDOWN_TIMEOUT);
-        self.reports.lock().push(daemon.report());
+        node.shutdown(SHUTDOWN_TIMEOUT);
+        self.reports.lock().push(node.daemon().report());
         roster.change(|list| list.retain(|vm| *vm.id != *name));
     }
 
@@ -240,33 +237,15 @@
 
     /// Shuts every daemon down gracefully; false if one left something in progress.
     pub fn shutdown(&self) -> bool {
-        let running = self.running();
-        let whole = |daemon: &Arc<Daemon>| daemon.shutdown(SHUTDOWN_TIMEOUT);
-        // Every daemon is to be stopped, also after one that was not whole.
-        running.iter().map(whole).fold(true, |all, one| all & one)
-    }
-}
-
-fn policy(settings: &Settings, seed: u64) -> Adaptive {
-    let zone = settings.daemon.availability_zone.as_str();
-    let region = settings::plan::region_of(settings, zone).unwrap_or_default();
-    let mut builder = Adaptive::builder(zone, region).seed(seed);
-    for pool in &settings.pools {
-        builder = builder.kind(pool.name.as_str(), kind(pool.kind));
-    }
-    for workspace in &settings.workspaces {
-        builder = builder.weight(workspace.name.as_str(), workspace.weight);
-    }
-    builder.build()
-}
-
-fn kind(kind: PoolKind) -> route::Kind {
-    match kind {
-        PoolKind::Encoder => route::Kind::Encoder,
-        PoolKind::Retriever => route::Kind::Retriever,
-        PoolKind::Reranker => route::Kind::Reranker,
-        PoolKind::Engine => route::Kind::Engine,
-        PoolKind::Service => route::Kind::Service,
+        let mut is_whole = true;
+        let places = self.posts.lock().len();
+        for index in 0..places {
+            if let Some((_, mut node)) = self.take(index) {
+                is_whole &= node.shutdown(SHUTDOWN_TIMEOUT);
+                self.reports.lock().push(node.daemon().report());
+            }
+        }
+        is_whole
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -97,6 +97,7 @@
     roster: Arc<dyn platform::Roster>,
     weights: Arc<dyn platform::Weights>,
     engine: Arc<dyn endpoint::Engine>,
+    advertised: Option<SocketAddr>,
     logger: Logger,
     seed: u64,
 }
@@ -111,6 +112,7 @@
             roster: Arc::new(platform::http::Roster::new(&settings.platform.roster_url)),
             weights: Arc::new(platform::http::Weights::new(&settings.platform.weights_url)),
             engine: Arc::new(endpoint::http::Client::new(max_answer)),
+            advertised: None,
             logger: telemetry::silent(),
             seed: uuid::Uuid::new_v4().as_u64_pair().0,
             settings,
@@ -124,6 +126,14 @@
         self
     }
 
+    /// Sets the address and port under which other daemons reach this one, if it is not the one
+    /// that it listens on.
+    #[must_use]
+    pub fn advertised(mut self, address: SocketAddr) -> Self {
+        self.advertised = Some(address);
+        self
+    }
+
     /// Sets the seed of all random choices.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
@@ -188,7 +198,8 @@
         let recorder = Recorder::new(settings.daemon.name.as_str().into(), options.clock.clone());
         let recorder = Arc::new(recorder.with_logger(options.logger));
         let (net, socket) = ports(&settings, &recorder, options.seed)?;
-        let settings = Arc::new(at(&settings, &net));
+        let reached = options.advertised.unwrap_or_else(|| net.address());
+        let settings = Arc::new(at(&settings, reached));
         let control = control::Options::new()
             .settings(settings.clone())
             .log(options.log.clone())
@@ -356,10 +367,10 @@
     Err(source).context(PeersSnafu { peer })
 }
 
-/// Names the port for other daemons that was opened, so that TCP and UDP share its number.
-fn at(settings: &Settings, net: &Net) -> Settings {
+/// Names the port under which other daemons reach this one, over TCP and UDP.
+fn at(settings: &Settings, reached: SocketAddr) -> Settings {
     let mut settings = settings.clone();
-    settings.daemon.peers_address = net.address().to_string();
+    settings.daemon.peers_address = reached.to_string();
     settings
 }
 
--- a/tests/integration/demo.rs
+++ b/tests/integration/demo.rs
@@ -148,6 +148,20 @@
     assert_eq!(report["doubled"], 0);
 }
 
+#[test]
+fn hold_serves_operators() {
+    let held = Held::start();
+    let key = held.interface["operators_key"].as_str().unwrap();
+    for address in held.interface["operators"].as_array().unwrap() {
+        let status = Command::new(env!("CARGO_BIN_EXE_cyclamenrill"))
+            .args(["status", "--address", address.as_str().unwrap()])
+            .env("CYCLAMENRILL_KEY", key)
+            .output()
+            .unwrap();
+        assert!(status.status.success(), "{status:?}");
+    }
+}
+
 #[test]
 fn hold_serves_through_every_fault() {
     let held = Held::start();
