--- a/src/control.rs
+++ b/src/control.rs
@@ -32,6 +32,7 @@
 mod shared;
 mod status;
 mod tail;
+mod traffic;
 mod zone;
 
 pub use options::Options;
@@ -251,6 +252,11 @@
         boards.iter().map(|(z, b)| (z.clone(), b.clone())).collect()
     }
 
+    /// Counters since the start, by name.
+    pub fn counts(&self) -> Vec<(&'static str, u64)> {
+        self.shared.traffic.list()
+    }
+
     /// How control stands, for operators.
     pub fn standing(&self) -> Standing {
         let now = self.shared.clock.now();
--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -48,6 +48,7 @@
 }
 
 fn receive(shared: &Shared, socket: &UdpSocket, bytes: &[u8]) {
+    shared.traffic.received(bytes.len());
     // A datagram that is no packet has no sender to tell.
     let Ok(packet) = wire::decode(bytes) else {
         return;
@@ -64,6 +65,7 @@
             Action::Send { address, packet } => {
                 // A datagram that cannot be sent counts as lost.
                 if let Ok(bytes) = wire::encode(&packet) {
+                    shared.traffic.sent(bytes.len());
                     drop(socket.send_to(&bytes, &address));
                 }
             }
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -8,6 +8,7 @@
 
 use super::budget::{Budget, Class};
 use super::leases::Leases;
+use super::traffic::Traffic;
 use super::{APPEND_TIMEOUT, Board, Peer};
 use crate::clock::{Clock, Time};
 use crate::config::edit::{Action, Appended, Edit, Outcome};
@@ -97,6 +98,7 @@
     pub listed: Mutex<Option<Vec<platform::Vm>>>,
     pub subscribers: Mutex<Vec<flume::Sender<Observation>>>,
     pub budget: Budget,
+    pub traffic: Traffic,
     pub ahead: flume::Receiver<(String, id::Revision)>,
     ahead_sender: flume::Sender<(String, id::Revision)>,
     pub outbox: flume::Receiver<Vec<swim::Action>>,
@@ -160,6 +162,7 @@
             listed: Mutex::new(None),
             subscribers: Mutex::new(Vec::new()),
             budget: Budget::new(),
+            traffic: Traffic::default(),
             ahead,
             ahead_sender,
             outbox,
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -48,7 +48,7 @@
             endpoints: self.endpoints(),
             leases: self.leases(),
             quarantine: Vec::new(),
-            counts: counts(status.counts),
+            counts: counts([status.counts, self.control.counts()].concat()),
         }
     }
 
