--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -51,16 +51,17 @@
 
 export CYCLAMENRILL_KEY=$key
 operators() { "$bin/cyclamenrill" "$@" --address "127.0.0.1:$((base + 201))"; }
-# Clock ticks of processor time that a process, or its threads of a name, have spent.
+# Clock ticks of processor time that the threads of a process, or those of a name, have spent.
 ticks() {
-    local sum=0 stat
-    for task in /proc/"$1"/task/*; do
-        if [[ $(cat "$task/comm" 2>/dev/null) == "$2"* ]]; then
-            stat=$(sed 's/.*) //' "$task/stat")
-            sum=$((sum + $(echo "$stat" | cut -d ' ' -f 12) + $(echo "$stat" | cut -d ' ' -f 13)))
-        fi
-    done
-    echo "$sum"
+    local files="/proc/$1/stat"
+    if [ -n "$2" ]; then
+        files="/proc/$1/task/*/stat"
+    fi
+    # Threads come and go between the listing and the reading.
+    # shellcheck disable=SC2086
+    { cat $files 2>/dev/null || true; } | sed 's/^[0-9]* (\(.*\)) /\1 /' |
+        awk -v name="$2" 'index($1, name) == 1 || name == "" { sum += $13 + $14 }
+            END { printf "%d\n", sum }'
 }
 total() {
     local sum=0
