--- a/src/control/zone.rs
+++ b/src/control/zone.rs
@@ -13,6 +13,7 @@
 use crate::id;
 use crate::lease::STREAM;
 use crate::lease::record::Record;
+use crate::member::Status;
 use crate::order::reconcile::Authority;
 use crate::timeline::Kind;
 
@@ -39,7 +40,8 @@
 
 /// Appends what the keeper of a zone asks for.
 fn keep(shared: &Shared, zone: &id::Zone) {
-    if shared.swim.lock().me().status == crate::member::Status::Leaving {
+    if shared.swim.lock().me().status == Status::Leaving {
+        release(shared);
         return;
     }
     let delay = delay(shared, zone);
