--- a/src/claim/stream.rs
+++ b/src/claim/stream.rs
@@ -105,6 +105,8 @@
 #[derive(Debug, Default)]
 struct Reading {
     in_flight: bool,
+    /// Reads that began so far.
+    count: u64,
     /// The read in flight began after the append whose result is unknown.
     settles: bool,
     not_before: Time,
@@ -292,6 +294,7 @@
         }
         if self.fold.position() >= page.end {
             self.is_ready = true;
+            self.refresh(self.reading.count);
             if settles {
                 self.writer.caught_up();
             }
@@ -340,6 +343,7 @@
             LONG_POLL
         };
         self.reading.in_flight = true;
+        self.reading.count += 1;
         self.reading.settles = doubtful;
         out.push(Action::Read(self.fold.position(), wait));
     }
--- a/src/claim/stream/wait.rs
+++ b/src/claim/stream/wait.rs
@@ -46,12 +46,16 @@
     phase: Phase,
     patience: Time,
     deadline: Time,
+    /// Reads that had begun when the request asked.
+    reads: u64,
+    /// The index was read to its end after the request asked.
+    is_fresh: bool,
     /// When the executor of the holder counts as gone, while it is missing.
     gone_at: Option<Time>,
 }
 
 impl Wait {
-    fn new(ask: Ask, executor: id::Daemon, now: Now) -> Self {
+    fn new(ask: Ask, executor: id::Daemon, reads: u64, now: Now) -> Self {
         let margin = MARGIN.min(ask.remaining / 10);
         Self {
             place: record::place(&ask.workspace, &ask.key),
@@ -60,6 +64,8 @@
             phase: Phase::Reading,
             patience: now.mono + PATIENCE.min(ask.remaining / 2),
             deadline: now.mono + ask.remaining.saturating_sub(margin),
+            reads,
+            is_fresh: false,
             gone_at: None,
             executor,
             ask,
@@ -105,7 +111,8 @@
             return;
         }
         let request = ask.request;
-        self.waits.insert(request, Wait::new(ask, executor, now));
+        let wait = Wait::new(ask, executor, self.reading.count, now);
+        self.waits.insert(request, wait);
     }
 
     /// Looks at every waiting request again.
@@ -146,6 +153,13 @@
         }
     }
 
+    /// The read with this number reached the end of the stream.
+    pub(super) fn refresh(&mut self, count: u64) {
+        for wait in self.waits.values_mut() {
+            wait.is_fresh |= count > wait.reads;
+        }
+    }
+
     fn judge(&mut self, wait: &mut Wait, now: Now, out: &mut Vec<Action>) -> Option<Verdict> {
         if !self.is_ready {
             return None;
@@ -213,7 +227,9 @@
         let any = mutation::is_active(Mutation::IgnoreAttemptId);
         let own = slot.request == wait.ask.request || any;
         if !own && slot.mark != wait.mark {
-            return Some(Verdict::Conflict);
+            // An open claim may have been released where the index has not been read yet.
+            let is_certain = wait.is_fresh || slot.state != State::Open;
+            return is_certain.then_some(Verdict::Conflict);
         }
         match slot.state {
             State::Open if own => Some(Verdict::Granted),
