--- a/src/claim/stream.rs
+++ b/src/claim/stream.rs
@@ -34,6 +34,8 @@
 pub const EXPIRE_EVERY: Duration = Duration::from_secs(60);
 /// How often the preferred writer reads when nobody waits, so that its index is warm.
 pub const WARM_EVERY: Duration = Duration::from_secs(1);
+/// Keys that the index of one stream holds; beyond that, new keys are refused.
+pub const MAX_KEYS: usize = 250_000;
 /// Endings whose bodies are kept in memory, so that those who joined need no further read.
 const BODIES: usize = 64;
 /// Bytes of the bodies that are kept.
@@ -120,6 +122,7 @@
     window: Duration,
     retention: Duration,
     limit: usize,
+    capacity: usize,
     fold: Fold,
     writer: Writer,
     waits: IndexMap<id::Request, Wait>,
@@ -143,6 +146,7 @@
             window: Duration::from_millis(claims.window_ms),
             retention: Duration::from_millis(claims.retention_ms),
             limit: claims.max_outcome_bytes as usize,
+            capacity: MAX_KEYS,
             fold: Fold::default(),
             writer: Writer::new(super::writer::stream_rate(claims.streams)),
             waits: IndexMap::new(),
@@ -158,6 +162,13 @@
         }
     }
 
+    /// Sets how many keys the index may hold.
+    #[must_use]
+    pub fn with_capacity(mut self, keys: usize) -> Self {
+        self.capacity = keys;
+        self
+    }
+
     /// Returns the index.
     pub fn fold(&self) -> &Fold {
         &self.fold
@@ -388,3 +399,6 @@
         out.push(Action::Durable(seen.request));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/claim/stream/tests.rs
@@ -0,0 +1,164 @@
+//! Tests of one claim stream, driven by hand.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use super::super::writer::Receipt;
+use super::super::{Ask, Outcome, Verdict, record};
+use super::{Action, Event, Fetch, LONG_POLL, Now, OUTAGE, Stream};
+use crate::platform::{Page, Record};
+use crate::settings;
+
+const EPOCH: Duration = Duration::from_secs(1_700_000_000);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn now(mono: Duration) -> Now {
+    Now {
+        mono,
+        wall: UNIX_EPOCH + EPOCH + mono,
+    }
+}
+
+fn ask(number: u8, key: u8) -> Ask {
+    let ms = record::millis(UNIX_EPOCH + EPOCH);
+    let key = uuid::Builder::from_unix_timestamp_millis(ms, &[key; 10]).into_uuid();
+    Ask {
+        workspace: "w".into(),
+        key: key.to_string().into(),
+        digest: "d".into(),
+        request: uuid::Uuid::from_u128(number.into()),
+        issued: None,
+        remaining: 4 * SECOND,
+    }
+}
+
+fn page(records: &[Vec<u8>]) -> Event {
+    let records: Vec<Record> = (0..)
+        .zip(records)
+        .map(|(offset, body)| Record {
+            offset,
+            body: body.clone(),
+        })
+        .collect();
+    Event::Read(Some(Page {
+        first: 0,
+        end: records.len() as u64,
+        records,
+    }))
+}
+
+fn appended(actions: &[Action]) -> Option<Vec<u8>> {
+    actions.iter().find_map(|action| match action {
+        Action::Append(body) => Some(body.clone()),
+        _ => None,
+    })
+}
+
+fn decided(actions: &[Action]) -> Option<(Verdict, bool)> {
+    actions.iter().find_map(|action| match action {
+        Action::Decide(_, verdict, stands) => Some((verdict.clone(), *stands)),
+        _ => None,
+    })
+}
+
+fn stream() -> Stream {
+    Stream::new("a".into(), &settings::Claims::default())
+}
+
+/// Takes a request up to the append of its claim.
+fn claiming(stream: &mut Stream, ask: Ask) -> Vec<u8> {
+    stream.step(Event::Ask(ask, "a".into()), now(SECOND));
+    appended(&stream.step(page(&[]), now(SECOND))).unwrap()
+}
+
+#[test]
+fn step_grants_only_what_was_read_back() {
+    let mut stream = stream();
+    let body = claiming(&mut stream, ask(1, 1));
+    let done = stream.step(Event::Appended(Receipt::Done), now(SECOND));
+    assert_eq!(decided(&done), None);
+    let read = stream.step(page(&[body]), now(SECOND));
+    assert_eq!(decided(&read), Some((Verdict::Granted, false)));
+}
+
+#[test]
+fn step_unknown_append_is_settled_by_reading() {
+    let mut stream = stream();
+    let body = claiming(&mut stream, ask(1, 1));
+    let unknown = stream.step(Event::Appended(Receipt::Unknown), now(2 * SECOND));
+    assert_eq!(appended(&unknown), None);
+    let read = stream.step(page(&[body]), now(2 * SECOND));
+    assert_eq!(decided(&read), Some((Verdict::Granted, false)));
+}
+
+#[test]
+fn step_gives_up_with_claim_that_may_stand() {
+    let mut stream = stream();
+    claiming(&mut stream, ask(1, 1));
+    stream.step(Event::Appended(Receipt::Unknown), now(2 * SECOND));
+    let late = stream.step(Event::Wake, now(4 * SECOND));
+    let (verdict, stands) = decided(&late).unwrap();
+    assert!(matches!(
+        verdict,
+        Verdict::NotRun {
+            retry_after: Some(_),
+            ..
+        }
+    ));
+    assert!(stands);
+}
+
+#[test]
+fn step_refuses_at_once_during_outage() {
+    let mut stream = stream();
+    stream.step(Event::Ask(ask(1, 1), "a".into()), now(SECOND));
+    stream.step(Event::Read(None), now(SECOND));
+    stream.step(Event::Wake, now(SECOND + LONG_POLL));
+    stream.step(Event::Read(None), now(SECOND + OUTAGE));
+    let refused = stream.step(Event::Ask(ask(2, 2), "a".into()), now(SECOND + OUTAGE));
+    let (verdict, stands) = decided(&refused).unwrap();
+    assert!(matches!(
+        verdict,
+        Verdict::NotRun {
+            retry_after: Some(_),
+            ..
+        }
+    ));
+    assert!(!stands);
+}
+
+#[test]
+fn step_refuses_keys_beyond_capacity() {
+    let mut stream = stream().with_capacity(1);
+    let body = claiming(&mut stream, ask(1, 1));
+    stream.step(Event::Appended(Receipt::Done), now(SECOND));
+    stream.step(page(&[body]), now(SECOND));
+    let refused = stream.step(Event::Ask(ask(2, 2), "a".into()), now(SECOND));
+    assert!(matches!(
+        decided(&refused),
+        Some((Verdict::NotRun { .. }, false))
+    ));
+}
+
+#[test]
+fn step_reads_the_answer_back_once_it_left_memory() {
+    let mut stream = stream();
+    let claim = claiming(&mut stream, ask(1, 1));
+    stream.step(Event::Appended(Receipt::Done), now(SECOND));
+    stream.step(page(std::slice::from_ref(&claim)), now(SECOND));
+    let outcome = Outcome::Answered("\"yes\"".into());
+    let settle = Event::Settle(Box::new(ask(1, 1)), outcome);
+    let settled = stream.step(settle, now(SECOND));
+    let records = [claim, appended(&settled).unwrap()];
+    let mut reader = Stream::new("b".into(), &settings::Claims::default());
+    reader.step(Event::Ask(ask(2, 1), "b".into()), now(SECOND));
+    reader.step(page(&records), now(SECOND));
+    reader.bodies.clear();
+    let asked = reader.step(Event::Ask(ask(3, 1), "b".into()), now(SECOND));
+    assert!(asked.contains(&Action::Fetch(1)));
+    let fetch = Event::Fetched(1, Fetch::Record(records[1].clone()));
+    let fetched = reader.step(fetch, now(SECOND));
+    assert_eq!(
+        decided(&fetched),
+        Some((Verdict::Answered("\"yes\"".into()), false))
+    );
+}
--- a/src/claim/stream/wait.rs
+++ b/src/claim/stream/wait.rs
@@ -169,6 +169,9 @@
             Found::Absent if self.fold.is_released(wait.ask.request) => {
                 Some(not_run("the request gave its claim back", None))
             }
+            Found::Absent if self.fold.len() >= self.capacity && wait.phase == Phase::Reading => {
+                Some(not_run("too many keys are remembered", Some(RETRY_AFTER)))
+            }
             Found::Absent => {
                 self.claim(wait, now);
                 None
