Read engines apart from the list of VMs, and end answers that nobody reads

Cause: one thread read the list of VMs and then up to 64 engines in turn; engines that do not answer could hold the news of a leaving endpoint for minutes, and the reading grew with the fleet. Change: a thread of its own reads one engine of the region every 125 ms. A due time of a request is seen also while tokens keep coming. An answer that stays unread for 30 s ends its connection.

--- a/benches/relay/cost.rs
+++ b/benches/relay/cost.rs
@@ -7,10 +7,11 @@
 use indexmap::IndexMap;
 
 /// Names of the daemon's threads.
-const DAEMON: [&str; 6] = [
+const DAEMON: [&str; 7] = [
     "door-",
     "call",
     "roster",
+    "engines",
     "waker",
     "peers",
     crate::bare::NAME,
--- a/src/daemon/drive.rs
+++ b/src/daemon/drive.rs
@@ -103,6 +103,10 @@
                 only_tokens &= matches!(event, Event::Token(..));
                 actions.append(&mut self.run.step(event, now, &mut **policy));
             }
+            // Tokens that keep coming must not hide that a time has come.
+            if self.run.next_wake().is_some_and(|at| now >= at) {
+                actions.append(&mut self.run.step(Event::Wake, now, &mut **policy));
+            }
             if !only_tokens {
                 tickets = policy.ready(now);
             }
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -6,18 +6,21 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::core::{Core, Peer};
+use crate::id;
 use crate::platform::{Role, Roster, Vm};
 use crate::policy::{Candidate, Observation};
-use crate::{endpoint, id};
 
 /// Time between two readings of the list of VMs, before jitter.
 const LIST_EVERY: Duration = Duration::from_millis(500);
-/// Engines whose load and cache events are read in one round.
-const MAX_READINGS: usize = 64;
+/// Time between two readings of an engine's load and cache events.
+///
+/// It bounds what a daemon sends and receives for control where there are thousands of engines.
+const READ_EVERY: Duration = Duration::from_millis(125);
 /// The longest time between two looks at waiting stages.
 const WAKE_EVERY: Duration = Duration::from_millis(10);
 
@@ -30,19 +33,25 @@
 impl Watch {
     /// Starts the threads.
     pub fn start(core: &Arc<Core>, roster: Arc<dyn Roster>, seed: u64) -> std::io::Result<Self> {
-        let stop = Arc::new(AtomicBool::new(false));
+        let engines = Arc::new(Mutex::new(Vec::new()));
         let poller = Poller {
             core: core.clone(),
             roster,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            engines: engines.clone(),
+        };
+        let reader = Reader {
+            core: core.clone(),
+            engines,
             sequences: IndexMap::new(),
             next: 0,
         };
         let mut watch = Self {
-            stop: stop.clone(),
+            stop: Arc::default(),
             threads: Vec::new(),
         };
         watch.spawn("roster", move |stop| poller.run(stop))?;
+        watch.spawn("engines", move |stop| reader.run(stop))?;
         let core = core.clone();
         watch.spawn("waker", move |stop| wake(&core, stop))?;
         Ok(watch)
@@ -81,14 +90,23 @@
     }
 }
 
+/// Sleeps in short naps, so that a stop is heard.
+fn rest(length: Duration, stop: &AtomicBool) {
+    let mut left = length;
+    while !left.is_zero() && !stop.load(Ordering::Acquire) {
+        let nap = left.min(WAKE_EVERY);
+        std::thread::sleep(nap);
+        left -= nap;
+    }
+}
+
+/// Reads the list of VMs; nothing slow may hold it, because it says who is leaving.
 struct Poller {
     core: Arc<Core>,
     roster: Arc<dyn Roster>,
     rng: ChaCha8Rng,
-    /// The last cache event of each engine.
-    sequences: IndexMap<id::Endpoint, u64>,
-    /// The engine whose turn it is.
-    next: usize,
+    /// The engines whose load is read.
+    engines: Arc<Mutex<Vec<Candidate>>>,
 }
 
 impl Poller {
@@ -97,27 +115,29 @@
             self.core.gate.pass();
             // An old list is better than none: the platform may be down for long.
             if let Ok(vms) = self.roster.list() {
-                let candidates = self.take(&vms);
+                self.take(&vms);
                 self.core.listed.store(true, Ordering::Release);
-                self.read_engines(&candidates, stop);
             }
             self.core.archive.trim(self.core.clock.now());
-            self.rest(stop);
+            rest(LIST_EVERY.mul_f64(self.rng.random_range(0.8..1.2)), stop);
         }
     }
 
-    fn rest(&mut self, stop: &AtomicBool) {
-        let mut left = LIST_EVERY.mul_f64(self.rng.random_range(0.8..1.2));
-        while !left.is_zero() && !stop.load(Ordering::Acquire) {
-            let nap = left.min(WAKE_EVERY);
-            std::thread::sleep(nap);
-            left -= nap;
-        }
+    fn take(&self, vms: &[Vm]) {
+        *self.core.peers.lock() = self.peers(vms);
+        let candidates = self.candidates(vms);
+        let near = |c: &&Candidate| {
+            !c.leaving && c.region == self.core.site.region && self.core.generates(&c.pool)
+        };
+        *self.engines.lock() = candidates.iter().filter(near).cloned().collect();
+        observe(&self.core, &Observation::Candidates(candidates));
     }
 
-    fn take(&mut self, vms: &[Vm]) -> Vec<Candidate> {
-        let regions = &self.core.site.regions;
-        let region = |zone: &id::Zone| regions.get(zone).cloned();
+    fn region(&self, zone: &id::Zone) -> Option<id::Region> {
+        self.core.site.regions.get(zone).cloned()
+    }
+
+    fn peers(&self, vms: &[Vm]) -> Vec<Peer> {
         let daemons = vms
             .iter()
             .filter(|vm| vm.role == Role::Daemon && !vm.leaving);
@@ -125,66 +145,78 @@
         let peers = others.filter_map(|vm| {
             Some(Peer {
                 address: vm.address.clone(),
-                region: region(&vm.zone)?,
+                region: self.region(&vm.zone)?,
             })
         });
-        *self.core.peers.lock() = peers.collect();
+        peers.collect()
+    }
+
+    fn candidates(&self, vms: &[Vm]) -> Vec<Candidate> {
         let endpoints = vms.iter().filter(|vm| vm.role == Role::Endpoint);
-        let candidates: Vec<Candidate> = endpoints
-            .filter_map(|vm| {
-                Some(Candidate {
-                    endpoint: vm.id.clone(),
-                    address: vm.address.clone(),
-                    pool: vm.pool.clone()?,
-                    zone: vm.zone.clone(),
-                    region: region(&vm.zone)?,
-                    leaving: vm.leaving,
-                })
+        let candidates = endpoints.filter_map(|vm| {
+            Some(Candidate {
+                endpoint: vm.id.clone(),
+                address: vm.address.clone(),
+                pool: vm.pool.clone()?,
+                zone: vm.zone.clone(),
+                region: self.region(&vm.zone)?,
+                leaving: vm.leaving,
             })
-            .collect();
-        self.observe(&Observation::Candidates(candidates.clone()));
-        let known = |endpoint: &id::Endpoint| candidates.iter().any(|c| c.endpoint == *endpoint);
-        self.sequences.retain(|endpoint, _| known(endpoint));
-        candidates
+        });
+        candidates.collect()
     }
+}
 
-    fn observe(&self, observation: &Observation) {
-        let now = self.core.clock.now();
-        self.core.policy.lock().observe(observation, now);
-    }
+fn observe(core: &Core, observation: &Observation) {
+    let now = core.clock.now();
+    core.policy.lock().observe(observation, now);
+}
 
-    /// Reads load and cache events of some engines, in turn.
-    fn read_engines(&mut self, candidates: &[Candidate], stop: &AtomicBool) {
-        let engines: Vec<&Candidate> = candidates
-            .iter()
-            .filter(|c| !c.leaving && self.core.generates(&c.pool))
-            .collect();
-        for _ in 0..engines.len().min(MAX_READINGS) {
-            if stop.load(Ordering::Acquire) {
-                return;
+/// Reads load and cache events of the region's engines, in turn.
+struct Reader {
+    core: Arc<Core>,
+    engines: Arc<Mutex<Vec<Candidate>>>,
+    /// The last cache event of each engine.
+    sequences: IndexMap<id::Endpoint, u64>,
+    /// The engine whose turn it is.
+    next: usize,
+}
+
+impl Reader {
+    fn run(mut self, stop: &AtomicBool) {
+        while !stop.load(Ordering::Acquire) {
+            self.core.gate.pass();
+            if let Some(engine) = self.turn() {
+                self.read(&engine);
             }
-            self.next = (self.next + 1) % engines.len();
-            self.read(engines[self.next]);
+            rest(READ_EVERY, stop);
         }
     }
 
-    fn read(&mut self, candidate: &Candidate) {
-        let engine = &self.core.engine;
-        let Ok(load) = engine.load(&candidate.address) else {
+    fn turn(&mut self) -> Option<Candidate> {
+        let engines = self.engines.lock();
+        self.next = (self.next + 1) % engines.len().max(1);
+        if self.next == 0 {
+            let known = |endpoint: &id::Endpoint| engines.iter().any(|c| c.endpoint == *endpoint);
+            self.sequences.retain(|endpoint, _| known(endpoint));
+        }
+        engines.get(self.next).cloned()
+    }
+
+    fn read(&mut self, engine: &Candidate) {
+        let client = &self.core.engine;
+        let Ok(load) = client.load(&engine.address) else {
             return;
         };
-        let endpoint = candidate.endpoint.clone();
-        self.observe(&Observation::Load { endpoint, load });
-        let seen = self.sequences.get(&candidate.endpoint).copied();
-        let events = engine.cache(&candidate.address, seen.unwrap_or(0));
+        let endpoint = engine.endpoint.clone();
+        observe(&self.core, &Observation::Load { endpoint, load });
+        let seen = self.sequences.get(&engine.endpoint).copied();
+        let events = client.cache(&engine.address, seen.unwrap_or(0));
         for cache in events.unwrap_or_default() {
-            self.take_cache(&candidate.endpoint, cache);
+            self.sequences
+                .insert(engine.endpoint.clone(), cache.sequence);
+            let endpoint = engine.endpoint.clone();
+            observe(&self.core, &Observation::Cache { endpoint, cache });
         }
     }
-
-    fn take_cache(&mut self, endpoint: &id::Endpoint, cache: endpoint::Cache) {
-        self.sequences.insert(endpoint.clone(), cache.sequence);
-        let endpoint = endpoint.clone();
-        self.observe(&Observation::Cache { endpoint, cache });
-    }
 }
--- a/src/entry/door.rs
+++ b/src/entry/door.rs
@@ -25,6 +25,8 @@
 const MAX_HEADERS: usize = 64;
 /// How long to wait after a failed accept, which is mostly a lack of file descriptors.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How long an answer may stay unread before its connection is ended.
+const UNREAD: Duration = Duration::from_secs(30);
 /// How often a closing door looks whether its connections have ended.
 const CLOSE_CHECK: Duration = Duration::from_millis(5);
 /// The most threads that serve callers.
@@ -240,6 +242,8 @@
 
     async fn converse(mut self, stream: TcpStream) {
         drop(stream.set_nodelay(true));
+        let socket = socket2::SockRef::from(&stream);
+        drop(socket.set_tcp_user_timeout(Some(UNREAD)));
         let shared = self.shared.clone();
         let service = service_fn(move |request| route::serve(shared.clone(), request));
         let connection = http1::Builder::new()
