Say why load was not answered, and send keys that carry their time of issue

A trial with two daemon processes had 70 of 365 orders told not-run: random 128-bit keys read as UUIDs of old times.

--- a/src/demo/audit.rs
+++ b/src/demo/audit.rs
@@ -82,8 +82,8 @@
             None => {}
         }
         if matches!(story.outcome, Outcome::Cut | Outcome::NotSent) {
-            let detail = &story.detail;
-            self.lost.push(format!("{name}: no verdict: {detail}"));
+            let reason = story.reason.as_deref().unwrap_or_default();
+            self.lost.push(format!("{name}: no verdict: {reason}"));
         }
         let untrue = story.sends.iter().filter(|s| {
             s.outcome == Outcome::NotRun && s.request.is_some_and(|r| ran.contains(&r))
--- a/src/demo/audit/tests.rs
+++ b/src/demo/audit/tests.rs
@@ -49,7 +49,7 @@
         latency: Duration::ZERO,
         first_token: None,
         gaps: Vec::new(),
-        detail: String::new(),
+        reason: None,
     }
 }
 
--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -1,12 +1,12 @@
 //! One caller of the demo: sends, and sends again with the same key as long as it may.
 
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use super::site::Site;
 use super::task::{self, Task};
 use crate::id;
-use crate::load::call::{Outcome, Reply, Submission};
+use crate::load::call::{self, Outcome, Reply, Submission};
 use crate::standin::text::{self, Flaw};
 
 /// Times that a caller sends one request at most.
@@ -46,19 +46,8 @@
     pub first_token: Option<Duration>,
     /// Times between tokens.
     pub gaps: Vec<Duration>,
-    /// What the last problem said.
-    pub detail: String,
-}
-
-/// Returns a UUIDv7 key, which carries the time of its issue.
-fn idempotency_key(nonce: u128) -> String {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = now.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
-    let bytes = nonce.to_be_bytes();
-    let mut random = [0; 10];
-    random.copy_from_slice(&bytes[..10]);
-    let builder = uuid::Builder::from_unix_timestamp_millis(millis, &random);
-    builder.into_uuid().to_string()
+    /// Why there is no answer.
+    pub reason: Option<String>,
 }
 
 /// A caller at work.
@@ -77,7 +66,7 @@
     let caller = Caller {
         site,
         task,
-        key: idempotency_key(task.nonce),
+        key: call::idempotency_key(task.nonce),
         deadline: Duration::from_millis(deadline),
         is_repeatable: task::is_repeatable(site, task.pipeline),
         start: Instant::now(),
@@ -139,11 +128,7 @@
             is_disordered: !reply.is_ordered,
             latency: self.start.elapsed(),
             first_token: reply.first_token.filter(|_| sends.len() == 1),
-            detail: if is_answered {
-                String::new()
-            } else {
-                reply.text
-            },
+            reason: reply.reason(),
             gaps: reply.gaps,
             sends,
         }
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -161,19 +161,9 @@
     lost.chain(doubled).chain(crossed).collect()
 }
 
-/// The part of a problem that explains it.
-#[derive(serde::Deserialize)]
-struct Problem {
-    detail: String,
-}
-
 fn reasons(stories: &[Story]) -> IndexMap<String, u64> {
     let mut reasons = IndexMap::new();
-    let unanswered = stories.iter().filter(|s| s.outcome != Outcome::Answered);
-    for story in unanswered {
-        let problem = serde_json::from_str::<Problem>(&story.detail);
-        let detail = problem.map_or_else(|_| story.detail.clone(), |p| p.detail);
-        let reason = format!("{:?}: {detail}", story.outcome);
+    for reason in stories.iter().filter_map(|s| s.reason.clone()) {
         *reasons.entry(reason).or_default() += 1;
     }
     reasons
--- a/src/load.rs
+++ b/src/load.rs
@@ -176,11 +176,11 @@
         let seed = self.seed.wrapping_add(index as u64);
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let address = &self.addresses[index % self.addresses.len()];
-        let key = uuid::Uuid::from_u128(rng.random());
+        let key = call::idempotency_key(rng.random());
         Submission::new(address, &self.pipeline, &self.key)
             .body(&self.body)
             .timeout(self.timeout)
-            .idempotency_key(&key.to_string())
+            .idempotency_key(&key)
             .stream(self.stream)
     }
 }
--- a/src/load/call.rs
+++ b/src/load/call.rs
@@ -1,6 +1,6 @@
 //! One request to the callers' door of a daemon.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::Deserialize;
 
@@ -54,8 +54,10 @@
     pub request: Option<id::Request>,
     /// Whether the daemon said when to send again.
     pub may_send_again: bool,
-    /// The answer as JSON text, or what went wrong.
+    /// The answer or the problem as JSON text, or what went wrong.
     pub text: String,
+    /// What the problem says to a person.
+    pub detail: Option<String>,
     /// Time to the first token, of a streamed answer.
     pub first_token: Option<Duration>,
     /// Times between tokens, of a streamed answer.
@@ -66,10 +68,22 @@
     pub is_ordered: bool,
 }
 
+/// Returns a UUIDv7 key, which carries the time of its issue; its random part is of `nonce`.
+pub fn idempotency_key(nonce: u128) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = now.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
+    let bytes = nonce.to_be_bytes();
+    let mut random = [0; 10];
+    random.copy_from_slice(&bytes[..10]);
+    let builder = uuid::Builder::from_unix_timestamp_millis(millis, &random);
+    builder.into_uuid().to_string()
+}
+
 /// The part of a problem that a caller acts on.
 #[derive(Deserialize)]
 struct Problem {
     verdict: Verdict,
+    detail: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -165,6 +179,15 @@
 }
 
 impl Reply {
+    /// Returns why there is no answer, in a few words; none if there is one.
+    pub fn reason(&self) -> Option<String> {
+        if self.outcome == Outcome::Answered {
+            return None;
+        }
+        let detail = self.detail.as_ref().unwrap_or(&self.text);
+        Some(format!("{:?}: {detail}", self.outcome))
+    }
+
     fn new(outcome: Outcome) -> Self {
         Self {
             outcome,
@@ -172,6 +195,7 @@
             request: None,
             may_send_again: false,
             text: String::new(),
+            detail: None,
             first_token: None,
             gaps: Vec::new(),
             tokens: String::new(),
@@ -192,6 +216,7 @@
 
     fn conclude(&mut self, is_answer: bool, text: String) {
         let problem = serde_json::from_str::<Problem>(&text);
+        let detail = problem.as_ref().ok().and_then(|p| p.detail.clone());
         self.outcome = match problem.map(|p| p.verdict) {
             _ if is_answer => Outcome::Answered,
             Ok(Verdict::NotRun) => Outcome::NotRun,
@@ -199,6 +224,7 @@
             Ok(Verdict::Failed) => Outcome::Failed,
             Err(_) => Outcome::Cut,
         };
+        self.detail = detail.filter(|_| !is_answer);
         self.text = text;
     }
 
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use indexmap::IndexMap;
 use serde::Serialize;
 
 use super::call::{Outcome, Reply};
@@ -105,6 +106,8 @@
     pub first_token: Summary,
     /// Time between tokens of streamed answers.
     pub token_gap: Summary,
+    /// Why there was no answer, and how often.
+    pub reasons: IndexMap<String, u64>,
 }
 
 impl Report {
@@ -125,7 +128,8 @@
 
 #[derive(Default)]
 struct Sum {
-    outcomes: indexmap::IndexMap<Outcome, u64>,
+    outcomes: IndexMap<Outcome, u64>,
+    reasons: IndexMap<String, u64>,
     requests: u64,
     attained: u64,
     latency: Latency,
@@ -142,6 +146,9 @@
             self.attained += u64::from(sample.in_time);
             self.latency.add(sample.latency);
         }
+        if let Some(reason) = reply.reason() {
+            *self.reasons.entry(reason).or_default() += 1;
+        }
         if let Some(first) = reply.first_token {
             self.first_token.add(first);
         }
@@ -166,6 +173,7 @@
             latency: self.latency.summary(),
             first_token: self.first_token.summary(),
             token_gap: self.token_gap.summary(),
+            reasons: self.reasons.clone(),
         }
     }
 }
@@ -202,6 +210,9 @@
             writeln!(f, "first token {}", self.first_token)?;
             writeln!(f, "token gap   {}", self.token_gap)?;
         }
+        for (reason, count) in &self.reasons {
+            writeln!(f, "{count:>6} x {reason}")?;
+        }
         Ok(())
     }
 }
