--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -301,8 +301,8 @@
     }
 }
 
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Report {
+    fn write_pipelines(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
             "{:<14} {:>8} {:>10} {:>8} {:>8} {:>9} {:>9} {:>8} {:>8} {:>7} {:>7}",
@@ -318,21 +318,27 @@
             "failed",
             "resent"
         )?;
-        for row in &self.pipelines {
-            writeln!(f, "{row}")?;
-        }
+        self.pipelines.iter().try_for_each(|r| writeln!(f, "{r}"))
+    }
+
+    fn write_stages(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
             "\n{:<26} {:>6} {:>10} {:>8} {:>11} {:>10}",
             "pipeline/stage", "calls", "engine ms", "tokens", "link bytes", "wasted ms"
         )?;
-        for cost in &self.stages {
-            writeln!(f, "{cost}")?;
-        }
+        self.stages.iter().try_for_each(|c| writeln!(f, "{c}"))
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.write_pipelines(f)?;
+        self.write_stages(f)?;
+        let bytes = self.link_bytes;
         writeln!(
             f,
-            "\n{} bytes crossed the regional link, control included\n",
-            self.link_bytes
+            "\n{bytes} bytes crossed the regional link, control included\n"
         )?;
         for (reason, count) in &self.reasons {
             writeln!(f, "{count:>4} x {reason}")?;
