Join the quarantine to the node and to the operators' settings

Change: the daemon screens content through the keeper, blame travels by message and log, status shows it, and quarantine-time and quarantine-deaths are in force. The assembly is split by what it makes.

--- a/src/config/setting/catalogue/traffic.rs
+++ b/src/config/setting/catalogue/traffic.rs
@@ -236,7 +236,7 @@
     unit: "endpoints",
     preset: Preset::Count(2),
     min: 1.0,
-    max: 10.0,
+    max: 4.0,
     since: 1,
     meaning: "How many endpoints must die of the same content before it is refused.",
 };
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -3,25 +3,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::clock::Time;
 use crate::config::record::{self, Body, Clear, Level, Scope, Set, Value};
 use crate::config::setting::{CATALOGUE, Preset, Setting};
 use crate::config::{Place, edit};
 use crate::control::Control;
 use crate::daemon::Daemon;
 use crate::member::Status as Standing;
-use crate::operate::status::{Count, Endpoint, Lease, Member};
+use crate::operate::status::{Blame, Count, Endpoint, Lease, Member};
 use crate::operate::{
     Answer, Change, Console, Edit, Error, Event, Line, Query, Result, Sheet, Status, Verdict,
 };
+use crate::quarantine::keeper::Keeper;
 use crate::settings::{Settings, plan};
 use crate::timeline::Recorder;
-use crate::{id, timeline};
+use crate::{id, quarantine, timeline};
 
 /// Answers operators.
 pub struct Board {
     pub(super) settings: Arc<Settings>,
     pub(super) daemon: Arc<Daemon>,
     pub(super) control: Arc<Control>,
+    pub(super) keeper: Arc<Keeper>,
     pub(super) recorder: Arc<Recorder>,
     pub(super) drain: flume::Sender<()>,
 }
@@ -47,7 +50,7 @@
             members: self.members(),
             endpoints: self.endpoints(),
             leases: self.leases(),
-            quarantine: Vec::new(),
+            quarantine: self.quarantine(),
             counts: counts(status.counts),
         }
     }
@@ -79,6 +82,16 @@
         .collect()
     }
 
+    fn quarantine(&self) -> Vec<Blame> {
+        let now = self.daemon.status().uptime;
+        let list = self.keeper.list().into_iter();
+        list.map(|(digest, standing)| Blame {
+            digest,
+            standing: show_standing(&standing, now),
+        })
+        .collect()
+    }
+
     fn leases(&self) -> Vec<Lease> {
         let leases = self.control.leases().into_iter();
         leases
@@ -148,6 +161,16 @@
     }
 }
 
+fn show_standing(standing: &quarantine::Standing, now: Time) -> String {
+    match standing {
+        quarantine::Standing::Clear => "clear".into(),
+        quarantine::Standing::Suspect => "suspect".into(),
+        quarantine::Standing::Refused { until } => {
+            format!("refused for {} s", until.saturating_sub(now).as_secs())
+        }
+    }
+}
+
 fn state(status: Standing) -> &'static str {
     match status {
         Standing::Alive => "alive",
--- a/src/node/knobs.rs
+++ b/src/node/knobs.rs
@@ -8,6 +8,8 @@
 use crate::id;
 use crate::policy::Observation;
 use crate::policy::knobs::{Knobs, Scope};
+use crate::quarantine::keeper::Keeper;
+use crate::quarantine::table;
 use crate::route;
 use crate::settings::check::MAX_PRIORITY;
 use crate::settings::{self, Settings};
@@ -39,7 +41,7 @@
     }
 
     /// Passes a revision on to the daemon, if it is new.
-    pub fn pass(&mut self, view: &View, daemon: &Daemon) {
+    pub fn pass(&mut self, view: &View, daemon: &Daemon, keeper: &Keeper) {
         if self.revision.is_some_and(|seen| seen >= view.revision) {
             return;
         }
@@ -47,6 +49,7 @@
         for observation in self.observations(view) {
             daemon.observe(&observation);
         }
+        keeper.set_limit(quarantine(view, &self.here()));
         for pipeline in &self.settings.pipelines {
             let place = Place {
                 pipeline: Some(&pipeline.name),
@@ -112,6 +115,15 @@
     }
 }
 
+/// Resolves when content is refused.
+fn quarantine(view: &View, place: &Place<'_>) -> table::Limit {
+    let endpoints = view.count(&setting::QUARANTINE_DEATHS, place);
+    table::Limit {
+        endpoints: usize::try_from(endpoints).unwrap_or(table::BLAMES),
+        refusal: view.duration(&setting::QUARANTINE_TIME, place),
+    }
+}
+
 /// Resolves the limit of a pipeline.
 fn limit(view: &View, place: &Place<'_>) -> Limit {
     let priority = u8::try_from(view.count(&setting::PIPELINE_PRIORITY, place));
--- /dev/null
+++ b/src/node/parts.rs
@@ -0,0 +1,175 @@
+//! Makes the parts of a daemon and joins them.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+
+use snafu::ResultExt;
+
+use super::view::Live;
+use super::{
+    ControlSnafu, DaemonSnafu, DeskSnafu, Error, Options, PeersSnafu, QuarantineSnafu, knobs,
+};
+use crate::claim::desk::Desk;
+use crate::clock::Clock;
+use crate::control::{self, Control};
+use crate::daemon::{Daemon, Ports};
+use crate::peer::{Net, Topic};
+use crate::policy::adaptive::Adaptive;
+use crate::quarantine::keeper::{self, Keeper};
+use crate::settings::{Settings, plan};
+use crate::timeline::Recorder;
+use crate::{id, peer, platform};
+
+/// Numbers tried for the port for other daemons when the system picks it.
+const PORT_ATTEMPTS: usize = 32;
+
+/// What belongs to a daemon besides its shell.
+pub struct Parts {
+    /// The settings, with the address under which other daemons reach this one.
+    pub settings: Arc<Settings>,
+    /// The time line.
+    pub recorder: Arc<Recorder>,
+    /// The connections to other daemons.
+    pub net: Arc<Net>,
+    /// Configuration, membership, leases and orders.
+    pub control: Arc<Control>,
+    /// The quarantine.
+    pub keeper: Arc<Keeper>,
+}
+
+impl Parts {
+    /// Makes the parts and starts the daemon with them.
+    pub fn make(options: Options) -> Result<(Self, Arc<Daemon>), Error> {
+        let daemon: id::Daemon = options.settings.daemon.name.as_str().into();
+        let recorder = Recorder::new(daemon.clone(), options.clock.clone());
+        let recorder = Arc::new(recorder.with_logger(options.logger.clone()));
+        let (net, socket) = ports(&options.settings, &recorder, options.seed)?;
+        let reached = options.advertised.unwrap_or_else(|| net.address());
+        let settings = Arc::new(at(&options.settings, reached));
+        let control = control(&options, &settings, &recorder, &net, socket)?;
+        let view = Arc::new(Live::new(control.clone(), &settings));
+        let (log, clock) = (options.log, options.clock);
+        let keeper = keeper::Ports {
+            log: log.clone(),
+            link: Some(net.clone()),
+            view: view.clone(),
+            clock: clock.clone(),
+        };
+        let keeper = Arc::new(Keeper::start(daemon, keeper).context(QuarantineSnafu)?);
+        let desk = Arc::new(desk(&settings, log, &clock, view, net.clone())?);
+        net.handle(Topic::Config, control.config_handler());
+        net.handle(Topic::Member, control.member_handler());
+        net.handle(Topic::Claim, desk.clone());
+        net.handle(Topic::Quarantine, keeper.clone());
+        let ports = Ports::new()
+            .clock(clock)
+            .roster(control.roster())
+            .engine(options.engine)
+            .policy(Box::new(policy(&settings, options.seed)))
+            .desk(desk)
+            .screen(keeper.clone())
+            .net(net.clone())
+            .recorder(recorder.clone())
+            .seed(options.seed);
+        let daemon = Arc::new(Daemon::start(&settings, ports).context(DaemonSnafu)?);
+        let parts = Self {
+            settings,
+            recorder,
+            net,
+            control,
+            keeper,
+        };
+        Ok((parts, daemon))
+    }
+}
+
+fn control(
+    options: &Options,
+    settings: &Arc<Settings>,
+    recorder: &Arc<Recorder>,
+    net: &Arc<Net>,
+    socket: UdpSocket,
+) -> Result<Arc<Control>, Error> {
+    let options = control::Options::new()
+        .settings(settings.clone())
+        .log(options.log.clone())
+        .roster(options.roster.clone())
+        .link(net.clone())
+        .engines(options.engine.clone(), options.weights.clone())
+        .socket(Arc::new(socket))
+        .recorder(recorder.clone())
+        .clock(options.clock.clone())
+        .seed(options.seed);
+    Control::start(&options).map(Arc::new).context(ControlSnafu)
+}
+
+fn net(settings: &Settings, recorder: &Arc<Recorder>, seed: u64) -> Result<Arc<Net>, Error> {
+    let address = &settings.daemon.peers_address;
+    let net = Net::open(peer::Options {
+        address: address.clone(),
+        daemon: settings.daemon.name.as_str().into(),
+        recorder: recorder.clone(),
+        seed,
+    });
+    net.map(Arc::new).context(PeersSnafu { peer: address })
+}
+
+/// Opens the port for other daemons, over TCP and UDP.
+///
+/// When the system picks the number, one that is free over TCP may be taken over UDP.
+fn ports(
+    settings: &Settings,
+    recorder: &Arc<Recorder>,
+    seed: u64,
+) -> Result<(Arc<Net>, UdpSocket), Error> {
+    let peer = &settings.daemon.peers_address;
+    let is_picked = peer.ends_with(":0");
+    for _ in 0..PORT_ATTEMPTS {
+        let net = net(settings, recorder, seed)?;
+        match UdpSocket::bind(net.address()) {
+            Ok(socket) => return Ok((net, socket)),
+            Err(_) if is_picked => net.stop(),
+            Err(source) => return Err(source).context(PeersSnafu { peer }),
+        }
+    }
+    let source = std::io::ErrorKind::AddrInUse.into();
+    Err(source).context(PeersSnafu { peer })
+}
+
+/// Names the port under which other daemons reach this one, over TCP and UDP.
+fn at(settings: &Settings, reached: SocketAddr) -> Settings {
+    let mut settings = settings.clone();
+    settings.daemon.peers_address = reached.to_string();
+    settings
+}
+
+fn desk(
+    settings: &Settings,
+    log: Arc<dyn platform::Log>,
+    clock: &Arc<dyn Clock>,
+    view: Arc<Live>,
+    link: Arc<dyn peer::Link>,
+) -> Result<Desk, Error> {
+    let mut builder = Desk::builder(settings.daemon.name.as_str().into(), log)
+        .claims(settings.claims.clone())
+        .clock(clock.clone())
+        .view(view)
+        .accepts_undated(true);
+    if let Some(region) = &settings.platform.region {
+        builder = builder.near(region.as_str().into());
+    }
+    builder.link(link).start().context(DeskSnafu)
+}
+
+fn policy(settings: &Settings, seed: u64) -> Adaptive {
+    let zone = settings.daemon.availability_zone.as_str();
+    let region: Option<id::Region> = plan::region_of(settings, zone);
+    let mut builder = Adaptive::builder(zone, region.unwrap_or_default()).seed(seed);
+    for pool in &settings.pools {
+        builder = builder.kind(pool.name.as_str(), knobs::kind(pool.kind));
+    }
+    for workspace in &settings.workspaces {
+        builder = builder.weight(workspace.name.as_str(), workspace.weight);
+    }
+    builder.build()
+}
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -1,3 +1,5 @@
+//! A whole daemon before endpoints and a platform in memory.
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
--- a/src/operate/tests.rs
+++ b/src/operate/tests.rs
@@ -1,3 +1,5 @@
+//! The operators' port over loopback, and what is asked of the fleet.
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/src/quarantine/keeper.rs
+++ b/src/quarantine/keeper.rs
@@ -12,7 +12,7 @@
 use rand::seq::IndexedRandom;
 use snafu::Snafu;
 
-use super::table::{Event, Table, Verdict, Wall};
+use super::table::{Event, Limit, Table, Verdict, Wall};
 use super::{Standing, message};
 use crate::claim::router::View;
 use crate::clock::{Clock, Time};
@@ -99,6 +99,11 @@
         Ok(Self { shared })
     }
 
+    /// Changes when content is refused, also content that was blamed before.
+    pub fn set_limit(&self, limit: Limit) {
+        self.shared.table.lock().set_limit(limit);
+    }
+
     /// Returns the content that is suspect or refused, with its standing.
     pub fn list(&self) -> Vec<(id::Digest, Standing)> {
         let now = self.shared.ports.clock.now();
--- a/src/quarantine/table.rs
+++ b/src/quarantine/table.rs
@@ -63,15 +63,44 @@
     }
 }
 
+/// When a content is refused, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limit {
+    /// Distinct endpoints that must die while they run it, at most [`BLAMES`].
+    pub endpoints: usize,
+    /// How long it is refused.
+    pub refusal: Duration,
+}
+
+impl Default for Limit {
+    fn default() -> Self {
+        Self {
+            endpoints: ENDPOINTS,
+            refusal: REFUSAL,
+        }
+    }
+}
+
 /// The blamed content that one daemon knows of.
 #[derive(Debug, Default)]
 pub struct Table {
+    limit: Limit,
     entries: IndexMap<id::Digest, Entry>,
     /// Endpoints that died recently, whatever they ran.
     deaths: VecDeque<(id::Endpoint, Wall)>,
 }
 
 impl Table {
+    /// Changes when content is refused, also content that was blamed before.
+    pub fn set_limit(&mut self, limit: Limit) {
+        self.limit = limit;
+    }
+
+    /// How long an event matters.
+    fn span(&self) -> Duration {
+        SUSPICION.max(self.limit.refusal)
+    }
+
     /// Returns how many contents are remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -96,7 +125,7 @@
 
     /// Takes an event and says whether it was news; the order of events does not matter.
     pub fn apply(&mut self, event: &Event, now: Wall) -> bool {
-        if event.at + SUSPICION.max(REFUSAL) < now {
+        if event.at + self.span() < now {
             return false;
         }
         match &event.endpoint {
@@ -131,7 +160,8 @@
     }
 
     fn note_death(&mut self, endpoint: &id::Endpoint, at: Wall, now: Wall) {
-        self.deaths.retain(|(_, died)| *died + REFUSAL > now);
+        let span = self.span();
+        self.deaths.retain(|(_, died)| *died + span > now);
         if self.deaths.iter().any(|(known, _)| known == endpoint) {
             return;
         }
@@ -146,7 +176,7 @@
         if self.entries.len() <= CONTENTS {
             return;
         }
-        let span = SUSPICION.max(REFUSAL);
+        let span = self.span();
         self.entries.retain(|_, entry| entry.last() + span > now);
         while self.entries.len() > CONTENTS {
             let fewest = |e: &Entry| (e.blames.len(), e.last());
@@ -163,7 +193,8 @@
         let Some(entry) = self.entries.get(digest) else {
             return Verdict::Clear;
         };
-        let recent = |at: Wall| at + SUSPICION > now;
+        let span = self.span();
+        let recent = |at: Wall| at + span > now;
         if !entry.blames.values().any(|at| recent(*at)) {
             return Verdict::Clear;
         }
@@ -174,9 +205,9 @@
             .map(|(_, at)| *at)
             .collect();
         counted.sort();
-        let needed = ENDPOINTS + usize::from(self.has_companion(digest, entry, now));
+        let needed = self.limit.endpoints + usize::from(self.has_companion(digest, entry, now));
         match counted.last() {
-            Some(last) if counted.len() >= needed => Verdict::Refused(*last + REFUSAL),
+            Some(last) if counted.len() >= needed => refused(*last + self.limit.refusal, now),
             _ => Verdict::Suspect,
         }
     }
@@ -207,5 +238,14 @@
     }
 }
 
+/// A content whose refusal is over stays suspect, so that it runs alone.
+fn refused(until: Wall, now: Wall) -> Verdict {
+    if until > now {
+        Verdict::Refused(until)
+    } else {
+        Verdict::Suspect
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/quarantine/table/tests.rs
+++ b/src/quarantine/table/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{CONTENTS, Event, MASS_SPAN, REFUSAL, Table, Verdict, Wall};
+use super::{CONTENTS, Event, Limit, MASS_SPAN, REFUSAL, Table, Verdict, Wall};
 
 const NOW: Wall = Duration::from_secs(1_000_000);
 
@@ -135,3 +135,19 @@
     let standing = table.standing("culprit", NOW + seconds(10));
     assert!(matches!(standing, Verdict::Refused(_)));
 }
+
+#[test]
+fn standing_follows_limit() {
+    let mut table = table(&[blame("a", "e1", NOW), blame("a", "e2", NOW)]);
+    table.set_limit(Limit {
+        endpoints: 3,
+        refusal: seconds(60),
+    });
+    assert_eq!(table.standing("a", NOW), Verdict::Suspect);
+    table.apply(&blame("a", "e3", NOW), NOW);
+    assert_eq!(
+        table.standing("a", NOW),
+        Verdict::Refused(NOW + seconds(60))
+    );
+    assert_eq!(table.standing("a", NOW + seconds(60)), Verdict::Suspect);
+}
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -1,3 +1,5 @@
+//! Layers, checks and their messages.
+
 use insta::assert_snapshot;
 
 use super::{Override, parse, plan, plans};
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -1,3 +1,5 @@
+//! The lines that a StatsD server receives.
+
 use std::time::Duration;
 
 use cadence::SpyMetricSink;
--- a/src/timeline/format.rs
+++ b/src/timeline/format.rs
@@ -55,8 +55,7 @@
     cat: Kind,
     ph: &'static str,
     ts: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    dur: Option<u64>,
+    dur: u64,
     pid: usize,
     tid: usize,
     args: Detail<'a>,
@@ -125,7 +124,7 @@
         cat: event.kind,
         ph: if dur.is_some() { "X" } else { "i" },
         ts: event.at.wall,
-        dur,
+        dur: dur.unwrap_or(0),
         pid: place.0,
         tid: place.1,
         args: Detail {
--- a/src/timeline/tests.rs
+++ b/src/timeline/tests.rs
@@ -1,3 +1,5 @@
+//! Causal order, filters and formats.
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -127,5 +129,5 @@
 
 #[test]
 fn format_chrome() {
-    assert_snapshot!(format::chrome(&sample()).unwrap(), @r#"{"traceEvents":[{"name":"request","cat":"request","ph":"X","ts":10000000,"dur":0,"pid":0,"tid":1,"args":{"daemon":"entry-1","request":"00000000-0000-0000-0000-000000000007","endpoint":null}},{"name":"started","cat":"daemon","ph":"i","ts":10000000,"pid":0,"tid":0,"args":{"daemon":"entry-1","request":null,"endpoint":null}},{"name":"arrived","cat":"request","ph":"i","ts":10000000,"pid":0,"tid":1,"args":{"daemon":"entry-1","request":"00000000-0000-0000-0000-000000000007","endpoint":null}},{"name":"began draft","cat":"call","ph":"i","ts":10000000,"pid":0,"tid":1,"args":{"daemon":"entry-1","request":"00000000-0000-0000-0000-000000000007","endpoint":"menu-model-3"}}],"displayTimeUnit":"ms"}"#);
+    assert_snapshot!(format::chrome(&sample()).unwrap(), @r#"{"traceEvents":[{"name":"request","cat":"request","ph":"X","ts":10000000,"dur":0,"pid":0,"tid":1,"args":{"daemon":"entry-1","request":"00000000-0000-0000-0000-000000000007","endpoint":null}},{"name":"started","cat":"daemon","ph":"i","ts":10000000,"dur":0,"pid":0,"tid":0,"args":{"daemon":"entry-1","request":null,"endpoint":null}},{"name":"arrived","cat":"request","ph":"i","ts":10000000,"dur":0,"pid":0,"tid":1,"args":{"daemon":"entry-1","request":"00000000-0000-0000-0000-000000000007","endpoint":null}},{"name":"began draft","cat":"call","ph":"i","ts":10000000,"dur":0,"pid":0,"tid":1,"args":{"daemon":"entry-1","request":"00000000-0000-0000-0000-000000000007","endpoint":"menu-model-3"}}],"displayTimeUnit":"ms"}"#);
 }
