--- a/benches/capacity/night.rs
+++ b/benches/capacity/night.rs
@@ -103,7 +103,11 @@
     );
     let mut now = Time::ZERO;
     while upgrade.phase() != Phase::Finished && now < 24 * 3_600 * SECOND {
-        let units: Vec<Unit> = fleet.iter().enumerate().map(|(i, e)| unit(i, e)).collect();
+        let units: Vec<Unit> = fleet
+            .iter()
+            .enumerate()
+            .map(|(i, e)| unit(i, e, now))
+            .collect();
         let window = Window {
             left: (24 * 3_600 * SECOND).saturating_sub(now),
         };
@@ -130,7 +134,7 @@
     ]
 }
 
-fn unit(index: usize, engine: &Engine) -> Unit {
+fn unit(index: usize, engine: &Engine, now: Time) -> Unit {
     let versions = Some(engine.serves).filter(|v| !v.is_empty());
     let versions: Vec<_> = versions.into_iter().map(Into::into).collect();
     Unit {
@@ -149,6 +153,7 @@
             versions,
             role: None,
         }),
+        read: Some(now),
         checks_fencing: true,
         is_leaving: false,
     }
--- a/src/control/controller.rs
+++ b/src/control/controller.rs
@@ -108,7 +108,8 @@
     /// Adds what the engines reported.
     fn fill(&self, mut pools: Pools) -> Pools {
         for unit in pools.values_mut().flatten() {
-            unit.state = self.reconciler.state(&unit.endpoint).cloned();
+            let read = self.reconciler.state(&unit.endpoint).cloned();
+            (unit.state, unit.read) = read.unzip();
             unit.load = self.loads.get(&unit.endpoint).cloned();
         }
         pools
@@ -300,6 +301,8 @@
                 {
                     desire.versions = vec![upgrade.version().clone()];
                 }
+                let is_out = upgrade.is_some_and(|u| u.holds(&unit.endpoint));
+                self.reconciler.hurry(&unit.endpoint, is_out);
                 self.desires.insert(unit.endpoint.clone(), desire.clone());
                 self.reconciler
                     .desire(&unit.endpoint, &unit.address, unit.checks_fencing, desire);
--- a/src/control/scene.rs
+++ b/src/control/scene.rs
@@ -84,6 +84,7 @@
                 address: vm.address.clone(),
                 state: None,
                 load: None,
+                read: None,
                 checks_fencing: settings.checks_fencing,
                 is_leaving: vm.leaving,
             });
--- a/src/order.rs
+++ b/src/order.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use crate::clock::Time;
 use crate::{endpoint, id};
 
 pub mod reconcile;
@@ -22,6 +23,8 @@
         pub state: Option<endpoint::State>,
         /// Its load as last reported.
         pub load: Option<endpoint::Load>,
+        /// When state and load were read.
+        pub read: Option<Time>,
         /// Whether it refuses an order with an old fencing token.
         pub checks_fencing: bool,
         /// Whether the platform takes it away.
@@ -55,8 +58,12 @@
     }
 }
 
-/// How often the state of an engine is read back.
+/// How often the state of an engine is read back that is not as desired.
 pub const READ_EVERY: Duration = Duration::from_secs(10);
+/// How often the state of an engine is read back that is as desired.
+pub const READ_SETTLED: Duration = Duration::from_secs(30);
+/// How often the state of an engine is read back that is out of service.
+pub const READ_HURRIED: Duration = Duration::from_secs(2);
 
 #[cfg(test)]
 mod tests;
--- a/src/order/reconcile.rs
+++ b/src/order/reconcile.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use super::READ_EVERY;
+use super::{READ_EVERY, READ_HURRIED, READ_SETTLED};
 use crate::clock::Time;
 use crate::endpoint::{Order, State};
 use crate::id;
@@ -78,6 +78,7 @@
     next: Time,
     backoff: Duration,
     orders: u32,
+    is_hurried: bool,
 }
 
 /// The engines of one controller.
@@ -132,6 +133,7 @@
             next: Time::ZERO,
             backoff: BACKOFF,
             orders: 0,
+            is_hurried: false,
         });
         if task.desire != desire {
             task.desire = desire;
@@ -140,6 +142,13 @@
         }
     }
 
+    /// Sets whether an engine is read back more often, because it is out of service.
+    pub fn hurry(&mut self, endpoint: &str, is_hurried: bool) {
+        if let Some(task) = self.tasks.get_mut(endpoint) {
+            task.is_hurried = is_hurried;
+        }
+    }
+
     /// Forgets the engines that are gone.
     pub fn retain(&mut self, is_present: impl Fn(&id::Endpoint) -> bool) {
         self.tasks.retain(|endpoint, _| is_present(endpoint));
@@ -177,9 +186,9 @@
         }
     }
 
-    /// The state of an engine as last read.
-    pub fn state(&self, endpoint: &str) -> Option<&State> {
-        self.tasks.get(endpoint)?.state.as_ref().map(|(s, _)| s)
+    /// The state of an engine as last read, and when.
+    pub fn state(&self, endpoint: &str) -> Option<&(State, Time)> {
+        self.tasks.get(endpoint)?.state.as_ref()
     }
 
     /// How the engines stand.
@@ -222,7 +231,12 @@
         if is_open(self.giving) || is_open(self.reading) {
             return None;
         }
-        let is_recent = |at: Time| now < at + READ_EVERY;
+        let interval = match (self.is_hurried, self.is_settled()) {
+            (true, _) => READ_HURRIED,
+            (false, true) => READ_SETTLED,
+            (false, false) => READ_EVERY,
+        };
+        let is_recent = |at: Time| now < at + interval;
         let Some((state, _)) = self.state.as_ref().filter(|(_, at)| is_recent(*at)) else {
             self.reading = Some(now);
             return Some(Action::Read {
--- a/src/order/tests/role.rs
+++ b/src/order/tests/role.rs
@@ -53,6 +53,7 @@
                     address: "a:1".into(),
                     state: Some(e.state(now)),
                     load: Some(e.load()),
+                    read: Some(now),
                     checks_fencing: true,
                     is_leaving: false,
                 }
--- a/src/order/tests/upgrade.rs
+++ b/src/order/tests/upgrade.rs
@@ -70,6 +70,7 @@
             address: format!("a:{i}"),
             state: Some(e.state(now)),
             load: Some(e.load()),
+            read: Some(now),
             checks_fencing: true,
             is_leaving: false,
         };
@@ -268,3 +269,15 @@
         }
     }
 }
+
+#[test]
+fn report_from_before_the_drain_is_not_idle() {
+    let mut night = Night::new(1, rule());
+    let mut unit = night.units().remove(0);
+    let rule = rule();
+    let drained = |unit: &Unit, now| rule.is_drained(unit, 10 * SECOND, now);
+    unit.read = Some(12 * SECOND);
+    assert!(!drained(&unit, 20 * SECOND), "daemons may still have sent");
+    unit.read = Some(13 * SECOND);
+    assert!(drained(&unit, 20 * SECOND));
+}
--- a/src/order/upgrade/plan.rs
+++ b/src/order/upgrade/plan.rs
@@ -53,7 +53,9 @@
     /// Says whether an engine that is drained since `since` may be ordered.
     pub fn is_drained(&self, unit: &Unit, since: Time, now: Time) -> bool {
         let age = now.saturating_sub(since);
-        let is_idle = age >= SPREAD && (unit.is_idle() || !unit.is_healthy());
+        // Only a report counts that was read after the last daemon stopped sending.
+        let is_read = unit.read.is_some_and(|at| at >= since + SPREAD);
+        let is_idle = is_read && (unit.is_idle() || !unit.is_healthy());
         is_idle || age >= self.drain + SPREAD
     }
 
