Blame no endpoint for a broken link between daemons

Cause: a connection lost between daemons looked like the death of the endpoint behind it, so that a cut link could quarantine innocent content. A request that the policy had let in and that found the daemon full was never reported as left. Change: errors of the link carry a step of their own and blame nobody; a refused start is reported to the policy. Tests: step_broken_link_blames_no_endpoint and forward_cut_is_lost_then_not_sent.

--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -17,7 +17,7 @@
 use crate::ledger::Ledger;
 use crate::pipeline::run::{Run, Tally};
 use crate::pipeline::{Event, Finish, Plan, Remainder};
-use crate::policy::{Admission, Arrival, Policy, Ticket};
+use crate::policy::{Admission, Arrival, Observation, Policy, Ticket};
 use crate::quarantine::Standing;
 use crate::timeline::{Kind, Recorder};
 use crate::{claim, endpoint, id, peer, pipeline};
@@ -234,10 +234,19 @@
         let deadline = now + submission.timeout;
         let suspect = self.admit(&submission, deadline, now)?;
         let request = submission.request;
-        let transcript = Transcript::new(request.id, request.workspace.clone());
-        self.archive.add(transcript.clone(), now);
+        let id = request.id;
+        let transcript = Transcript::new(id, request.workspace.clone());
         let run = Run::new(submission.plan, request, deadline).with_suspect(suspect);
-        self.start(run, transcript.clone(), None)?;
+        if let Err(finish) = self.start(run, transcript.clone(), None) {
+            // The policy has let it in and counts it.
+            let left = Observation::Left {
+                request: id,
+                attained: false,
+            };
+            self.policy.lock().observe(&left, now);
+            return Err(finish);
+        }
+        self.archive.add(transcript.clone(), now);
         Ok(transcript)
     }
 }
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -196,12 +196,22 @@
 }
 
 impl Error {
+    /// Says whether the endpoint may have died while it ran the stage.
+    ///
+    /// A broken connection between daemons says nothing about the endpoint behind it.
+    pub fn is_death(&self) -> bool {
+        matches!(self, Self::Lost { step, .. } if *step != LINK_STEP)
+    }
+
     /// Says whether the stage certainly did not run.
     pub fn is_not_run(&self) -> bool {
         matches!(self, Self::NotSent { .. } | Self::Refused { .. })
     }
 }
 
+/// The step of errors that arose between two daemons.
+pub const LINK_STEP: &str = "link between daemons";
+
 /// The result of a call to an endpoint.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -242,7 +242,7 @@
 
 fn endpoint_lost(peer: &str, reason: String) -> endpoint::Error {
     endpoint::Error::Lost {
-        step: "forwarded call",
+        step: endpoint::LINK_STEP,
         peer: peer.to_owned(),
         reason,
     }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -275,7 +275,9 @@
         let result = pair
             .near
             .forward(&pair.address(), "e", &call(), &mut |_| Ok(()));
-        assert!(matches!(result, Err(endpoint::Error::Lost { .. })));
+        let error = result.unwrap_err();
+        assert!(matches!(error, endpoint::Error::Lost { .. }));
+        assert!(!error.is_death());
     });
     let again = pair
         .near
--- a/src/pipeline/run/answer.rs
+++ b/src/pipeline/run/answer.rs
@@ -34,7 +34,7 @@
             }
             Err(error) => {
                 let flight = self.flights.swap_remove(at);
-                if matches!(error, Error::Lost { .. }) {
+                if error.is_death() {
                     let endpoint = flight.pick.endpoint.clone();
                     let digest = self.request.digest.clone();
                     self.actions.push(Action::Blame(digest, endpoint));
--- a/src/pipeline/run/tests/order.rs
+++ b/src/pipeline/run/tests/order.rs
@@ -267,3 +267,16 @@
         assert_eq!(b.policy.in_flight, 0);
     }
 }
+
+#[test]
+fn step_broken_link_blames_no_endpoint() {
+    let mut b = Bench::started("e");
+    let error = Error::Lost {
+        step: endpoint::LINK_STEP,
+        peer: "d".into(),
+        reason: "reset".into(),
+    };
+    b.fail(&b.last(), error);
+    assert!(!b.seen.iter().any(|a| matches!(a, Action::Blame(..))));
+    assert!(b.run.next_wake().is_some());
+}
