--- a/src/claim/stream.rs
+++ b/src/claim/stream.rs
@@ -34,6 +34,8 @@
 pub const EXPIRE_EVERY: Duration = Duration::from_secs(60);
 /// How often the preferred writer reads when nobody waits, so that its index is warm.
 pub const WARM_EVERY: Duration = Duration::from_secs(1);
+/// Keys that the index of one stream holds; beyond that, new keys are refused.
+pub const MAX_KEYS: usize = 250_000;
 /// Endings whose bodies are kept in memory, so that those who joined need no further read.
 const BODIES: usize = 64;
 /// Bytes of the bodies that are kept.
@@ -105,6 +107,8 @@
 #[derive(Debug, Default)]
 struct Reading {
     in_flight: bool,
+    /// Reads that began so far.
+    count: u64,
     /// The read in flight began after the append whose result is unknown.
     settles: bool,
     not_before: Time,
@@ -118,6 +122,7 @@
     window: Duration,
     retention: Duration,
     limit: usize,
+    capacity: usize,
     fold: Fold,
     writer: Writer,
     waits: IndexMap<id::Request, Wait>,
@@ -141,6 +146,7 @@
             window: Duration::from_millis(claims.window_ms),
             retention: Duration::from_millis(claims.retention_ms),
             limit: claims.max_outcome_bytes as usize,
+            capacity: MAX_KEYS,
             fold: Fold::default(),
             writer: Writer::new(super::writer::stream_rate(claims.streams)),
             waits: IndexMap::new(),
@@ -156,6 +162,13 @@
         }
     }
 
+    /// Sets how many keys the index may hold.
+    #[must_use]
+    pub fn with_capacity(mut self, keys: usize) -> Self {
+        self.capacity = keys;
+        self
+    }
+
     /// Returns the index.
     pub fn fold(&self) -> &Fold {
         &self.fold
@@ -292,6 +305,7 @@
         }
         if self.fold.position() >= page.end {
             self.is_ready = true;
+            self.refresh(self.reading.count);
             if settles {
                 self.writer.caught_up();
             }
@@ -340,6 +354,7 @@
             LONG_POLL
         };
         self.reading.in_flight = true;
+        self.reading.count += 1;
         self.reading.settles = doubtful;
         out.push(Action::Read(self.fold.position(), wait));
     }
@@ -384,3 +399,6 @@
         out.push(Action::Durable(seen.request));
     }
 }
+
+#[cfg(test)]
+mod tests;
