Wait in a flush for undecided claims; choose writers once a second

Cause: a claim that nobody waited for any more could be released after the flush of a shutdown had returned, and each question hashed every daemon for its stream (12,800 hashes a second for 400 daemons and 32 streams). Change: a flush also waits for what is not decided or settled; the table of writers is computed when the live daemons change.

--- a/src/claim/desk.rs
+++ b/src/claim/desk.rs
@@ -35,6 +35,8 @@
 pub const WRITER_PATIENCE: Duration = Duration::from_millis(1000);
 /// How long a writer that did not answer is passed over.
 pub const AVOID: Duration = Duration::from_secs(5);
+/// How often a flush looks for requests that need no record after all.
+const GLANCE: Duration = Duration::from_millis(50);
 /// Claims that wait for their verdict at a time.
 pub const MAX_WAITING: usize = 512;
 
@@ -57,6 +59,7 @@
     link: Option<Arc<dyn peer::Link>>,
     clock: Arc<dyn Clock>,
     view: Arc<dyn View>,
+    routes: Mutex<router::Table>,
     lanes: Mutex<IndexMap<u32, flume::Sender<Job>>>,
     /// Requests that were asked for here and have not been settled.
     asks: Mutex<IndexMap<id::Request, Ask>>,
@@ -81,6 +84,7 @@
     }
 
     fn start(shared: Shared) -> Result<Self, Error> {
+        shared.look();
         let shared = Arc::new(shared);
         let (outbox, settles) = flume::unbounded();
         let at = shared.clone();
@@ -124,11 +128,26 @@
         if avoided.is_some_and(|until| self.clock.now() < until) {
             return None;
         }
-        let peers = self.view.peers();
-        let writer = router::preferred(stream, &peers, self.near.as_ref())?;
+        let routes = self.routes.lock();
+        let writer = routes.writer(stream)?;
         (writer.daemon != self.daemon).then(|| writer.clone())
     }
 
+    /// Looks at the live daemons.
+    fn look(&self) {
+        let peers = self.view.peers();
+        let near = self.near.as_ref();
+        self.routes.lock().update(peers, self.claims.streams, near);
+    }
+
+    /// Says whether this daemon is the preferred writer of a stream, as far as it knows.
+    fn is_writer(&self, stream: u32) -> bool {
+        let routes = self.routes.lock();
+        routes
+            .writer(stream)
+            .is_none_or(|w| w.daemon == self.daemon)
+    }
+
     fn avoid(&self, stream: u32) {
         let until = self.clock.now() + AVOID;
         self.avoided.lock().insert(stream, until);
@@ -239,12 +258,13 @@
     if is_granted && is_heard {
         return;
     }
-    shared.asks.lock().swap_remove(&ask.request);
+    let request = ask.request;
     if stands || is_granted {
-        shared.track(ask.request);
+        shared.track(request);
         let outcome = Outcome::Released;
         drop(outbox.send(Settle { ask, outcome }));
     }
+    shared.asks.lock().swap_remove(&request);
 }
 
 impl super::Desk for Desk {
@@ -282,27 +302,30 @@
     }
 
     fn settle(&self, request: id::Request, outcome: Outcome) {
-        let Some(ask) = self.shared.asks.lock().swap_remove(&request) else {
+        let Some(ask) = self.shared.asks.lock().get(&request).cloned() else {
             return;
         };
         self.shared.track(request);
         drop(self.outbox.send(Settle { ask, outcome }));
+        self.shared.asks.lock().swap_remove(&request);
     }
 
+    /// Also waits for requests that are not decided or not settled: each may yet need a record.
     fn flush(&self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
-        let mut unsettled = self.shared.unsettled.lock();
-        while !unsettled.is_empty() {
-            if self
-                .shared
-                .settled
-                .wait_until(&mut unsettled, until)
-                .timed_out()
-            {
-                return unsettled.is_empty();
+        loop {
+            let mut unsettled = self.shared.unsettled.lock();
+            if unsettled.is_empty() && self.shared.asks.lock().is_empty() {
+                return true;
             }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            self.shared
+                .settled
+                .wait_for(&mut unsettled, left.min(GLANCE));
         }
-        true
     }
 }
 
--- a/src/claim/desk/builder.rs
+++ b/src/claim/desk/builder.rs
@@ -100,6 +100,7 @@
             link: self.link,
             clock: self.clock,
             view: self.view,
+            routes: Mutex::default(),
             lanes: Mutex::new(IndexMap::new()),
             asks: Mutex::new(IndexMap::new()),
             unsettled: Mutex::new(IndexSet::new()),
--- a/src/claim/desk/lane.rs
+++ b/src/claim/desk/lane.rs
@@ -6,7 +6,6 @@
 use indexmap::IndexMap;
 
 use super::super::course::Decision;
-use super::super::router;
 use super::super::stream::{Action, Event, Fetch, Now, Stream};
 use super::super::writer::{self, Receipt};
 use super::super::{Ask, Outcome};
@@ -53,10 +52,10 @@
 /// Keeps the lanes open that this daemon is the preferred writer of.
 pub(super) fn keep(shared: &Arc<Shared>) {
     while !shared.is_stopped() {
-        let peers = shared.view.peers();
+        shared.look();
+        let has_peers = !shared.routes.lock().peers().is_empty();
         for stream in 0..shared.claims.streams {
-            let writer = router::preferred(stream, &peers, shared.near.as_ref());
-            if writer.is_some_and(|w| w.daemon == shared.daemon) {
+            if has_peers && shared.is_writer(stream) {
                 send(shared, stream, Job::Open);
             }
         }
@@ -206,9 +205,8 @@
             return;
         }
         self.refresh_at = now + REFRESH;
-        let peers = self.shared.view.peers();
-        let writer = router::preferred(self.number, &peers, self.shared.near.as_ref());
-        let is_writer = writer.is_none_or(|w| w.daemon == self.shared.daemon);
+        let peers = self.shared.routes.lock().peers().to_vec();
+        let is_writer = self.shared.is_writer(self.number);
         let active = self.shared.lanes.lock().len();
         let rate = if is_writer {
             writer::stream_rate(self.shared.claims.streams)
--- a/src/claim/desk/tests.rs
+++ b/src/claim/desk/tests.rs
@@ -150,6 +150,8 @@
 struct Network {
     desks: Mutex<Vec<(String, Arc<Desk>)>>,
     cut: Mutex<bool>,
+    /// Messages have their effect, and the answers are lost.
+    deaf: Mutex<bool>,
 }
 
 /// The link of one daemon, which calls the desks of the others.
@@ -169,7 +171,15 @@
         drop(desks);
         match desk {
             Some(desk) if !*self.1.cut.lock() => {
-                Ok(peer::Handler::handle(&*desk, &self.0, body).unwrap())
+                let answer = peer::Handler::handle(&*desk, &self.0, body).unwrap();
+                if *self.1.deaf.lock() {
+                    return Err(peer::Error::Lost {
+                        step: "ask",
+                        peer: address.into(),
+                        reason: "the answer was lost".into(),
+                    });
+                }
+                Ok(answer)
             }
             _ => Err(peer::Error::NotSent {
                 step: "ask",
@@ -290,3 +300,23 @@
     race(&desks(&network));
     network.desks.lock().clear();
 }
+
+#[test]
+fn claim_race_with_lost_answers() {
+    let log = log();
+    let network = network(&log, &["a", "b", "c"]);
+    *network.deaf.lock() = true;
+    race(&desks(&network));
+    assert!(desks(&network).iter().all(|d| d.flush(PATIENT)));
+    network.desks.lock().clear();
+}
+
+#[test]
+fn flush_releases_what_nobody_waits_for() {
+    let log = log();
+    let (a, b) = (desk(&log, "a"), desk(&log, "b"));
+    let key = uuid::Uuid::now_v7();
+    drop(claim(&a, &ask(key, "d")));
+    assert!(a.flush(PATIENT));
+    assert_eq!(verdict(&b, &ask(key, "d")), Verdict::Granted);
+}
--- a/src/claim/router.rs
+++ b/src/claim/router.rs
@@ -41,9 +41,42 @@
         .or_else(|| peers.iter().max_by_key(|p| score(stream, &p.daemon)))
 }
 
+/// The preferred writer of every stream, computed anew only when the live daemons change.
+#[derive(Debug, Default)]
+pub struct Table {
+    peers: Vec<Peer>,
+    writers: Vec<Option<Peer>>,
+}
+
+impl Table {
+    /// Takes the live daemons.
+    pub fn update(&mut self, peers: Vec<Peer>, streams: u32, near: Option<&id::Region>) {
+        if peers == self.peers && !self.writers.is_empty() {
+            return;
+        }
+        self.writers = (0..streams)
+            .map(|stream| preferred(stream, &peers, near).cloned())
+            .collect();
+        self.peers = peers;
+    }
+
+    /// Returns the live daemons as last taken.
+    pub fn peers(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    /// Returns the preferred writer of a stream; none when no daemon is known.
+    pub fn writer(&self, stream: u32) -> Option<&Peer> {
+        self.writers.get(stream as usize)?.as_ref()
+    }
+}
+
 fn score(stream: u32, daemon: &str) -> [u8; 32] {
     let mut hash = Sha256::new();
     hash.update(stream.to_le_bytes());
     hash.update(daemon);
     hash.finalize().into()
 }
+
+#[cfg(test)]
+mod tests;
