--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -51,7 +51,7 @@
             endpoints: self.endpoints(),
             leases: self.leases(),
             quarantine: self.quarantine(),
-            counts: counts(status.counts),
+            counts: counts([status.counts, self.control.counts()].concat()),
         }
     }
 
