Spill calls over the link when what is near is slow or full

Cause: a region whose few endpoints of a pool are all slow or failing waited for them while the other region's were idle. Change: a call crosses when its score there, with 0.25 s as the price of the link, beats the score or the queue near, the link's budget has room and the other side reports no queue.

--- a/benches/policy/targets.rs
+++ b/benches/policy/targets.rs
@@ -17,7 +17,7 @@
 /// Hedges as a share of calls.
 const HEDGES: f64 = 0.05;
 
-pub const MECHANISMS: [Mechanism; 15] = [
+pub const MECHANISMS: [Mechanism; 16] = [
     Mechanism::Score,
     Mechanism::Affinity,
     Mechanism::Region,
@@ -32,6 +32,7 @@
     Mechanism::RetryBudget,
     Mechanism::Retry,
     Mechanism::LinkBudget,
+    Mechanism::Spill,
     Mechanism::Move,
 ];
 
--- a/src/policy/adaptive.rs
+++ b/src/policy/adaptive.rs
@@ -23,6 +23,7 @@
 mod learning;
 mod placing;
 mod retrying;
+mod spilling;
 
 pub use builder::Builder;
 
@@ -57,6 +58,8 @@
         Retry,
         /// The budget of the regional link.
         LinkBudget,
+        /// Calls over the link when what is near is slow or full.
+        Spill,
         /// Moving a request's whole remainder to another region.
         Move,
     }
@@ -109,6 +112,8 @@
     is_hit: bool,
     has_prefixes: bool,
     is_suspect: bool,
+    /// Whether it does not count against the pool's limit.
+    is_far: bool,
 }
 
 /// A call's key.
--- a/src/policy/adaptive/learning.rs
+++ b/src/policy/adaptive/learning.rs
@@ -119,7 +119,8 @@
             }
         }
         if let Some(pool) = self.pools.get_mut(&flight.pool) {
-            pool.in_flight = pool.in_flight.saturating_sub(1);
+            let counted = u32::from(!flight.is_far);
+            pool.in_flight = pool.in_flight.saturating_sub(counted);
         }
         match ended.end {
             End::Answered(_) => self.answered(ended, now),
--- a/src/policy/adaptive/placing.rs
+++ b/src/policy/adaptive/placing.rs
@@ -4,11 +4,9 @@
 
 use super::{Adaptive, Flight, Key, Mechanism};
 use crate::clock::Time;
-use crate::id;
 use crate::limit::queue::Item;
 use crate::policy::{Ask, Pick, Placement, Ticket};
-use crate::route::link::Class;
-use crate::route::table::Rule;
+use crate::route::choice::Rule;
 
 /// How soon a refused stage may be sent again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -21,6 +19,13 @@
 /// The shortest timeout of a call.
 const MIN_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// A pick and its score.
+pub(super) struct Scored {
+    pub(super) pick: Pick,
+    /// Estimated seconds, see `route::choice`.
+    pub(super) score: f64,
+}
+
 fn refuse(reason: &'static str) -> Placement {
     Placement::Refuse {
         reason,
@@ -37,7 +42,9 @@
         self.pool(&ask.pool);
         let had_turn = self.unreserve(&key);
         if !had_turn && self.must_wait(ask) {
-            return self.enqueue(ask, now);
+            let wait = self.queue_wait(ask);
+            let spilt = self.spill(ask, wait, now);
+            return spilt.unwrap_or_else(|| self.enqueue(ask, now));
         }
         self.send(ask, now)
     }
@@ -91,78 +98,21 @@
     }
 
     fn send(&mut self, ask: &Ask, now: Time) -> Placement {
-        if let Some(pick) = self.choose_near(ask, false, now) {
-            self.begin(ask, &pick, now);
-            return Placement::Send(pick);
+        if let Some(near) = self.choose_near(ask, false, now) {
+            if let Some(placement) = self.spill(ask, near.score, now) {
+                return placement;
+            }
+            self.begin(ask, &near.pick, now);
+            return Placement::Send(near.pick);
         }
         if let Some(placement) = self.send_far(ask, now) {
             return placement;
         }
-        let Some(pick) = self.choose_near(ask, true, now) else {
+        let Some(near) = self.choose_near(ask, true, now) else {
             return refuse("no endpoint of the pool can take it");
         };
-        self.begin(ask, &pick, now);
-        Placement::Send(pick)
-    }
-
-    /// Nothing in the own region can take it: the remainder moves, or the call crosses the link.
-    fn send_far(&mut self, ask: &Ask, now: Time) -> Option<Placement> {
-        let rule = Rule {
-            ask,
-            affinity: None,
-            slow_start: self.sheet.pool(&ask.pool).slow_start,
-            takes_ejected: false,
-            compares: true,
-        };
-        let found = self.table.choose_far(&rule, now, &mut self.rng);
-        let (pick, region) = found.map(|e| {
-            (
-                self.pick(ask, &e.candidate, now),
-                e.candidate.region.clone(),
-            )
-        })?;
-        let class = Class::of(ask.repeatable, ask.priority);
-        if self.is_on(Mechanism::LinkBudget) && !self.link.has(class, ask.bytes, now) {
-            return Some(refuse("the regional link has no room"));
-        }
-        self.link.spend(ask.bytes, now);
-        if self.is_on(Mechanism::Move) && self.should_move(ask, &region) {
-            return Some(Placement::Move(region));
-        }
-        let pick = Pick {
-            hedge_after: None,
-            ..pick
-        };
-        self.begin(ask, &pick, now);
-        Some(Placement::Send(pick))
-    }
-
-    /// Whether every later stage is served in `region` and some only there, so that one move
-    /// replaces several crossings. Otherwise one call crosses and the rest use what is near.
-    fn should_move(&self, ask: &Ask, region: &id::Region) -> bool {
-        let is_near = |pool: &id::Pool| {
-            let members = self.table.members(pool);
-            members.is_some_and(|m| self.has_usable(m.near(), None))
-        };
-        let is_there = |pool: &id::Pool| {
-            let members = self.table.members(pool);
-            members.is_some_and(|m| self.has_usable(m.far.iter().copied(), Some(region)))
-        };
-        !ask.rest.iter().all(is_near) && ask.rest.iter().all(is_there)
-    }
-
-    fn has_usable(
-        &self,
-        mut members: impl Iterator<Item = usize>,
-        region: Option<&id::Region>,
-    ) -> bool {
-        members.any(|index| {
-            self.table.entry(index).is_some_and(|entry| {
-                let candidate = &entry.candidate;
-                let is_there = region.is_none_or(|r| *r == candidate.region);
-                is_there && !candidate.leaving && !entry.breaker.is_ejected()
-            })
-        })
+        self.begin(ask, &near.pick, now);
+        Placement::Send(near.pick)
     }
 
     pub(super) fn choose_near(
@@ -170,7 +120,7 @@
         ask: &Ask,
         takes_ejected: bool,
         now: Time,
-    ) -> Option<Pick> {
+    ) -> Option<Scored> {
         let has_affinity = self.is_on(Mechanism::Affinity) && !ask.prefixes.is_empty();
         let slow = self.is_on(Mechanism::SlowStart);
         let knobs = self.sheet.pool(&ask.pool);
@@ -187,10 +137,13 @@
             compares: self.is_on(Mechanism::Score),
         };
         let found = self.table.choose(&rule, now, &mut self.rng)?;
-        Some(self.pick(ask, &found.candidate, now))
+        Some(Scored {
+            score: found.score,
+            pick: self.pick(ask, &found.entry.candidate, now),
+        })
     }
 
-    fn pick(&self, ask: &Ask, candidate: &crate::policy::Candidate, now: Time) -> Pick {
+    pub(super) fn pick(&self, ask: &Ask, candidate: &crate::policy::Candidate, now: Time) -> Pick {
         Pick {
             endpoint: candidate.endpoint.clone(),
             address: candidate.address.clone(),
@@ -231,7 +184,11 @@
         let Some(pool) = self.pools.get_mut(&ask.pool) else {
             return;
         };
-        pool.in_flight += 1;
+        let is_far = self
+            .table
+            .get(&pick.endpoint)
+            .is_some_and(|e| self.table.is_beyond(&e.candidate));
+        pool.in_flight += u32::from(!is_far);
         let knobs = self.sheet.pool(&ask.pool);
         pool.retries.earn(knobs.retry_ratio);
         self.hedges.earn(knobs.hedge_ratio);
@@ -249,6 +206,7 @@
             is_hit: share >= 0.5,
             has_prefixes: !ask.prefixes.is_empty(),
             is_suspect: ask.suspect,
+            is_far,
         };
         self.flights.insert((ask.request, ask.attempt), flight);
     }
--- a/src/policy/adaptive/retrying.rs
+++ b/src/policy/adaptive/retrying.rs
@@ -62,7 +62,7 @@
         if pool.is_full() || !self.hedges.has_one() {
             return None;
         }
-        let pick = self.choose_near(ask, false, now)?;
+        let pick = self.choose_near(ask, false, now)?.pick;
         if !self.hedges.spend() {
             return None;
         }
--- /dev/null
+++ b/src/policy/adaptive/spilling.rs
@@ -0,0 +1,106 @@
+//! What crosses the regional link: calls that nothing near can take in reasonable time, and
+//! whole remainders.
+
+use super::placing::Scored;
+use super::{Adaptive, Mechanism};
+use crate::clock::Time;
+use crate::id;
+use crate::policy::{Ask, Pick, Placement};
+use crate::route::choice::Rule;
+use crate::route::link::Class;
+
+/// Seconds that a call must save to be worth the price of the link.
+const PRICE: f64 = 0.25;
+/// Seconds of the way to another region and back.
+const DISTANCE: f64 = 0.02;
+
+impl Adaptive {
+    /// Predicted seconds until a stage that has to wait is answered.
+    pub(super) fn queue_wait(&self, ask: &Ask) -> f64 {
+        let Some(pool) = self.pools.get(&ask.pool) else {
+            return 0.0;
+        };
+        let ahead = pool.queue.len() as f64 + 1.0;
+        let latency = pool.latency.get().unwrap_or(0.0);
+        latency * (1.0 + ahead / pool.limit.level().max(1.0))
+    }
+
+    /// Sends a call over the link when that saves more than its price and the other side has room.
+    pub(super) fn spill(&mut self, ask: &Ask, near: f64, now: Time) -> Option<Placement> {
+        let least = PRICE + DISTANCE;
+        if near < least || !self.is_on(Mechanism::Spill) {
+            return None;
+        }
+        let target = self.sheet.pool(&ask.pool).waiting_target;
+        let waiting = self.table.far_waiting(&ask.pool, now)?;
+        if waiting >= target {
+            return None;
+        }
+        let far = self.choose_far(ask, now)?;
+        if far.scored.score + least >= near || !self.takes_link(ask, now) {
+            return None;
+        }
+        self.begin(ask, &far.scored.pick, now);
+        Some(Placement::Send(far.scored.pick))
+    }
+
+    /// Nothing in the own region can take it: the remainder moves, or the call crosses the link.
+    pub(super) fn send_far(&mut self, ask: &Ask, now: Time) -> Option<Placement> {
+        let far = self.choose_far(ask, now)?;
+        if !self.takes_link(ask, now) {
+            return None;
+        }
+        if self.is_on(Mechanism::Move) && self.should_move(ask, &far.region) {
+            return Some(Placement::Move(far.region));
+        }
+        self.begin(ask, &far.scored.pick, now);
+        Some(Placement::Send(far.scored.pick))
+    }
+
+    /// Takes the bytes of a call from the link's budget; false when there is no room for it.
+    fn takes_link(&mut self, ask: &Ask, now: Time) -> bool {
+        let class = Class::of(ask.repeatable, ask.priority);
+        if self.is_on(Mechanism::LinkBudget) && !self.link.has(class, ask.bytes, now) {
+            return false;
+        }
+        self.link.spend(ask.bytes, now);
+        true
+    }
+
+    fn choose_far(&mut self, ask: &Ask, now: Time) -> Option<Far> {
+        let rule = Rule {
+            ask,
+            affinity: None,
+            slow_start: self.sheet.pool(&ask.pool).slow_start,
+            takes_ejected: false,
+            compares: true,
+        };
+        let found = self.table.choose_far(&rule, now, &mut self.rng)?;
+        let candidate = &found.entry.candidate;
+        let pick = Pick {
+            hedge_after: None,
+            ..self.pick(ask, candidate, now)
+        };
+        Some(Far {
+            region: candidate.region.clone(),
+            scored: Scored {
+                pick,
+                score: found.score,
+            },
+        })
+    }
+
+    /// Whether every later stage is served in `region` and some only there, so that one move
+    /// replaces several crossings. Otherwise one call crosses and the rest use what is near.
+    fn should_move(&self, ask: &Ask, region: &id::Region) -> bool {
+        let is_near = |pool: &id::Pool| self.table.is_served(pool, None);
+        let is_there = |pool: &id::Pool| self.table.is_served(pool, Some(region));
+        !ask.rest.iter().all(is_near) && ask.rest.iter().all(is_there)
+    }
+}
+
+/// A choice in another region.
+struct Far {
+    region: id::Region,
+    scored: Scored,
+}
--- a/src/route.rs
+++ b/src/route.rs
@@ -3,6 +3,7 @@
 //! See [the design note](../docs/design/policy.md).
 
 pub mod affinity;
+pub mod choice;
 pub mod entry;
 pub mod health;
 pub mod link;
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -1,32 +1,12 @@
-//! The table of endpoints that may be chosen, and the choice among them.
-//!
-//! The choice is by power of two choices over a score: random sampling keeps daemons that see
-//! the same late report from all choosing the same endpoint.
-
-use std::time::Duration;
+//! The table of endpoints that may be chosen.
 
 use indexmap::IndexMap;
-use rand::RngExt;
-use rand_chacha::ChaCha8Rng;
 
-use super::affinity::Index;
 use super::entry::Entry;
 use crate::clock::Time;
-use crate::policy::{Ask, Candidate};
+use crate::policy::Candidate;
 use crate::{endpoint, id};
 
-/// Tries at finding an eligible endpoint by chance before all are looked at.
-const TRIES: usize = 6;
-/// Latency taken for an endpoint of which nothing is known, in seconds.
-const UNKNOWN: f64 = 0.05;
-/// Factor on the score of an endpoint in another availability zone: fewer daemons share an
-/// endpoint when most keep to their zone, so that each knows more of its load.
-const ZONE_FACTOR: f64 = 1.3;
-/// Share of the remaining time that a failure costs where the call may be repeated.
-const REPEAT_LOSS: f64 = 0.3;
-/// Added for an endpoint in another availability zone of the region, in seconds.
-const ZONE_DELAY: f64 = 0.003;
-
 /// The endpoints of one pool, as indices into the table, by distance.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
@@ -37,7 +17,7 @@
     /// In other regions.
     pub far: Vec<usize>,
     /// Whether any of them reported versions, so that one without lacks the model.
-    has_versions: bool,
+    pub(super) has_versions: bool,
     /// The median of their mean latencies in seconds.
     pub median: Option<f64>,
 }
@@ -62,28 +42,13 @@
     }
 }
 
-/// What a choice is made by.
-#[derive(Clone, Copy, Debug)]
-pub struct Rule<'a> {
-    /// The stage.
-    pub ask: &'a Ask,
-    /// Prefix affinity, when it is used.
-    pub affinity: Option<&'a Index>,
-    /// How long newcomers start slowly.
-    pub slow_start: Duration,
-    /// Whether ejected endpoints are taken as well, because no other is left.
-    pub takes_ejected: bool,
-    /// Whether two choices are compared; one is taken otherwise.
-    pub compares: bool,
-}
-
 /// All known endpoints.
 #[derive(Debug)]
 pub struct Table {
-    zone: id::Zone,
-    region: id::Region,
+    pub(super) zone: id::Zone,
+    pub(super) region: id::Region,
     /// Whether all regions count as the own one.
-    is_flat: bool,
+    pub(super) is_flat: bool,
     entries: IndexMap<id::Endpoint, Entry>,
     pools: IndexMap<id::Pool, Members>,
 }
@@ -200,6 +165,42 @@
         reports.get(reports.len() / 2).copied()
     }
 
+    /// Calls that wait at the median endpoint of other regions, by fresh reports.
+    pub fn far_waiting(&self, pool: &str, now: Time) -> Option<f64> {
+        let far = self.pools.get(pool)?.far.iter();
+        let mut waiting: Vec<f64> = far
+            .filter_map(|i| self.entry(*i))
+            .filter_map(|e| e.reported(now))
+            .map(|(waiting, _)| waiting)
+            .collect();
+        waiting.sort_by(f64::total_cmp);
+        waiting.get(waiting.len() / 2).copied()
+    }
+
+    /// Whether a pool has a usable endpoint near, or in the region given.
+    pub fn is_served(&self, pool: &str, region: Option<&id::Region>) -> bool {
+        let Some(members) = self.pools.get(pool) else {
+            return false;
+        };
+        let entries = members.all().filter_map(|i| self.entry(i));
+        entries
+            .filter(|e| !e.candidate.leaving && !e.breaker.is_ejected())
+            .any(|e| match region {
+                Some(region) => *region == e.candidate.region,
+                None => self.is_flat || e.candidate.region == self.region,
+            })
+    }
+
+    /// Whether calls there do not count against the limit: it is in another region, and the pool
+    /// has endpoints near.
+    pub fn is_beyond(&self, candidate: &Candidate) -> bool {
+        let is_far = !self.is_flat && candidate.region != self.region;
+        is_far
+            && self
+                .members(&candidate.pool)
+                .is_some_and(|m| m.near().next().is_some())
+    }
+
     /// Computes the median of the mean latencies of a pool again.
     pub fn refresh(&mut self, pool: &str) {
         let Some(members) = self.pools.get(pool) else {
@@ -254,130 +255,4 @@
         entry.is_slow = false;
         true
     }
-
-    fn is_eligible(&self, entry: &Entry, members: &Members, rule: &Rule<'_>, now: Time) -> bool {
-        let ask = rule.ask;
-        let name = &entry.candidate.endpoint;
-        if entry.candidate.leaving || entry.is_alone {
-            return false;
-        }
-        if ask.exclude.contains(name) {
-            return false;
-        }
-        if entry.breaker.is_ejected() && !rule.takes_ejected && !entry.may_probe(ask, now) {
-            return false;
-        }
-        if members.has_versions && entry.lacks_model() == Some(true) {
-            return false;
-        }
-        ask.version.as_ref().is_none_or(|v| entry.has_version(v))
-    }
-
-    /// Estimated seconds until an answer, plus what the choice costs others.
-    fn score(&self, entry: &Entry, members: &Members, rule: &Rule<'_>, now: Time) -> f64 {
-        let peers = members.median.unwrap_or(UNKNOWN);
-        let latency = entry.latency_or(peers, now);
-        let mut work = entry.load(now) + 1.0;
-        if let Some(index) = rule.affinity {
-            let share = index.share(&entry.candidate.endpoint, &rule.ask.prefixes);
-            work -= share * index.worth();
-        }
-        let (factor, delay) = if entry.candidate.zone == self.zone {
-            (1.0, 0.0)
-        } else {
-            (ZONE_FACTOR, ZONE_DELAY)
-        };
-        let wait = work * latency * factor / entry.share(rule.slow_start, now) + delay;
-        wait + entry.risk(now) * loss(rule.ask, now)
-    }
-
-    /// Chooses an endpoint in the own region.
-    pub fn choose(&self, rule: &Rule<'_>, now: Time, rng: &mut ChaCha8Rng) -> Option<&Entry> {
-        let members = self.pools.get(&rule.ask.pool)?;
-        let mut best = Best::default();
-        let lists = [&members.zone, &members.region];
-        for list in lists {
-            let wanted = if rule.compares { 2 } else { 1 };
-            for _ in 0..wanted {
-                let found = self.sample(list, members, rule, now, rng);
-                best.offer(found.map(|e| (self.score(e, members, rule, now), e)));
-            }
-            if !rule.compares && best.entry.is_some() {
-                break;
-            }
-        }
-        if let Some(index) = rule.affinity {
-            for name in index.holders(&rule.ask.prefixes) {
-                let found = self.get(name).filter(|e| {
-                    (self.is_flat || e.candidate.region == self.region)
-                        && self.is_eligible(e, members, rule, now)
-                });
-                best.offer(found.map(|e| (self.score(e, members, rule, now), e)));
-            }
-        }
-        best.entry
-    }
-
-    /// Chooses an endpoint in another region.
-    pub fn choose_far(&self, rule: &Rule<'_>, now: Time, rng: &mut ChaCha8Rng) -> Option<&Entry> {
-        let members = self.pools.get(&rule.ask.pool)?;
-        let mut best = Best::default();
-        for _ in 0..2 {
-            let found = self.sample(&members.far, members, rule, now, rng);
-            best.offer(found.map(|e| (self.score(e, members, rule, now), e)));
-        }
-        best.entry
-    }
-
-    /// An eligible endpoint of a list by chance; any one when chance finds none.
-    fn sample(
-        &self,
-        list: &[usize],
-        members: &Members,
-        rule: &Rule<'_>,
-        now: Time,
-        rng: &mut ChaCha8Rng,
-    ) -> Option<&Entry> {
-        if list.is_empty() {
-            return None;
-        }
-        for _ in 0..TRIES {
-            let at = rng.random_range(0..list.len());
-            let entry = self.entry(list[at])?;
-            if self.is_eligible(entry, members, rule, now) {
-                return Some(entry);
-            }
-        }
-        list.iter()
-            .filter_map(|i| self.entry(*i))
-            .find(|e| self.is_eligible(e, members, rule, now))
-    }
-}
-
-/// Seconds that a failed call costs: all that is left where it may not be repeated.
-fn loss(ask: &Ask, now: Time) -> f64 {
-    let left = ask.deadline.saturating_sub(now).as_secs_f64();
-    if ask.repeatable {
-        left * REPEAT_LOSS
-    } else {
-        left
-    }
-}
-
-#[derive(Default)]
-struct Best<'a> {
-    score: f64,
-    entry: Option<&'a Entry>,
-}
-
-impl<'a> Best<'a> {
-    fn offer(&mut self, found: Option<(f64, &'a Entry)>) {
-        let Some((score, entry)) = found else {
-            return;
-        };
-        if self.entry.is_none() || score < self.score {
-            self.score = score;
-            self.entry = Some(entry);
-        }
-    }
 }
