--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use crate::clock::Time;
-use crate::{endpoint, id};
+use crate::{endpoint, id, route};
 
 pub mod adaptive;
 pub mod deadline;
 pub mod knobs;
 pub mod latency;
 pub mod naive;
+pub mod placement;
 
 event! {
     /// A request at the door.
@@ -204,6 +205,8 @@
         Candidates(Vec<Candidate>),
         /// An endpoint is leaving.
         Leaving(id::Endpoint),
+        /// The load of a pool in another availability zone.
+        Digest(route::digest::Digest),
         /// Knobs of a scope, exceptions applied; none takes the scope's exception back.
         Knobs(knobs::Scope, Option<Box<knobs::Knobs>>),
     }
@@ -227,6 +230,10 @@
     fn is_hopeless(&self, ask: &Ask, now: Time) -> bool;
     /// Learns.
     fn observe(&mut self, observation: &Observation, now: Time);
+    /// Digests of the load near, for daemons elsewhere.
+    fn digests(&self, _now: Time) -> Vec<route::digest::Digest> {
+        Vec::new()
+    }
     /// When `ready` should be called next, if nothing happens before.
     fn next_wake(&self) -> Option<Time>;
 }
--- a/src/policy/adaptive.rs
+++ b/src/policy/adaptive.rs
@@ -14,6 +14,7 @@
 use crate::policy::latency::Mean;
 use crate::retry::Budget;
 use crate::route::affinity::Index;
+use crate::route::digest::{Board, Digest};
 use crate::route::table::{Members, Table};
 use crate::route::{Kind, link};
 use crate::{endpoint, id};
@@ -127,6 +128,8 @@
     kinds: IndexMap<id::Pool, Kind>,
     sheet: Sheet,
     weights: IndexMap<id::Workspace, f64>,
+    /// Load of the pools in other availability zones.
+    board: Board,
     forecast: Forecast,
     admitted: IndexMap<id::Request, Admitted>,
     flights: IndexMap<Key, Flight>,
@@ -238,6 +241,10 @@
         self.learn(observation, now);
     }
 
+    fn digests(&self, now: Time) -> Vec<Digest> {
+        self.table.digests(now)
+    }
+
     fn next_wake(&self) -> Option<Time> {
         if !self.told.is_empty() {
             return Some(Time::ZERO);
--- a/src/policy/adaptive/builder.rs
+++ b/src/policy/adaptive/builder.rs
@@ -9,6 +9,7 @@
 use crate::policy::deadline::Forecast;
 use crate::policy::knobs::{Knobs, Scope, Sheet};
 use crate::retry::Budget;
+use crate::route::digest::Board;
 use crate::route::table::Table;
 use crate::route::{Kind, link};
 
@@ -96,6 +97,7 @@
             kinds: self.kinds,
             sheet,
             weights: self.weights,
+            board: Board::default(),
             forecast: Forecast::default(),
             admitted: IndexMap::new(),
             flights: IndexMap::new(),
--- a/src/policy/adaptive/learning.rs
+++ b/src/policy/adaptive/learning.rs
@@ -64,6 +64,7 @@
                     entry.candidate.leaving = true;
                 }
             }
+            Observation::Digest(digest) => self.board.learn(digest, now),
             Observation::Knobs(scope, knobs) => {
                 match knobs {
                     Some(knobs) => self.sheet.set(scope, (**knobs).clone()),
--- a/src/policy/adaptive/spilling.rs
+++ b/src/policy/adaptive/spilling.rs
@@ -11,6 +11,8 @@
 
 /// Seconds that a call must save to be worth the price of the link.
 const PRICE: f64 = 0.25;
+/// Share of the target of waiting calls up to which the other side counts as idle.
+const IDLE: f64 = 0.25;
 /// Seconds of the way to another region and back.
 const DISTANCE: f64 = 0.02;
 
@@ -33,7 +35,7 @@
         }
         let target = self.sheet.pool(&ask.pool).waiting_target;
         let waiting = self.table.far_waiting(&ask.pool, now)?;
-        if waiting >= target {
+        if waiting > target * IDLE {
             return None;
         }
         let far = self.choose_far(ask, now)?;
@@ -46,7 +48,9 @@
 
     /// Nothing in the own region can take it: the remainder moves, or the call crosses the link.
     pub(super) fn send_far(&mut self, ask: &Ask, now: Time) -> Option<Placement> {
-        let far = self.choose_far(ask, now)?;
+        let Some(far) = self.choose_far(ask, now) else {
+            return self.move_by_digest(ask, now);
+        };
         if !self.takes_link(ask, now) {
             return None;
         }
@@ -57,6 +61,16 @@
         Some(Placement::Send(far.scored.pick))
     }
 
+    /// No endpoint elsewhere is known; a region whose digests promise room takes the remainder.
+    fn move_by_digest(&mut self, ask: &Ask, now: Time) -> Option<Placement> {
+        let target = self.sheet.pool(&ask.pool).waiting_target;
+        let home = self.table.region();
+        let region = self.board.region(&ask.pool, home, target, now)?.clone();
+        let serves = |pool: &id::Pool| self.board.serves(pool, &region, now);
+        let is_whole = ask.rest.iter().all(serves);
+        (is_whole && self.takes_link(ask, now)).then_some(Placement::Move(region))
+    }
+
     /// Takes the bytes of a call from the link's budget; false when there is no room for it.
     fn takes_link(&mut self, ask: &Ask, now: Time) -> bool {
         let class = Class::of(ask.repeatable, ask.priority);
--- a/src/policy/adaptive/tests/choice.rs
+++ b/src/policy/adaptive/tests/choice.rs
@@ -164,3 +164,49 @@
         }
     }
 }
+
+#[test]
+fn place_unknown_pool_moves_by_digest() {
+    let mut policy = policy(&[]);
+    let digest = Digest {
+        zone: "tartu-a".into(),
+        region: "tartu".into(),
+        pool: "menu-model".into(),
+        endpoints: 4,
+        waiting: 0.0,
+    };
+    policy.observe(&Observation::Digest(digest), NOW);
+    assert_eq!(policy.place(&ask(1), NOW), Placement::Move("tartu".into()));
+    let mut longer = ask(2);
+    longer.rest = vec!["billing".into()];
+    let placement = policy.place(&longer, NOW);
+    assert!(matches!(placement, Placement::Refuse { .. }));
+}
+
+#[test]
+fn place_slow_near_spills_over_the_link() {
+    let near = candidate("near", "tallinn-a", "tallinn");
+    let far = candidate("far", "tartu-a", "tartu");
+    let mut policy = policy(&[near, far]);
+    let idle = endpoint::Load {
+        running: 0,
+        waiting: 0,
+        cache_free: 1.0,
+        versions: vec!["v1".into()],
+        role: None,
+    };
+    let report = Observation::Load {
+        endpoint: "far".into(),
+        load: idle,
+    };
+    let first = ask(0);
+    let pick = send(&mut policy, &first, NOW).unwrap();
+    policy.observe(&ended(&first, &pick, 900, answered()), NOW);
+    policy.observe(&report, NOW);
+    let picks: Vec<Pick> = (1..8)
+        .filter_map(|number| send(&mut policy, &ask(number), NOW))
+        .collect();
+    let far = picks.iter().filter(|p| &*p.endpoint == "far").count();
+    assert!(far > 0);
+    assert_eq!(policy.link_bytes(), far as u64 * 1000);
+}
--- a/src/policy/knobs.rs
+++ b/src/policy/knobs.rs
@@ -89,7 +89,7 @@
             priority_step: 0.02,
             retry_ratio: 0.15,
             retry_base: Duration::from_millis(20),
-            hedge_ratio: 0.04,
+            hedge_ratio: 0.03,
             hedge_quantile: 0.97,
             eject_failures: 3,
             eject_outlier: 3.0,
--- a/src/route.rs
+++ b/src/route.rs
@@ -4,6 +4,7 @@
 
 pub mod affinity;
 pub mod choice;
+pub mod digest;
 pub mod entry;
 pub mod health;
 pub mod link;
--- a/src/route/affinity.rs
+++ b/src/route/affinity.rs
@@ -3,6 +3,8 @@
 //! A stale entry costs a prefill, never a wrong answer, so that entries are hints: what they are
 //! worth is learnt from the calls that followed them.
 
+use std::hash::{BuildHasherDefault, Hasher};
+
 use indexmap::{IndexMap, IndexSet};
 
 use crate::id;
@@ -11,7 +13,7 @@
 /// The most prefixes remembered for one endpoint.
 const MAX_PREFIXES: usize = 4096;
 /// The most endpoints remembered for one prefix.
-const MAX_HOLDERS: usize = 8;
+const MAX_HOLDERS: usize = 4;
 /// Weight of a new sample in the learnt worth.
 const ALPHA: f64 = 0.05;
 /// Samples of both sorts before the learnt worth replaces the first guess.
@@ -19,17 +21,43 @@
 /// Share of a call that a full hit saves, until it is learnt.
 const FIRST_GUESS: f64 = 0.2;
 
+/// An odd constant that spreads a hash over all bits.
+const MIX: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Passes a prefix's hash through, because it is a hash already.
+#[derive(Clone, Copy, Debug, Default)]
+struct Identity(u64);
+
+impl Hasher for Identity {
+    fn finish(&self) -> u64 {
+        // The table reads the upper bits as well.
+        self.0.wrapping_mul(MIX)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
+        }
+    }
+
+    fn write_u64(&mut self, hash: u64) {
+        self.0 = hash;
+    }
+}
+
+type State = BuildHasherDefault<Identity>;
+
 #[derive(Debug, Default)]
 struct Held {
     sequence: u64,
-    prefixes: IndexSet<u64>,
+    prefixes: IndexSet<u64, State>,
 }
 
 /// Which endpoints of a pool are believed to hold which prefixes.
 #[derive(Debug, Default)]
 pub struct Index {
     held: IndexMap<id::Endpoint, Held>,
-    holders: IndexMap<u64, Vec<id::Endpoint>>,
+    holders: IndexMap<u64, Vec<id::Endpoint>, State>,
     /// Seconds of calls sent to a believed holder.
     hit: Mean,
     /// Seconds of calls sent elsewhere.
@@ -114,12 +142,13 @@
         }
     }
 
-    /// The believed holders of the longest known prefix.
+    /// The believed holders of the longest known prefix. Whoever holds a prefix holds the shorter
+    /// ones, so that a binary search finds it.
     pub fn holders(&self, prefixes: &[u64]) -> &[id::Endpoint] {
-        prefixes
-            .iter()
-            .rev()
-            .find_map(|p| self.holders.get(p))
+        let known = prefixes.partition_point(|p| self.holders.contains_key(p));
+        let longest = known.checked_sub(1).and_then(|at| prefixes.get(at));
+        longest
+            .and_then(|p| self.holders.get(p))
             .map_or(&[], Vec::as_slice)
     }
 
@@ -128,8 +157,11 @@
         let Some(held) = self.held.get(endpoint) else {
             return 0.0;
         };
-        let longest = prefixes.iter().rposition(|p| held.prefixes.contains(p));
-        longest.map_or(0.0, |i| (i + 1) as f64 / prefixes.len() as f64)
+        if prefixes.is_empty() {
+            return 0.0;
+        }
+        let known = prefixes.partition_point(|p| held.prefixes.contains(p));
+        known as f64 / prefixes.len() as f64
     }
 
     /// Learns how long a call took, by whether a hit was expected of it.
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use super::digest::Digest;
 use super::entry::Entry;
 use crate::clock::Time;
 use crate::policy::Candidate;
@@ -107,6 +108,11 @@
         self.pools = pools;
     }
 
+    /// The own region.
+    pub fn region(&self) -> &id::Region {
+        &self.region
+    }
+
     /// The endpoints of a pool.
     pub fn members(&self, pool: &str) -> Option<&Members> {
         self.pools.get(pool)
@@ -201,6 +207,26 @@
                 .is_some_and(|m| m.near().next().is_some())
     }
 
+    /// Digests of the pools in the own availability zone.
+    pub fn digests(&self, now: Time) -> Vec<Digest> {
+        let pools = self.pools.iter().filter(|(_, m)| !m.zone.is_empty());
+        pools
+            .map(|(pool, members)| {
+                let entries = members.zone.iter().filter_map(|i| self.entry(*i));
+                let usable = entries
+                    .filter(|e| !e.candidate.leaving && !e.breaker.is_ejected())
+                    .count();
+                Digest {
+                    zone: self.zone.clone(),
+                    region: self.region.clone(),
+                    pool: pool.clone(),
+                    endpoints: u32::try_from(usable).unwrap_or(u32::MAX),
+                    waiting: self.pressure(pool, now).map_or(0.0, |(waiting, _)| waiting),
+                }
+            })
+            .collect()
+    }
+
     /// Computes the median of the mean latencies of a pool again.
     pub fn refresh(&mut self, pool: &str) {
         let Some(members) = self.pools.get(pool) else {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod demo;
 mod docs;
+mod policy;
 mod regions;
 mod rig;
 mod schema;
