--- a/src/claim/stream.rs
+++ b/src/claim/stream.rs
@@ -34,6 +34,8 @@
 pub const EXPIRE_EVERY: Duration = Duration::from_secs(60);
 /// How often the preferred writer reads when nobody waits, so that its index is warm.
 pub const WARM_EVERY: Duration = Duration::from_secs(1);
+/// Keys that the index of one stream holds; beyond that, new keys are refused.
+pub const MAX_KEYS: usize = 250_000;
 /// Endings whose bodies are kept in memory, so that those who joined need no further read.
 const BODIES: usize = 64;
 /// Bytes of the bodies that are kept.
@@ -105,6 +107,8 @@
 #[derive(Debug, Default)]
 struct Reading {
     in_flight: bool,
+    /// Reads that began so far.
+    count: u64,
     /// The read in flight began after the append whose result is unknown.
     settles: bool,
     not_before: Time,
@@ -118,6 +122,7 @@
     window: Duration,
     retention: Duration,
     limit: usize,
+    capacity: usize,
     fold: Fold,
     writer: Writer,
     waits: IndexMap<id::Request, Wait>,
@@ -141,6 +146,7 @@
             window: Duration::from_millis(claims.window_ms),
             retention: Duration::from_millis(claims.retention_ms),
             limit: claims.max_outcome_bytes as usize,
+            capacity: MAX_KEYS,
             fold: Fold::default(),
             writer: Writer::new(super::writer::stream_rate(claims.streams)),
             waits: IndexMap::new(),
@@ -156,6 +162,13 @@
         }
     }
 
+    /// Sets how many keys the index may hold.
+    #[must_use]
+    pub fn with_capacity(mut self, keys: usize) -> Self {
+        self.capacity = keys;
+        self
+    }
+
     /// Returns the index.
     pub fn fold(&self) -> &Fold {
         &self.fold
@@ -280,15 +293,19 @@
         if !self.writer.is_failing() {
             self.note_log(true, now.mono);
         }
+        if page.first > self.fold.position() {
+            // Keys that were carried forward may stand anywhere up to the end.
+            self.is_ready = false;
+        }
         self.reading.not_before = now.mono;
         self.reading.warm_at = now.mono + WARM_EVERY;
-        for group in self.fold.apply(page) {
-            self.pass
-                .sample(self.fold.position(), &group, self.retention);
+        for (next, group) in self.fold.apply(page) {
+            self.pass.sample(next, &group, self.retention);
             self.group(group, out);
         }
         if self.fold.position() >= page.end {
             self.is_ready = true;
+            self.refresh(self.reading.count);
             if settles {
                 self.writer.caught_up();
             }
@@ -300,6 +317,7 @@
             let seen = fold::seen(&entry);
             self.writer.seen(seen);
             self.reconsider(seen);
+            self.pass.seen(seen);
             durable(seen, out);
             if let Entry::Outcome(outcome) = entry {
                 self.keep(outcome.request, outcome.ending);
@@ -336,13 +354,20 @@
             LONG_POLL
         };
         self.reading.in_flight = true;
+        self.reading.count += 1;
         self.reading.settles = doubtful;
         out.push(Action::Read(self.fold.position(), wait));
     }
 
+    /// Says whether something waits for the next records.
+    fn is_eager(&self) -> bool {
+        let is_failing = self.failing_since.is_some();
+        !self.waits.is_empty() || self.writer.is_doubtful() || self.pass.is_waiting() || is_failing
+    }
+
     fn wants_read(&self, now: Time) -> bool {
         let warm = self.is_writer && now >= self.reading.warm_at;
-        !self.waits.is_empty() || self.writer.is_doubtful() || self.failing_since.is_some() || warm
+        self.is_eager() || warm
     }
 
     fn expire(&mut self, now: Now) {
@@ -355,11 +380,9 @@
     /// Returns when `Event::Wake` is due.
     pub fn next_wake(&self) -> Option<Time> {
         let waits = self.waits.values().map(Wait::next_wake).min();
-        let busy =
-            !self.waits.is_empty() || self.writer.is_doubtful() || self.failing_since.is_some();
         let read = match self.reading.in_flight {
             true => None,
-            false if busy => Some(self.reading.not_before),
+            false if self.is_eager() => Some(self.reading.not_before),
             false if self.is_writer => Some(self.reading.warm_at),
             false => None,
         };
@@ -376,3 +399,6 @@
         out.push(Action::Durable(seen.request));
     }
 }
+
+#[cfg(test)]
+mod tests;
