Keep a few relays of each region and test a caller that does not read

Connections for stages hold compression windows; with every daemon of a region as relay a fleet of 400 would hold hundreds in each daemon. Rendezvous hashing keeps three of each region. Addresses without a connection are forgotten. A caller that reads nothing holds neither its request nor others, and then gets every token.

--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sha2::{Digest, Sha256};
 
 use super::core::{Core, Peer};
 use crate::id;
@@ -21,6 +22,8 @@
 ///
 /// It bounds what a daemon sends and receives for control where there are thousands of engines.
 const READ_EVERY: Duration = Duration::from_millis(125);
+/// Daemons of each region through which its endpoints are called.
+const RELAYS: usize = 3;
 /// The longest time between two looks at waiting stages.
 const WAKE_EVERY: Duration = Duration::from_millis(10);
 
@@ -148,7 +151,7 @@
                 region: self.region(&vm.zone)?,
             })
         });
-        peers.collect()
+        relays(&self.core.site.daemon, peers.collect())
     }
 
     fn candidates(&self, vms: &[Vm]) -> Vec<Candidate> {
@@ -167,6 +170,30 @@
     }
 }
 
+/// Keeps a few daemons of each region, by rendezvous hashing.
+///
+/// Each connection for stages holds the window of its compression; a fleet of hundreds of daemons
+/// that all know each other would hold hundreds of them.
+pub(super) fn relays(daemon: &str, mut peers: Vec<Peer>) -> Vec<Peer> {
+    peers.sort_by_cached_key(|peer| (peer.region.clone(), weight(daemon, &peer.address)));
+    let mut kept: Vec<Peer> = Vec::new();
+    for peer in peers {
+        let last = kept.len().checked_sub(RELAYS).map(|at| &kept[at]);
+        if last.is_none_or(|last| last.region != peer.region) {
+            kept.push(peer);
+        }
+    }
+    kept
+}
+
+fn weight(daemon: &str, address: &str) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(daemon);
+    hash.update([0]);
+    hash.update(address);
+    hash.finalize().into()
+}
+
 fn observe(core: &Core, observation: &Observation) {
     let now = core.clock.now();
     core.policy.lock().observe(observation, now);
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -23,6 +23,8 @@
 
 /// Bytes of a message besides its body: segment table, header and capability table.
 const ENVELOPE_BYTES: u64 = 104;
+/// Addresses that are known before those without a connection are forgotten.
+const MAX_SLOTS: usize = 2048;
 /// Bytes of an empty answer to a message.
 const RETURN_BYTES: u64 = 64;
 
@@ -124,6 +126,10 @@
 
     fn slot(&self, address: &str, coding: Coding) -> Rc<Slot> {
         let mut slots = self.slots.borrow_mut();
+        if slots.len() >= MAX_SLOTS {
+            // Daemons are replaced every day, and their addresses with them.
+            slots.retain(|_, slot| Rc::strong_count(slot) > 1 || slot.is_up());
+        }
         let slot = slots.entry((address.to_owned(), coding));
         slot.or_insert_with(|| Rc::new(Slot::new(coding))).clone()
     }
--- a/src/peer/slot.rs
+++ b/src/peer/slot.rs
@@ -97,6 +97,11 @@
         self.retry_at.set(Some(until));
     }
 
+    /// Says whether there is a connection.
+    pub fn is_up(&self) -> bool {
+        self.current().is_some()
+    }
+
     fn current(&self) -> Option<daemon::Client> {
         let up = self.up.borrow();
         let up = up.as_ref().filter(|up| !up.is_broken.get())?;
--- a/tests/integration/callers.rs
+++ b/tests/integration/callers.rs
@@ -1,6 +1,9 @@
 //! What callers see: answers, tokens, verdicts, and errors for hostile input.
 
-use crate::rig::{Rig, until};
+use cyclamenrill::daemon::Ports;
+use cyclamenrill::policy::naive::Naive;
+
+use crate::rig::{PATIENCE, Rig, until};
 
 const KEY: &str = "Idempotency-Key: k1\r\n";
 const EVENTS: &str = "Accept: text/event-stream\r\n";
@@ -255,3 +258,22 @@
     open.answer("\"booked\"");
     assert_eq!(rig.post("donation", KEY, "{}").reply().body, "\"booked\"");
 }
+
+#[test]
+fn caller_that_does_not_read_holds_nobody() {
+    let patient = Naive::new(1).with_timeout(PATIENCE);
+    let rig = Rig::start_with(Ports::new().policy(Box::new(patient)));
+    let mut slow = rig.post("bulletin", EVENTS, "{}");
+    let open = rig.next_call();
+    let text = "x".repeat(1000);
+    // More than the buffers of a connection take.
+    for index in 0..12_000 {
+        open.token(index, &text);
+    }
+    open.answer("\"end\"");
+    until(|| rig.daemon.status().requests == 0);
+    assert_next_is_served(&rig);
+    slow.head();
+    let events = std::iter::from_fn(|| slow.event());
+    assert_eq!(events.count(), 12_001);
+}
