--- a/src/policy/adaptive.rs
+++ b/src/policy/adaptive.rs
@@ -14,6 +14,7 @@
 use crate::policy::latency::Mean;
 use crate::retry::Budget;
 use crate::route::affinity::Index;
+use crate::route::digest::{Board, Digest};
 use crate::route::table::{Members, Table};
 use crate::route::{Kind, link};
 use crate::{endpoint, id};
@@ -23,6 +24,7 @@
 mod learning;
 mod placing;
 mod retrying;
+mod spilling;
 
 pub use builder::Builder;
 
@@ -57,6 +59,8 @@
         Retry,
         /// The budget of the regional link.
         LinkBudget,
+        /// Calls over the link when what is near is slow or full.
+        Spill,
         /// Moving a request's whole remainder to another region.
         Move,
     }
@@ -109,6 +113,8 @@
     is_hit: bool,
     has_prefixes: bool,
     is_suspect: bool,
+    /// Whether it does not count against the pool's limit.
+    is_far: bool,
 }
 
 /// A call's key.
@@ -122,6 +128,8 @@
     kinds: IndexMap<id::Pool, Kind>,
     sheet: Sheet,
     weights: IndexMap<id::Workspace, f64>,
+    /// Load of the pools in other availability zones.
+    board: Board,
     forecast: Forecast,
     admitted: IndexMap<id::Request, Admitted>,
     flights: IndexMap<Key, Flight>,
@@ -233,6 +241,10 @@
         self.learn(observation, now);
     }
 
+    fn digests(&self, now: Time) -> Vec<Digest> {
+        self.table.digests(now)
+    }
+
     fn next_wake(&self) -> Option<Time> {
         if !self.told.is_empty() {
             return Some(Time::ZERO);
