--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod demo;
 mod docs;
+mod policy;
 mod regions;
 mod rig;
 mod schema;
