Tell blame again until another daemon heard it

A daemon told its blame once, to the peers that it knew then; with none the others learned from the log up to 30 s later. It now keeps what nobody heard and tells it again with the next round. The new test passes with the change.

--- a/src/quarantine/keeper.rs
+++ b/src/quarantine/keeper.rs
@@ -14,7 +14,7 @@
 
 use super::table::{Event, Limit, Table, Verdict, Wall};
 use super::{Standing, message};
-use crate::claim::router::View;
+use crate::claim::router::{Peer, View};
 use crate::clock::{Clock, Time};
 use crate::{daemon, id, peer, platform};
 
@@ -188,6 +188,7 @@
 
 fn run(shared: &Shared, inbox: &flume::Receiver<News>, mut position: id::Offset) {
     let mut unkept: Vec<Event> = Vec::new();
+    let mut untold: Vec<Event> = Vec::new();
     let mut read_at = shared.ports.clock.now() + POLL;
     while !shared.is_stopped.load(Ordering::Relaxed) {
         let fresh: Vec<News> = match inbox.recv_timeout(PACE) {
@@ -196,8 +197,8 @@
                 .collect(),
             Err(_) => Vec::new(),
         };
-        let events: Vec<Event> = fresh.iter().map(|news| news.event.clone()).collect();
-        tell(shared, &events);
+        untold.extend(fresh.iter().map(|news| news.event.clone()));
+        tell(shared, &mut untold);
         let own = fresh.into_iter().filter(|news| news.is_own);
         unkept.extend(own.map(|news| news.event));
         keep(shared, &mut unkept);
@@ -208,20 +209,29 @@
     }
 }
 
-/// Tells some peers, which tell others when it is news to them.
-fn tell(shared: &Shared, events: &[Event]) {
+/// Tells some peers, which tell others when it is news to them; what nobody heard is told again.
+fn tell(shared: &Shared, events: &mut Vec<Event>) {
+    let excess = events.len().saturating_sub(BACKLOG);
+    events.drain(..excess);
     let Some(link) = &shared.ports.link else {
+        events.clear();
         return;
     };
-    if events.is_empty() {
+    let count = events.len().min(BATCH);
+    if count == 0 {
         return;
     }
     let peers = shared.ports.view.peers();
     let others: Vec<_> = peers.iter().filter(|p| p.daemon != shared.daemon).collect();
-    let body = message::encode(events);
-    for peer in others.sample(&mut rand::rng(), FANOUT) {
-        // A peer that is missed learns from another one or from the log.
-        let _ = link.ask(&peer.address, peer::Topic::Quarantine, &body, TIMEOUT);
+    let body = message::encode(&events[..count]);
+    let hears = |peer: &&&Peer| {
+        let answer = link.ask(&peer.address, peer::Topic::Quarantine, &body, TIMEOUT);
+        answer.is_ok()
+    };
+    // A peer that is missed learns from another one or from the log.
+    let heard = others.sample(&mut rand::rng(), FANOUT).filter(hears);
+    if heard.count() > 0 {
+        events.drain(..count);
     }
 }
 
--- a/src/quarantine/keeper/tests.rs
+++ b/src/quarantine/keeper/tests.rs
@@ -226,3 +226,21 @@
     });
     network.keepers.lock().clear();
 }
+
+#[test]
+fn blame_that_nobody_heard_is_told_again() {
+    let (log, clock) = (log(), clock());
+    let network = network(&log, &["a", "b"], &clock);
+    let (_, late) = network.keepers.lock().pop().unwrap();
+    let (_, keeper) = network.keepers.lock()[0].clone();
+    let digest: id::Digest = "content".into();
+    keeper.blame(&digest, &"e1".into(), Duration::ZERO);
+    // A blame is kept after it was told, so by now it was told in vain.
+    until("it is kept", || log.appended() > 0);
+    // The log is read again only when the clock moves on, which it does not.
+    network.keepers.lock().push(("b".into(), late.clone()));
+    until("the other daemon hears of it", || {
+        late.standing(&digest, Duration::ZERO) == Standing::Suspect
+    });
+    network.keepers.lock().clear();
+}
