--- a/src/route.rs
+++ b/src/route.rs
@@ -3,6 +3,8 @@
 //! See [the design note](../docs/design/policy.md).
 
 pub mod affinity;
+pub mod choice;
+pub mod digest;
 pub mod entry;
 pub mod health;
 pub mod link;
