Bar keys without issue time where records were trimmed unread

Cause: such a key counted as issued at the question, so that a reader that had missed trimmed records took it for unclaimed and could run it twice. Change: it counts as old as the window, and its claim says that nobody knows. Conclusion: after a gap, keys without issue time are unknown for one window.

--- a/src/claim/fold.rs
+++ b/src/claim/fold.rs
@@ -147,6 +147,12 @@
         Found::Absent
     }
 
+    /// Returns the earliest time of issue of a key that is remembered, in milliseconds since the
+    /// Unix epoch; a key without one may be as old.
+    pub fn oldest_ms(&self) -> u64 {
+        self.forgotten_ms + 1
+    }
+
     /// Says whether a key of that time of issue may have claims that were trimmed unread.
     fn is_unread(&self, issued_ms: u64) -> bool {
         issued_ms < self.complete_from_ms && !mutation::is_active(Mutation::TrustTrimmed)
@@ -196,7 +202,7 @@
     fn group(&mut self, group: &Group, offset: id::Offset) {
         for entry in &group.entries {
             match entry {
-                Entry::Claim(claim) => self.claim(claim, offset),
+                Entry::Claim(claim) => self.claim(claim, group.at_ms, offset),
                 Entry::Release(release) => self.release(release),
                 Entry::Outcome(outcome) => self.outcome(outcome, offset),
                 Entry::Bar(bar) => self.bar(bar, offset),
@@ -217,19 +223,24 @@
         u32::try_from(index).unwrap_or(u32::MAX)
     }
 
-    fn claim(&mut self, claim: &Claim, offset: id::Offset) {
+    /// A key without time of issue counts from its claim on, and may have older ones.
+    fn claim(&mut self, claim: &Claim, at_ms: u64, offset: id::Offset) {
         let forgets = mutation::is_active(Mutation::ForgetRelease);
         if self.released.contains_key(&claim.request) && !forgets {
             return;
         }
         let executor = self.number(&claim.executor);
         let place = record::place(&claim.workspace, &claim.key);
-        let is_first = !self.is_unread(claim.issued_ms);
+        let (issued_ms, oldest_ms) = match claim.issued_ms {
+            0 => (at_ms, self.oldest_ms()),
+            issued_ms => (issued_ms, issued_ms),
+        };
+        let is_first = !self.is_unread(oldest_ms);
         self.slots.entry(place).or_insert(Slot {
             request: claim.request,
             mark: record::mark(&claim.digest),
             executor,
-            issued_ms: claim.issued_ms,
+            issued_ms,
             support: offset,
             is_first,
             state: State::Open,
--- a/src/claim/stream/tests.rs
+++ b/src/claim/stream/tests.rs
@@ -162,3 +162,38 @@
         Some((Verdict::Answered("\"yes\"".into()), false))
     );
 }
+
+/// Asks for a key of which the log has trimmed the first records, and returns the append.
+fn ask_after_trimming(ask: Ask) -> String {
+    let mut stream = stream();
+    stream.step(Event::Ask(ask, "a".into()), now(SECOND));
+    let group = record::Group {
+        writer: "b".into(),
+        at_ms: record::millis(now(Duration::ZERO).wall) - 3_600_000,
+        entries: Vec::new(),
+    };
+    let read = stream.step(
+        Event::Read(Some(Page {
+            first: 7,
+            end: 8,
+            records: vec![Record {
+                offset: 7,
+                body: record::encode(&group).unwrap(),
+            }],
+        })),
+        now(SECOND),
+    );
+    String::from_utf8(appended(&read).unwrap()).unwrap()
+}
+
+#[test]
+fn step_trimmed_unread_claims_fresh_key() {
+    assert!(ask_after_trimming(ask(1, 1)).contains("\"claim\""));
+}
+
+#[test]
+fn step_trimmed_unread_bars_undated_key() {
+    let mut undated = ask(1, 1);
+    undated.key = "order-7".into();
+    assert!(ask_after_trimming(undated).contains("\"bar\""));
+}
--- a/src/claim/stream/wait.rs
+++ b/src/claim/stream/wait.rs
@@ -164,7 +164,13 @@
         if !self.is_ready {
             return None;
         }
-        match self.fold.find(wait.place, wait.issued_ms) {
+        let is_dated = window::issued(&wait.ask.key, wait.ask.issued).is_some();
+        let issued_ms = if is_dated {
+            wait.issued_ms
+        } else {
+            self.fold.oldest_ms()
+        };
+        match self.fold.find(wait.place, issued_ms) {
             Found::Held(slot) => self.held(wait, slot, now, out),
             Found::Absent if self.fold.is_released(wait.ask.request) => {
                 Some(not_run("the request gave its claim back", None))
@@ -193,13 +199,14 @@
             return;
         }
         wait.phase = Phase::Claiming;
+        let is_dated = window::issued(&wait.ask.key, wait.ask.issued).is_some();
         let entry = Entry::Claim(record::Claim {
             workspace: wait.ask.workspace.to_string(),
             key: wait.ask.key.to_string(),
             digest: wait.ask.digest.to_string(),
             request: wait.ask.request,
             executor: wait.executor.to_string(),
-            issued_ms: wait.issued_ms,
+            issued_ms: if is_dated { wait.issued_ms } else { 0 },
         });
         self.writer.push(wait.ask.request, Kind::Claim, entry);
     }
