Let a standing queue refuse the less important sooner

Cause: the wait target of a queue was measured and decided nothing. Change: while even the shortest wait is above the target, a priority step counts twice.

--- a/benches/policy/calls.rs
+++ b/benches/policy/calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cyclamenrill::clock::Time;
 use cyclamenrill::endpoint::{self, Answer, Call, Error, Usage};
 use cyclamenrill::pipeline::{Event, prefix};
 use cyclamenrill::policy::Pick;
@@ -11,6 +12,17 @@
 use super::{Driver, LEAVING, RESTART, STALL, Sent, Step};
 
 impl Driver<'_> {
+    /// When bytes from one availability zone have arrived in another.
+    pub(super) fn travel(&mut self, from: usize, to: usize, bytes: u64) -> Time {
+        if self.region_of(from) != self.region_of(to) {
+            let wire = usize::from(self.region_of(from) == self.deployment.zones[2].1);
+            let left = self.wires[wire].send(bytes, self.now);
+            return left + Duration::from_millis(10);
+        }
+        let delay = if from == to { 300 } else { 1500 };
+        self.now + Duration::from_micros(delay)
+    }
+
     pub(super) fn call(&mut self, index: usize, pick: Pick, call: Call) {
         let server = self.by_name[&pick.endpoint];
         let from = self.zone_of(self.runs[index].daemon);
--- a/benches/policy/driver.rs
+++ b/benches/policy/driver.rs
@@ -251,17 +251,6 @@
         self.deployment.zones[zone].1
     }
 
-    /// When bytes from one availability zone have arrived in another.
-    fn travel(&mut self, from: usize, to: usize, bytes: u64) -> Time {
-        if self.region_of(from) != self.region_of(to) {
-            let wire = usize::from(self.region_of(from) == self.deployment.zones[2].1);
-            let left = self.wires[wire].send(bytes, self.now);
-            return left + Duration::from_millis(10);
-        }
-        let delay = if from == to { 300 } else { 1500 };
-        self.now + Duration::from_micros(delay)
-    }
-
     fn add_run(
         &mut self,
         run: Run,
--- a/src/limit/queue/tests.rs
+++ b/src/limit/queue/tests.rs
@@ -72,6 +72,21 @@
     assert!(queue.is_empty());
 }
 
+#[test]
+fn is_standing_only_after_long_waits() {
+    let target = Duration::from_millis(100);
+    let mut queue = Queue::default();
+    for number in 0..30 {
+        queue.push(item(number, "a", 1), 100);
+    }
+    queue.pop(target, Duration::from_millis(50));
+    assert!(!queue.is_standing(Duration::from_millis(500)));
+    queue.pop(target, Duration::from_millis(600));
+    assert!(queue.is_standing(Duration::from_millis(600)));
+    queue.settle(Duration::from_millis(700));
+    assert!(!queue.is_standing(Duration::from_millis(700)));
+}
+
 #[test]
 fn pop_idle_workspaces_leave_no_state() {
     let mut queue = Queue::default();
--- a/src/policy/adaptive/admission.rs
+++ b/src/policy/adaptive/admission.rs
@@ -13,6 +13,9 @@
 /// How soon a refused request may be sent again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Priority steps while a queue stands.
+const STANDING_STEPS: f64 = 2.0;
+
 impl Adaptive {
     pub(super) fn admit_request(&mut self, arrival: &Arrival, now: Time) -> Admission {
         if self.is_on(Mechanism::Admission)
@@ -35,7 +38,13 @@
         }
         let knobs = self.sheet.pipeline(&arrival.pipeline);
         let priority = f64::from(arrival.priority.min(7));
-        let share = knobs.admission_share - knobs.priority_step * priority;
+        // A standing queue makes the less important yield sooner.
+        let steps = if self.is_standing(&arrival.pools, now) {
+            STANDING_STEPS
+        } else {
+            1.0
+        };
+        let share = knobs.admission_share - knobs.priority_step * steps * priority;
         let wait = arrival
             .pools
             .iter()
@@ -46,6 +55,11 @@
         (need.as_secs_f64() + wait > allowed).then_some("the pool has no room before the deadline")
     }
 
+    fn is_standing(&self, pools: &[id::Pool], now: Time) -> bool {
+        let pools = pools.iter().filter_map(|p| self.pools.get(p));
+        pools.into_iter().any(|p| p.queue.is_standing(now))
+    }
+
     /// Predicted wait in seconds for a new request of a workspace.
     fn wait(&self, pool: &Pool, workspace: &id::Workspace) -> f64 {
         let (Some(latency), Some(cost)) = (pool.latency.get(), pool.cost.get()) else {
