--- a/src/control.rs
+++ b/src/control.rs
@@ -26,11 +26,13 @@
 mod handler;
 mod leases;
 mod options;
+mod pull;
 mod roster;
 mod scene;
 mod shared;
 mod status;
 mod tail;
+mod traffic;
 mod zone;
 
 pub use options::Options;
@@ -106,8 +108,9 @@
 type Run = fn(&Shared);
 
 fn spawn(shared: &Arc<Shared>, socket: UdpSocket) -> std::io::Result<()> {
-    let runs: [(&str, Run); 5] = [
+    let runs: [(&str, Run); 6] = [
         ("control-tail", tail::run),
+        ("control-pull", pull::run),
         ("control-roster", roster::run),
         ("control-duty", duty::run),
         ("control-leases", leases::run),
@@ -249,6 +252,11 @@
         boards.iter().map(|(z, b)| (z.clone(), b.clone())).collect()
     }
 
+    /// Counters since the start, by name.
+    pub fn counts(&self) -> Vec<(&'static str, u64)> {
+        self.shared.traffic.list()
+    }
+
     /// How control stands, for operators.
     pub fn standing(&self) -> Standing {
         let now = self.shared.clock.now();
