Let the operators' program be piped and its options stand anywhere

Both were seen in a run of two daemon processes. Change: a closed pipe ends nothing; shared options are moved forward; log lines leave out fields without a value.

--- a/src/operate/command.rs
+++ b/src/operate/command.rs
@@ -9,7 +9,15 @@
 use super::{Error, Result};
 use crate::settings;
 
-mod config;
+/// Prints a line; a reader that closed the pipe, such as `head`, ends nothing.
+macro_rules! say {
+    ($($part:tt)*) => {{
+        use std::io::Write;
+        let _ = writeln!(std::io::stdout(), $($part)*);
+    }};
+}
+
+pub(super) mod config;
 mod fleet;
 mod show;
 
@@ -27,7 +35,7 @@
   cyclamenrill status --address 127.0.0.1:8081 --key-file operators.key
   cyclamenrill config set hedge-budget 0.03 --reason 'link is narrow' --wait
   cyclamenrill timeline --request 0190c0de-0000-7000-8000-000000000000 --format chrome
-  cyclamenrill load --address 127.0.0.1:8080 --rate 200 --seconds 10
+  cyclamenrill load --address 127.0.0.1:8080 --pipeline menu --rate 200 --seconds 10
 
 The operators' key is read from --key-file or from the variable CYCLAMENRILL_KEY.
 ";
@@ -107,7 +115,8 @@
 
 /// Runs the program and returns its exit code.
 pub fn run(arguments: &[String]) -> i32 {
-    let parsed = match Arguments::parse_args_default(arguments) {
+    let arguments = config::hoist(arguments);
+    let parsed = match Arguments::parse_args_default(&arguments) {
         Ok(parsed) => parsed,
         Err(error) => {
             eprintln!("cyclamenrill: {error}; see `cyclamenrill --help`");
@@ -115,7 +124,7 @@
         }
     };
     if parsed.version {
-        println!("cyclamenrill {}", env!("CARGO_PKG_VERSION"));
+        say!("cyclamenrill {}", env!("CARGO_PKG_VERSION"));
         return 0;
     }
     if parsed.help_requested() {
@@ -140,14 +149,14 @@
         innermost = inner;
     }
     match command {
-        Some(name) => println!("Usage: cyclamenrill {name} [OPTIONS]\n"),
-        None => println!("Usage: cyclamenrill COMMAND [OPTIONS]\n"),
+        Some(name) => say!("Usage: cyclamenrill {name} [OPTIONS]\n"),
+        None => say!("Usage: cyclamenrill COMMAND [OPTIONS]\n"),
     }
-    println!("{}", innermost.self_usage());
+    say!("{}", innermost.self_usage());
     if let Some(list) = innermost.self_command_list() {
-        println!("\nCommands:\n{list}");
+        say!("\nCommands:\n{list}");
     }
-    println!("{EXAMPLES}");
+    say!("{EXAMPLES}");
     0
 }
 
@@ -173,7 +182,7 @@
         .collect();
     let overrides = overrides.map_err(input)?;
     let settings = settings::load(&check.file, &overrides).map_err(|e| input(e.to_string()))?;
-    println!(
+    say!(
         "{}: {} pipelines on {} pools for {} workspaces in {} availability zones",
         check.file.display(),
         settings.pipelines.len(),
--- a/src/operate/command/config.rs
+++ b/src/operate/command/config.rs
@@ -156,6 +156,32 @@
     revision: id::Revision,
 }
 
+/// Options of `config` that may also stand behind its commands.
+const SHARED: [&str; 4] = ["--address", "--key-file", "--author", "--timeout"];
+
+/// Moves the shared options of `config` in front of its command, where the parser wants them.
+pub fn hoist(arguments: &[String]) -> Vec<String> {
+    if arguments.first().is_none_or(|first| first != "config") {
+        return arguments.to_vec();
+    }
+    let mut front = vec!["config".to_owned()];
+    let mut rest = Vec::new();
+    let mut left = arguments[1..].iter();
+    while let Some(argument) = left.next() {
+        let name = argument.split('=').next().unwrap_or_default();
+        if !SHARED.contains(&name) {
+            rest.push(argument.clone());
+            continue;
+        }
+        front.push(argument.clone());
+        if !argument.contains('=') {
+            front.extend(left.next().cloned());
+        }
+    }
+    front.append(&mut rest);
+    front
+}
+
 /// Runs a `config` command.
 pub fn run(arguments: &Arguments) -> Result<i32> {
     let Some(command) = &arguments.command else {
@@ -189,22 +215,22 @@
 fn conclude(client: &Client, verdict: &Verdict, wait: bool, timeout: Duration) -> Result<i32> {
     match verdict {
         Verdict::Accepted(revision) => {
-            println!("accepted as revision {revision}");
+            say!("accepted as revision {revision}");
             if wait {
                 return reach(client, *revision, timeout);
             }
             Ok(0)
         }
         Verdict::Refused(reason) => {
-            println!("refused everywhere: {reason}");
+            say!("refused everywhere: {reason}");
             Ok(FAILURE)
         }
         Verdict::NotWritten => {
-            println!("not written: the log cannot be reached; nothing changed, try again");
+            say!("not written: the log cannot be reached; nothing changed, try again");
             Ok(FAILURE)
         }
         Verdict::Undecided => {
-            println!("undecided: the log did not answer in time; see `config history` later");
+            say!("undecided: the log did not answer in time; see `config history` later");
             Ok(FAILURE)
         }
     }
@@ -213,10 +239,10 @@
 fn reach(client: &Client, revision: id::Revision, timeout: Duration) -> Result<i32> {
     let reach = client.reach(revision, timeout)?;
     if reach.behind.is_empty() {
-        println!("revision {revision} is in force at every live daemon");
+        say!("revision {revision} is in force at every live daemon");
         return Ok(0);
     }
-    println!(
+    say!(
         "revision {revision} is not yet reached by: {}",
         reach.behind.join(", ")
     );
@@ -282,7 +308,7 @@
 fn print_sheet(client: &Client, show: &Show) -> Result<i32> {
     let sheet = client.sheet()?;
     if show.json {
-        println!("{}", json_text(&sheet)?);
+        say!("{}", json_text(&sheet)?);
         return Ok(0);
     }
     let state = if sheet.fresh {
@@ -290,7 +316,7 @@
     } else {
         "not fresh: the log was not read lately"
     };
-    println!("revision {} ({state})\n", sheet.revision);
+    say!("revision {} ({state})\n", sheet.revision);
     let mut rows = vec![row([
         "SETTING",
         "SCOPE",
@@ -301,7 +327,7 @@
         "REASON OR MEANING",
     ])];
     rows.extend(sheet.lines.iter().map(line));
-    print!("{}", table(&rows));
+    say!("{}", table(&rows).trim_end());
     Ok(0)
 }
 
@@ -320,7 +346,7 @@
 fn print_history(client: &Client, show: &Show) -> Result<i32> {
     let events = client.history()?;
     if show.json {
-        println!("{}", json_text(&events)?);
+        say!("{}", json_text(&events)?);
         return Ok(0);
     }
     let mut rows = vec![row([
@@ -337,6 +363,6 @@
             &e.reason,
         ])
     }));
-    print!("{}", table(&rows));
+    say!("{}", table(&rows).trim_end());
     Ok(0)
 }
--- a/src/operate/command/fleet.rs
+++ b/src/operate/command/fleet.rs
@@ -114,7 +114,7 @@
     let text = serde_json::to_string(value).map_err(|e| Error::Input {
         reason: e.to_string(),
     })?;
-    println!("{text}");
+    say!("{text}");
     Ok(0)
 }
 
@@ -134,13 +134,13 @@
             _ => None,
         })
         .collect();
-    print!("{}", daemons(&all));
+    say!("{}", daemons(&all).trim_end());
     let Some(first) = all.first() else {
         return Ok(0);
     };
-    print!("\n{}", endpoints(first));
-    print!("\n{}", leases(first));
-    print!("\n{}", quarantine(&all));
+    say!("\n{}", endpoints(first).trim_end());
+    say!("\n{}", leases(first).trim_end());
+    say!("\n{}", quarantine(&all).trim_end());
     Ok(0)
 }
 
@@ -208,7 +208,7 @@
 /// Starts the graceful shutdown of a daemon.
 pub fn drain(arguments: &Drain) -> Result<i32> {
     let answer = client(&arguments.address, arguments.key_file.as_ref())?.drain()?;
-    println!("{}: {answer}", arguments.address);
+    say!("{}: {answer}", arguments.address);
     Ok(0)
 }
 
@@ -226,9 +226,9 @@
     if arguments.json {
         return print_json(&sum);
     }
-    print!("{}", attainment(&sum.pipelines));
-    print!("\n{}", costs("STAGE", &sum.stages));
-    print!("\n{}", costs("WORKSPACE", &sum.workspaces));
+    say!("{}", attainment(&sum.pipelines).trim_end());
+    say!("\n{}", costs("STAGE", &sum.stages).trim_end());
+    say!("\n{}", costs("WORKSPACE", &sum.workspaces).trim_end());
     Ok(0)
 }
 
@@ -307,7 +307,7 @@
         _ => None,
     });
     let text = write(&filter::merge(lists, &filter)).map_err(|e| input(e.to_string()))?;
-    println!("{}", text.trim_end());
+    say!("{}", text.trim_end());
     Ok(0)
 }
 
--- a/src/operate/tests.rs
+++ b/src/operate/tests.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 
 use super::client::Client;
+use super::command::{self, config};
 use super::fleet::{Fleet, Responder};
 use super::port::Port;
 use super::status::{Attainment, Cost, Report, Status};
@@ -282,3 +283,32 @@
     assert_eq!(sum.stages[0].link_bytes, 1400);
     assert!((sum.pipelines[0].share() - 0.75).abs() < 1e-9);
 }
+
+fn words(text: &str) -> Vec<String> {
+    text.split(' ').map(str::to_owned).collect()
+}
+
+#[test]
+fn hoist_moves_shared_options_of_config() {
+    let given = words("config set queue-bound 64 --author mari --reason slow --timeout=3");
+    let wanted = words("config --author mari --timeout=3 set queue-bound 64 --reason slow");
+    assert_eq!(config::hoist(&given), wanted);
+}
+
+#[test]
+fn hoist_leaves_other_commands() {
+    let given = words("status --address 127.0.0.1:8081");
+    assert_eq!(config::hoist(&given), given);
+}
+
+#[test]
+fn run_wrong_arguments() {
+    for text in [
+        "config set",
+        "status --no-such",
+        "check",
+        "timeline --format xml",
+    ] {
+        assert_eq!(command::run(&words(text)), command::USAGE, "{text}");
+    }
+}
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -114,12 +114,14 @@
         let Some(logger) = &self.logger else {
             return;
         };
-        let request = event.request.map(|r| r.to_string()).unwrap_or_default();
-        let endpoint = event.endpoint.as_deref().unwrap_or_default();
         let kind = format!("{:?}", event.kind).to_lowercase();
-        let fields =
-            slog::o!("kind" => kind, "request" => request, "endpoint" => endpoint.to_owned());
-        let logger = logger.new(fields);
+        let mut logger = logger.new(slog::o!("kind" => kind));
+        if let Some(request) = event.request {
+            logger = logger.new(slog::o!("request" => request.to_string()));
+        }
+        if let Some(endpoint) = &event.endpoint {
+            logger = logger.new(slog::o!("endpoint" => endpoint.to_string()));
+        }
         match event.kind {
             Kind::Request | Kind::Call | Kind::Claim => slog::debug!(logger, "{}", event.what),
             _ => slog::info!(logger, "{}", event.what),
