Be ready only when an endpoint is known

Change: readiness waits for a list that holds an endpoint. Conclusion: the new test fails without the change and passes with it.

--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -119,7 +119,10 @@
             // An old list is better than none: the platform may be down for long.
             if let Ok(vms) = self.roster.list() {
                 self.take(&vms);
-                self.core.listed.store(true, Ordering::Release);
+                // A list that lags may be empty at first; a daemon without endpoints serves nobody.
+                if vms.iter().any(|vm| vm.role == Role::Endpoint) {
+                    self.core.listed.store(true, Ordering::Release);
+                }
             }
             self.core.archive.trim(self.core.clock.now());
             rest(LIST_EVERY.mul_f64(self.rng.random_range(0.8..1.2)), stop);
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -1,6 +1,7 @@
 //! A whole daemon before endpoints and a platform in memory.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use super::{Node, Options, knobs};
@@ -13,7 +14,7 @@
 use crate::operate::client::Client;
 use crate::operate::{Answer, Change, Edit, Verdict};
 use crate::platform::memory::{Log, Roster, Weights};
-use crate::platform::{Role, Vm};
+use crate::platform::{self, Role, Roster as _, Vm};
 use crate::policy::Observation;
 use crate::policy::knobs::{Knobs, Scope};
 use crate::settings::{self, Override, Settings};
@@ -47,9 +48,21 @@
     clock: Arc<System>,
     log: Arc<Log>,
     roster: Arc<Roster>,
+    /// How often the list was read.
+    reads: Arc<AtomicUsize>,
     fleet: Arc<Fleet>,
 }
 
+/// Counts how often the list is read.
+struct Counted(Arc<Roster>, Arc<AtomicUsize>);
+
+impl platform::Roster for Counted {
+    fn list(&self) -> platform::Result<Vec<Vm>> {
+        self.1.fetch_add(1, Ordering::AcqRel);
+        self.0.list()
+    }
+}
+
 struct Rig {
     node: Node,
     fleet: Arc<Fleet>,
@@ -68,6 +81,7 @@
     Site {
         log: Arc::new(Log::new(clock.clone(), 1).blocking()),
         roster: Arc::new(roster),
+        reads: Arc::default(),
         clock,
         fleet,
     }
@@ -92,7 +106,7 @@
         let options = Options::new(settings)
             .clock(self.clock.clone())
             .log(self.log.clone())
-            .roster(self.roster.clone())
+            .roster(Arc::new(Counted(self.roster.clone(), self.reads.clone())))
             .weights(Arc::new(Weights::new(Vec::new())))
             .engine(self.fleet.clone())
             .seed(1);
@@ -207,6 +221,27 @@
     assert_eq!(found.answers.len(), 2);
 }
 
+#[test]
+fn node_is_not_ready_without_endpoints() {
+    let site = site();
+    let all = site.roster.list().unwrap();
+    site.roster.set(Vec::new());
+    let rig = site.start("entry-1");
+    let end = Instant::now() + PATIENCE;
+    let before = site.reads.load(Ordering::Acquire);
+    // The daemon reads the list more often than its control plane does.
+    while site.reads.load(Ordering::Acquire) < before + 2 {
+        assert!(Instant::now() < end, "the list is not read");
+        std::thread::yield_now();
+    }
+    assert!(!rig.node.daemon().status().ready);
+    site.roster.change(|vms| vms.extend(all));
+    while !rig.node.daemon().status().ready {
+        assert!(Instant::now() < end, "the daemon does not get ready");
+        std::thread::yield_now();
+    }
+}
+
 fn set(value: &str) -> Edit {
     Edit {
         author: "ana".into(),
