Spread what calls show of endpoints, and open the demo's ports once

Cause: an endpoint's refusal because it leaves was learned by one daemon alone, until the platform's list told the others. The demo took ports that were free a moment before, and once ended without a line when they were taken. Change: refusals and failed connections go to control, which tells all daemons; the demo lets the system pick ports and keeps them. Conclusion: a test with an endpoint that only refuses, over two daemons.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -75,6 +75,12 @@
     fn clear(&self, digest: &id::Digest, now: Time);
 }
 
+/// Learns what calls show of their endpoints, for the other daemons.
+pub trait Witness: Send + Sync {
+    /// Learns how a call that was sent from here ended; none when it was answered.
+    fn ended(&self, endpoint: &id::Endpoint, error: Option<&endpoint::Error>);
+}
+
 /// What a daemon says of its work now.
 #[derive(Clone, Debug)]
 pub struct Status {
@@ -261,6 +267,7 @@
         link: net.clone(),
         recorder,
         screen: ports.screen,
+        witness: ports.witness,
         policy: Mutex::new(policy),
         ledger: Mutex::default(),
         archive: Arc::default(),
--- a/src/daemon/call.rs
+++ b/src/daemon/call.rs
@@ -59,12 +59,24 @@
     }
     let result = match via {
         Some(peer) => core.link.forward(&peer, &pick.address, &call, &mut sink),
-        None => core.engine.call(&pick.address, &call, &mut sink),
+        None => witnessed(
+            core,
+            pick,
+            core.engine.call(&pick.address, &call, &mut sink),
+        ),
     };
     core.gate.pass();
     result
 }
 
+/// Tells the other daemons what a call showed of its endpoint.
+fn witnessed(core: &Core, pick: &Pick, result: Result<Answer>) -> Result<Answer> {
+    if let Some(witness) = &core.witness {
+        witness.ended(&pick.endpoint, result.as_ref().err());
+    }
+    result
+}
+
 /// Returns the daemon through which an endpoint of another region is called.
 fn relay(core: &Core, pick: &Pick, choice: u64) -> Option<String> {
     let region = core.site.regions.get(&pick.zone)?;
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -7,10 +7,10 @@
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 
-use super::Screen;
 use super::drive::{Drive, Relay};
 use super::gate::Gate;
 use super::pool::Pool;
+use super::{Screen, Witness};
 use crate::clock::{Clock, Time};
 use crate::endpoint::{Answer, Call, Sink};
 use crate::entry::{Archive, Host, Reader, Submission, Transcript};
@@ -121,6 +121,7 @@
     pub(super) link: Arc<dyn peer::Link>,
     pub(super) recorder: Arc<Recorder>,
     pub(super) screen: Option<Arc<dyn Screen>>,
+    pub(super) witness: Option<Arc<dyn Witness>>,
     pub(super) policy: Mutex<Box<dyn Policy>>,
     pub(super) ledger: Mutex<Ledger>,
     pub(super) archive: Arc<Archive>,
--- a/src/daemon/ports.rs
+++ b/src/daemon/ports.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::Screen;
+use super::{Screen, Witness};
 use crate::clock::{self, Clock};
 use crate::timeline::Recorder;
 use crate::{claim, endpoint, peer, platform, policy};
@@ -18,6 +18,7 @@
     pub(super) net: Option<Arc<peer::Net>>,
     pub(super) recorder: Option<Arc<Recorder>>,
     pub(super) screen: Option<Arc<dyn Screen>>,
+    pub(super) witness: Option<Arc<dyn Witness>>,
     pub(super) seed: u64,
 }
 
@@ -83,6 +84,13 @@
         self
     }
 
+    /// Sets who learns what calls show of their endpoints.
+    #[must_use]
+    pub fn witness(mut self, witness: Arc<dyn Witness>) -> Self {
+        self.witness = Some(witness);
+        self
+    }
+
     /// Sets the seed of all random choices.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
--- a/src/demo/crew.rs
+++ b/src/demo/crew.rs
@@ -1,6 +1,6 @@
 //! The daemons of the demo, and the faults that they can be put through.
 
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -20,6 +20,8 @@
 
 /// How long a daemon that shuts down may take.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(30);
+/// Any free port on loopback.
+const ANY: &str = "127.0.0.1:0";
 /// Attempts to take the callers' port of the daemon before.
 const START_ATTEMPTS: usize = 50;
 /// Time between those attempts.
@@ -71,8 +73,8 @@
         for (number, zone) in (1..).zip(&settings.zones) {
             let member = Member {
                 name: format!("entry-{number}"),
-                address: free_address()?,
-                operators: free_address()?,
+                address: ANY.to_owned(),
+                operators: ANY.to_owned(),
                 zone: zone.name.clone(),
             };
             let mut post = Post {
@@ -125,6 +127,11 @@
         let options = self.options(&post.member).advertised(relay.address());
         let node = Node::start(options).map_err(|e| e.to_string())?;
         relay.lead_to(node.daemon().net().address());
+        // The daemon that replaces this one takes the same numbers.
+        post.member.address = node.daemon().callers_address().to_string();
+        if let Some(operators) = node.operators_address() {
+            post.member.operators = operators.to_string();
+        }
         self.fleet.platform.roster.change(|list| list.push(vm));
         post.node = Some(node);
         post.relay = Some(relay);
@@ -138,7 +145,7 @@
         daemon.availability_zone.clone_from(&member.zone);
         daemon.callers_address.clone_from(&member.address);
         daemon.operators_address.clone_from(&member.operators);
-        daemon.peers_address = "127.0.0.1:0".into();
+        daemon.peers_address = ANY.into();
         let region = plan::region_of(&settings, &member.zone).unwrap_or_default();
         let client = Arc::new(endpoint::http::Client::default());
         let link = self.link.clone();
@@ -248,10 +255,3 @@
         is_whole
     }
 }
-
-/// Returns an address whose port was free a moment ago.
-fn free_address() -> Result<String, String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    Ok(address.to_string())
-}
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -5,7 +5,7 @@
 
 use snafu::ResultExt;
 
-use super::view::Live;
+use super::view::{Live, Sight};
 use super::{
     ControlSnafu, DaemonSnafu, DeskSnafu, Error, Options, PeersSnafu, QuarantineSnafu, knobs,
 };
@@ -68,6 +68,7 @@
             .policy(Box::new(policy(&settings, options.seed)))
             .desk(desk)
             .screen(keeper.clone())
+            .witness(Arc::new(Sight::new(control.clone())))
             .net(net.clone())
             .recorder(recorder.clone())
             .seed(options.seed);
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -10,7 +10,7 @@
 use crate::config::setting::{CATALOGUE, Preset};
 use crate::config::view::Key;
 use crate::config::{Place, View};
-use crate::endpoint::memory::Fleet;
+use crate::endpoint::memory::{Fault, Fleet};
 use crate::operate::client::Client;
 use crate::operate::{Answer, Change, Edit, Verdict};
 use crate::platform::memory::{Log, Roster, Weights};
@@ -221,6 +221,31 @@
     assert_eq!(found.answers.len(), 2);
 }
 
+#[test]
+fn node_learns_of_leaving_endpoint_from_other_daemon() {
+    let site = site();
+    let (one, two) = (site.start("entry-1"), site.start("entry-2"));
+    one.wait_for_members(2);
+    two.wait_for_members(2);
+    assert_eq!(one.donate_when_ready("gift-9").0, 200);
+    // The platform's list does not tell; only the endpoint's refusal does.
+    site.fleet
+        .set("clanarina", Some(Fault::Refuse { leaving: true }));
+    assert_ne!(one.donate("gift-10").0, 200);
+    let leaves = |rig: &Rig| {
+        let all = rig.node.control().candidates();
+        all.iter().any(|c| &*c.endpoint == "clanarina" && c.leaving)
+    };
+    let end = Instant::now() + PATIENCE;
+    while !leaves(&one) || !leaves(&two) {
+        assert!(
+            Instant::now() < end,
+            "the other daemon does not learn of it"
+        );
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn node_is_not_ready_without_endpoints() {
     let site = site();
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -1,11 +1,13 @@
-//! The live daemons as the claims see them.
+//! What control and the rest of a daemon tell each other of daemons and endpoints.
 
 use std::sync::Arc;
 
 use crate::claim::router::{Peer, View};
 use crate::control::Control;
+use crate::daemon::Witness;
+use crate::endpoint::Error;
 use crate::id;
-use crate::member::Status;
+use crate::member::{Evidence, Status};
 use crate::settings::{Settings, plan};
 
 /// Reads the live daemons from control.
@@ -40,3 +42,25 @@
 fn region(settings: &Settings, zone: &str) -> id::Region {
     plan::region_of(settings, zone).unwrap_or_default()
 }
+
+/// Tells control what calls show, so that every daemon learns of an endpoint that leaves.
+pub struct Sight {
+    control: Arc<Control>,
+}
+
+impl Sight {
+    /// Tells `control`.
+    pub fn new(control: Arc<Control>) -> Self {
+        Self { control }
+    }
+}
+
+impl Witness for Sight {
+    fn ended(&self, endpoint: &id::Endpoint, error: Option<&Error>) {
+        let is_connected = !matches!(error, Some(Error::NotSent { .. }));
+        self.control.connection(endpoint, is_connected);
+        if matches!(error, Some(Error::Refused { leaving: true, .. })) {
+            self.control.report(endpoint, Evidence::Leaving);
+        }
+    }
+}
