Tell other zones of the load here, and show upgrades and alarms

Cause: the policy's digests were made and never sent; what the zone controllers and the fold of the configuration complain of was not shown. Conclusion: a test passes a daemon's digests to another's listener.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -20,7 +20,7 @@
 use crate::quarantine::Standing;
 use crate::settings::{self, Settings};
 use crate::timeline::{Kind, Recorder};
-use crate::{claim, endpoint, id, platform, policy};
+use crate::{claim, endpoint, id, platform, policy, route};
 
 mod call;
 mod core;
@@ -157,6 +157,12 @@
         self.core.policy.lock().observe(observation, now);
     }
 
+    /// Returns how the pools near are loaded, for daemons elsewhere.
+    pub fn digests(&self) -> Vec<route::digest::Digest> {
+        let now = self.core.clock.now();
+        self.core.policy.lock().digests(now)
+    }
+
     /// Puts a limit of a pipeline in force for requests that arrive from now on.
     pub fn limit(&self, pipeline: id::Pipeline, limit: Limit) {
         self.core.limits.lock().insert(pipeline, limit);
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,6 +22,7 @@
 use crate::telemetry::{self, Meter};
 
 mod console;
+mod digests;
 mod knobs;
 mod meter;
 mod options;
@@ -30,6 +31,7 @@
 mod view;
 
 use console::Board;
+use digests::{Listener, Teller};
 pub use options::Options;
 use parts::Parts;
 
@@ -110,6 +112,7 @@
     ///
     /// When a port cannot be opened or a thread cannot be started.
     pub fn start(options: Options) -> Result<Self, Error> {
+        let seed = options.seed;
         let (parts, daemon) = Parts::make(options)?;
         let settings = parts.settings;
         let (drain, drains) = flume::bounded(1);
@@ -136,6 +139,7 @@
             threads: Vec::new(),
         };
         node.attend(&settings, &parts.keeper)?;
+        node.tell(&settings.daemon.availability_zone, seed)?;
         Ok(node)
     }
 
@@ -162,6 +166,14 @@
         self.spawn("node-meter", move |stop| meter::run(&meter, &daemon, stop))
     }
 
+    /// Starts the thread that tells other zones of the load here.
+    fn tell(&mut self, zone: &str, seed: u64) -> Result<(), Error> {
+        let listener = Listener::new(&self.daemon);
+        self.daemon.net().handle(Topic::Digest, Arc::new(listener));
+        let teller = Teller::new(self.daemon.clone(), self.control.clone(), zone, seed);
+        self.spawn("node-digests", move |stop| teller.run(stop))
+    }
+
     fn spawn(
         &mut self,
         step: &'static str,
--- a/src/node/console.rs
+++ b/src/node/console.rs
@@ -7,10 +7,10 @@
 use crate::config::record::{self, Body, Clear, Level, Scope, Set, Value};
 use crate::config::setting::{CATALOGUE, Preset, Setting};
 use crate::config::{Place, edit};
-use crate::control::Control;
+use crate::control::{self, Control};
 use crate::daemon::Daemon;
 use crate::member::Status as Standing;
-use crate::operate::status::{Blame, Count, Endpoint, Lease, Member};
+use crate::operate::status::{Blame, Count, Endpoint, Lease, Member, Upgrade};
 use crate::operate::{
     Answer, Change, Console, Edit, Error, Event, Line, Query, Result, Sheet, Status, Verdict,
 };
@@ -51,6 +51,8 @@
             endpoints: self.endpoints(),
             leases: self.leases(),
             quarantine: self.quarantine(),
+            upgrades: self.upgrades(),
+            alarms: self.alarms(&standing),
             counts: counts([status.counts, self.control.counts()].concat()),
         }
     }
@@ -92,6 +94,46 @@
         .collect()
     }
 
+    fn upgrades(&self) -> Vec<Upgrade> {
+        let boards = self.control.boards().into_iter();
+        let of = |(zone, board): (id::Zone, control::Board)| {
+            let upgrades = board.upgrades.into_iter();
+            upgrades.map(move |u| Upgrade {
+                zone: zone.clone(),
+                pool: u.pool,
+                target: u.target,
+                phase: u.phase,
+                out: u.out,
+            })
+        };
+        boards.flat_map(of).collect()
+    }
+
+    fn alarms(&self, standing: &control::Standing) -> Vec<String> {
+        let boards = self.control.boards().into_iter();
+        let mut alarms: Vec<String> = boards
+            .flat_map(|(zone, board)| {
+                let alarms = board.alarms.into_iter();
+                alarms.map(move |alarm| format!("zone {zone}: {alarm}"))
+            })
+            .collect();
+        if standing.is_lost {
+            alarms.push("configuration: records are missing; a checkpoint is awaited".into());
+        }
+        if standing.is_regressed {
+            alarms.push("configuration: the log was reset".into());
+        }
+        if let Some(level) = standing.halted {
+            alarms.push(format!("configuration: level {level} needs a newer daemon"));
+        }
+        if let Some(revision) = standing.diverged {
+            alarms.push(format!(
+                "configuration: other daemons differ at revision {revision}"
+            ));
+        }
+        alarms
+    }
+
     fn leases(&self) -> Vec<Lease> {
         let leases = self.control.leases().into_iter();
         leases
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use super::digests::Listener;
 use super::{Node, Options, knobs};
 use crate::clock::System;
 use crate::config::record::{Level, Value};
@@ -13,10 +14,12 @@
 use crate::endpoint::memory::{Fault, Fleet};
 use crate::operate::client::Client;
 use crate::operate::{Answer, Change, Edit, Verdict};
+use crate::peer::Handler;
 use crate::platform::memory::{Log, Roster, Weights};
 use crate::platform::{self, Role, Roster as _, Vm};
 use crate::policy::Observation;
 use crate::policy::knobs::{Knobs, Scope};
+use crate::route::digest::Digest;
 use crate::settings::{self, Override, Settings};
 use crate::standin::journal::{Entry, Event};
 
@@ -246,6 +249,19 @@
     }
 }
 
+#[test]
+fn listener_takes_what_a_daemon_tells() {
+    let rig = rig();
+    rig.donate_when_ready("gift-11");
+    let told = rig.node.daemon().digests();
+    let of_calendar = |d: &&Digest| &*d.pool == "kalendar" && d.endpoints == 1;
+    assert!(told.iter().any(|d| of_calendar(&d)), "{told:?}");
+    let listener = Listener::new(rig.node.daemon());
+    let body = serde_json::to_vec(&told).unwrap();
+    assert_eq!(listener.handle(&"entry-2".into(), &body), Ok(Vec::new()));
+    assert!(listener.handle(&"entry-2".into(), b"[{}]").is_err());
+}
+
 #[test]
 fn node_is_not_ready_without_endpoints() {
     let site = site();
--- a/src/operate/command/fleet.rs
+++ b/src/operate/command/fleet.rs
@@ -141,6 +141,8 @@
     say!("\n{}", endpoints(first).trim_end());
     say!("\n{}", leases(first).trim_end());
     say!("\n{}", quarantine(&all).trim_end());
+    say!("\n{}", upgrades(&all).trim_end());
+    say!("\n{}", alarms(&all).trim_end());
     Ok(0)
 }
 
@@ -205,6 +207,29 @@
     table(&rows)
 }
 
+fn upgrades(all: &[&status::Status]) -> String {
+    let mut rows = vec![row(["UPGRADE IN ZONE", "POOL", "TO", "PHASE", "OUT"])];
+    for upgrade in all.iter().flat_map(|s| &s.upgrades) {
+        rows.push(row([
+            &upgrade.zone,
+            &upgrade.pool,
+            &upgrade.target,
+            &upgrade.phase,
+            &upgrade.out.to_string(),
+        ]));
+    }
+    table(&rows)
+}
+
+fn alarms(all: &[&status::Status]) -> String {
+    let mut rows = vec![row(["DAEMON", "ALARM"])];
+    for status in all {
+        let alarms = status.alarms.iter();
+        rows.extend(alarms.map(|alarm| row([&status.daemon, alarm])));
+    }
+    table(&rows)
+}
+
 /// Starts the graceful shutdown of a daemon.
 pub fn drain(arguments: &Drain) -> Result<i32> {
     let answer = client(&arguments.address, arguments.key_file.as_ref())?.drain()?;
--- a/src/operate/status.rs
+++ b/src/operate/status.rs
@@ -31,10 +31,28 @@
         pub leases: Vec<Lease>,
         /// Requests' contents that are held to crash endpoints.
         pub quarantine: Vec<Blame>,
+        /// Upgrades of the zones that it controls.
+        pub upgrades: Vec<Upgrade>,
+        /// What operators should look at.
+        pub alarms: Vec<String>,
         /// Counters since it started.
         pub counts: Vec<Count>,
     }
 
+    /// The upgrade of a pool in a zone.
+    pub struct Upgrade {
+        /// The availability zone.
+        pub zone: id::Zone,
+        /// The pool.
+        pub pool: id::Pool,
+        /// The version that its engines shall serve.
+        pub target: id::Version,
+        /// The phase.
+        pub phase: String,
+        /// Engines that are out of service for it.
+        pub out: usize,
+    }
+
     /// A daemon as another sees it.
     pub struct Member {
         /// The daemon.
--- a/src/operate/tests.rs
+++ b/src/operate/tests.rs
@@ -39,6 +39,8 @@
         endpoints: Vec::new(),
         leases: Vec::new(),
         quarantine: Vec::new(),
+        upgrades: Vec::new(),
+        alarms: Vec::new(),
         counts: Vec::new(),
     }
 }
