--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -1,6 +1,7 @@
 //! A whole daemon before endpoints and a platform in memory.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use super::{Node, Options, knobs};
@@ -9,11 +10,11 @@
 use crate::config::setting::{CATALOGUE, Preset};
 use crate::config::view::Key;
 use crate::config::{Place, View};
-use crate::endpoint::memory::Fleet;
+use crate::endpoint::memory::{Fault, Fleet};
 use crate::operate::client::Client;
 use crate::operate::{Answer, Change, Edit, Verdict};
 use crate::platform::memory::{Log, Roster, Weights};
-use crate::platform::{Role, Vm};
+use crate::platform::{self, Role, Roster as _, Vm};
 use crate::policy::Observation;
 use crate::policy::knobs::{Knobs, Scope};
 use crate::settings::{self, Override, Settings};
@@ -47,9 +48,21 @@
     clock: Arc<System>,
     log: Arc<Log>,
     roster: Arc<Roster>,
+    /// How often the list was read.
+    reads: Arc<AtomicUsize>,
     fleet: Arc<Fleet>,
 }
 
+/// Counts how often the list is read.
+struct Counted(Arc<Roster>, Arc<AtomicUsize>);
+
+impl platform::Roster for Counted {
+    fn list(&self) -> platform::Result<Vec<Vm>> {
+        self.1.fetch_add(1, Ordering::AcqRel);
+        self.0.list()
+    }
+}
+
 struct Rig {
     node: Node,
     fleet: Arc<Fleet>,
@@ -68,6 +81,7 @@
     Site {
         log: Arc::new(Log::new(clock.clone(), 1).blocking()),
         roster: Arc::new(roster),
+        reads: Arc::default(),
         clock,
         fleet,
     }
@@ -92,7 +106,7 @@
         let options = Options::new(settings)
             .clock(self.clock.clone())
             .log(self.log.clone())
-            .roster(self.roster.clone())
+            .roster(Arc::new(Counted(self.roster.clone(), self.reads.clone())))
             .weights(Arc::new(Weights::new(Vec::new())))
             .engine(self.fleet.clone())
             .seed(1);
@@ -207,6 +221,52 @@
     assert_eq!(found.answers.len(), 2);
 }
 
+#[test]
+fn node_learns_of_leaving_endpoint_from_other_daemon() {
+    let site = site();
+    let (one, two) = (site.start("entry-1"), site.start("entry-2"));
+    one.wait_for_members(2);
+    two.wait_for_members(2);
+    assert_eq!(one.donate_when_ready("gift-9").0, 200);
+    // The platform's list does not tell; only the endpoint's refusal does.
+    site.fleet
+        .set("clanarina", Some(Fault::Refuse { leaving: true }));
+    assert_ne!(one.donate("gift-10").0, 200);
+    let leaves = |rig: &Rig| {
+        let all = rig.node.control().candidates();
+        all.iter().any(|c| &*c.endpoint == "clanarina" && c.leaving)
+    };
+    let end = Instant::now() + PATIENCE;
+    while !leaves(&one) || !leaves(&two) {
+        assert!(
+            Instant::now() < end,
+            "the other daemon does not learn of it"
+        );
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn node_is_not_ready_without_endpoints() {
+    let site = site();
+    let all = site.roster.list().unwrap();
+    site.roster.set(Vec::new());
+    let rig = site.start("entry-1");
+    let end = Instant::now() + PATIENCE;
+    let before = site.reads.load(Ordering::Acquire);
+    // The daemon reads the list more often than its control plane does.
+    while site.reads.load(Ordering::Acquire) < before + 2 {
+        assert!(Instant::now() < end, "the list is not read");
+        std::thread::yield_now();
+    }
+    assert!(!rig.node.daemon().status().ready);
+    site.roster.change(|vms| vms.extend(all));
+    while !rig.node.daemon().status().ready {
+        assert!(Instant::now() < end, "the daemon does not get ready");
+        std::thread::yield_now();
+    }
+}
+
 fn set(value: &str) -> Edit {
     Edit {
         author: "ana".into(),
