Know a bounded part of a large fleet

Cause: every daemon knew every endpoint and read the load of each engine of its region in turn, which takes a minute at 450 engines. Change: a daemon knows at most 48 endpoints of a pool in its zone and 12 in each other zone, by balanced rendezvous hashing over the daemons of its zone; digests tell of the rest every 2 s.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,6 +26,7 @@
 mod core;
 mod drive;
 mod gate;
+mod known;
 pub(crate) mod pool;
 mod ports;
 mod watch;
@@ -302,6 +303,7 @@
     let plans = settings::plans(settings).into_iter();
     Ok(Site {
         daemon: settings.daemon.name.as_str().into(),
+        zone: zone.as_str().into(),
         region,
         regions: Arc::new(regions.collect()),
         plans: plans.map(|(name, plan)| (name, Arc::new(plan))).collect(),
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -101,6 +101,8 @@
 pub struct Site {
     /// The daemon.
     pub daemon: id::Daemon,
+    /// Its availability zone.
+    pub zone: id::Zone,
     /// Its region.
     pub region: id::Region,
     /// The region of each availability zone.
--- a/src/daemon/watch.rs
+++ b/src/daemon/watch.rs
@@ -12,6 +12,7 @@
 use sha2::{Digest, Sha256};
 
 use super::core::{Core, Peer};
+use super::known::Known;
 use crate::id;
 use crate::platform::{Role, Roster, Vm};
 use crate::policy::{Candidate, Observation};
@@ -42,6 +43,7 @@
             roster,
             rng: ChaCha8Rng::seed_from_u64(seed),
             engines: engines.clone(),
+            known: Known::new(core.site.daemon.clone(), core.site.zone.clone()),
         };
         let reader = Reader {
             core: core.clone(),
@@ -110,6 +112,7 @@
     rng: ChaCha8Rng,
     /// The engines whose load is read.
     engines: Arc<Mutex<Vec<Candidate>>>,
+    known: Known,
 }
 
 impl Poller {
@@ -129,9 +132,10 @@
         }
     }
 
-    fn take(&self, vms: &[Vm]) {
+    fn take(&mut self, vms: &[Vm]) {
         *self.core.peers.lock() = self.peers(vms);
-        let candidates = self.candidates(vms);
+        let all = self.candidates(vms);
+        let candidates = self.known.cut(vms, all);
         let near = |c: &&Candidate| {
             !c.leaving && c.region == self.core.site.region && self.core.generates(&c.pool)
         };
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,6 +17,7 @@
 use crate::operate::fleet::{Fleet, Responder};
 use crate::operate::port::Port;
 use crate::peer::Topic;
+use crate::policy::Observation;
 use crate::quarantine::keeper::{self, Keeper};
 use crate::settings::Settings;
 use crate::telemetry::{self, Meter};
@@ -154,8 +155,10 @@
         self.spawn("node-feed", move |stop| {
             while !stop.load(Ordering::Acquire) {
                 feed.pass(&control.view(), &daemon, &keeper);
-                if let Ok(observation) = observations.recv_timeout(TICK) {
-                    daemon.observe(&observation);
+                // The daemon reads the list by itself, and knows only a part of a large one.
+                match observations.recv_timeout(TICK) {
+                    Ok(Observation::Candidates(_)) | Err(_) => {}
+                    Ok(observation) => daemon.observe(&observation),
                 }
             }
         })?;
--- a/src/node/digests.rs
+++ b/src/node/digests.rs
@@ -1,6 +1,6 @@
 //! Tells daemons of other availability zones how the pools of this one are loaded.
 //!
-//! Each daemon tells a few others a second, chosen at random, so that the cost does not grow
+//! Each daemon tells a few others every two seconds, chosen at random, so that the cost does not grow
 //! with the fleet. See [the design note](../../docs/design/policy.md).
 
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,7 +19,7 @@
 use crate::route::digest::Digest;
 
 /// How often digests are told.
-const EVERY: Duration = Duration::from_secs(1);
+const EVERY: Duration = Duration::from_secs(2);
 /// How often the thread looks whether it should stop.
 const LOOK: Duration = Duration::from_millis(50);
 /// Daemons that are told each time.
