--- a/src/node/knobs.rs
+++ b/src/node/knobs.rs
@@ -158,3 +158,6 @@
         link_share: ratio(&setting::LINK_SHARE),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -5,20 +5,14 @@
 use std::time::{Duration, Instant};
 
 use super::digests::Listener;
-use super::{Node, Options, knobs};
+use super::{Node, Options};
 use crate::clock::System;
-use crate::config::record::{Level, Value};
-use crate::config::setting::{CATALOGUE, Preset};
-use crate::config::view::Key;
-use crate::config::{Place, View};
 use crate::endpoint::memory::{Fault, Fleet};
 use crate::operate::client::Client;
 use crate::operate::{Answer, Change, Edit, Verdict};
 use crate::peer::Handler;
 use crate::platform::memory::{Log, Roster, Weights};
 use crate::platform::{self, Role, Roster as _, Vm};
-use crate::policy::Observation;
-use crate::policy::knobs::{Knobs, Scope};
 use crate::route::digest::Digest;
 use crate::settings::{self, Override, Settings};
 use crate::standin::journal::{Entry, Event};
@@ -353,61 +347,6 @@
     assert_eq!(rig.node.drains().recv_timeout(PATIENCE), Ok(()));
 }
 
-#[test]
-fn knobs_of_catalogue_are_the_policy_defaults() {
-    let view = View::new(0, "".into(), std::iter::empty());
-    assert_eq!(knobs::knobs(&view, &Place::default()), Knobs::default());
-}
-
-#[test]
-fn knobs_at_every_limit_of_catalogue_are_allowed() {
-    for (index, setting) in CATALOGUE.iter().enumerate() {
-        for bound in [setting.min, setting.max] {
-            let value = match setting.preset {
-                Preset::Milliseconds(_) => Value::Ms(bound as u64),
-                Preset::Count(_) => Value::Count(bound as u64),
-                Preset::Ratio(_) => Value::Ratio(bound),
-                _ => continue,
-            };
-            let key = Key {
-                setting: index,
-                level: None,
-                name: "".into(),
-            };
-            let view = View::new(1, "".into(), [(&key, &value)].into_iter());
-            let knobs = knobs::knobs(&view, &Place::default());
-            assert_eq!(knobs.check(), Ok(()), "{} at {bound}", setting.name);
-        }
-    }
-}
-
-#[test]
-fn feed_names_only_exceptions() {
-    let settings = Arc::new(sample());
-    let feed = knobs::Feed::new(settings.clone());
-    let index = CATALOGUE
-        .iter()
-        .position(|s| s.name == "hedge-budget")
-        .unwrap();
-    let key = Key {
-        setting: index,
-        level: Some(Level::Pool),
-        name: "kalendar".into(),
-    };
-    let value = Value::Ratio(0.01);
-    let view = View::new(1, "".into(), [(&key, &value)].into_iter());
-    let exceptions: Vec<_> = feed
-        .observations(&view)
-        .into_iter()
-        .filter_map(|o| match o {
-            Observation::Knobs(Scope::Fleet, _) | Observation::Knobs(_, None) => None,
-            Observation::Knobs(scope, Some(knobs)) => Some((scope, knobs.hedge_ratio)),
-            _ => None,
-        })
-        .collect();
-    assert_eq!(exceptions, [(Scope::Pool("kalendar".into()), 0.01)]);
-}
-
 #[test]
 fn node_puts_request_timeout_in_force() {
     let rig = rig();
