Make the limited plan of a pipeline once, not for each request

Cause: the configuration gives every pipeline a limit as soon as it is read, so that each request copied its whole plan. Change: the plan is made when the limit changes, and requests share it. Behaviour and tests are unchanged; a limit of an unknown pipeline, which no request could meet, is not kept. The time saved was not measured.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -166,7 +166,7 @@
 
     /// Puts a limit of a pipeline in force for requests that arrive from now on.
     pub fn limit(&self, pipeline: id::Pipeline, limit: Limit) {
-        self.core.limits.lock().insert(pipeline, limit);
+        self.core.limit(pipeline, limit);
     }
 
     /// Returns the plan of a pipeline, limits applied.
@@ -282,7 +282,7 @@
         gate: Gate::new(clock.clone()),
         clock,
         counts: Counts::default(),
-        limits: Mutex::default(),
+        limited: Mutex::default(),
         peers: Mutex::default(),
         requests: Mutex::default(),
         active: 0.into(),
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -130,7 +130,8 @@
     pub(super) pool: Pool,
     pub(super) gate: Gate,
     pub(super) counts: Counts,
-    pub(super) limits: Mutex<IndexMap<id::Pipeline, Limit>>,
+    /// The plans of pipelines that have a limit.
+    pub(super) limited: Mutex<IndexMap<id::Pipeline, Arc<Plan>>>,
     pub(super) peers: Mutex<Vec<Peer>>,
     pub(super) requests: Mutex<IndexMap<id::Request, flume::Sender<Event>>>,
     pub(super) active: AtomicUsize,
@@ -139,6 +140,19 @@
 }
 
 impl Core {
+    /// Puts a limit of a pipeline in force; the plan is made once, not for each request.
+    pub(super) fn limit(&self, pipeline: id::Pipeline, limit: Limit) {
+        let Some(plan) = self.site.plans.get(&pipeline) else {
+            return;
+        };
+        let limited = Plan {
+            deadline: plan.deadline.min(limit.timeout),
+            priority: limit.priority.unwrap_or(plan.priority),
+            ..Plan::clone(plan)
+        };
+        self.limited.lock().insert(pipeline, Arc::new(limited));
+    }
+
     /// Sends `Ready` to the requests whose waiting stages may ask again.
     pub(super) fn wake(&self, tickets: Vec<Ticket>) {
         if tickets.is_empty() {
@@ -260,15 +274,8 @@
     }
 
     fn plan(&self, name: &str) -> Option<Arc<Plan>> {
-        let plan = self.site.plans.get(name)?;
-        let Some(limit) = self.limits.lock().get(name).copied() else {
-            return Some(plan.clone());
-        };
-        Some(Arc::new(Plan {
-            deadline: plan.deadline.min(limit.timeout),
-            priority: limit.priority.unwrap_or(plan.priority),
-            ..Plan::clone(plan)
-        }))
+        let limited = self.limited.lock().get(name).cloned();
+        limited.or_else(|| self.site.plans.get(name).cloned())
     }
 
     fn submit(&self, submission: Submission) -> Result<Arc<Transcript>, Finish> {
