--- a/src/clock.rs
+++ b/src/clock.rs
@@ -44,6 +44,42 @@
     }
 }
 
+/// A clock that also counts the time in which the VM was suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct Boot {
+    start: Duration,
+}
+
+impl Boot {
+    /// Starts a clock at zero.
+    pub fn new() -> Self {
+        Self { start: boot() }
+    }
+}
+
+impl Default for Boot {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for Boot {
+    fn now(&self) -> Time {
+        boot().saturating_sub(self.start)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+fn boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
 /// A clock that a test advances by hand.
 #[derive(Debug, Default)]
 pub struct Manual {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod quarantine;
 pub mod retry;
 pub mod route;
+pub mod serve;
 pub mod settings;
 pub mod standin;
 pub mod telemetry;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Makes a full budget that saves up at most `cap` uses.
+    pub fn capped(cap: f64) -> Self {
+        Self { tokens: cap, cap }
+    }
+
     /// A call was made: the budget grows by `ratio`.
     pub fn earn(&mut self, ratio: f64) {
         self.tokens = (self.tokens + ratio).min(self.cap);
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,246 @@
+//! Serves clients on one event loop: from a client's connection over the stages of its request to
+//! the endpoint that runs it, and back.
+//!
+//! See [the design note](../docs/design/serve.md).
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use slog::{Logger, info, warn};
+
+use crate::clock::{Clock, Time};
+use crate::id;
+use crate::retry::Budget;
+
+pub mod agent;
+pub mod catalog;
+pub mod dialect;
+pub mod door;
+pub mod exchange;
+pub mod fleet;
+pub mod health;
+pub mod http;
+pub mod plan;
+pub mod ready;
+pub mod relay;
+pub mod run;
+
+use agent::{Agent, Desk};
+use catalog::Catalog;
+use dialect::Dialect;
+use fleet::{Endpoint, Entry, Fleet};
+
+/// How long a daemon that leaves goes on to take requests: the balancer sends new connections
+/// elsewhere after two missed checks a second apart, and idle ones are closed after that.
+const LEAVE_TIME: Duration = Duration::from_millis(3_500);
+/// How often it looks whether everything has been served.
+const LEAVE_LOOK: Duration = Duration::from_millis(50);
+
+event! {
+    /// Something that was read of the platform's store.
+    pub enum Update {
+        /// A version of the configuration.
+        Catalog(Catalog),
+        /// An endpoint's entry.
+        Entry(Entry),
+        /// All endpoints at one moment.
+        Listing(Vec<Endpoint>),
+        /// Every change of the configuration that was acknowledged before this time is known.
+        Confirmed(Time),
+        /// Entries of endpoints were read without fault.
+        Read,
+        /// A read of the store failed.
+        Failed,
+    }
+}
+
+/// The bounds within which a daemon serves.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The availability zone of the daemon.
+    pub zone: id::Zone,
+    /// How old the knowledge of keys may be when a request with a key is taken; older knowledge may
+    /// lack that the key was taken away.
+    pub key_age: Duration,
+    /// How old the knowledge may be when the daemon takes itself out of rotation.
+    pub ready_age: Duration,
+    /// Repeats for each request of a service.
+    pub repeat_ratio: f64,
+    /// Repeats that a service's budget saves up in this daemon.
+    pub repeats: f64,
+}
+
+/// What one daemon knows, and with what it serves.
+pub struct Node {
+    options: Options,
+    catalog: RefCell<Rc<Catalog>>,
+    fleet: RefCell<Fleet>,
+    confirmed: Cell<Option<Time>>,
+    agents: Vec<Rc<Agent>>,
+    plain: Rc<dyn Desk>,
+    staged: Rc<dyn Desk>,
+    dialect: Rc<dyn Dialect>,
+    clock: Rc<dyn Clock>,
+    log: Logger,
+    leaving: Cell<Option<Time>>,
+    active: Cell<usize>,
+    budgets: RefCell<IndexMap<id::Pool, Budget>>,
+}
+
+/// The parts from which a node is made.
+pub struct Parts {
+    /// The bounds.
+    pub options: Options,
+    /// The planners of this daemon, which are told of endpoints.
+    pub agents: Vec<Rc<Agent>>,
+    /// Where requests without stages are planned.
+    pub plain: Rc<dyn Desk>,
+    /// Where requests with stages or a prompt are planned.
+    pub staged: Rc<dyn Desk>,
+    /// What clients and endpoints speak.
+    pub dialect: Rc<dyn Dialect>,
+    /// The clock, which a suspension of the VM does not stop.
+    pub clock: Rc<dyn Clock>,
+    /// The logger.
+    pub log: Logger,
+}
+
+impl Node {
+    /// Makes a node that knows nothing yet.
+    pub fn new(parts: Parts) -> Rc<Self> {
+        Rc::new(Self {
+            options: parts.options,
+            catalog: RefCell::default(),
+            fleet: RefCell::default(),
+            confirmed: Cell::new(None),
+            agents: parts.agents,
+            plain: parts.plain,
+            staged: parts.staged,
+            dialect: parts.dialect,
+            clock: parts.clock,
+            log: parts.log,
+            leaving: Cell::new(None),
+            active: Cell::new(0),
+            budgets: RefCell::default(),
+        })
+    }
+
+    /// Takes in what was read of the store.
+    pub fn learn(&self, update: Update) {
+        let now = self.clock.now();
+        match update {
+            Update::Catalog(catalog) => self.configure(catalog),
+            Update::Entry(entry) => {
+                if self.fleet.borrow_mut().learn(entry.clone(), now) {
+                    info!(self.log, "endpoint changed"; "entry" => ?entry);
+                    self.sync();
+                }
+            }
+            Update::Listing(endpoints) => {
+                info!(self.log, "endpoints listed"; "count" => endpoints.len());
+                self.fleet.borrow_mut().replace(endpoints, now);
+                self.sync();
+            }
+            Update::Confirmed(at) => {
+                let latest = self.confirmed.get().map_or(at, |before| before.max(at));
+                self.confirmed.set(Some(latest));
+            }
+            Update::Read => {
+                self.fleet.borrow_mut().read(now);
+                let gone = self.fleet.borrow_mut().expire(now);
+                if !gone.is_empty() {
+                    info!(self.log, "endpoints expired"; "endpoints" => ?gone);
+                    self.sync();
+                }
+            }
+            Update::Failed => self.fleet.borrow_mut().failed(now),
+        }
+    }
+
+    fn configure(&self, catalog: Catalog) {
+        let before = self.catalog.borrow().version;
+        if catalog.version <= before {
+            // The store may hand out what it held before; a version never goes back.
+            return;
+        }
+        info!(self.log, "configuration";
+            "version" => catalog.version, "before" => before, "routes" => catalog.routes.len());
+        *self.catalog.borrow_mut() = Rc::new(catalog);
+        self.sync();
+    }
+
+    fn sync(&self) {
+        let catalog = self.catalog();
+        let fleet = self.fleet.borrow();
+        for agent in &self.agents {
+            agent.decide(|planner, now| planner.sync(&fleet, &catalog, now));
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Rc<Catalog> {
+        self.catalog.borrow().clone()
+    }
+
+    fn usable(&self, id: &str) -> Option<Endpoint> {
+        self.fleet.borrow().usable(id).cloned()
+    }
+
+    /// A request came for a service: its budget of repeats grows.
+    fn earn(&self, service: &id::Pool) {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone());
+        let budget = budget.or_insert_with(|| Budget::capped(self.options.repeats));
+        budget.earn(self.options.repeat_ratio);
+    }
+
+    /// Takes one repeat from the budget of a service; false when none is left.
+    fn spend(&self, service: &id::Pool) -> bool {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.get_mut(service).is_some_and(Budget::spend)
+    }
+
+    /// Returns how old the knowledge of the configuration is; none when there is none.
+    pub fn age(&self) -> Option<Duration> {
+        let known = self.catalog.borrow().version > 0;
+        let confirmed = self.confirmed.get().filter(|_| known)?;
+        Some(self.clock.now().saturating_sub(confirmed))
+    }
+
+    /// Returns whether the daemon takes new connections.
+    pub fn is_ready(&self) -> bool {
+        let fresh = self.age().is_some_and(|age| age <= self.options.ready_age);
+        fresh && self.leaving.get().is_none() && self.fleet.borrow().all().next().is_some()
+    }
+
+    /// Takes the daemon out of rotation; what is open is still served.
+    pub fn leave(&self) {
+        warn!(self.log, "stopping"; "active" => self.active.get());
+        self.leaving.set(Some(self.clock.now()));
+    }
+
+    /// Returns since when the daemon is leaving.
+    pub fn leaving(&self) -> Option<Time> {
+        self.leaving.get()
+    }
+
+    /// Waits until everything that is open has been served, at most for `grace`.
+    pub async fn finish(&self, grace: Duration) {
+        let start = self.clock.now();
+        loop {
+            let waited = self.clock.now().saturating_sub(start);
+            let is_idle = self.active.get() == 0 && self.agents.iter().all(|one| one.is_empty());
+            if waited >= grace || (waited >= LEAVE_TIME && is_idle) {
+                return;
+            }
+            tokio::time::sleep(LEAVE_LOOK).await;
+        }
+    }
+
+    /// Returns the number of requests that are served now.
+    pub fn active(&self) -> usize {
+        self.active.get()
+    }
+}
--- /dev/null
+++ b/src/serve/agent.rs
@@ -0,0 +1,273 @@
+//! Carries out what a planner decides: calls endpoints of stages and tells requests their grants.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::LocalBoxFuture;
+use indexmap::IndexMap;
+use slog::{Logger, debug, info, warn};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::dialect::{Dialect, Message};
+use super::exchange;
+use super::health::Verdict;
+use super::plan::{Action, Ending, Entry, Grant, Job, Number, Planner, Refusal, Ticket};
+use crate::clock::{Clock, Time};
+use crate::id;
+
+/// The longest answer to a call of a stage, in bytes; a handle takes some forty.
+const ANSWER_BYTES: usize = 1024 * 1024;
+/// How often deadlines and overdue calls are looked for.
+pub const TICK: Duration = Duration::from_millis(20);
+/// How long an endpoint may take to forget results.
+const FREE_TIME: Duration = Duration::from_secs(1);
+
+/// Where requests are planned: in this daemon or in another one.
+pub trait Desk {
+    /// Plans a request; the seat stands for its place until it is dropped.
+    fn place(&self, job: Job) -> LocalBoxFuture<'_, Result<Box<dyn Seat>, Refusal>>;
+}
+
+/// A planned request.
+pub trait Seat {
+    /// Returns which endpoint is to run the request.
+    fn grant(&self) -> &Grant;
+    /// The endpoint has begun to answer; with `is_final`, its inputs are not needed again.
+    fn started(&self, is_final: bool);
+    /// The endpoint has ended the request.
+    fn ended(&self, verdict: Verdict);
+    /// Asks for another endpoint; with `again`, the inputs are gone and made anew.
+    fn retry(&mut self, again: bool) -> LocalBoxFuture<'_, Result<(), Refusal>>;
+}
+
+type Reply = oneshot::Sender<Result<Grant, Refusal>>;
+
+/// The planner of this daemon, with its calls.
+pub struct Agent {
+    planner: RefCell<Planner>,
+    replies: RefCell<IndexMap<Ticket, Reply>>,
+    next: Cell<Ticket>,
+    dialect: Rc<dyn Dialect>,
+    clock: Rc<dyn Clock>,
+    log: Logger,
+}
+
+impl Agent {
+    /// Starts to carry out what the planner decides.
+    pub fn start(
+        planner: Planner,
+        dialect: Rc<dyn Dialect>,
+        clock: Rc<dyn Clock>,
+        log: Logger,
+    ) -> Rc<Self> {
+        let agent = Rc::new(Self {
+            planner: RefCell::new(planner),
+            replies: RefCell::default(),
+            next: Cell::new(0),
+            dialect,
+            clock,
+            log,
+        });
+        let ticking = Rc::downgrade(&agent);
+        spawn_local(async move {
+            while let Some(agent) = ticking.upgrade() {
+                if !agent.planner.borrow().is_empty() {
+                    agent.decide(Planner::tick);
+                }
+                drop(agent);
+                tokio::time::sleep(TICK).await;
+            }
+        });
+        agent
+    }
+
+    /// Returns the number of requests that are planned here.
+    pub fn len(&self) -> usize {
+        self.planner.borrow().len()
+    }
+
+    /// Returns whether no request is planned here.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Gives the planner an event and carries out what follows from it.
+    pub fn decide(self: &Rc<Self>, event: impl FnOnce(&mut Planner, Time)) {
+        let actions = {
+            let mut planner = self.planner.borrow_mut();
+            event(&mut planner, self.clock.now());
+            planner.actions()
+        };
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Grant(ticket, grant) => self.reply(ticket, Ok(grant)),
+            Action::Refuse(ticket, refusal) => self.reply(ticket, Err(refusal)),
+            Action::Call {
+                call,
+                endpoint,
+                address,
+                patience,
+                entries,
+            } => {
+                spawn_local(self.clone().call(call, endpoint, address, patience, entries));
+            }
+            Action::Free {
+                endpoint,
+                address,
+                handles,
+            } => {
+                let message = self.dialect.free(&endpoint, &handles);
+                let log = self.log.clone();
+                spawn_local(async move {
+                    let sent = timeout(FREE_TIME, post(address, &message)).await;
+                    if !matches!(sent, Ok(Ok(Posted::Answer(_)))) {
+                        debug!(log, "results not freed"; "endpoint" => &*endpoint, "results" => handles.len());
+                    }
+                });
+            }
+        }
+    }
+
+    fn reply(&self, ticket: Ticket, result: Result<Grant, Refusal>) {
+        if let Some(reply) = self.replies.borrow_mut().swap_remove(&ticket) {
+            // A request that has left meanwhile frees its place by itself.
+            drop(reply.send(result));
+        }
+    }
+
+    async fn call(
+        self: Rc<Self>,
+        number: Number,
+        endpoint: id::Endpoint,
+        address: SocketAddr,
+        patience: Duration,
+        entries: Vec<Entry>,
+    ) {
+        let message = self.dialect.call(&endpoint, &entries);
+        let began = self.clock.now();
+        let posted = timeout(patience, post(address, &message)).await;
+        let ending = match posted {
+            Ok(Ok(Posted::Answer(body))) => {
+                let outcomes = self.dialect.outcomes(&body, entries.len());
+                outcomes.map_or(Ending::Lost, Ending::Answered)
+            }
+            Ok(Ok(Posted::Refused)) => Ending::Refused,
+            Ok(Err(error)) => {
+                warn!(self.log, "stage call failed"; "endpoint" => &*endpoint, "error" => %error);
+                Ending::Lost
+            }
+            Err(_) => Ending::Lost,
+        };
+        let took = self.clock.now().saturating_sub(began);
+        info!(self.log, "stage call";
+            "endpoint" => &*endpoint, "pieces" => entries.len(), "stage" => entries[0].stage,
+            "ms" => took.as_millis() as u64, "ending" => ending.name());
+        self.decide(|planner, now| planner.answered(number, &ending, now));
+    }
+
+    fn enter(&self, ticket: Ticket) -> oneshot::Receiver<Result<Grant, Refusal>> {
+        let (reply, received) = oneshot::channel();
+        self.replies.borrow_mut().insert(ticket, reply);
+        received
+    }
+
+    /// Plans a request in this daemon.
+    pub async fn plan(self: &Rc<Self>, job: Job) -> Result<Place, Refusal> {
+        let ticket = self.next.get();
+        self.next.set(ticket + 1);
+        let received = self.enter(ticket);
+        let mut place = Place {
+            agent: self.clone(),
+            ticket,
+            grant: Grant::default(),
+        };
+        self.decide(|planner, now| planner.submit(ticket, job, now));
+        place.grant = received.await.unwrap_or_else(|_| Err(Refusal::gone()))?;
+        Ok(place)
+    }
+}
+
+/// How an endpoint took a call of our own.
+enum Posted {
+    Answer(bytes::Bytes),
+    Refused,
+}
+
+async fn post(address: SocketAddr, message: &Message) -> Result<Posted, exchange::Error> {
+    let stream = exchange::connect(address).await?;
+    let size = message.body.len();
+    let head = exchange::request(message.method, message.target, &message.fields, size);
+    let mut open = exchange::send(stream, address, &head, &message.body).await?;
+    if open.reply.status != 200 {
+        return Ok(Posted::Refused);
+    }
+    let body = open.body(ANSWER_BYTES).await?;
+    Ok(body.map_or(Posted::Refused, Posted::Answer))
+}
+
+/// A request that is planned in this daemon.
+pub struct Place {
+    agent: Rc<Agent>,
+    ticket: Ticket,
+    grant: Grant,
+}
+
+impl Place {
+    /// Asks for another endpoint.
+    pub async fn again(&mut self, again: bool) -> Result<(), Refusal> {
+        let received = self.agent.enter(self.ticket);
+        let ticket = self.ticket;
+        self.agent.decide(|planner, now| planner.retry(ticket, again, now));
+        self.grant = received.await.unwrap_or_else(|_| Err(Refusal::gone()))?;
+        Ok(())
+    }
+}
+
+impl Seat for Place {
+    fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    fn started(&self, is_final: bool) {
+        let ticket = self.ticket;
+        self.agent.decide(|planner, now| planner.started(ticket, is_final, now));
+    }
+
+    fn ended(&self, verdict: Verdict) {
+        let ticket = self.ticket;
+        self.agent.decide(|planner, now| planner.ended(ticket, verdict, now));
+    }
+
+    fn retry(&mut self, again: bool) -> LocalBoxFuture<'_, Result<(), Refusal>> {
+        Box::pin(self.again(again))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let ticket = self.ticket;
+        self.agent.replies.borrow_mut().swap_remove(&ticket);
+        self.agent.decide(|planner, now| planner.leave(ticket, now));
+    }
+}
+
+/// The planner of this daemon as a desk.
+pub struct Local(pub Rc<Agent>);
+
+impl Desk for Local {
+    fn place(&self, job: Job) -> LocalBoxFuture<'_, Result<Box<dyn Seat>, Refusal>> {
+        Box::pin(async move {
+            let place = self.0.plan(job).await?;
+            Ok(Box::new(place) as Box<dyn Seat>)
+        })
+    }
+}
--- /dev/null
+++ b/src/serve/door.rs
@@ -0,0 +1,182 @@
+//! Clients' connections: reads requests, watches for clients that leave, and ends politely.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use slog::{debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::http::{self, Head, Sink, Source};
+use super::relay::{Client, refusal};
+use super::run::Run;
+use super::{Node, exchange};
+use crate::clock::Time;
+
+/// How long to wait after a failed accept, which is mostly due to a lack of descriptors.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How long a kept connection stays open after the daemon began to leave: the balancer sends new
+/// ones elsewhere after two missed checks a second apart.
+const LINGER: Duration = Duration::from_millis(2_500);
+/// How often an idle connection looks whether the daemon is leaving.
+const LOOK: Duration = Duration::from_millis(500);
+/// How long the rest of a refused body is read and dropped, so that the client sees the refusal.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+/// Accepts clients' connections for as long as the process lives.
+pub async fn accept(listener: TcpListener, node: Rc<Node>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(Connection::serve(stream, node.clone()));
+            }
+            Err(error) => {
+                warn!(node.log, "connection not accepted"; "error" => %error);
+                tokio::time::sleep(ACCEPT_AGAIN).await;
+            }
+        }
+    }
+}
+
+struct Connection {
+    node: Rc<Node>,
+    source: Source,
+    sink: Option<Sink>,
+}
+
+/// What was read from an idle connection.
+enum Begin {
+    Request(Head, Time),
+    Refused(u16),
+    End,
+}
+
+impl Connection {
+    async fn serve(stream: TcpStream, node: Rc<Node>) {
+        exchange::prepare(&stream);
+        let (source, sink) = http::split(stream);
+        let mut connection = Self {
+            node,
+            source,
+            sink: Some(sink),
+        };
+        while connection.next().await {}
+    }
+
+    /// Serves one request; false when the connection is over.
+    async fn next(&mut self) -> bool {
+        match self.begin().await {
+            Begin::Request(head, arrived) => self.request(head, arrived).await,
+            Begin::Refused(status) => {
+                self.refuse(status).await;
+                false
+            }
+            Begin::End => false,
+        }
+    }
+
+    async fn begin(&mut self) -> Begin {
+        let bounds = self.node.catalog().bounds.clone();
+        let idle_since = self.node.clock.now();
+        loop {
+            match timeout(LOOK, self.source.begin()).await {
+                Ok(Ok(true)) => break,
+                Ok(_) => return Begin::End,
+                Err(_) => {}
+            }
+            let now = self.node.clock.now();
+            let idle = now.saturating_sub(idle_since);
+            let left = self.node.leaving();
+            let left = left.is_some_and(|since| now.saturating_sub(since) > LINGER);
+            if idle > bounds.idle_time || left {
+                return Begin::End;
+            }
+        }
+        let arrived = self.node.clock.now();
+        match timeout(bounds.head_time, self.source.head(bounds.head)).await {
+            Ok(Ok(head)) => Begin::Request(head, arrived),
+            Ok(Err(http::Error::Malformed { reason })) => {
+                debug!(self.node.log, "malformed request"; "reason" => reason);
+                Begin::Refused(400)
+            }
+            Ok(Err(http::Error::Long { .. })) => Begin::Refused(431),
+            Ok(Err(_)) => Begin::End,
+            Err(_) => Begin::Refused(408),
+        }
+    }
+
+    async fn refuse(&mut self, status: u16) {
+        if let Some(sink) = &mut self.sink {
+            let answer = refusal(status, Vec::new(), None, false);
+            if http::send(sink, &answer).await.is_ok() {
+                self.discard().await;
+            }
+        }
+    }
+
+    /// Reads what still arrives, since closing with unread bytes would reset the answer away.
+    async fn discard(&mut self) {
+        if let Some(sink) = &mut self.sink {
+            drop(tokio::io::AsyncWriteExt::shutdown(sink).await);
+        }
+        drop(timeout(DISCARD_TIME, self.source.closed()).await);
+    }
+
+    async fn request(&mut self, head: Head, arrived: Time) -> bool {
+        let bounds = self.node.catalog().bounds.clone();
+        if head.fields.has("expect", "100-continue")
+            && let Some(sink) = &mut self.sink
+            && http::send(sink, b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
+        {
+            return false;
+        }
+        let mut framing = head.framing.clone();
+        let read = self.source.body(&mut framing, bounds.body);
+        let body = match timeout(bounds.idle_time, read).await {
+            Ok(Ok(Some(body))) => body,
+            Ok(Ok(None)) => {
+                self.refuse(413).await;
+                return false;
+            }
+            Ok(Err(http::Error::Malformed { .. })) => {
+                self.refuse(400).await;
+                return false;
+            }
+            Ok(Err(_)) => return false,
+            Err(_) => {
+                self.refuse(408).await;
+                return false;
+            }
+        };
+        self.run(head, body, arrived).await
+    }
+
+    async fn run(&mut self, head: Head, body: Bytes, arrived: Time) -> bool {
+        let Some(sink) = self.sink.take() else {
+            return false;
+        };
+        let keep = head.keep && self.node.leaving().is_none();
+        let client = Client::new(sink, keep);
+        let stays = Rc::new(Cell::new(false));
+        let run = Run::new(self.node.clone(), head, body, arrived, stays.clone());
+        let mut serving = Box::pin(run.serve(client));
+        tokio::select! {
+            biased;
+            sink = &mut serving => {
+                self.sink = sink;
+                self.sink.is_some()
+            }
+            () = self.source.closed() => {
+                debug!(self.node.log, "client left");
+                if stays.get() {
+                    // What must not be repeated is left to end at its endpoint.
+                    spawn_local(async move { drop(serving.await) });
+                }
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/exchange.rs
@@ -0,0 +1,159 @@
+//! One request to an endpoint on a connection of its own.
+//!
+//! A new connection costs an endpoint about a millisecond. A kept one may have been dropped or have
+//! gone silent, and then a request that must not be repeated is lost with it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::http::{self, Field, Framing, Reply, Sink, Source};
+
+/// How long the first attempt at a connection may take: several round trips between regions.
+const CONNECT_TIME: Duration = Duration::from_millis(150);
+/// Attempts at a connection; the opening packet may be lost.
+const CONNECTS: u32 = 3;
+/// How long sent bytes may stay without an acknowledgement.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+
+/// Why there is no answer.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// Nothing was sent: the request has not run.
+    #[snafu(display("connecting to {peer}: {reason}"))]
+    NotSent {
+        /// The endpoint.
+        peer: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+    /// The request may have run.
+    #[snafu(display("{step} {peer}: {source}"))]
+    Lost {
+        /// What was being done.
+        step: &'static str,
+        /// The endpoint.
+        peer: SocketAddr,
+        /// What went wrong.
+        source: http::Error,
+    },
+}
+
+/// Connects, with another attempt when the opening packet may have been lost.
+pub async fn connect(peer: SocketAddr) -> Result<TcpStream, Error> {
+    let mut reason = String::new();
+    for attempt in 1..=CONNECTS {
+        match timeout(CONNECT_TIME * attempt, TcpStream::connect(peer)).await {
+            Ok(Ok(stream)) => {
+                prepare(&stream);
+                return Ok(stream);
+            }
+            Ok(Err(error)) => {
+                reason = error.to_string();
+                break;
+            }
+            Err(_) => "no answer".clone_into(&mut reason),
+        }
+    }
+    Err(Error::NotSent { peer, reason })
+}
+
+/// Sets what a connection needs so that a silent other side is noticed.
+pub fn prepare(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    // A platform without these options serves all the same, so a failure is of no consequence.
+    drop(stream.set_nodelay(true));
+    drop(socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+}
+
+/// Writes the head of a request.
+pub fn request(method: &str, target: &str, fields: &[Field], body: usize) -> Vec<u8> {
+    let mut head = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
+    write_fields(&mut head, fields);
+    if body > 0 || matches!(method, "POST" | "PUT" | "PATCH") {
+        head.extend_from_slice(format!("Content-Length: {body}\r\n").as_bytes());
+    }
+    head.extend_from_slice(b"Connection: close\r\n\r\n");
+    head
+}
+
+/// Writes fields, one a line.
+pub fn write_fields(head: &mut Vec<u8>, fields: &[Field]) {
+    for field in fields {
+        head.extend_from_slice(field.name.as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(&field.value);
+        head.extend_from_slice(b"\r\n");
+    }
+}
+
+/// An answer whose head has been read.
+pub struct Open {
+    /// The head.
+    pub reply: Reply,
+    /// What is left of the body.
+    pub framing: Framing,
+    source: Source,
+    /// Kept, since dropping it would tell the endpoint that nobody waits.
+    _sink: Sink,
+    peer: SocketAddr,
+}
+
+impl Open {
+    /// Reads the next bytes of the body; none at its end.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
+        let peer = self.peer;
+        let step = "reading the answer of";
+        let chunk = self.source.chunk(&mut self.framing).await;
+        chunk.map_err(|source| Error::Lost { step, peer, source })
+    }
+
+    /// Reads the whole body; none when it is longer than `limit`.
+    pub async fn body(&mut self, limit: usize) -> Result<Option<Bytes>, Error> {
+        let peer = self.peer;
+        let step = "reading the answer of";
+        let body = self.source.body(&mut self.framing, limit).await;
+        body.map_err(|source| Error::Lost { step, peer, source })
+    }
+}
+
+/// Sends a request on a new connection and reads the head of its answer.
+pub async fn send(stream: TcpStream, peer: SocketAddr, head: &[u8], body: &[u8]) -> Result<Open, Error> {
+    let (mut source, mut sink) = http::split(stream);
+    let lost = |step| move |source| Error::Lost { step, peer, source };
+    let writing = async {
+        if body.len() < 1024 {
+            http::send(&mut sink, &[head, body].concat()).await
+        } else {
+            http::send(&mut sink, head).await?;
+            http::send(&mut sink, body).await
+        }
+    };
+    // An endpoint may answer before it has read the body; the rest is not sent then, and the
+    // connection carries nothing else.
+    let reply = tokio::select! {
+        biased;
+        reply = source.reply() => Some(reply),
+        written = writing => {
+            written.map_err(lost("sending to"))?;
+            None
+        }
+    };
+    let reply = match reply {
+        Some(reply) => reply,
+        None => source.reply().await,
+    };
+    let reply = reply.map_err(lost("waiting for the answer of"))?;
+    Ok(Open {
+        framing: reply.framing.clone(),
+        reply,
+        source,
+        _sink: sink,
+        peer,
+    })
+}
--- /dev/null
+++ b/src/serve/fleet/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the module above.
--- /dev/null
+++ b/src/serve/http.rs
@@ -0,0 +1,187 @@
+//! HTTP/1.1 on both sides of a daemon: strict heads, framed bodies, and how each connection ended.
+//!
+//! Forwarding has to know what a general client hides: whether a body ended with a close or a
+//! reset, and whether bytes follow an answer that nobody asked for. See
+//! [the design note](../../docs/design/serve.md).
+
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+mod body;
+mod head;
+
+pub use body::Framing;
+pub use head::{Field, Fields, Head, Reply, field};
+
+/// Bytes that are asked of the socket at once; prompts arrive in a few reads.
+const READ_BYTES: usize = 16 * 1024;
+/// Bytes of an answer's head before the endpoint is held to be faulty.
+pub const REPLY_HEAD_BYTES: usize = 32 * 1024;
+/// Unasked bytes of a client that are kept while its request is served.
+const AHEAD_BYTES: usize = 64 * 1024;
+
+/// Why a message could not be read.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// The connection failed; what was sent on it may have had its effect.
+    #[snafu(display("the connection failed: {source}"))]
+    Broken {
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// The connection was closed in the middle of a message.
+    #[snafu(display("the connection was closed within a message"))]
+    Cut,
+    /// The bytes are no message, or one whose framing is ambiguous.
+    #[snafu(display("malformed message: {reason}"))]
+    Malformed {
+        /// What is wrong with it.
+        reason: &'static str,
+    },
+    /// The head is longer than its bound.
+    #[snafu(display("the head is over {limit} bytes"))]
+    Long {
+        /// The bound, in bytes.
+        limit: usize,
+    },
+}
+
+/// What is read or written.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The reading side of a connection, with what was read ahead.
+pub struct Source {
+    half: OwnedReadHalf,
+    buffer: BytesMut,
+}
+
+/// The writing side of a connection.
+pub type Sink = OwnedWriteHalf;
+
+/// Splits a connection, so that one side can be watched while the other is written.
+pub fn split(stream: TcpStream) -> (Source, Sink) {
+    let (half, sink) = stream.into_split();
+    let buffer = BytesMut::new();
+    (Source { half, buffer }, sink)
+}
+
+/// Writes all of the bytes.
+pub async fn send(sink: &mut Sink, bytes: &[u8]) -> Result<()> {
+    let sent = sink.write_all(bytes).await;
+    sent.map_err(|source| Error::Broken { source })
+}
+
+impl Source {
+    /// Reads more; zero when the other side has closed.
+    async fn fill(&mut self) -> Result<usize> {
+        // An idle connection holds no buffer.
+        let ready = self.half.readable().await;
+        ready.map_err(|source| Error::Broken { source })?;
+        self.buffer.reserve(READ_BYTES);
+        let read = self.half.read_buf(&mut self.buffer).await;
+        read.map_err(|source| Error::Broken { source })
+    }
+
+    /// Returns whether bytes were read that belong to no message yet.
+    pub fn has_ahead(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Returns whether an idle connection can carry another request: open, and without bytes.
+    pub fn is_quiet(&mut self) -> bool {
+        if self.has_ahead() {
+            return false;
+        }
+        let mut byte = [0];
+        let read = self.half.try_read(&mut byte);
+        read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Waits for the first byte of a message; false when the other side closed instead.
+    pub async fn begin(&mut self) -> Result<bool> {
+        Ok(self.has_ahead() || self.fill().await? > 0)
+    }
+
+    /// Completes when the other side has closed or reset the connection.
+    pub async fn closed(&mut self) {
+        while self.buffer.len() < AHEAD_BYTES {
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Reads the head of a request of at most `limit` bytes.
+    pub async fn head(&mut self, limit: usize) -> Result<Head> {
+        loop {
+            if let Some((head, size)) = head::parse_request(&self.buffer, limit)? {
+                drop(self.buffer.split_to(size));
+                return Ok(head);
+            }
+            self.more().await?;
+        }
+    }
+
+    /// Reads the head of an answer.
+    pub async fn reply(&mut self) -> Result<Reply> {
+        loop {
+            if let Some((reply, size)) = head::parse_reply(&self.buffer, REPLY_HEAD_BYTES)? {
+                drop(self.buffer.split_to(size));
+                if reply.status >= 200 {
+                    return Ok(reply);
+                }
+                continue;
+            }
+            self.more().await?;
+        }
+    }
+
+    async fn more(&mut self) -> Result<()> {
+        if self.fill().await? == 0 {
+            return Err(Error::Cut);
+        }
+        Ok(())
+    }
+
+    /// Reads the next bytes of a body, in whatever portions they arrive; none at its end.
+    pub async fn chunk(&mut self, framing: &mut Framing) -> Result<Option<Bytes>> {
+        loop {
+            if let Some(step) = framing.take(&mut self.buffer)? {
+                return Ok(step.into_bytes());
+            }
+            if self.fill().await? == 0 {
+                return if framing.ends_with_close() {
+                    Ok(None)
+                } else {
+                    Err(Error::Cut)
+                };
+            }
+        }
+    }
+
+    /// Reads a whole body; none when it is longer than `limit`.
+    pub async fn body(&mut self, framing: &mut Framing, limit: usize) -> Result<Option<Bytes>> {
+        if framing.length().is_some_and(|length| length > limit as u64) {
+            return Ok(None);
+        }
+        let mut whole = BytesMut::new();
+        while let Some(bytes) = self.chunk(framing).await? {
+            if whole.len() + bytes.len() > limit {
+                return Ok(None);
+            }
+            whole.extend_from_slice(&bytes);
+        }
+        Ok(Some(whole.freeze()))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/serve/http/body.rs
@@ -0,0 +1,189 @@
+//! Framing of bodies: by length, in chunks, or up to the close of the connection.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use super::{Error, Result};
+
+/// The longest line of a chunk's size or of a trailer, in bytes.
+const LINE_BYTES: usize = 4 * 1024;
+/// Hexadecimal digits of a chunk's size; more would overflow.
+const SIZE_DIGITS: usize = 8;
+
+/// Where a body ends, and how much of it is still to come.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Framing {
+    /// So many bytes are left.
+    Length(u64),
+    /// In chunks.
+    Chunked(Chunk),
+    /// All up to the close of the connection.
+    Close,
+    /// The body has ended.
+    End,
+}
+
+token! {
+    /// What comes next in a chunked body.
+    pub enum Chunk {
+        /// The line with the size of a chunk.
+        Size,
+        /// So many bytes of a chunk.
+        Data(u64),
+        /// The end of the line after a chunk's bytes.
+        Gap,
+        /// The fields after the last chunk.
+        Trailer,
+    }
+}
+
+/// What could be taken from the bytes that were read.
+pub enum Step {
+    /// Bytes of the body.
+    Bytes(Bytes),
+    /// The end of the body.
+    End,
+}
+
+impl Step {
+    pub(super) fn into_bytes(self) -> Option<Bytes> {
+        match self {
+            Self::Bytes(bytes) => Some(bytes),
+            Self::End => None,
+        }
+    }
+}
+
+fn malformed<T>(reason: &'static str) -> Result<T> {
+    Err(Error::Malformed { reason })
+}
+
+/// Takes a line that ends with CR LF, without its end.
+fn line(buffer: &mut BytesMut) -> Result<Option<Bytes>> {
+    let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
+        return if buffer.len() > LINE_BYTES {
+            malformed("a line of a chunked body is too long")
+        } else {
+            Ok(None)
+        };
+    };
+    if end == 0 || buffer[end - 1] != b'\r' {
+        return malformed("a line of a chunked body does not end with CR LF");
+    }
+    let mut line = buffer.split_to(end + 1).freeze();
+    line.truncate(end - 1);
+    Ok(Some(line))
+}
+
+fn size(line: &[u8]) -> Result<u64> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(digits).unwrap_or_default();
+    let plain = !text.is_empty()
+        && text.len() <= SIZE_DIGITS
+        && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    match u64::from_str_radix(text, 16) {
+        Ok(size) if plain => Ok(size),
+        _ => malformed("the size of a chunk is no number"),
+    }
+}
+
+fn portion(buffer: &mut BytesMut, left: u64) -> Bytes {
+    let size = usize::try_from(left).map_or(buffer.len(), |left| left.min(buffer.len()));
+    buffer.split_to(size).freeze()
+}
+
+impl Framing {
+    /// A body of a known length.
+    pub fn of_length(length: u64) -> Self {
+        if length == 0 {
+            Self::End
+        } else {
+            Self::Length(length)
+        }
+    }
+
+    /// A chunked body, from its beginning.
+    pub fn chunked() -> Self {
+        Self::Chunked(Chunk::Size)
+    }
+
+    /// Returns what is left of a body whose length is known.
+    pub fn length(&self) -> Option<u64> {
+        match self {
+            Self::Length(length) => Some(*length),
+            Self::End => Some(0),
+            Self::Chunked(_) | Self::Close => None,
+        }
+    }
+
+    /// Returns whether a close of the connection is the end of the body.
+    pub fn ends_with_close(&self) -> bool {
+        matches!(self, Self::Close | Self::End)
+    }
+
+    /// Takes what the buffer holds of the body; none when more has to be read.
+    pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Step>> {
+        loop {
+            match self {
+                Self::End => return Ok(Some(Step::End)),
+                Self::Close if buffer.is_empty() => return Ok(None),
+                Self::Close => return Ok(Some(Step::Bytes(buffer.split().freeze()))),
+                Self::Length(_) if buffer.is_empty() => return Ok(None),
+                Self::Length(left) => {
+                    let bytes = portion(buffer, *left);
+                    *self = Self::of_length(*left - bytes.len() as u64);
+                    return Ok(Some(Step::Bytes(bytes)));
+                }
+                Self::Chunked(chunk) => match chunk.take(buffer)? {
+                    Some(Piece::Bytes(bytes)) => return Ok(Some(Step::Bytes(bytes))),
+                    Some(Piece::Next(next)) => *chunk = next,
+                    Some(Piece::End) => *self = Self::End,
+                    None => return Ok(None),
+                },
+            }
+        }
+    }
+}
+
+enum Piece {
+    Bytes(Bytes),
+    Next(Chunk),
+    End,
+}
+
+impl Chunk {
+    fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Piece>> {
+        match *self {
+            Self::Size => {
+                let Some(line) = line(buffer)? else {
+                    return Ok(None);
+                };
+                Ok(Some(Piece::Next(match size(&line)? {
+                    0 => Self::Trailer,
+                    size => Self::Data(size),
+                })))
+            }
+            Self::Data(_) if buffer.is_empty() => Ok(None),
+            Self::Data(left) => {
+                let bytes = portion(buffer, left);
+                *self = match left - bytes.len() as u64 {
+                    0 => Self::Gap,
+                    left => Self::Data(left),
+                };
+                Ok(Some(Piece::Bytes(bytes)))
+            }
+            Self::Gap if buffer.len() < 2 => Ok(None),
+            Self::Gap if buffer.starts_with(b"\r\n") => {
+                buffer.advance(2);
+                Ok(Some(Piece::Next(Self::Size)))
+            }
+            Self::Gap => malformed("a chunk is longer than its size"),
+            Self::Trailer => Ok(line(buffer)?.map(|line| {
+                if line.is_empty() {
+                    Piece::End
+                } else {
+                    Piece::Next(Self::Trailer)
+                }
+            })),
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/http/head.rs
@@ -0,0 +1,232 @@
+//! Heads of requests and answers. An ambiguous head is refused, never interpreted.
+
+use bytes::Bytes;
+
+use super::{Error, Framing, Result};
+
+/// The most fields of a head.
+const MAX_FIELDS: usize = 100;
+/// Fields that concern one connection only and are not passed on.
+const HOP_FIELDS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+event! {
+    /// One field of a head, as it was received.
+    pub struct Field {
+        /// The name, in the sender's case.
+        pub name: String,
+        /// The value, without the spaces around it.
+        pub value: Bytes,
+    }
+}
+
+/// Makes a field.
+pub fn field(name: &str, value: impl std::fmt::Display) -> Field {
+    Field {
+        name: name.to_owned(),
+        value: value.to_string().into(),
+    }
+}
+
+event! {
+    /// The fields of a head, in their order.
+    #[derive(Default)]
+    pub struct Fields(pub Vec<Field>);
+}
+
+impl Fields {
+    /// Returns the values of all fields with the name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let fields = self.0.iter();
+        let fields = fields.filter(move |field| field.name.eq_ignore_ascii_case(name));
+        fields.map(|field| &*field.value)
+    }
+
+    /// Returns the value of the first field with the name, if it is text.
+    pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        std::str::from_utf8(self.all(name).next()?).ok()
+    }
+
+    /// Returns whether a list field holds the word.
+    pub fn has(&self, name: &str, word: &str) -> bool {
+        self.all(name).any(|value| {
+            let words = value.split(|byte| *byte == b',');
+            let mut words = words.map(|word| word.trim_ascii());
+            words.any(|one| one.eq_ignore_ascii_case(word.as_bytes()))
+        })
+    }
+
+    /// Returns the fields that are passed on: all but those of one connection.
+    pub fn end_to_end(&self) -> impl Iterator<Item = &Field> {
+        self.0.iter().filter(|field| {
+            let name = field.name.as_str();
+            let hop = HOP_FIELDS.iter().any(|hop| hop.eq_ignore_ascii_case(name));
+            !hop && !self.has("connection", name)
+        })
+    }
+
+    /// Returns the framing that the fields state, if they state one.
+    fn framing(&self) -> Result<Option<Framing>> {
+        let mut codings = self.all("transfer-encoding");
+        let mut lengths = self.all("content-length");
+        match (codings.next(), lengths.next()) {
+            (None, None) => Ok(None),
+            (Some(_), Some(_)) => malformed("both a length and a transfer coding"),
+            (Some(coding), None) => {
+                let chunked = coding.eq_ignore_ascii_case(b"chunked") && codings.next().is_none();
+                if chunked {
+                    Ok(Some(Framing::chunked()))
+                } else {
+                    malformed("an unknown transfer coding")
+                }
+            }
+            (None, Some(length)) => {
+                let text = std::str::from_utf8(length).unwrap_or_default();
+                let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+                match text.parse() {
+                    Ok(length) if digits && lengths.next().is_none() => {
+                        Ok(Some(Framing::of_length(length)))
+                    }
+                    _ => malformed("no single length"),
+                }
+            }
+        }
+    }
+}
+
+event! {
+    /// The head of a request.
+    pub struct Head {
+        /// The method.
+        pub method: String,
+        /// Path and query.
+        pub target: String,
+        /// The fields.
+        pub fields: Fields,
+        /// Where the body ends.
+        pub framing: Framing,
+        /// Whether the connection may carry another request.
+        pub keep: bool,
+    }
+}
+
+event! {
+    /// The head of an answer.
+    pub struct Reply {
+        /// The status.
+        pub status: u16,
+        /// The fields.
+        pub fields: Fields,
+        /// Where the body ends.
+        pub framing: Framing,
+        /// Whether the connection may carry another request.
+        pub keep: bool,
+    }
+}
+
+fn malformed<T>(reason: &'static str) -> Result<T> {
+    Err(Error::Malformed { reason })
+}
+
+/// Refuses a line feed without a carriage return: other programs see another head then.
+fn check_lines(head: &[u8]) -> Result<()> {
+    let mut last = 0;
+    for byte in head {
+        if *byte == b'\n' && last != b'\r' {
+            return malformed("a line that does not end with CR LF");
+        }
+        last = *byte;
+    }
+    Ok(())
+}
+
+fn collect(headers: &[httparse::Header<'_>]) -> Fields {
+    let one = |header: &httparse::Header<'_>| Field {
+        name: header.name.to_owned(),
+        value: Bytes::copy_from_slice(header.value.trim_ascii()),
+    };
+    Fields(headers.iter().map(one).collect())
+}
+
+fn parsed(status: httparse::Result<usize>, bytes: &[u8], limit: usize) -> Result<Option<usize>> {
+    match status {
+        Ok(httparse::Status::Complete(size)) if size > limit => Err(Error::Long { limit }),
+        Ok(httparse::Status::Complete(size)) => {
+            check_lines(&bytes[..size])?;
+            Ok(Some(size))
+        }
+        Ok(httparse::Status::Partial) if bytes.len() > limit => Err(Error::Long { limit }),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(Error::Long { limit }),
+        Err(_) => malformed("the head does not follow the protocol"),
+    }
+}
+
+/// Parses the head of a request, with the bytes it takes; none when it is not complete.
+pub(super) fn parse_request(bytes: &[u8], limit: usize) -> Result<Option<(Head, usize)>> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut request = httparse::Request::new(&mut headers);
+    let status = request.parse(bytes);
+    let Some(size) = parsed(status, bytes, limit)? else {
+        return Ok(None);
+    };
+    let fields = collect(request.headers);
+    let framing = fields.framing()?.unwrap_or(Framing::End);
+    if fields.all("host").count() != 1 {
+        return malformed("not one host");
+    }
+    let newest = request.version == Some(1);
+    if !newest && matches!(framing, Framing::Chunked(_)) {
+        return malformed("a transfer coding in HTTP/1.0");
+    }
+    let head = Head {
+        method: request.method.unwrap_or_default().to_owned(),
+        target: request.path.unwrap_or_default().to_owned(),
+        keep: newest && !fields.has("connection", "close"),
+        fields,
+        framing,
+    };
+    Ok(Some((head, size)))
+}
+
+/// Parses the head of an answer, with the bytes it takes; none when it is not complete.
+pub(super) fn parse_reply(bytes: &[u8], limit: usize) -> Result<Option<(Reply, usize)>> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut response = httparse::Response::new(&mut headers);
+    let status = response.parse(bytes);
+    let Some(size) = parsed(status, bytes, limit)? else {
+        return Ok(None);
+    };
+    let fields = collect(response.headers);
+    let status = response.code.unwrap_or_default();
+    let empty = status < 200 || status == 204 || status == 304;
+    let framing = match fields.framing()? {
+        _ if empty => Framing::End,
+        Some(framing) => framing,
+        None => Framing::Close,
+    };
+    let keep = response.version == Some(1)
+        && !fields.has("connection", "close")
+        && framing != Framing::Close;
+    let reply = Reply {
+        status,
+        fields,
+        framing,
+        keep,
+    };
+    Ok(Some((reply, size)))
+}
--- /dev/null
+++ b/src/serve/plan.rs
@@ -0,0 +1,564 @@
+//! Decides where the stages of requests run, in which order, and which endpoint gets each request.
+//!
+//! One daemon of a region plans for all of them, so that a call to a stage's endpoint gathers pieces
+//! of many requests and the endpoint never waits while there are any. Planning does no I/O: events
+//! and the time go in, actions come out. Two planners at once do no harm, because a piece may be
+//! made again; they only fill calls less well. See [the design note](../../docs/design/serve.md).
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::catalog::Catalog;
+use super::fleet::{Endpoint, Fleet};
+use super::health::Verdict;
+use crate::clock::Time;
+use crate::id;
+
+mod engine;
+mod forecast;
+mod maker;
+mod work;
+
+use engine::Engines;
+use maker::{Call, Makers};
+use work::{Made, Piece, Place, Work};
+
+/// A request that is being planned.
+pub type Ticket = u64;
+/// A call to an endpoint of a stage.
+pub type Number = u64;
+/// A result that an endpoint holds, as the endpoint names it.
+pub type Handle = id::Name;
+
+/// Times that a job's inputs may vanish before it is given up.
+const MAX_RESTARTS: u32 = 2;
+/// Times that one piece may fail at endpoints before its request is given up.
+const MAX_TRIES: u32 = 4;
+/// How much later than its target a request may be expected to end when it is let in. Beyond it, a
+/// refusal at once lets the client come back when there is room.
+const TOLERANCE: f64 = 0.15;
+/// The least time for which a refused client is asked to wait.
+const MIN_WAIT: Duration = Duration::from_millis(250);
+/// The longest time for which a refused client is asked to wait.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+
+event! {
+    /// A request with the work that has to be done before it runs.
+    pub struct Job {
+        /// The request's id, under which its pieces are made.
+        pub request: id::Name,
+        /// What the pieces are made from.
+        pub key: id::Name,
+        /// The stages.
+        pub needs: Vec<Need>,
+        /// The service that runs the request itself.
+        pub service: id::Pool,
+        /// The rank; 0 is the most urgent.
+        pub priority: u8,
+        /// When an answer stops being of full use.
+        pub target: Time,
+        /// When nobody waits any longer.
+        pub end: Time,
+        /// The parts of the prompt, in order.
+        pub parts: Vec<Part>,
+        /// Tokens of the prompt and the most that are generated.
+        pub tokens: Tokens,
+        /// The availability zone of the caller.
+        pub zone: id::Zone,
+    }
+}
+
+event! {
+    /// One stage of a job.
+    pub struct Need {
+        /// The service.
+        pub service: id::Pool,
+        /// The stages whose results it needs.
+        pub after: Vec<usize>,
+        /// The size of one result, in bytes.
+        pub bytes: u64,
+        /// How many pieces it has; none when the stage is left out.
+        pub pieces: usize,
+    }
+}
+
+event! {
+    /// A part of a prompt that other requests may share.
+    pub struct Part {
+        /// The part's id.
+        pub id: id::Name,
+        /// Its tokens.
+        pub tokens: u64,
+    }
+}
+
+token! {
+    /// The size of a generation.
+    #[derive(Default)]
+    pub struct Tokens {
+        /// Tokens of the prompt.
+        pub prompt: u64,
+        /// The most tokens that are generated.
+        pub output: u64,
+    }
+}
+
+event! {
+    /// One piece as an endpoint is asked for it.
+    pub struct Entry {
+        /// The request.
+        pub request: id::Name,
+        /// The stage.
+        pub stage: usize,
+        /// The piece, numbered from 0.
+        pub piece: usize,
+        /// The time after which nobody needs it.
+        pub remaining: Duration,
+        /// What it is made from.
+        pub source: Input,
+    }
+
+    /// What a piece is made from.
+    pub enum Input {
+        /// The key of the request.
+        Key(id::Name),
+        /// The results of all stages that it comes after.
+        Handles(Vec<Handle>),
+    }
+
+    /// What became of one piece.
+    pub enum Outcome {
+        /// The endpoint holds the result.
+        Handle(Handle),
+        /// It was too late for it.
+        Late,
+        /// One of its inputs is gone.
+        Gone,
+        /// The endpoint has no room for the result.
+        Room,
+        /// The endpoint failed.
+        Error,
+    }
+
+    /// How a whole call ended.
+    pub enum Ending {
+        /// The endpoint answered for each piece, in order.
+        Answered(Vec<Outcome>),
+        /// The endpoint ran nothing: it was full, or is another one.
+        Refused,
+        /// The connection was lost, or the answer was none.
+        Lost,
+    }
+}
+
+event! {
+    /// What an endpoint holds for a job, for the request that needs it.
+    #[derive(Eq)]
+    pub struct Grant {
+        /// The endpoint that is to run the request.
+        pub endpoint: id::Endpoint,
+        /// The results that it is to fetch, in the order of stages and pieces.
+        pub inputs: Vec<Handle>,
+    }
+
+    /// Why a request is refused.
+    pub struct Refusal {
+        /// What was decisive, for the log.
+        pub reason: &'static str,
+        /// When the client may come back.
+        pub wait: Duration,
+    }
+}
+
+event! {
+    /// What a planner wants done.
+    pub enum Action {
+        /// Call an endpoint of a stage.
+        Call {
+            /// The call, by which its end is told.
+            call: Number,
+            /// The endpoint.
+            endpoint: id::Endpoint,
+            /// Where it listens.
+            address: SocketAddr,
+            /// How long it may take before it is given up.
+            patience: Duration,
+            /// The pieces.
+            entries: Vec<Entry>,
+        },
+        /// Tell an endpoint that results are no longer needed.
+        Free {
+            /// The endpoint.
+            endpoint: id::Endpoint,
+            /// Where it listens.
+            address: SocketAddr,
+            /// The results.
+            handles: Vec<Handle>,
+        },
+        /// Run the request.
+        Grant(Ticket, Grant),
+        /// Refuse the request: it has not run.
+        Refuse(Ticket, Refusal),
+    }
+}
+
+impl Ending {
+    /// Returns the name of the ending in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Refused => "refused",
+            Self::Lost => "lost",
+        }
+    }
+}
+
+impl Default for Grant {
+    /// The grant of a request that has none yet.
+    fn default() -> Self {
+        Self {
+            endpoint: "".into(),
+            inputs: Vec::new(),
+        }
+    }
+}
+
+impl Refusal {
+    /// The planner itself is gone.
+    pub fn gone() -> Self {
+        Self {
+            reason: "the planner is gone",
+            wait: MIN_WAIT,
+        }
+    }
+}
+
+/// The planner of one region.
+pub struct Planner {
+    region: Vec<id::Zone>,
+    works: IndexMap<Ticket, Work>,
+    makers: Makers,
+    engines: Engines,
+    calls: IndexMap<Number, Call>,
+    next_call: Number,
+    actions: Vec<Action>,
+}
+
+impl Planner {
+    /// Makes a planner for the endpoints of these availability zones.
+    pub fn new(region: Vec<id::Zone>) -> Self {
+        Self {
+            region,
+            works: IndexMap::new(),
+            makers: Makers::default(),
+            engines: Engines::default(),
+            calls: IndexMap::new(),
+            next_call: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes in which endpoints there are and how they are made.
+    pub fn sync(&mut self, fleet: &Fleet, catalog: &Catalog, now: Time) {
+        let here = |endpoint: &&Endpoint| self.region.contains(&endpoint.zone);
+        let endpoints: Vec<&Endpoint> = fleet.all().filter(here).collect();
+        self.makers.sync(&endpoints, catalog);
+        self.engines.sync(&endpoints, catalog);
+        self.dispatch_all(now);
+    }
+
+    /// Returns the number of requests that are planned now.
+    pub fn len(&self) -> usize {
+        self.works.len()
+    }
+
+    /// Returns whether no request is planned.
+    pub fn is_empty(&self) -> bool {
+        self.works.is_empty()
+    }
+
+    /// Takes what is to be done.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// A request has come.
+    pub fn submit(&mut self, ticket: Ticket, job: Job, now: Time) {
+        let work = Work::new(job);
+        if let Some(refusal) = self.judge(&work, now) {
+            self.actions.push(Action::Refuse(ticket, refusal));
+            return;
+        }
+        self.works.insert(ticket, work);
+        self.advance(ticket, now);
+        self.dispatch_all(now);
+    }
+
+    /// The request is over, or its client has left: what is held for it is freed.
+    pub fn leave(&mut self, ticket: Ticket, now: Time) {
+        let Some(work) = self.works.shift_remove(&ticket) else {
+            return;
+        };
+        if let Some(lease) = &work.lease {
+            self.engines.release(lease);
+        }
+        self.free(work.held());
+        self.dispatch_all(now);
+    }
+
+    /// The endpoint has begun to answer: it has fetched its inputs and read the prompt.
+    pub fn started(&mut self, ticket: Ticket, is_final: bool, now: Time) {
+        let Some(work) = self.works.get_mut(&ticket) else {
+            return;
+        };
+        if let Some(lease) = &mut work.lease
+            && let Some(took) = self.engines.started(lease, now)
+        {
+            self.makers.note_answer(took);
+        }
+        if is_final {
+            let held = work.take_held();
+            self.free(held);
+            self.dispatch_all(now);
+        }
+    }
+
+    /// The endpoint that was granted ended a request so; the ticket stays until `leave`.
+    pub fn ended(&mut self, ticket: Ticket, verdict: Verdict, now: Time) {
+        let Some(work) = self.works.get_mut(&ticket) else {
+            return;
+        };
+        if let Some(lease) = work.lease.take() {
+            self.engines.end(&lease, verdict, now);
+            work.tried.push(lease.engine);
+        }
+    }
+
+    /// The endpoint did not run the request: another one is chosen. With `again`, the inputs are
+    /// gone and are made anew.
+    pub fn retry(&mut self, ticket: Ticket, again: bool, now: Time) {
+        let Some(work) = self.works.get_mut(&ticket) else {
+            return;
+        };
+        work.is_granted = false;
+        if again {
+            work.restarts += 1;
+            if work.restarts > MAX_RESTARTS {
+                return self.refuse(ticket, "inputs vanished again and again", now);
+            }
+            let held = work.reset();
+            self.free(held);
+        }
+        self.advance(ticket, now);
+        self.dispatch_all(now);
+    }
+
+    /// A call has ended.
+    pub fn answered(&mut self, number: Number, ending: &Ending, now: Time) {
+        let Some(call) = self.calls.shift_remove(&number) else {
+            return;
+        };
+        self.makers.end(&call, ending, now);
+        let mut moved: Vec<Ticket> = Vec::new();
+        for (index, piece) in call.pieces.iter().enumerate() {
+            let outcome = match ending {
+                Ending::Answered(outcomes) => outcomes.get(index),
+                Ending::Refused | Ending::Lost => None,
+            };
+            self.settle(piece, outcome, &call, now);
+            if moved.last() != Some(&piece.ticket) {
+                moved.push(piece.ticket);
+            }
+        }
+        for ticket in moved {
+            self.advance(ticket, now);
+        }
+        self.dispatch_all(now);
+    }
+
+    fn settle(&mut self, piece: &Piece, outcome: Option<&Outcome>, call: &Call, now: Time) {
+        let made = |handle: &Handle| Made {
+            handle: handle.clone(),
+            maker: call.maker.clone(),
+            zone: call.zone.clone(),
+            bytes: piece.bytes,
+        };
+        let work = self.works.get_mut(&piece.ticket);
+        let work = work.filter(|work| work.round == piece.round);
+        let Some(work) = work else {
+            if let Some(Outcome::Handle(handle)) = outcome {
+                self.free(vec![made(handle)]);
+            }
+            return;
+        };
+        let place = work.place(piece.at);
+        match outcome {
+            Some(Outcome::Handle(handle)) => {
+                if !place.is_made() {
+                    place.made = Some(made(handle));
+                } else {
+                    let extra = made(handle);
+                    self.free(vec![extra]);
+                }
+            }
+            Some(Outcome::Late) => self.refuse(piece.ticket, "a stage was too late", now),
+            Some(Outcome::Gone) => {
+                work.restarts += 1;
+                if work.restarts > MAX_RESTARTS {
+                    self.refuse(piece.ticket, "inputs vanished again and again", now);
+                } else {
+                    let held = work.reset();
+                    self.free(held);
+                }
+            }
+            Some(Outcome::Error) => {
+                place.running = place.running.saturating_sub(1);
+                place.tries += 1;
+                if place.tries >= MAX_TRIES {
+                    self.refuse(piece.ticket, "a stage failed again and again", now);
+                }
+            }
+            Some(Outcome::Room) | None => place.running = place.running.saturating_sub(1),
+        }
+    }
+
+    /// Gives up requests whose time is over, and calls that take too long.
+    pub fn tick(&mut self, now: Time) {
+        for number in self.makers.overdue(&self.calls, now) {
+            let Some(call) = self.calls.get_mut(&number) else {
+                continue;
+            };
+            call.is_overdue = true;
+            for piece in &call.pieces {
+                let work = self.works.get_mut(&piece.ticket);
+                if let Some(work) = work.filter(|work| work.round == piece.round) {
+                    let place = work.place(piece.at);
+                    place.running = place.running.saturating_sub(1);
+                }
+            }
+        }
+        self.makers.expire(now);
+        let over: Vec<(Ticket, &'static str)> = self
+            .works
+            .iter()
+            .filter_map(|(ticket, work)| Some((*ticket, work.hopeless(&self.makers, now)?)))
+            .collect();
+        for (ticket, reason) in over {
+            self.refuse(ticket, reason, now);
+        }
+        self.dispatch_all(now);
+    }
+
+    fn refuse(&mut self, ticket: Ticket, reason: &'static str, now: Time) {
+        let Some(work) = self.works.shift_remove(&ticket) else {
+            return;
+        };
+        let queued = forecast::forecast(&Work::new(work.job.clone()), &self.works, &self.makers, now);
+        let wait = queued.map_or(MAX_WAIT, |forecast| forecast.wait);
+        let wait = wait.clamp(MIN_WAIT, MAX_WAIT);
+        self.free(work.held());
+        let refusal = Refusal { reason, wait };
+        self.actions.push(Action::Refuse(ticket, refusal));
+    }
+
+    fn free(&mut self, results: Vec<Made>) {
+        self.actions.extend(self.makers.free(results));
+    }
+
+    /// Grants a request whose stages are all done.
+    fn advance(&mut self, ticket: Ticket, now: Time) {
+        let Some(work) = self.works.get_mut(&ticket) else {
+            return;
+        };
+        let spent = work.take_spent();
+        if work.lease.is_none() && !work.is_granted && work.is_ready() {
+            match self.engines.choose(work, now) {
+                Some(lease) => {
+                    let grant = Grant {
+                        endpoint: lease.engine.clone(),
+                        inputs: work.inputs(),
+                    };
+                    work.lease = Some(lease);
+                    work.is_granted = true;
+                    self.actions.push(Action::Grant(ticket, grant));
+                }
+                None => self.refuse(ticket, "no endpoint has room", now),
+            }
+        }
+        self.free(spent);
+    }
+
+    /// Sends calls to all endpoints that can take one.
+    fn dispatch_all(&mut self, now: Time) {
+        let queue = forecast::queue(&self.works, &self.makers, now);
+        for (pool, waiting) in queue {
+            self.dispatch(&pool, waiting, now);
+        }
+    }
+
+    fn dispatch(&mut self, pool: &id::Pool, mut waiting: Vec<forecast::Waiting>, now: Time) {
+        while !waiting.is_empty() {
+            let Some(batch) = self.makers.pick(pool, &waiting, now) else {
+                return;
+            };
+            let number = self.next_call;
+            self.next_call += 1;
+            let taken: Vec<forecast::Waiting> =
+                batch.indexes.iter().map(|index| waiting[*index].clone()).collect();
+            let entries = taken.iter().map(|one| self.entry(one, now)).collect();
+            let pieces = taken.iter().map(|one| one.piece.clone()).collect();
+            for one in &taken {
+                if let Some(work) = self.works.get_mut(&one.piece.ticket) {
+                    work.place(one.piece.at).running += 1;
+                    work.has_begun = true;
+                }
+            }
+            let begun = self.makers.begin(number, &batch, pieces, entries, now);
+            if let Some((call, action)) = begun {
+                self.calls.insert(number, call);
+                self.actions.push(action);
+            }
+            let mut index = 0;
+            waiting.retain(|_| {
+                index += 1;
+                !batch.indexes.contains(&(index - 1))
+            });
+        }
+    }
+
+    fn entry(&self, one: &forecast::Waiting, now: Time) -> Entry {
+        let work = &self.works[&one.piece.ticket];
+        let Place { stage, piece } = one.piece.at;
+        let after = &work.job.needs[stage].after;
+        let source = if after.is_empty() {
+            Input::Key(work.job.key.clone())
+        } else {
+            Input::Handles(work.results_of(after))
+        };
+        Entry {
+            request: work.job.request.clone(),
+            stage,
+            piece,
+            remaining: work.job.end.saturating_sub(now),
+            source,
+        }
+    }
+
+    /// Decides whether a request is let in.
+    fn judge(&self, work: &Work, now: Time) -> Option<Refusal> {
+        let forecast = forecast::forecast(work, &self.works, &self.makers, now)?;
+        let target = work.job.target.saturating_sub(now).mul_f64(1.0 + TOLERANCE);
+        let left = work.job.end.saturating_sub(now);
+        if forecast.total <= target.min(left) {
+            return None;
+        }
+        let wait = forecast.wait.clamp(MIN_WAIT, MAX_WAIT);
+        let reason = "the stages are expected to end too late";
+        Some(Refusal { reason, wait })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/serve/plan/forecast.rs
@@ -0,0 +1,138 @@
+//! The order in which pieces are worked on, and when a new request would end.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::maker::Makers;
+use super::work::{Piece, Work};
+use super::Ticket;
+use crate::clock::Time;
+use crate::id;
+
+/// How much later a request of the next lower rank is worked on than one with the same slack. It is
+/// about the time of one call, so that rank decides among requests of neighbouring calls.
+const RANK_DELAY: Duration = Duration::from_millis(300);
+
+/// The wait for a service without endpoints: longer than any deadline.
+const NO_ENDPOINT: Duration = Duration::from_secs(60);
+
+token! {
+    /// When a piece's turn is; the least comes first.
+    pub struct Turn {
+        /// Whether its request misses its target anyway.
+        pub is_late: bool,
+        /// The time at which it has to begin, moved back by the rank.
+        pub at: Time,
+    }
+}
+
+/// A piece that waits for an endpoint.
+#[derive(Clone)]
+pub struct Waiting {
+    /// The piece.
+    pub piece: Piece,
+    /// Its place in the queue.
+    pub turn: Turn,
+    /// The time it can wait and still meet its target.
+    pub slack: Duration,
+    /// The availability zone of the caller.
+    pub zone: id::Zone,
+}
+
+/// What is expected of a request.
+pub struct Forecast {
+    /// The time from now to the first byte of its answer.
+    pub total: Duration,
+    /// How long its stages wait for endpoints.
+    pub wait: Duration,
+}
+
+fn turn(work: &Work, stage: usize, makers: &Makers, now: Time) -> (Turn, Duration) {
+    let tail = work.tail(stage, makers);
+    let begin = work.job.target.saturating_sub(tail);
+    let is_late = begin < now;
+    let at = begin + RANK_DELAY * u32::from(work.job.priority);
+    (Turn { is_late, at }, begin.saturating_sub(now))
+}
+
+/// Returns the pieces that wait, by service, in the order of their turns.
+pub fn queue(
+    works: &IndexMap<Ticket, Work>,
+    makers: &Makers,
+    now: Time,
+) -> IndexMap<id::Pool, Vec<Waiting>> {
+    let mut queue: IndexMap<id::Pool, Vec<Waiting>> = IndexMap::new();
+    for (ticket, work) in works {
+        let mut last = None;
+        for piece in work.waiting(*ticket) {
+            let stage = piece.at.stage;
+            let (turn, slack) = match last {
+                Some((of, turn, slack)) if of == stage => (turn, slack),
+                _ => turn(work, stage, makers, now),
+            };
+            last = Some((stage, turn, slack));
+            let pool = work.job.needs[stage].service.clone();
+            queue.entry(pool).or_default().push(Waiting {
+                piece,
+                turn,
+                slack,
+                zone: work.job.zone.clone(),
+            });
+        }
+    }
+    for waiting in queue.values_mut() {
+        waiting.sort_by_key(|one| one.turn);
+    }
+    queue
+}
+
+/// Forecasts a new request, from what waits before it; none when it has no stages.
+pub fn forecast(
+    new: &Work,
+    works: &IndexMap<Ticket, Work>,
+    makers: &Makers,
+    now: Time,
+) -> Option<Forecast> {
+    let mut ends: Vec<Duration> = Vec::new();
+    let mut wait = Duration::ZERO;
+    for (stage, need) in new.job.needs.iter().enumerate() {
+        let before = need.after.iter().filter_map(|before| ends.get(*before));
+        let begin = before.max().copied().unwrap_or_default();
+        if need.pieces == 0 {
+            ends.push(begin);
+            continue;
+        }
+        let (turn, _) = turn(new, stage, makers, now);
+        let ahead = ahead(works, &need.service, turn, makers, now);
+        let queued = makers.wait(&need.service, ahead, now).unwrap_or(NO_ENDPOINT);
+        wait = wait.max(queued);
+        let own = makers.least_time(&need.service, need.pieces);
+        ends.push(begin + queued + own);
+    }
+    let last = ends.iter().max().copied()?;
+    let total = last + makers.answer_time();
+    Some(Forecast { total, wait })
+}
+
+/// Returns how many pieces of a service wait and have their turn before this one.
+fn ahead(
+    works: &IndexMap<Ticket, Work>,
+    service: &id::Pool,
+    before: Turn,
+    makers: &Makers,
+    now: Time,
+) -> usize {
+    let mut count = 0;
+    for work in works.values().filter(|work| !work.is_granted) {
+        for (stage, need) in work.job.needs.iter().enumerate() {
+            if need.service == *service && work.is_open(stage) && !work.is_ready() {
+                let waiting = work.queued(stage);
+                if waiting > 0 && turn(work, stage, makers, now).0 < before {
+                    count += waiting;
+                }
+            }
+        }
+    }
+    count
+}
--- /dev/null
+++ b/src/serve/plan/maker.rs
@@ -0,0 +1,372 @@
+//! The endpoints that work on stages: which one takes the next call, and what it holds.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::forecast::Waiting;
+use super::work::{Made, Piece};
+use super::{Action, Ending, Entry, Handle, Number, Outcome};
+use crate::clock::Time;
+use crate::id;
+use crate::serve::catalog::{self, Catalog};
+use crate::serve::fleet::Endpoint;
+use crate::serve::health::{Record, Verdict};
+
+/// A call is overdue after this multiple of its expected time, so that its pieces are made
+/// elsewhere; items differ by stage, so a smaller one would repeat sound calls.
+const OVERDUE: f64 = 1.8;
+/// What is allowed to an overdue call besides, for the network and a busy daemon.
+const OVERDUE_SLACK: Duration = Duration::from_millis(150);
+/// A call is given up after this multiple of its expected time.
+const PATIENCE: u32 = 8;
+/// How long an endpoint that was full is left alone.
+const FULL_TIME: Duration = Duration::from_millis(60);
+/// How long an endpoint without room for results is left alone.
+const ROOM_TIME: Duration = Duration::from_millis(100);
+/// An endpoint that takes this many times as long as expected gets only what can wait for it.
+const SLOW: f64 = 1.6;
+/// The time from the grant to the first byte of an answer, before any was measured.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// The share of a new observation in the mean time to the first byte.
+const SHARE: f64 = 0.1;
+
+/// An endpoint of a stage.
+struct Maker {
+    pool: id::Pool,
+    zone: id::Zone,
+    address: SocketAddr,
+    born: u64,
+    record: Record,
+    busy: Option<Number>,
+    /// When its call is expected to end.
+    free_at: Time,
+    /// No call is sent before this time.
+    blocked: Time,
+    /// Bytes of results that it holds or is making.
+    stock: u64,
+    held: IndexMap<Handle, Holding>,
+}
+
+/// A result at its maker.
+struct Holding {
+    bytes: u64,
+    /// When the endpoint drops it by itself.
+    until: Time,
+}
+
+/// A call that is being worked on.
+pub struct Call {
+    /// The endpoint.
+    pub maker: id::Endpoint,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// The pieces, in their order.
+    pub pieces: Vec<Piece>,
+    /// Whether its pieces were queued again, since it takes too long.
+    pub is_overdue: bool,
+    began: Time,
+    expected: Duration,
+}
+
+/// The pieces that an endpoint gets next.
+pub struct Batch {
+    maker: id::Endpoint,
+    /// Their places among those that wait.
+    pub indexes: Vec<usize>,
+}
+
+/// All endpoints of stages.
+pub struct Makers {
+    pools: IndexMap<id::Pool, catalog::Batch>,
+    all: IndexMap<id::Endpoint, Maker>,
+    answer_time: Duration,
+}
+
+impl Default for Makers {
+    fn default() -> Self {
+        Self {
+            pools: IndexMap::new(),
+            all: IndexMap::new(),
+            answer_time: ANSWER_TIME,
+        }
+    }
+}
+
+impl Makers {
+    /// Takes in which endpoints there are.
+    pub fn sync(&mut self, endpoints: &[&Endpoint], catalog: &Catalog) {
+        let batches = catalog.services.iter();
+        let batches = batches.filter_map(|(name, one)| Some((name.clone(), one.batch.clone()?)));
+        self.pools = batches.collect();
+        let listed: indexmap::IndexSet<&id::Endpoint> =
+            endpoints.iter().map(|endpoint| &endpoint.id).collect();
+        self.all.retain(|id, _| listed.contains(id));
+        for endpoint in endpoints {
+            if !self.pools.contains_key(&endpoint.service) {
+                continue;
+            }
+            let same = |maker: &Maker| {
+                maker.born == endpoint.born
+                    && maker.address == endpoint.address
+                    && maker.pool == endpoint.service
+            };
+            if !self.all.get(&endpoint.id).is_some_and(same) {
+                self.all.insert(endpoint.id.clone(), Maker::new(endpoint));
+            }
+        }
+    }
+
+    /// Returns the least time that some pieces of a service take.
+    pub fn least_time(&self, pool: &id::Pool, pieces: usize) -> Duration {
+        let Some(batch) = self.pools.get(pool) else {
+            return Duration::ZERO;
+        };
+        if pieces == 0 {
+            return Duration::ZERO;
+        }
+        batch.call + batch.item * count(pieces.min(batch.size))
+    }
+
+    /// Returns the expected time from a grant to the first byte of the answer.
+    pub fn answer_time(&self) -> Duration {
+        self.answer_time
+    }
+
+    /// An answer began so long after its grant.
+    pub fn note_answer(&mut self, took: Duration) {
+        self.answer_time = self.answer_time.mul_f64(1.0 - SHARE) + took.mul_f64(SHARE);
+    }
+
+    /// Returns how long a piece waits behind others; none when no endpoint can take it.
+    pub fn wait(&self, pool: &id::Pool, ahead: usize, now: Time) -> Option<Duration> {
+        let batch = self.pools.get(pool)?;
+        let open = |maker: &&Maker| maker.pool == *pool && maker.record.is_open(now);
+        let makers: Vec<&Maker> = self.all.values().filter(open).collect();
+        let number = count(makers.len());
+        if number == 0 {
+            return None;
+        }
+        let speed: f64 = makers.iter().map(|maker| 1.0 / maker.record.slowness(now)).sum();
+        let left = |maker: &&Maker| match maker.busy {
+            Some(_) => maker.free_at.saturating_sub(now),
+            None => Duration::ZERO,
+        };
+        let soonest = makers.iter().map(left).min().unwrap_or_default();
+        let mean = makers.iter().map(left).sum::<Duration>() / number;
+        let calls = count(ahead / batch.size.max(1));
+        let queued = batch.call * calls + batch.item * count(ahead);
+        let queued = queued.div_f64(speed.max(0.1));
+        Some(if calls == 0 { soonest } else { mean + queued })
+    }
+
+    /// Chooses an idle endpoint and the pieces that it gets.
+    pub fn pick(&self, pool: &id::Pool, waiting: &[Waiting], now: Time) -> Option<Batch> {
+        let batch = self.pools.get(pool)?;
+        let first = waiting.first()?;
+        let open = |maker: &&Maker| maker.pool == *pool && maker.record.is_open(now);
+        let idle = |maker: &Maker| maker.busy.is_none() && now >= maker.blocked;
+        let fast = self.all.values().filter(open);
+        let has_fast = fast.into_iter().any(|maker| maker.record.slowness(now) < SLOW);
+        let mut makers: Vec<(&id::Endpoint, &Maker)> = self.all.iter().collect();
+        makers.retain(|(_, maker)| open(maker) && idle(maker));
+        makers.sort_by(|(_, a), (_, b)| {
+            let key = |maker: &Maker| {
+                let far = if maker.zone == first.zone { 0.0 } else { 0.1 };
+                maker.record.slowness(now) + maker.record.failing(now) + far
+            };
+            key(a).total_cmp(&key(b))
+        });
+        makers.into_iter().find_map(|(id, maker)| {
+            let indexes = maker.fill(batch, waiting, has_fast, now);
+            let maker = id.clone();
+            (!indexes.is_empty()).then_some(Batch { maker, indexes })
+        })
+    }
+
+    /// Sends a call.
+    pub fn begin(
+        &mut self,
+        number: Number,
+        batch: &Batch,
+        pieces: Vec<Piece>,
+        entries: Vec<Entry>,
+        now: Time,
+    ) -> Option<(Call, Action)> {
+        let maker = self.all.get_mut(&batch.maker)?;
+        let settings = self.pools.get(&maker.pool)?;
+        let plain = settings.call + settings.item * count(pieces.len());
+        let expected = plain.mul_f64(maker.record.slowness(now).max(1.0));
+        maker.busy = Some(number);
+        maker.free_at = now + expected;
+        maker.record.begin(now);
+        maker.stock += pieces.iter().map(|piece| piece.bytes).sum::<u64>();
+        let action = Action::Call {
+            call: number,
+            endpoint: batch.maker.clone(),
+            address: maker.address,
+            patience: expected * PATIENCE,
+            entries,
+        };
+        let call = Call {
+            maker: batch.maker.clone(),
+            zone: maker.zone.clone(),
+            pieces,
+            is_overdue: false,
+            began: now,
+            expected: plain,
+        };
+        Some((call, action))
+    }
+
+    /// Books the end of a call.
+    pub fn end(&mut self, call: &Call, ending: &Ending, now: Time) {
+        let Some(maker) = self.all.get_mut(&call.maker) else {
+            return;
+        };
+        maker.busy = None;
+        let keep = self.pools.get(&maker.pool).map(|batch| batch.keep);
+        let until = now + keep.unwrap_or_default();
+        match ending {
+            Ending::Answered(outcomes) => {
+                let took = now.saturating_sub(call.began);
+                let ratio = took.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
+                maker.record.took(ratio, now);
+                let good = outcomes.iter().any(|one| *one != Outcome::Error);
+                let verdict = if good { Verdict::Good } else { Verdict::Bad };
+                maker.record.end(verdict, now);
+                for (piece, outcome) in call.pieces.iter().zip(outcomes) {
+                    maker.book(piece, outcome, until, now);
+                }
+            }
+            Ending::Refused => {
+                maker.record.end(Verdict::Refused, now);
+                maker.blocked = now + FULL_TIME;
+                maker.unbook(&call.pieces);
+            }
+            Ending::Lost => {
+                maker.record.end(Verdict::Lost, now);
+                maker.unbook(&call.pieces);
+            }
+        }
+    }
+
+    /// Returns the calls that take too long.
+    pub fn overdue(&self, calls: &IndexMap<Number, Call>, now: Time) -> Vec<Number> {
+        let over = |call: &Call| {
+            let slow = self.all.get(&call.maker);
+            let slow = slow.map_or(1.0, |maker| maker.record.slowness(now).max(1.0));
+            let limit = call.expected.mul_f64(OVERDUE * slow.min(3.0)) + OVERDUE_SLACK;
+            !call.is_overdue && now > call.began + limit
+        };
+        let calls = calls.iter().filter(|(_, call)| over(call));
+        calls.map(|(number, _)| *number).collect()
+    }
+
+    /// Drops what endpoints no longer hold.
+    pub fn expire(&mut self, now: Time) {
+        for maker in self.all.values_mut() {
+            let mut over = 0;
+            maker.held.retain(|_, holding| {
+                let keep = now < holding.until;
+                over += if keep { 0 } else { holding.bytes };
+                keep
+            });
+            maker.stock = maker.stock.saturating_sub(over);
+        }
+    }
+
+    /// Gives up results, and returns what has to be told to their makers.
+    pub fn free(&mut self, results: Vec<Made>) -> Vec<Action> {
+        let mut by_maker: IndexMap<id::Endpoint, Vec<Handle>> = IndexMap::new();
+        for made in results {
+            let maker = self.all.get_mut(&made.maker);
+            let Some(maker) = maker else {
+                continue;
+            };
+            if let Some(holding) = maker.held.swap_remove(&made.handle) {
+                maker.stock = maker.stock.saturating_sub(holding.bytes);
+                by_maker.entry(made.maker).or_default().push(made.handle);
+            }
+        }
+        let action = |(endpoint, handles): (id::Endpoint, Vec<Handle>)| {
+            let address = self.all.get(&endpoint)?.address;
+            Some(Action::Free {
+                endpoint,
+                address,
+                handles,
+            })
+        };
+        by_maker.into_iter().filter_map(action).collect()
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+impl Maker {
+    fn new(endpoint: &Endpoint) -> Self {
+        Self {
+            pool: endpoint.service.clone(),
+            zone: endpoint.zone.clone(),
+            address: endpoint.address,
+            born: endpoint.born,
+            record: Record::default(),
+            busy: None,
+            free_at: Time::ZERO,
+            blocked: Time::ZERO,
+            stock: 0,
+            held: IndexMap::new(),
+        }
+    }
+
+    /// Returns the places of the pieces that it takes, in their order.
+    fn fill(
+        &self,
+        batch: &catalog::Batch,
+        waiting: &[Waiting],
+        has_fast: bool,
+        now: Time,
+    ) -> Vec<usize> {
+        let slowness = self.record.slowness(now);
+        let longer = batch.call.mul_f64((slowness - 1.0).max(0.0));
+        let is_slow = slowness >= SLOW && has_fast;
+        let mut stock = self.stock;
+        let mut indexes = Vec::new();
+        for (index, one) in waiting.iter().enumerate() {
+            if indexes.len() >= batch.size {
+                break;
+            }
+            let unfit = is_slow && !one.turn.is_late && one.slack < longer;
+            if unfit || stock + one.piece.bytes > batch.room {
+                continue;
+            }
+            stock += one.piece.bytes;
+            indexes.push(index);
+        }
+        indexes
+    }
+
+    fn book(&mut self, piece: &Piece, outcome: &Outcome, until: Time, now: Time) {
+        match outcome {
+            Outcome::Handle(handle) => {
+                let bytes = piece.bytes;
+                self.held.insert(handle.clone(), Holding { bytes, until });
+            }
+            Outcome::Room => {
+                self.blocked = now + ROOM_TIME;
+                self.stock = self.stock.saturating_sub(piece.bytes);
+            }
+            Outcome::Late | Outcome::Gone | Outcome::Error => {
+                self.stock = self.stock.saturating_sub(piece.bytes);
+            }
+        }
+    }
+
+    fn unbook(&mut self, pieces: &[Piece]) {
+        let bytes: u64 = pieces.iter().map(|piece| piece.bytes).sum();
+        self.stock = self.stock.saturating_sub(bytes);
+    }
+}
--- /dev/null
+++ b/src/serve/plan/work.rs
@@ -0,0 +1,240 @@
+//! One request in planning: which pieces it has, and which results are held for it.
+
+use std::time::Duration;
+
+use super::engine::Lease;
+use super::maker::Makers;
+use super::{Handle, Job, TOLERANCE, Ticket};
+use crate::clock::Time;
+use crate::id;
+
+token! {
+    /// Which piece of a job.
+    pub struct Place {
+        /// The stage.
+        pub stage: usize,
+        /// The piece, numbered from 0.
+        pub piece: usize,
+    }
+}
+
+event! {
+    /// A piece in a queue or a call. One of an earlier round than its work's is void.
+    pub struct Piece {
+        /// The request.
+        pub ticket: Ticket,
+        /// Which of its pieces.
+        pub at: Place,
+        /// How often the job was begun anew before.
+        pub round: u32,
+        /// The size of its result, in bytes.
+        pub bytes: u64,
+    }
+
+    /// A result that an endpoint holds.
+    pub struct Made {
+        /// Its handle.
+        pub handle: Handle,
+        /// The endpoint.
+        pub maker: id::Endpoint,
+        /// The endpoint's availability zone.
+        pub zone: id::Zone,
+        /// Its size, in bytes.
+        pub bytes: u64,
+    }
+}
+
+/// How far one piece is.
+#[derive(Clone, Default)]
+pub struct Slot {
+    /// Calls that are making it now.
+    pub running: u32,
+    /// Endpoints that failed to make it.
+    pub tries: u32,
+    /// The result.
+    pub made: Option<Made>,
+}
+
+impl Slot {
+    /// Returns whether there is a result.
+    pub fn is_made(&self) -> bool {
+        self.made.is_some()
+    }
+}
+
+/// A request in planning.
+pub struct Work {
+    /// What was asked.
+    pub job: Job,
+    /// How often it was begun anew.
+    pub round: u32,
+    /// Times that its inputs had vanished.
+    pub restarts: u32,
+    /// The endpoint that runs the request now.
+    pub lease: Option<Lease>,
+    /// Whether an endpoint was granted that has not turned it down.
+    pub is_granted: bool,
+    /// Whether an endpoint was asked for a piece.
+    pub has_begun: bool,
+    /// Endpoints that have turned the request down.
+    pub tried: Vec<id::Endpoint>,
+    slots: Vec<Vec<Slot>>,
+    /// Stages whose results were given up.
+    freed: Vec<bool>,
+}
+
+impl Work {
+    /// Makes the plan of a job of which nothing is done.
+    pub fn new(job: Job) -> Self {
+        let slots = job.needs.iter().map(|need| vec![Slot::default(); need.pieces]);
+        Self {
+            round: 0,
+            restarts: 0,
+            lease: None,
+            is_granted: false,
+            has_begun: false,
+            tried: Vec::new(),
+            freed: vec![false; job.needs.len()],
+            slots: slots.collect(),
+            job,
+        }
+    }
+
+    /// Returns the state of a piece.
+    pub fn place(&mut self, at: Place) -> &mut Slot {
+        &mut self.slots[at.stage][at.piece]
+    }
+
+    fn is_done(&self, stage: usize) -> bool {
+        self.slots[stage].iter().all(Slot::is_made)
+    }
+
+    /// Returns whether a stage can be worked on: its inputs are there.
+    pub fn is_open(&self, stage: usize) -> bool {
+        self.job.needs[stage].after.iter().all(|before| self.is_done(*before))
+    }
+
+    /// Returns whether the request itself can run.
+    pub fn is_ready(&self) -> bool {
+        (0..self.slots.len()).all(|stage| self.is_done(stage))
+    }
+
+    /// Returns the pieces that wait for an endpoint.
+    pub fn waiting(&self, ticket: Ticket) -> impl Iterator<Item = Piece> {
+        let open = (0..self.slots.len()).filter(|stage| self.is_open(*stage));
+        open.flat_map(move |stage| {
+            let slots = self.slots[stage].iter().enumerate();
+            let waiting = slots.filter(|(_, slot)| !slot.is_made() && slot.running == 0);
+            waiting.map(move |(piece, _)| Piece {
+                ticket,
+                at: Place { stage, piece },
+                round: self.round,
+                bytes: self.job.needs[stage].bytes,
+            })
+        })
+    }
+
+    /// Returns the number of pieces of a stage that are not made yet.
+    pub fn missing(&self, stage: usize) -> usize {
+        self.slots[stage].iter().filter(|slot| !slot.is_made()).count()
+    }
+
+    /// Returns the number of pieces of a stage that wait for an endpoint.
+    pub fn queued(&self, stage: usize) -> usize {
+        let waits = |slot: &&Slot| !slot.is_made() && slot.running == 0;
+        self.slots[stage].iter().filter(waits).count()
+    }
+
+    fn followers(&self, stage: usize) -> impl Iterator<Item = usize> {
+        let needs = self.job.needs.iter().enumerate();
+        let follows = needs.filter(move |(_, need)| need.after.contains(&stage));
+        follows.map(|(index, _)| index)
+    }
+
+    fn is_last(&self, stage: usize) -> bool {
+        self.followers(stage).next().is_none()
+    }
+
+    /// Returns the results that the request itself needs, and their sizes and zones.
+    pub fn last_results(&self) -> impl Iterator<Item = &Made> {
+        let last = (0..self.slots.len()).filter(|stage| self.is_last(*stage));
+        last.flat_map(|stage| self.made(stage))
+    }
+
+    /// Returns the handles that the request itself needs, in order.
+    pub fn inputs(&self) -> Vec<Handle> {
+        self.last_results().map(|made| made.handle.clone()).collect()
+    }
+
+    /// Returns the handles of all pieces of the stages.
+    pub fn results_of(&self, stages: &[usize]) -> Vec<Handle> {
+        let made = stages.iter().flat_map(|stage| self.made(*stage));
+        made.map(|made| made.handle.clone()).collect()
+    }
+
+    fn made(&self, stage: usize) -> impl Iterator<Item = &Made> {
+        self.slots[stage].iter().filter_map(|slot| slot.made.as_ref())
+    }
+
+    /// Returns all results that are held for it.
+    pub fn held(&self) -> Vec<Made> {
+        let stages = (0..self.slots.len()).filter(|stage| !self.freed[*stage]);
+        stages.flat_map(|stage| self.made(stage)).cloned().collect()
+    }
+
+    /// Gives up all results.
+    pub fn take_held(&mut self) -> Vec<Made> {
+        let held = self.held();
+        self.freed.fill(true);
+        held
+    }
+
+    /// Gives up the results that all stages after them have used.
+    pub fn take_spent(&mut self) -> Vec<Made> {
+        let mut spent = Vec::new();
+        for stage in 0..self.slots.len() {
+            let used = !self.is_last(stage) && self.followers(stage).all(|next| self.is_done(next));
+            if used && self.is_done(stage) && !self.freed[stage] {
+                self.freed[stage] = true;
+                spent.extend(self.made(stage).cloned());
+            }
+        }
+        spent
+    }
+
+    /// Begins anew, since inputs have vanished; returns what was held.
+    pub fn reset(&mut self) -> Vec<Made> {
+        let held = self.take_held();
+        self.round += 1;
+        self.freed.fill(false);
+        for slot in self.slots.iter_mut().flatten() {
+            *slot = Slot {
+                tries: slot.tries,
+                ..Slot::default()
+            };
+        }
+        held
+    }
+
+    /// Returns the least time from the beginning of a stage to the first byte of the answer.
+    pub fn tail(&self, stage: usize, makers: &Makers) -> Duration {
+        let own = makers.least_time(&self.job.needs[stage].service, self.missing(stage));
+        let after = self.followers(stage).map(|next| self.tail(next, makers));
+        own + after.max().unwrap_or(makers.answer_time())
+    }
+
+    /// Returns why the request should be given up, if it should.
+    pub fn hopeless(&self, makers: &Makers, now: Time) -> Option<&'static str> {
+        if self.is_granted {
+            return None;
+        }
+        let open = (0..self.slots.len()).filter(|stage| self.is_open(*stage));
+        let least = open.map(|stage| self.tail(stage, makers)).max().unwrap_or_default();
+        if now + least > self.job.end {
+            return Some("the deadline cannot be met any more");
+        }
+        let target = self.job.target.saturating_sub(now).mul_f64(1.0 + TOLERANCE);
+        let late = !self.has_begun && least > target;
+        late.then_some("the target cannot be met any more")
+    }
+}
--- /dev/null
+++ b/src/serve/relay.rs
@@ -0,0 +1,146 @@
+//! What a client gets: the endpoint's answer as it arrives, or a failure of our own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::exchange::write_fields;
+use super::http::{self, Field, Framing, Sink};
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// Writes a failure of our own, whole.
+pub fn refusal(status: u16, fields: Vec<Field>, wait: Option<Duration>, keep: bool) -> Vec<u8> {
+    let mut answer = format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes();
+    write_fields(&mut answer, &fields);
+    if let Some(wait) = wait {
+        let wait = format!("Retry-After: {:.2}\r\n", wait.as_secs_f64());
+        answer.extend_from_slice(wait.as_bytes());
+    }
+    let connection = if keep { "keep-alive" } else { "close" };
+    let end = format!("Content-Length: 0\r\nConnection: {connection}\r\n\r\n");
+    answer.extend_from_slice(end.as_bytes());
+    answer
+}
+
+/// The client of one request.
+pub struct Client {
+    sink: Sink,
+    keep: bool,
+    begun: bool,
+    is_chunked: bool,
+}
+
+impl Client {
+    /// Makes one that has got nothing yet.
+    pub fn new(sink: Sink, keep: bool) -> Self {
+        Self {
+            sink,
+            keep,
+            begun: false,
+            is_chunked: false,
+        }
+    }
+
+    /// Returns whether a part of an answer was sent.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Ends the connection after this answer.
+    pub fn close_after(&mut self) {
+        self.keep = false;
+    }
+
+    /// Sends a failure of our own; returns the connection when it can carry another request.
+    pub async fn fail(
+        mut self,
+        status: u16,
+        fields: Vec<Field>,
+        wait: Option<Duration>,
+    ) -> Option<Sink> {
+        let answer = refusal(status, fields, wait, self.keep);
+        http::send(&mut self.sink, &answer).await.ok()?;
+        self.keep.then_some(self.sink)
+    }
+
+    fn head(&mut self, status: u16, fields: &[Field], length: Option<u64>) -> Vec<u8> {
+        let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes();
+        write_fields(&mut head, fields);
+        let framing = match length {
+            Some(length) => format!("Content-Length: {length}\r\n"),
+            None => "Transfer-Encoding: chunked\r\n".to_owned(),
+        };
+        head.extend_from_slice(framing.as_bytes());
+        let connection = if self.keep { "keep-alive" } else { "close" };
+        head.extend_from_slice(format!("Connection: {connection}\r\n\r\n").as_bytes());
+        self.begun = true;
+        self.is_chunked = length.is_none();
+        head
+    }
+
+    /// Sends a whole answer.
+    pub async fn whole(mut self, status: u16, fields: &[Field], body: &Bytes) -> Option<Sink> {
+        let mut answer = self.head(status, fields, Some(body.len() as u64));
+        answer.extend_from_slice(body);
+        http::send(&mut self.sink, &answer).await.ok()?;
+        self.keep.then_some(self.sink)
+    }
+
+    /// Sends the head of an answer whose body follows in pieces.
+    pub async fn begin(
+        &mut self,
+        status: u16,
+        fields: &[Field],
+        framing: &Framing,
+        first: &[u8],
+    ) -> http::Result<()> {
+        let mut head = self.head(status, fields, framing.length());
+        self.push(&mut head, first);
+        http::send(&mut self.sink, &head).await
+    }
+
+    fn push(&self, to: &mut Vec<u8>, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.is_chunked {
+            to.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+        }
+        to.extend_from_slice(bytes);
+        if self.is_chunked {
+            to.extend_from_slice(b"\r\n");
+        }
+    }
+
+    /// Sends the next bytes of the body.
+    pub async fn bytes(&mut self, bytes: &[u8]) -> http::Result<()> {
+        let mut chunk = Vec::with_capacity(bytes.len() + 16);
+        self.push(&mut chunk, bytes);
+        http::send(&mut self.sink, &chunk).await
+    }
+
+    /// Ends the body; returns the connection when it can carry another request.
+    pub async fn end(mut self) -> Option<Sink> {
+        if self.is_chunked {
+            http::send(&mut self.sink, b"0\r\n\r\n").await.ok()?;
+        }
+        self.keep.then_some(self.sink)
+    }
+}
--- /dev/null
+++ b/src/serve/run.rs
@@ -0,0 +1,529 @@
+//! One request: whether it is served, which endpoints it is sent to, and what the client is told.
+//!
+//! A status that promises that the request has not run is only given when no endpoint can have
+//! begun to run it. Whatever may have run is never sent again, unless its route allows it.
+
+use std::cell::{Cell, RefCell};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use slog::info;
+use tokio::time::timeout;
+
+use super::agent::Seat;
+use super::catalog::{Catalog, Route};
+use super::dialect::{Ask, Order};
+use super::fleet::Endpoint;
+use super::health::Verdict;
+use super::http::{Field, Framing, Head, Sink};
+use super::plan::{Job, Need};
+use super::relay::Client;
+use super::{Node, exchange};
+use crate::clock::Time;
+use crate::id;
+
+mod event;
+
+use event::Events;
+
+/// The longest answer of a plain service, in bytes; it is held until it is whole.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Endpoints that may turn one request down before it is refused.
+const MAX_TURNS: u32 = 5;
+/// When a client is asked to come back where nothing better is known.
+const WAIT: Duration = Duration::from_millis(500);
+/// The share of its target after which a request that may be repeated is sent to another endpoint.
+const PATIENCE: f64 = 0.6;
+/// The least time that an endpoint has before another one is asked.
+const MIN_PATIENCE: Duration = Duration::from_millis(150);
+/// The time that a request without a deadline has.
+const NO_DEADLINE: Duration = Duration::from_secs(60);
+
+/// One request of a client.
+pub struct Run {
+    node: Rc<Node>,
+    head: Head,
+    body: Bytes,
+    arrived: Time,
+    /// Whether it has to go on when the client leaves.
+    stays: Rc<Cell<bool>>,
+    /// Whether an endpoint may have run it.
+    may_have_run: Cell<bool>,
+    note: RefCell<Note>,
+}
+
+/// What the log tells of a request.
+#[derive(Default)]
+struct Note {
+    id: String,
+    route: Option<id::Name>,
+    endpoint: Option<id::Endpoint>,
+    sent: u32,
+    turned: u32,
+    is_done: bool,
+}
+
+/// What a request needs to be sent on.
+struct Plan {
+    route: Route,
+    ask: Ask,
+    service: id::Pool,
+    workspace: Option<id::Workspace>,
+    priority: u8,
+    target: Time,
+    end: Time,
+    is_staged: bool,
+}
+
+/// How serving a request ended.
+enum Done {
+    /// The endpoint's answer, whole.
+    Whole(u16, Vec<Field>, Bytes),
+    /// The endpoint's answer was sent as it came.
+    Sent,
+    /// The answer ends in the middle.
+    Broken(&'static str),
+    /// A failure of our own.
+    Fail(Failure),
+}
+
+/// A failure of our own.
+struct Failure {
+    status: u16,
+    wait: Option<Duration>,
+    reason: &'static str,
+}
+
+/// How one attempt at an endpoint ended.
+enum Tried {
+    Done(Done),
+    /// It did not run; with `again`, its inputs are gone.
+    Turned { verdict: Verdict, again: bool },
+    /// It may have run and has no answer.
+    Lost { verdict: Verdict, reason: &'static str },
+    /// It ran and failed; the answer is the endpoint's.
+    Failed(Done),
+}
+
+fn failure(status: u16, reason: &'static str) -> Failure {
+    let wait = matches!(status, 429 | 503).then_some(WAIT);
+    Failure {
+        status,
+        wait,
+        reason,
+    }
+}
+
+impl Run {
+    /// Takes in a request that was read whole.
+    pub fn new(
+        node: Rc<Node>,
+        head: Head,
+        body: Bytes,
+        arrived: Time,
+        stays: Rc<Cell<bool>>,
+    ) -> Self {
+        node.active.set(node.active.get() + 1);
+        Self {
+            node,
+            head,
+            body,
+            arrived,
+            stays,
+            may_have_run: Cell::new(false),
+            note: RefCell::default(),
+        }
+    }
+
+    /// Serves it; returns the connection when it can carry another request.
+    pub async fn serve(self, mut client: Client) -> Option<Sink> {
+        let done = match self.check() {
+            Ok(plan) => self.within(&plan, &mut client).await,
+            Err(failure) => Done::Fail(failure),
+        };
+        self.tell(&done);
+        match done {
+            Done::Whole(status, fields, body) => client.whole(status, &fields, &body).await,
+            Done::Sent => client.end().await,
+            Done::Broken(_) => None,
+            Done::Fail(failure) => {
+                let fields = self.node.dialect.failure(&self.note.borrow().id);
+                client.fail(failure.status, fields, failure.wait).await
+            }
+        }
+    }
+
+    fn tell(&self, done: &Done) {
+        let (status, reason) = match done {
+            Done::Whole(status, ..) => (*status, "answered"),
+            Done::Sent => (200, "answered"),
+            Done::Broken(reason) => (0, *reason),
+            Done::Fail(failure) => (failure.status, failure.reason),
+        };
+        self.log(status, reason);
+    }
+
+    fn log(&self, status: u16, reason: &str) {
+        let mut note = self.note.borrow_mut();
+        note.is_done = true;
+        let took = self.node.clock.now().saturating_sub(self.arrived);
+        let age = self.node.age().map(|age| age.as_millis() as u64);
+        info!(self.node.log, "request";
+            "id" => &*note.id, "route" => note.route.as_deref(), "status" => status,
+            "reason" => reason, "endpoint" => note.endpoint.as_deref(), "sent" => note.sent,
+            "turned" => note.turned, "ms" => took.as_millis() as u64,
+            "config" => self.node.catalog().version, "config_age_ms" => age,
+            "may_have_run" => self.may_have_run.get());
+    }
+
+    /// Decides whether it is served at all.
+    fn check(&self) -> Result<Plan, Failure> {
+        let node = &self.node;
+        let ask = node.dialect.ask(&self.head).map_err(|reason| failure(400, reason))?;
+        self.note.borrow_mut().id = ask.id.to_string();
+        let catalog = node.catalog();
+        let Some(age) = node.age() else {
+            return Err(failure(503, "no configuration yet"));
+        };
+        let is_fresh = age <= node.options.key_age;
+        let Some(route) = catalog.route(&ask.host, &ask.path) else {
+            let reason = "no route";
+            return Err(failure(if is_fresh { 404 } else { 503 }, reason));
+        };
+        self.note.borrow_mut().route = Some(route.name.clone());
+        let mut workspace = None;
+        let mut priority = route.priority;
+        if catalog.workspaces.is_some() && !route.public {
+            if !is_fresh {
+                return Err(failure(503, "the knowledge of keys is too old"));
+            }
+            let key = ask.key.as_deref().unwrap_or_default();
+            let Some(found) = catalog.workspace(key) else {
+                return Err(failure(401, "unknown key"));
+            };
+            workspace = Some(found.name.clone());
+            priority = found.priority.unwrap_or(priority);
+        }
+        self.plan(ask, route.clone(), &catalog, workspace, priority)
+    }
+
+    fn plan(
+        &self,
+        ask: Ask,
+        route: Route,
+        catalog: &Catalog,
+        workspace: Option<id::Workspace>,
+        priority: u8,
+    ) -> Result<Plan, Failure> {
+        let mut hasher = DefaultHasher::new();
+        ask.id.hash(&mut hasher);
+        let service = route.service(hasher.finish()).cloned();
+        let Some(service) = service else {
+            return Err(failure(503, "the route has no service"));
+        };
+        let wait = ask.remaining.unwrap_or(NO_DEADLINE).min(route.timeout);
+        let settings = catalog.services.get(&service);
+        let is_engine = settings.is_some_and(|settings| settings.engine.is_some());
+        Ok(Plan {
+            is_staged: is_engine || !route.stages.is_empty(),
+            target: self.arrived + route.target,
+            end: self.arrived + wait,
+            route,
+            ask,
+            service,
+            workspace,
+            priority,
+        })
+    }
+
+    fn job(&self, plan: &Plan) -> Job {
+        let pieces = |stage: usize| plan.ask.pieces.get(stage).copied().unwrap_or(0);
+        let stages = plan.route.stages.iter().enumerate();
+        let needs = stages.map(|(index, stage)| Need {
+            service: stage.service.clone(),
+            after: stage.after.clone(),
+            bytes: stage.bytes,
+            pieces: pieces(index),
+        });
+        Job {
+            request: plan.ask.id.clone(),
+            key: plan.ask.source.clone().unwrap_or_else(|| "".into()),
+            needs: needs.collect(),
+            service: plan.service.clone(),
+            priority: plan.priority,
+            target: plan.target,
+            end: plan.end,
+            parts: plan.ask.parts.clone(),
+            tokens: plan.ask.tokens,
+            zone: self.node.options.zone.clone(),
+        }
+    }
+
+    /// Serves it within its time.
+    async fn within(&self, plan: &Plan, client: &mut Client) -> Done {
+        let left = plan.end.saturating_sub(self.node.clock.now());
+        let served = timeout(left, self.attempts(plan, client)).await;
+        served.unwrap_or_else(|_| {
+            if client.has_begun() {
+                return Done::Broken("the time is over");
+            }
+            let status = if self.may_have_run.get() { 504 } else { 503 };
+            Done::Fail(failure(status, "the time is over"))
+        })
+    }
+
+    async fn attempts(&self, plan: &Plan, client: &mut Client) -> Done {
+        let node = &self.node;
+        node.earn(&plan.service);
+        let desk = if plan.is_staged {
+            &node.staged
+        } else {
+            &node.plain
+        };
+        let placed = desk.place(self.job(plan)).await;
+        let mut seat = match placed {
+            Ok(seat) => seat,
+            Err(refusal) => return Done::Fail(refused(&refusal)),
+        };
+        let mut events = Events::default();
+        loop {
+            let tried = self.attempt(plan, &*seat, client, &mut events).await;
+            let (again, otherwise) = match tried {
+                Tried::Done(done) => return done,
+                Tried::Turned { verdict, again } => {
+                    seat.ended(verdict);
+                    self.may_have_run.set(client.has_begun());
+                    self.note.borrow_mut().turned += 1;
+                    if self.note.borrow().turned >= MAX_TURNS {
+                        return self.give_up(client, "turned down again and again");
+                    }
+                    (again, "turned down")
+                }
+                Tried::Lost { verdict, reason } => {
+                    seat.ended(verdict);
+                    if !self.may_repeat(plan) {
+                        return self.give_up(client, reason);
+                    }
+                    (false, reason)
+                }
+                Tried::Failed(done) => {
+                    seat.ended(Verdict::Bad);
+                    if !self.may_repeat(plan) {
+                        return done;
+                    }
+                    (false, "the endpoint failed")
+                }
+            };
+            if !node.spend(&plan.service) {
+                return self.give_up(client, otherwise);
+            }
+            if let Err(refusal) = seat.retry(again).await {
+                if self.may_have_run.get() {
+                    return self.give_up(client, otherwise);
+                }
+                return Done::Fail(refused(&refusal));
+            }
+        }
+    }
+
+    /// Returns whether a request that may have run can be sent once more.
+    fn may_repeat(&self, plan: &Plan) -> bool {
+        plan.route.kind.is_repeatable() && self.note.borrow().sent < plan.route.attempts
+    }
+
+    fn give_up(&self, client: &Client, reason: &'static str) -> Done {
+        if client.has_begun() {
+            return Done::Broken(reason);
+        }
+        let status = if self.may_have_run.get() { 502 } else { 503 };
+        Done::Fail(failure(status, reason))
+    }
+
+    /// Sends it to the endpoint that was granted.
+    async fn attempt(
+        &self,
+        plan: &Plan,
+        seat: &dyn Seat,
+        client: &mut Client,
+        events: &mut Events,
+    ) -> Tried {
+        let id = seat.grant().endpoint.clone();
+        self.note.borrow_mut().endpoint = Some(id.clone());
+        let Some(endpoint) = self.node.usable(&id) else {
+            let verdict = Verdict::Unknown;
+            return Tried::Turned {
+                verdict,
+                again: false,
+            };
+        };
+        let stream = match exchange::connect(endpoint.address).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                info!(self.node.log, "endpoint not reached";
+                    "id" => &*plan.ask.id, "endpoint" => &*id, "error" => %error);
+                let verdict = Verdict::Lost;
+                return Tried::Turned {
+                    verdict,
+                    again: false,
+                };
+            }
+        };
+        let order = self.order(plan, &endpoint, seat, events);
+        let fields = self.node.dialect.forward(&self.head, &order);
+        let (method, target) = (&self.head.method, &self.head.target);
+        let head = exchange::request(method, target, &fields, self.body.len());
+        let sending = exchange::send(stream, endpoint.address, &head, &self.body);
+        self.may_have_run.set(true);
+        self.note.borrow_mut().sent += 1;
+        self.stays.set(!plan.route.kind.is_stream() && !plan.route.kind.is_repeatable());
+        let opened = match self.patience(plan) {
+            Some(patience) => timeout(patience, sending).await,
+            None => Ok(sending.await),
+        };
+        match opened {
+            Ok(Ok(open)) => self.take(plan, seat, client, events, open).await,
+            Ok(Err(error)) => {
+                info!(self.node.log, "no answer";
+                    "id" => &*plan.ask.id, "endpoint" => &*id, "error" => %error);
+                lost("the connection to the endpoint was lost")
+            }
+            Err(_) => lost("the endpoint did not answer in time"),
+        }
+    }
+
+    fn order(&self, plan: &Plan, endpoint: &Endpoint, seat: &dyn Seat, events: &Events) -> Order {
+        Order {
+            endpoint: endpoint.id.clone(),
+            remaining: plan.end.saturating_sub(self.node.clock.now()),
+            workspace: plan.workspace.clone(),
+            priority: plan.is_staged.then_some(plan.priority),
+            inputs: seat.grant().inputs.clone(),
+            resume: events.last().or(plan.ask.resume.as_deref()).map(str::to_owned),
+        }
+    }
+
+    /// Returns how long an endpoint may stay silent, where another one may be asked instead.
+    fn patience(&self, plan: &Plan) -> Option<Duration> {
+        let patience = plan.route.target.mul_f64(PATIENCE).max(MIN_PATIENCE);
+        self.may_repeat(plan).then_some(patience)
+    }
+
+    /// Takes an answer whose head has been read.
+    async fn take(
+        &self,
+        plan: &Plan,
+        seat: &dyn Seat,
+        client: &mut Client,
+        events: &mut Events,
+        mut open: exchange::Open,
+    ) -> Tried {
+        let answer = self.node.dialect.answer(&open.reply, &plan.ask.id);
+        if answer.is_refusal {
+            return Tried::Turned {
+                verdict: Verdict::Refused,
+                again: answer.is_input_gone,
+            };
+        }
+        let status = open.reply.status;
+        let is_good = (200..300).contains(&status);
+        if !answer.is_ours || !answer.is_sealed {
+            return lost("the answer is not one to this request");
+        }
+        if is_good && plan.route.kind.is_stream() {
+            return self.stream(plan, seat, client, events, open).await;
+        }
+        seat.started(!plan.route.kind.is_repeatable());
+        let body = match open.body(ANSWER_BYTES).await {
+            Ok(Some(body)) => body,
+            Ok(None) => return lost("the answer is too long"),
+            Err(_) => return lost("the answer broke off"),
+        };
+        let done = Done::Whole(status, self.node.dialect.back(&open.reply), body);
+        if client.has_begun() && !is_good {
+            return lost("a resumed stream failed");
+        }
+        if status >= 500 {
+            return Tried::Failed(done);
+        }
+        seat.ended(Verdict::Good);
+        Tried::Done(done)
+    }
+
+    /// Passes a stream of events on as it arrives.
+    async fn stream(
+        &self,
+        plan: &Plan,
+        seat: &dyn Seat,
+        client: &mut Client,
+        events: &mut Events,
+        mut open: exchange::Open,
+    ) -> Tried {
+        let is_resumable = plan.route.kind.is_repeatable();
+        let framing = if is_resumable {
+            Framing::chunked()
+        } else {
+            open.framing.clone()
+        };
+        let fields = self.node.dialect.back(&open.reply);
+        let mut is_first = true;
+        loop {
+            let chunk = match open.chunk().await {
+                Ok(chunk) => chunk,
+                Err(_) => {
+                    events.drop_partial();
+                    return lost("the stream broke off");
+                }
+            };
+            let is_end = chunk.is_none();
+            if !is_end && std::mem::replace(&mut is_first, false) {
+                seat.started(!is_resumable);
+            }
+            let bytes = match chunk {
+                Some(bytes) if is_resumable => events.push(&bytes),
+                Some(bytes) => bytes,
+                None => events.rest(),
+            };
+            let sent = if !client.has_begun() && (is_end || !bytes.is_empty()) {
+                client.begin(open.reply.status, &fields, &framing, &bytes).await
+            } else if bytes.is_empty() {
+                Ok(())
+            } else {
+                client.bytes(&bytes).await
+            };
+            if sent.is_err() {
+                seat.ended(Verdict::Unknown);
+                return Tried::Done(Done::Broken("the client left"));
+            }
+            if is_end {
+                seat.ended(Verdict::Good);
+                return Tried::Done(Done::Sent);
+            }
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.node.active.set(self.node.active.get().saturating_sub(1));
+        if !self.note.borrow().is_done {
+            self.log(0, "the client left");
+        }
+    }
+}
+
+fn lost(reason: &'static str) -> Tried {
+    Tried::Lost {
+        verdict: Verdict::Lost,
+        reason,
+    }
+}
+
+fn refused(refusal: &super::plan::Refusal) -> Failure {
+    Failure {
+        status: 503,
+        wait: Some(refusal.wait),
+        reason: refusal.reason,
+    }
+}
--- /dev/null
+++ b/src/serve/run/event.rs
@@ -0,0 +1,49 @@
+//! The events of a stream that another endpoint may go on with: only whole ones are passed on.
+
+use bytes::{Bytes, BytesMut};
+
+/// What ends an event.
+const END: &[u8] = b"\n\n";
+/// The field of an event that holds its id.
+const ID: &[u8] = b"id:";
+
+/// Gathers bytes into whole events and remembers the last one that was passed on.
+#[derive(Default)]
+pub struct Events {
+    partial: BytesMut,
+    last: Option<String>,
+}
+
+impl Events {
+    /// Takes bytes and returns the events that are whole by them.
+    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        self.partial.extend_from_slice(bytes);
+        let ends = self.partial.windows(END.len());
+        let Some(end) = ends.into_iter().rposition(|window| window == END) else {
+            return Bytes::new();
+        };
+        let whole = self.partial.split_to(end + END.len()).freeze();
+        let lines = whole.split(|byte| *byte == b'\n');
+        let ids = lines.filter_map(|line| line.strip_prefix(ID));
+        if let Some(id) = ids.last() {
+            let id = String::from_utf8_lossy(id.trim_ascii());
+            self.last = Some(id.into_owned());
+        }
+        whole
+    }
+
+    /// Takes what is left at the end of the stream.
+    pub fn rest(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+
+    /// Forgets the event in which the stream broke off.
+    pub fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Returns the id of the last event that was passed on.
+    pub fn last(&self) -> Option<&str> {
+        self.last.as_deref()
+    }
+}
