Plan a region's requests in one daemon

Cause: each daemon planned alone, so calls to a stage's endpoints collided and were half empty. Ruled out: more calls in flight for each endpoint (a queued call cannot gather pieces any more). Change: daemons rank each other alike and hand jobs to the first that answers, over capnp-rpc.

--- /dev/null
+++ b/schema/plan.capnp
@@ -0,0 +1,69 @@
+@0xd1c7b0a4e5f63821;
+# Planning a region's requests in one daemon: what the others ask of it. Times are durations from
+# the moment of the message, since clocks of VMs differ.
+
+struct Need {
+  service @0 :Text;
+  after @1 :List(UInt16);
+  bytes @2 :UInt64;
+  pieces @3 :UInt16;
+}
+
+struct Part {
+  id @0 :Text;
+  tokens @1 :UInt64;
+}
+
+struct Job {
+  request @0 :Text;
+  key @1 :Text;
+  needs @2 :List(Need);
+  service @3 :Text;
+  priority @4 :UInt8;
+  targetNanos @5 :UInt64;
+  endNanos @6 :UInt64;
+  parts @7 :List(Part);
+  promptTokens @8 :UInt64;
+  outputTokens @9 :UInt64;
+  zone @10 :Text;
+}
+
+struct Grant {
+  endpoint @0 :Text;
+  inputs @1 :List(Text);
+}
+
+struct Refusal {
+  reason @0 :Text;
+  waitNanos @1 :UInt64;
+}
+
+struct Reply {
+  union {
+    grant @0 :Grant;
+    refusal @1 :Refusal;
+  }
+}
+
+enum Verdict {
+  good @0;
+  bad @1;
+  refused @2;
+  lost @3;
+  unknown @4;
+}
+
+# One planned request; it ends with `leave`, or with the connection.
+interface Seat {
+  wait @0 () -> (reply :Reply);
+  started @1 (isFinal :Bool) -> ();
+  ended @2 (verdict :Verdict) -> ();
+  retry @3 (again :Bool) -> (reply :Reply);
+  leave @4 () -> ();
+}
+
+interface Planner {
+  place @0 (job :Job) -> (seat :Seat);
+  # Says that the daemon is alive, and whether it is about to stop.
+  ping @1 () -> (leaving :Bool);
+}
--- a/src/generated.rs
+++ b/src/generated.rs
@@ -19,6 +19,7 @@
 pub mod control;
 pub mod member_capnp;
 pub mod peer_capnp;
+pub mod plan_capnp;
 pub mod quarantine;
 pub mod quarantine_capnp;
 pub mod settings;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -12,7 +12,7 @@
 mod net;
 mod server;
 mod slot;
-mod stream;
+pub(crate) mod stream;
 mod wire;
 
 pub use net::{Net, Options};
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -24,6 +24,7 @@
 pub mod http;
 pub mod plan;
 pub mod ready;
+pub mod region;
 pub mod relay;
 pub mod run;
 
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -5,6 +5,7 @@
 //! and the time go in, actions come out. Two planners at once do no harm, because a piece may be
 //! made again; they only fill calls less well. See [the design note](../../docs/design/serve.md).
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -166,7 +167,7 @@
     /// Why a request is refused.
     pub struct Refusal {
         /// What was decisive, for the log.
-        pub reason: &'static str,
+        pub reason: Cow<'static, str>,
         /// When the client may come back.
         pub wait: Duration,
     }
@@ -229,7 +230,7 @@
     /// The planner itself is gone.
     pub fn gone() -> Self {
         Self {
-            reason: "the planner is gone",
+            reason: "the planner is gone".into(),
             wait: MIN_WAIT,
         }
     }
@@ -459,6 +460,7 @@
         let wait = queued.map_or(MAX_WAIT, |forecast| forecast.wait);
         let wait = wait.clamp(MIN_WAIT, MAX_WAIT);
         self.free(work.held());
+        let reason = reason.into();
         let refusal = Refusal { reason, wait };
         self.actions.push(Action::Refuse(ticket, refusal));
     }
@@ -555,7 +557,7 @@
             return None;
         }
         let wait = forecast.wait.clamp(MIN_WAIT, MAX_WAIT);
-        let reason = "the stages are expected to end too late";
+        let reason = "the stages are expected to end too late".into();
         Some(Refusal { reason, wait })
     }
 }
--- /dev/null
+++ b/src/serve/region.rs
@@ -0,0 +1,204 @@
+//! One daemon plans for its region: which one, and how the others reach it.
+//!
+//! All daemons rank the daemons of the region alike and use the first that answers. Two of them may
+//! plan at once while views differ; that costs full calls, never a promise. See
+//! [the design note](../../docs/design/serve.md).
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use futures::future::LocalBoxFuture;
+use slog::{Logger, info};
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::timeout;
+
+use super::agent::{Agent, Desk, Local, Seat};
+use super::plan::{Job, Refusal};
+use crate::clock::Clock;
+use crate::generated::plan_capnp::planner;
+use crate::id;
+use crate::peer::stream::{self, Coding, Count};
+
+mod host;
+mod rank;
+mod seat;
+mod wire;
+
+pub use host::listen;
+pub use rank::{Member, Ranking};
+
+/// How often the planner is asked whether it is alive.
+const PING_EVERY: Duration = Duration::from_millis(100);
+/// How long it may take to answer before another one is used. A request has about a second of slack,
+/// and a daemon on a quota stands still for a tenth of a second.
+const PING_TIME: Duration = Duration::from_millis(300);
+/// How long a connection to a daemon of the region may take.
+const CONNECT_TIME: Duration = Duration::from_millis(250);
+/// Planners that one request is sent to.
+const PLANNERS: usize = 3;
+
+/// A connection to the daemon that plans.
+struct Line {
+    member: Member,
+    client: planner::Client,
+    running: JoinHandle<()>,
+    is_down: Rc<Cell<bool>>,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.running.abort();
+    }
+}
+
+/// Plans requests at the daemon that plans for the region.
+pub struct Region {
+    own: id::Daemon,
+    local: Rc<Agent>,
+    ranking: RefCell<Ranking>,
+    line: RefCell<Option<Rc<Line>>>,
+    clock: Rc<dyn Clock>,
+    log: Logger,
+}
+
+impl Region {
+    /// Starts to look for the daemon that plans; until then requests are planned here.
+    pub fn start(own: Member, local: Rc<Agent>, clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
+        let region = Rc::new(Self {
+            own: own.name.clone(),
+            local,
+            ranking: RefCell::new(Ranking::new(own)),
+            line: RefCell::new(None),
+            clock,
+            log,
+        });
+        spawn_local(region.clone().keep());
+        region
+    }
+
+    /// A daemon has registered or has changed; without one, it has left for good.
+    pub fn learn(&self, name: &id::Daemon, member: Option<Member>) {
+        self.ranking.borrow_mut().learn(name, member);
+    }
+
+    /// Returns the number of daemons that are known in the region.
+    pub fn len(&self) -> usize {
+        self.ranking.borrow().len()
+    }
+
+    /// Returns whether no daemon is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    async fn keep(self: Rc<Self>) {
+        loop {
+            self.look().await;
+            tokio::time::sleep(PING_EVERY).await;
+        }
+    }
+
+    /// Makes sure that the line leads to the first daemon that answers.
+    async fn look(&self) {
+        let now = self.clock.now();
+        let wanted = self.ranking.borrow().first(now);
+        let line = self.line.borrow().clone();
+        if let Some(line) = &line
+            && line.member == wanted
+        {
+            return self.ping(line).await;
+        }
+        if wanted.name == self.own {
+            if line.is_some() {
+                info!(self.log, "planning here"; "reason" => "no better daemon answers");
+                self.line.replace(None);
+            }
+            return;
+        }
+        match timeout(CONNECT_TIME, connect(wanted.address)).await {
+            Ok(Ok((client, running))) => {
+                let line = Rc::new(Line {
+                    member: wanted.clone(),
+                    client,
+                    running,
+                    is_down: Rc::default(),
+                });
+                // A daemon that accepts may still be frozen or cut off beyond its kernel.
+                if self.answers(&line).await {
+                    info!(self.log, "planning elsewhere"; "daemon" => &*wanted.name);
+                    self.line.replace(Some(line));
+                }
+            }
+            _ => self.down(&wanted, "no connection"),
+        }
+    }
+
+    async fn answers(&self, line: &Line) -> bool {
+        let ping = line.client.ping_request().send().promise;
+        let reason = match timeout(PING_TIME, ping).await {
+            Ok(Ok(answer)) => match answer.get() {
+                Ok(answer) if !answer.get_leaving() => return true,
+                Ok(_) => "it is leaving",
+                Err(_) => "its answer cannot be read",
+            },
+            Ok(Err(_)) => "the connection broke",
+            Err(_) => "no answer",
+        };
+        self.down(&line.member, reason);
+        // Requests that wait for a leaving daemon are still served by it.
+        line.is_down.set(reason != "it is leaving");
+        false
+    }
+
+    async fn ping(&self, line: &Rc<Line>) {
+        if self.answers(line).await {
+            return;
+        }
+        self.line.replace(None);
+        if line.is_down.get() {
+            line.running.abort();
+        }
+    }
+
+    fn down(&self, member: &Member, reason: &str) {
+        info!(self.log, "planner lost"; "daemon" => &*member.name, "reason" => reason);
+        let now = self.clock.now();
+        self.ranking.borrow_mut().down(member, now);
+    }
+
+    async fn plan(&self, job: Job) -> Result<Box<dyn Seat>, Refusal> {
+        for _ in 0..PLANNERS {
+            let line = self.line.borrow().clone();
+            let Some(line) = line else {
+                break;
+            };
+            match seat::Distant::take(line, &job, &*self.clock).await {
+                Ok(seat) => return seat.map(|seat| Box::new(seat) as Box<dyn Seat>),
+                Err(error) => {
+                    info!(self.log, "planner lost a request"; "error" => %error);
+                    // The keeper finds another one; the next try waits for it.
+                    tokio::time::sleep(PING_EVERY).await;
+                }
+            }
+        }
+        Local(self.local.clone()).place(job).await
+    }
+}
+
+impl Desk for Region {
+    fn place(&self, job: Job) -> LocalBoxFuture<'_, Result<Box<dyn Seat>, Refusal>> {
+        Box::pin(self.plan(job))
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<(planner::Client, JoinHandle<()>)> {
+    let stream = TcpStream::connect(address).await?;
+    let mut system = stream::open(stream, Coding::Plain, Count::default()).await?;
+    let client = system.bootstrap(Side::Server);
+    let running = spawn_local(async move { drop(system.await) });
+    Ok((client, running))
+}
--- /dev/null
+++ b/src/serve/region/host.rs
@@ -0,0 +1,164 @@
+//! The answering side: plans requests of the region's other daemons.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::capability::Rc as Capability;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::wire;
+use crate::clock::Clock;
+use crate::generated::plan_capnp::{planner, seat};
+use crate::peer::stream;
+use crate::serve::Node;
+use crate::serve::agent::{Agent, Place, Seat};
+use crate::serve::plan::{Grant, Job, Refusal};
+
+/// How long a new connection may take to say its coding.
+const CODING_TIME: Duration = Duration::from_secs(1);
+/// How long to wait after a failed accept.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// Takes other daemons' connections for as long as the process lives.
+pub async fn listen(
+    listener: TcpListener,
+    agent: Rc<Agent>,
+    node: Rc<Node>,
+    clock: Rc<dyn Clock>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_AGAIN).await;
+            continue;
+        };
+        let host = Host {
+            agent: agent.clone(),
+            node: node.clone(),
+            clock: clock.clone(),
+        };
+        spawn_local(serve(stream, host));
+    }
+}
+
+async fn serve(stream: TcpStream, host: Host) {
+    let host: planner::Client = capnp_rpc::new_client(host);
+    let accepted = stream::accept(stream, host.client);
+    if let Ok(Ok(system)) = timeout(CODING_TIME, accepted).await {
+        drop(system.await);
+    }
+}
+
+struct Host {
+    agent: Rc<Agent>,
+    node: Rc<Node>,
+    clock: Rc<dyn Clock>,
+}
+
+impl planner::Server for Host {
+    async fn place(
+        self: Capability<Self>,
+        params: planner::PlaceParams,
+        mut results: planner::PlaceResults,
+    ) -> capnp::Result<()> {
+        let job = wire::read_job(params.get()?.get_job()?, self.clock.now())?;
+        let guest = Guest {
+            agent: self.agent.clone(),
+            job: RefCell::new(Some(job)),
+            place: RefCell::new(None),
+        };
+        results.get().set_seat(capnp_rpc::new_client(guest));
+        Ok(())
+    }
+
+    async fn ping(
+        self: Capability<Self>,
+        _: planner::PingParams,
+        mut results: planner::PingResults,
+    ) -> capnp::Result<()> {
+        results.get().set_leaving(self.node.leaving().is_some());
+        Ok(())
+    }
+}
+
+/// A request of another daemon.
+struct Guest {
+    agent: Rc<Agent>,
+    job: RefCell<Option<Job>>,
+    place: RefCell<Option<Place>>,
+}
+
+impl Guest {
+    fn over() -> capnp::Error {
+        capnp::Error::failed("the request is not planned here".into())
+    }
+
+    fn keep(&self, planned: Result<Place, Refusal>) -> Result<Grant, Refusal> {
+        let place = planned?;
+        let grant = place.grant().clone();
+        self.place.replace(Some(place));
+        Ok(grant)
+    }
+}
+
+impl seat::Server for Guest {
+    async fn wait(
+        self: Capability<Self>,
+        _: seat::WaitParams,
+        mut results: seat::WaitResults,
+    ) -> capnp::Result<()> {
+        let job = self.job.take().ok_or_else(Self::over)?;
+        let planned = self.agent.plan(job).await;
+        let reply = self.keep(planned);
+        wire::write_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn started(
+        self: Capability<Self>,
+        params: seat::StartedParams,
+        _: seat::StartedResults,
+    ) -> capnp::Result<()> {
+        let is_final = params.get()?.get_is_final();
+        if let Some(place) = &*self.place.borrow() {
+            place.started(is_final);
+        }
+        Ok(())
+    }
+
+    async fn ended(
+        self: Capability<Self>,
+        params: seat::EndedParams,
+        _: seat::EndedResults,
+    ) -> capnp::Result<()> {
+        let verdict = wire::read_verdict(params.get()?.get_verdict()?);
+        if let Some(place) = &*self.place.borrow() {
+            place.ended(verdict);
+        }
+        Ok(())
+    }
+
+    async fn retry(
+        self: Capability<Self>,
+        params: seat::RetryParams,
+        mut results: seat::RetryResults,
+    ) -> capnp::Result<()> {
+        let again = params.get()?.get_again();
+        let mut place = self.place.take().ok_or_else(Self::over)?;
+        let retried = place.again(again).await;
+        let reply = self.keep(retried.map(|()| place));
+        wire::write_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn leave(
+        self: Capability<Self>,
+        _: seat::LeaveParams,
+        _: seat::LeaveResults,
+    ) -> capnp::Result<()> {
+        drop(self.place.take());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/serve/region/rank.rs
@@ -0,0 +1,93 @@
+//! Which daemon plans for a region. Every daemon computes the same order from the same names.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::clock::Time;
+use crate::id;
+
+/// How long a daemon that did not answer is passed over.
+const DOWN: Duration = Duration::from_millis(1_500);
+
+event! {
+    /// A daemon of the region.
+    pub struct Member {
+        /// The name of its VM.
+        pub name: id::Daemon,
+        /// Where it takes other daemons' connections.
+        pub address: SocketAddr,
+        /// When its process started, in milliseconds since the Unix epoch.
+        pub born: u64,
+    }
+}
+
+/// The daemons of a region, and which of them did not answer of late.
+pub struct Ranking {
+    own: Member,
+    members: IndexMap<id::Daemon, Member>,
+    down: IndexMap<id::Daemon, Time>,
+}
+
+/// A number that orders daemons; it spreads the duty over regions and deployments.
+fn rank(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    ("planner", name).hash(&mut hasher);
+    hasher.finish()
+}
+
+impl Ranking {
+    /// Makes one that knows the daemon itself.
+    pub fn new(own: Member) -> Self {
+        Self {
+            members: IndexMap::from([(own.name.clone(), own.clone())]),
+            own,
+            down: IndexMap::new(),
+        }
+    }
+
+    /// A daemon has registered or has changed; without one, it has left for good.
+    pub fn learn(&mut self, name: &id::Daemon, member: Option<Member>) {
+        if *name == self.own.name {
+            return;
+        }
+        match member {
+            Some(member) => {
+                let before = self.members.get(name);
+                if before.is_none_or(|before| before.born < member.born) {
+                    self.down.swap_remove(name);
+                    self.members.insert(name.clone(), member);
+                }
+            }
+            None => {
+                self.members.swap_remove(name);
+            }
+        }
+    }
+
+    /// A daemon did not answer.
+    pub fn down(&mut self, member: &Member, now: Time) {
+        self.down.insert(member.name.clone(), now + DOWN);
+    }
+
+    /// Returns the first daemon that is not known to be down; the daemon itself never is.
+    pub fn first(&self, now: Time) -> Member {
+        let up = |member: &&Member| {
+            let until = self.down.get(&member.name);
+            member.name == self.own.name || until.is_none_or(|until| now >= *until)
+        };
+        let members = self.members.values().filter(up);
+        let first = members.min_by_key(|member| rank(&member.name));
+        first.unwrap_or(&self.own).clone()
+    }
+
+    /// Returns the number of daemons.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/serve/region/rank/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the order of daemons.
--- /dev/null
+++ b/src/serve/region/seat.rs
@@ -0,0 +1,102 @@
+//! A request that another daemon plans.
+
+use std::rc::Rc;
+
+use capnp::Result;
+use futures::future::LocalBoxFuture;
+use tokio::task::spawn_local;
+
+use super::{Line, wire};
+use crate::clock::Clock;
+use crate::generated::plan_capnp::{reply, seat};
+use crate::serve::agent::Seat;
+use crate::serve::health::Verdict;
+use crate::serve::plan::{Grant, Job, Refusal};
+
+/// A place at another daemon's planner; dropping it gives the place up.
+pub struct Distant {
+    line: Rc<Line>,
+    client: seat::Client,
+    grant: Grant,
+}
+
+fn read(reply: Result<reply::Reader<'_>>) -> Result<std::result::Result<Grant, Refusal>> {
+    wire::read_reply(reply?)
+}
+
+impl Distant {
+    /// Has a request planned; an error says that the other daemon was lost meanwhile.
+    pub async fn take(
+        line: Rc<Line>,
+        job: &Job,
+        clock: &dyn Clock,
+    ) -> Result<std::result::Result<Self, Refusal>> {
+        let mut request = line.client.place_request();
+        wire::write_job(job, clock.now(), request.get().init_job());
+        let client = request.send().pipeline.get_seat();
+        let mut distant = Self {
+            line,
+            client,
+            grant: Grant::default(),
+        };
+        let waiting = distant.client.wait_request().send().promise.await?;
+        Ok(match read(waiting.get()?.get_reply())? {
+            Ok(grant) => {
+                distant.grant = grant;
+                Ok(distant)
+            }
+            Err(refusal) => Err(refusal),
+        })
+    }
+
+    async fn again(&mut self, again: bool) -> std::result::Result<(), Refusal> {
+        let mut request = self.client.retry_request();
+        request.get().set_again(again);
+        let replied = match request.send().promise.await {
+            Ok(answer) => answer.get().and_then(|answer| read(answer.get_reply())),
+            Err(error) => Err(error),
+        };
+        self.grant = replied.unwrap_or_else(|_| Err(Refusal::gone()))?;
+        Ok(())
+    }
+}
+
+/// Sends a message whose answer says nothing; a planner that is gone needs none.
+fn tell<T: 'static>(promise: impl Future<Output = Result<T>> + 'static) {
+    spawn_local(async move { drop(promise.await) });
+}
+
+impl Seat for Distant {
+    fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    fn started(&self, is_final: bool) {
+        let mut request = self.client.started_request();
+        request.get().set_is_final(is_final);
+        tell(request.send().promise);
+    }
+
+    fn ended(&self, verdict: Verdict) {
+        let mut request = self.client.ended_request();
+        request.get().set_verdict(wire::write_verdict(verdict));
+        tell(request.send().promise);
+    }
+
+    fn retry(&mut self, again: bool) -> LocalBoxFuture<'_, std::result::Result<(), Refusal>> {
+        Box::pin(self.again(again))
+    }
+}
+
+impl Drop for Distant {
+    fn drop(&mut self) {
+        // The line is kept until the message is out.
+        let line = self.line.clone();
+        let leaving = self.client.leave_request().send().promise;
+        tell(async move {
+            let left = leaving.await;
+            drop(line);
+            left
+        });
+    }
+}
--- /dev/null
+++ b/src/serve/region/wire.rs
@@ -0,0 +1,168 @@
+//! Messages between a region's daemons: the planner's values as Cap'n Proto structures and back.
+
+use std::time::Duration;
+
+use capnp::Result;
+
+use crate::clock::Time;
+use crate::generated::plan_capnp as schema;
+use crate::id;
+use crate::serve::health::Verdict;
+use crate::serve::plan::{Grant, Job, Need, Part, Refusal, Tokens};
+
+fn nanos(duration: Duration) -> u64 {
+    u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
+
+/// Indexes of stages and numbers of pieces are far below the bound of the wire.
+fn small(number: usize) -> u16 {
+    u16::try_from(number).unwrap_or(u16::MAX)
+}
+
+fn name(text: capnp::text::Reader<'_>) -> Result<id::Name> {
+    Ok(text.to_str()?.into())
+}
+
+/// Writes a job; its times become durations from now.
+pub fn write_job(job: &Job, now: Time, mut to: schema::job::Builder<'_>) {
+    to.set_request(&*job.request);
+    to.set_key(&*job.key);
+    to.set_service(&*job.service);
+    to.set_priority(job.priority);
+    to.set_target_nanos(nanos(job.target.saturating_sub(now)));
+    to.set_end_nanos(nanos(job.end.saturating_sub(now)));
+    to.set_prompt_tokens(job.tokens.prompt);
+    to.set_output_tokens(job.tokens.output);
+    to.set_zone(&*job.zone);
+    let mut needs = to.reborrow().init_needs(count(job.needs.len()));
+    for (index, need) in (0..).zip(&job.needs) {
+        let mut one = needs.reborrow().get(index);
+        one.set_service(&*need.service);
+        one.set_bytes(need.bytes);
+        one.set_pieces(small(need.pieces));
+        let mut after = one.init_after(count(need.after.len()));
+        for (index, stage) in (0..).zip(&need.after) {
+            after.set(index, small(*stage));
+        }
+    }
+    let mut parts = to.init_parts(count(job.parts.len()));
+    for (index, part) in (0..).zip(&job.parts) {
+        let mut one = parts.reborrow().get(index);
+        one.set_id(&*part.id);
+        one.set_tokens(part.tokens);
+    }
+}
+
+fn read_need(from: schema::need::Reader<'_>) -> Result<Need> {
+    Ok(Need {
+        service: name(from.get_service()?)?,
+        after: from.get_after()?.iter().map(usize::from).collect(),
+        bytes: from.get_bytes(),
+        pieces: from.get_pieces().into(),
+    })
+}
+
+fn read_part(from: schema::part::Reader<'_>) -> Result<Part> {
+    Ok(Part {
+        id: name(from.get_id()?)?,
+        tokens: from.get_tokens(),
+    })
+}
+
+/// Reads a job; its durations become times of this daemon.
+pub fn read_job(from: schema::job::Reader<'_>, now: Time) -> Result<Job> {
+    let needs = from.get_needs()?.iter().map(read_need);
+    let needs: Vec<Need> = needs.collect::<Result<_>>()?;
+    let known = needs.iter().flat_map(|need| &need.after);
+    if known.into_iter().any(|stage| *stage >= needs.len()) {
+        return Err(capnp::Error::failed("a stage comes after one that is not there".into()));
+    }
+    let parts = from.get_parts()?.iter().map(read_part);
+    Ok(Job {
+        request: name(from.get_request()?)?,
+        key: name(from.get_key()?)?,
+        needs,
+        service: name(from.get_service()?)?,
+        priority: from.get_priority(),
+        target: now + Duration::from_nanos(from.get_target_nanos()),
+        end: now + Duration::from_nanos(from.get_end_nanos()),
+        parts: parts.collect::<Result<_>>()?,
+        tokens: Tokens {
+            prompt: from.get_prompt_tokens(),
+            output: from.get_output_tokens(),
+        },
+        zone: name(from.get_zone()?)?,
+    })
+}
+
+/// Writes how a request was planned.
+pub fn write_reply(
+    reply: &std::result::Result<Grant, Refusal>,
+    to: schema::reply::Builder<'_>,
+) {
+    match reply {
+        Ok(grant) => {
+            let mut one = to.init_grant();
+            one.set_endpoint(&*grant.endpoint);
+            let mut inputs = one.init_inputs(count(grant.inputs.len()));
+            for (index, handle) in (0..).zip(&grant.inputs) {
+                inputs.set(index, &**handle);
+            }
+        }
+        Err(refusal) => {
+            let mut one = to.init_refusal();
+            one.set_reason(&*refusal.reason);
+            one.set_wait_nanos(nanos(refusal.wait));
+        }
+    }
+}
+
+/// Reads how a request was planned.
+pub fn read_reply(
+    from: schema::reply::Reader<'_>,
+) -> Result<std::result::Result<Grant, Refusal>> {
+    use schema::reply::Which;
+    match from.which()? {
+        Which::Grant(grant) => {
+            let grant = grant?;
+            let inputs = grant.get_inputs()?.iter().map(|handle| name(handle?));
+            Ok(Ok(Grant {
+                endpoint: name(grant.get_endpoint()?)?,
+                inputs: inputs.collect::<Result<_>>()?,
+            }))
+        }
+        Which::Refusal(refusal) => {
+            let refusal = refusal?;
+            Ok(Err(Refusal {
+                reason: refusal.get_reason()?.to_str()?.to_owned().into(),
+                wait: Duration::from_nanos(refusal.get_wait_nanos()),
+            }))
+        }
+    }
+}
+
+/// Returns the verdict as the schema has it.
+pub fn write_verdict(verdict: Verdict) -> schema::Verdict {
+    match verdict {
+        Verdict::Good => schema::Verdict::Good,
+        Verdict::Bad => schema::Verdict::Bad,
+        Verdict::Refused => schema::Verdict::Refused,
+        Verdict::Lost => schema::Verdict::Lost,
+        Verdict::Unknown => schema::Verdict::Unknown,
+    }
+}
+
+/// Returns the verdict that the schema names.
+pub fn read_verdict(verdict: schema::Verdict) -> Verdict {
+    match verdict {
+        schema::Verdict::Good => Verdict::Good,
+        schema::Verdict::Bad => Verdict::Bad,
+        schema::Verdict::Refused => Verdict::Refused,
+        schema::Verdict::Lost => Verdict::Lost,
+        schema::Verdict::Unknown => Verdict::Unknown,
+    }
+}
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -3,6 +3,7 @@
 //! A status that promises that the request has not run is only given when no endpoint can have
 //! begun to run it. Whatever may have run is never sent again, unless its route allows it.
 
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -93,7 +94,7 @@
 struct Failure {
     status: u16,
     wait: Option<Duration>,
-    reason: &'static str,
+    reason: Cow<'static, str>,
 }
 
 /// How one attempt at an endpoint ended.
@@ -112,7 +113,7 @@
     Failure {
         status,
         wait,
-        reason,
+        reason: reason.into(),
     }
 }
 
@@ -160,7 +161,7 @@
             Done::Whole(status, ..) => (*status, "answered"),
             Done::Sent => (200, "answered"),
             Done::Broken(reason) => (0, *reason),
-            Done::Fail(failure) => (failure.status, failure.reason),
+            Done::Fail(failure) => (failure.status, &*failure.reason),
         };
         self.log(status, reason);
     }
@@ -524,6 +525,6 @@
     Failure {
         status: 503,
         wait: Some(refusal.wait),
-        reason: refusal.reason,
+        reason: refusal.reason.clone(),
     }
 }
