Free the endpoint of an overdue call, and forecast over all stages

Cause: a lost answer kept an endpoint out of use for eight call times; endpoints without room were asked again at once; the forecast saw only what waits now.

--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -361,7 +361,7 @@
         let Some(call) = self.calls.shift_remove(&number) else {
             return;
         };
-        self.makers.end(&call, ending, now);
+        self.makers.end(number, &call, ending, now);
         let mut moved: Vec<Ticket> = Vec::new();
         for (index, piece) in call.pieces.iter().enumerate() {
             let outcome = match ending {
@@ -432,6 +432,7 @@
                 continue;
             };
             call.is_overdue = true;
+            self.makers.pass_over(number, call, now);
             for piece in &call.pieces {
                 let work = self.works.get_mut(&piece.ticket);
                 if let Some(work) = work.filter(|work| work.round == piece.round) {
--- a/src/serve/plan/forecast.rs
+++ b/src/serve/plan/forecast.rs
@@ -106,6 +106,8 @@
         let (turn, _) = turn(new, stage, makers, now);
         let ahead = ahead(works, &need.service, turn, makers, now);
         let queued = makers.wait(&need.service, ahead, now).unwrap_or(NO_ENDPOINT);
+        // What is queued shrinks while the stages before this one are worked on.
+        let queued = queued.saturating_sub(begin);
         wait = wait.max(queued);
         let own = makers.least_time(&need.service, need.pieces);
         ends.push(begin + queued + own);
@@ -115,7 +117,8 @@
     Some(Forecast { total, wait })
 }
 
-/// Returns how many pieces of a service wait and have their turn before this one.
+/// Returns how many pieces of a service are still to be made and have their turn before this one,
+/// whether their inputs are there or not.
 fn ahead(
     works: &IndexMap<Ticket, Work>,
     service: &id::Pool,
@@ -126,11 +129,10 @@
     let mut count = 0;
     for work in works.values().filter(|work| !work.is_granted) {
         for (stage, need) in work.job.needs.iter().enumerate() {
-            if need.service == *service && work.is_open(stage) && !work.is_ready() {
-                let waiting = work.queued(stage);
-                if waiting > 0 && turn(work, stage, makers, now).0 < before {
-                    count += waiting;
-                }
+            let queued = work.queued(stage);
+            let is_ahead = || turn(work, stage, makers, now).0 < before;
+            if need.service == *service && queued > 0 && is_ahead() {
+                count += queued;
             }
         }
     }
--- a/src/serve/plan/maker.rs
+++ b/src/serve/plan/maker.rs
@@ -23,8 +23,11 @@
 const PATIENCE: u32 = 8;
 /// How long an endpoint that was full is left alone.
 const FULL_TIME: Duration = Duration::from_millis(60);
-/// How long an endpoint without room for results is left alone.
-const ROOM_TIME: Duration = Duration::from_millis(100);
+/// How long results of an unknown owner are expected to fill an endpoint that had no room. Another
+/// planner may have asked for them, and frees them within about a second.
+const FOREIGN_TIME: Duration = Duration::from_millis(700);
+/// Overdue calls in a row after which an endpoint is held to be down.
+const OVERDUE_CALLS: u32 = 2;
 /// An endpoint that takes this many times as long as expected gets only what can wait for it.
 const SLOW: f64 = 1.6;
 /// The time from the grant to the first byte of an answer, before any was measured.
@@ -47,6 +50,9 @@
     /// Bytes of results that it holds or is making.
     stock: u64,
     held: IndexMap<Handle, Holding>,
+    /// Results that this planner does not know of.
+    foreign: Option<Holding>,
+    overdue: u32,
 }
 
 /// A result at its maker.
@@ -221,23 +227,32 @@
     }
 
     /// Books the end of a call.
-    pub fn end(&mut self, call: &Call, ending: &Ending, now: Time) {
+    pub fn end(&mut self, number: Number, call: &Call, ending: &Ending, now: Time) {
         let Some(maker) = self.all.get_mut(&call.maker) else {
             return;
         };
-        maker.busy = None;
-        let keep = self.pools.get(&maker.pool).map(|batch| batch.keep);
-        let until = now + keep.unwrap_or_default();
+        if maker.busy == Some(number) {
+            maker.busy = None;
+        }
+        let settings = self.pools.get(&maker.pool);
+        let until = now + settings.map_or(Duration::ZERO, |batch| batch.keep);
+        let room = settings.map_or(0, |batch| batch.room);
         match ending {
             Ending::Answered(outcomes) => {
                 let took = now.saturating_sub(call.began);
                 let ratio = took.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
                 maker.record.took(ratio, now);
+                maker.overdue = 0;
                 let good = outcomes.iter().any(|one| *one != Outcome::Error);
                 let verdict = if good { Verdict::Good } else { Verdict::Bad };
                 maker.record.end(verdict, now);
                 for (piece, outcome) in call.pieces.iter().zip(outcomes) {
-                    maker.book(piece, outcome, until, now);
+                    maker.book(piece, outcome, until);
+                }
+                if outcomes.contains(&Outcome::Room) {
+                    let bytes = room.saturating_sub(maker.stock);
+                    let until = now + FOREIGN_TIME;
+                    maker.foreign = Some(Holding { bytes, until });
                 }
             }
             Ending::Refused => {
@@ -264,6 +279,23 @@
         calls.map(|(number, _)| *number).collect()
     }
 
+    /// Stops waiting for a call. Its answer may be lost and the endpoint idle, so it may get another
+    /// one; an endpoint that never answers is ejected.
+    pub fn pass_over(&mut self, number: Number, call: &Call, now: Time) {
+        let maker = self.all.get_mut(&call.maker);
+        let Some(maker) = maker.filter(|maker| maker.busy == Some(number)) else {
+            return;
+        };
+        maker.busy = None;
+        maker.overdue += 1;
+        let took = now.saturating_sub(call.began);
+        let ratio = took.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
+        maker.record.took(ratio, now);
+        if maker.overdue >= OVERDUE_CALLS {
+            maker.record.end(Verdict::Lost, now);
+        }
+    }
+
     /// Drops what endpoints no longer hold.
     pub fn expire(&mut self, now: Time) {
         for maker in self.all.values_mut() {
@@ -319,6 +351,8 @@
             blocked: Time::ZERO,
             stock: 0,
             held: IndexMap::new(),
+            foreign: None,
+            overdue: 0,
         }
     }
 
@@ -333,7 +367,8 @@
         let slowness = self.record.slowness(now);
         let longer = batch.call.mul_f64((slowness - 1.0).max(0.0));
         let is_slow = slowness >= SLOW && has_fast;
-        let mut stock = self.stock;
+        let foreign = self.foreign.as_ref().filter(|foreign| now < foreign.until);
+        let mut stock = self.stock + foreign.map_or(0, |foreign| foreign.bytes);
         let mut indexes = Vec::new();
         for (index, one) in waiting.iter().enumerate() {
             if indexes.len() >= batch.size {
@@ -349,17 +384,13 @@
         indexes
     }
 
-    fn book(&mut self, piece: &Piece, outcome: &Outcome, until: Time, now: Time) {
+    fn book(&mut self, piece: &Piece, outcome: &Outcome, until: Time) {
         match outcome {
             Outcome::Handle(handle) => {
                 let bytes = piece.bytes;
                 self.held.insert(handle.clone(), Holding { bytes, until });
             }
-            Outcome::Room => {
-                self.blocked = now + ROOM_TIME;
-                self.stock = self.stock.saturating_sub(piece.bytes);
-            }
-            Outcome::Late | Outcome::Gone | Outcome::Error => {
+            Outcome::Room | Outcome::Late | Outcome::Gone | Outcome::Error => {
                 self.stock = self.stock.saturating_sub(piece.bytes);
             }
         }
