Rank refused clients that come back behind, and let another region take what is refused

Cause: in overload late requests held the room of results until their deadline, and a region with one endpoint of a stage refused while the other had capacity. Change: what has missed its target waits behind; it is given up after two spans; work is ordered by slack, rank and cost; a refused job is offered to the other regions' planners. Ruled out: moving single stages, whose results would cross the link.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -26,6 +26,10 @@
   promptTokens @8 :UInt64;
   outputTokens @9 :UInt64;
   zone @10 :Text;
+  # The time in which a request of the route should be answered.
+  spanNanos @11 :UInt64;
+  # What its answer is worth beside others of the route.
+  weight @12 :Float32;
 }
 
 struct Grant {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -32,6 +32,7 @@
 use catalog::Catalog;
 use dialect::Dialect;
 use fleet::{Endpoint, Entry, Fleet};
+use plan::Tokens;
 
 /// How long a daemon that leaves goes on to take requests: the balancer sends new connections
 /// elsewhere after two missed checks a second apart, and idle ones are closed after that.
@@ -39,6 +40,13 @@
 /// How often it looks whether everything has been served.
 const LEAVE_LOOK: Duration = Duration::from_millis(50);
 
+/// Less time than this may have passed on the way of a first attempt.
+const SPENT_LEAST: Duration = Duration::from_millis(50);
+/// What a generated token costs beside one of the prompt; the users count ten.
+const OUTPUT_WEIGHT: f32 = 10.0;
+/// The share of a request in the mean size of its route.
+const SIZE_SHARE: f32 = 0.02;
+
 event! {
     /// Something that was read of the platform's store.
     pub enum Update {
@@ -88,6 +96,16 @@
     leaving: Cell<Option<Time>>,
     active: Cell<usize>,
     budgets: RefCell<IndexMap<id::Pool, Budget>>,
+    usual: RefCell<IndexMap<id::Name, Usual>>,
+}
+
+/// What requests of one route are usually like.
+#[derive(Default)]
+struct Usual {
+    /// The longest time that a client waits.
+    patience: Duration,
+    /// The mean size of a generation.
+    size: Option<f32>,
 }
 
 /// The parts from which a node is made.
@@ -125,6 +143,7 @@
             leaving: Cell::new(None),
             active: Cell::new(0),
             budgets: RefCell::default(),
+            usual: RefCell::default(),
         })
     }
 
@@ -189,6 +208,32 @@
         self.fleet.borrow().usable(id).cloned()
     }
 
+    /// Returns how much of its time a client had used before this request. Clients of a route have
+    /// the same patience, so one that has less of it left was refused before.
+    fn spent(&self, route: &id::Name, remaining: Option<Duration>) -> Duration {
+        let Some(remaining) = remaining else {
+            return Duration::ZERO;
+        };
+        let mut usual = self.usual.borrow_mut();
+        let usual = usual.entry(route.clone()).or_default();
+        usual.patience = usual.patience.max(remaining);
+        let spent = usual.patience.saturating_sub(remaining);
+        if spent > SPENT_LEAST { spent } else { Duration::ZERO }
+    }
+
+    /// Returns what a request's answer is worth beside others of its route, by its size.
+    fn weigh(&self, route: &id::Name, tokens: Tokens) -> f32 {
+        let size = tokens.prompt as f32 + OUTPUT_WEIGHT * tokens.output as f32;
+        if size <= 0.0 {
+            return 1.0;
+        }
+        let mut usual = self.usual.borrow_mut();
+        let usual = usual.entry(route.clone()).or_default();
+        let mean = usual.size.get_or_insert(size);
+        *mean += SIZE_SHARE * (size - *mean);
+        0.3 + 0.7 * size / *mean
+    }
+
     /// A request came for a service: its budget of repeats grows.
     fn earn(&self, service: &id::Pool) {
         let mut budgets = self.budgets.borrow_mut();
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -40,6 +40,9 @@
 /// How much later than its target a request may be expected to end when it is let in. Beyond it, a
 /// refusal at once lets the client come back when there is room.
 const TOLERANCE: f64 = 0.15;
+/// Spans after which a request that has begun is given up: until then its results are kept, but they
+/// take room that requests on time need.
+const LATE_SPANS: f64 = 2.0;
 /// The least time for which a refused client is asked to wait.
 const MIN_WAIT: Duration = Duration::from_millis(250);
 /// The longest time for which a refused client is asked to wait.
@@ -62,6 +65,11 @@
         pub target: Time,
         /// When nobody waits any longer.
         pub end: Time,
+        /// The time in which a request of its route should be answered. A client that was refused
+        /// and comes back has missed its target, and has as long again before it is given up.
+        pub span: Duration,
+        /// What its answer is worth beside others of its route; 1 on average.
+        pub weight: f32,
         /// The parts of the prompt, in order.
         pub parts: Vec<Part>,
         /// Tokens of the prompt and the most that are generated.
@@ -287,7 +295,7 @@
 
     /// A request has come.
     pub fn submit(&mut self, ticket: Ticket, job: Job, now: Time) {
-        let work = Work::new(job);
+        let work = Work::new(job, now);
         if let Some(refusal) = self.judge(&work, now) {
             self.actions.push(Action::Refuse(ticket, refusal));
             return;
@@ -457,7 +465,7 @@
         let Some(work) = self.works.shift_remove(&ticket) else {
             return;
         };
-        let queued = forecast::forecast(&Work::new(work.job.clone()), &self.works, &self.makers, now);
+        let queued = forecast::forecast(&Work::new(work.job.clone(), now), &self.works, &self.makers, now);
         let wait = queued.map_or(MAX_WAIT, |forecast| forecast.wait);
         let wait = wait.clamp(MIN_WAIT, MAX_WAIT);
         self.free(work.held());
@@ -552,9 +560,9 @@
     /// Decides whether a request is let in.
     fn judge(&self, work: &Work, now: Time) -> Option<Refusal> {
         let forecast = forecast::forecast(work, &self.works, &self.makers, now)?;
-        let target = work.job.target.saturating_sub(now).mul_f64(1.0 + TOLERANCE);
+        let span = work.job.span.mul_f64(1.0 + TOLERANCE);
         let left = work.job.end.saturating_sub(now);
-        if forecast.total <= target.min(left) {
+        if forecast.total <= span.min(left) {
             return None;
         }
         let wait = forecast.wait.clamp(MIN_WAIT, MAX_WAIT);
--- a/src/serve/plan/forecast.rs
+++ b/src/serve/plan/forecast.rs
@@ -14,6 +14,8 @@
 /// about the time of one call, so that rank decides among requests of neighbouring calls.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 
+/// How much later a request is worked on, as a multiple of the time that its pieces take.
+const COST_DELAY: f64 = 1.0;
 /// The wait for a service without endpoints: longer than any deadline.
 const NO_ENDPOINT: Duration = Duration::from_secs(60);
 
@@ -48,11 +50,19 @@
     pub wait: Duration,
 }
 
+/// Returns how much later a request is worked on for the work it takes: under overload, as many
+/// answers as possible are given in the time of the endpoints.
+fn cost(work: &Work, makers: &Makers) -> Duration {
+    let needs = work.job.needs.iter();
+    let time: Duration = needs.map(|need| makers.item_time(&need.service, need.pieces)).sum();
+    time.mul_f64(COST_DELAY / f64::from(work.job.weight.clamp(0.25, 4.0)))
+}
+
 fn turn(work: &Work, stage: usize, makers: &Makers, now: Time) -> (Turn, Duration) {
     let tail = work.tail(stage, makers);
     let begin = work.job.target.saturating_sub(tail);
     let is_late = begin < now;
-    let at = begin + RANK_DELAY * u32::from(work.job.priority);
+    let at = begin + RANK_DELAY * u32::from(work.job.priority) + cost(work, makers);
     (Turn { is_late, at }, begin.saturating_sub(now))
 }
 
--- a/src/serve/plan/maker.rs
+++ b/src/serve/plan/maker.rs
@@ -135,6 +135,12 @@
         batch.call + batch.item * count(pieces.min(batch.size))
     }
 
+    /// Returns the time that some pieces of a service take besides their calls.
+    pub fn item_time(&self, pool: &id::Pool, pieces: usize) -> Duration {
+        let item = self.pools.get(pool).map(|batch| batch.item);
+        item.unwrap_or_default() * count(pieces)
+    }
+
     /// Returns the expected time from a grant to the first byte of the answer.
     pub fn answer_time(&self) -> Duration {
         self.answer_time
--- a/src/serve/plan/work.rs
+++ b/src/serve/plan/work.rs
@@ -4,7 +4,7 @@
 
 use super::engine::Lease;
 use super::maker::Makers;
-use super::{Handle, Job, TOLERANCE, Ticket};
+use super::{Handle, Job, LATE_SPANS, TOLERANCE, Ticket};
 use crate::clock::Time;
 use crate::id;
 
@@ -78,6 +78,7 @@
     pub has_begun: bool,
     /// Endpoints that have turned the request down.
     pub tried: Vec<id::Endpoint>,
+    submitted: Time,
     slots: Vec<Vec<Slot>>,
     /// Stages whose results were given up.
     freed: Vec<bool>,
@@ -85,7 +86,7 @@
 
 impl Work {
     /// Makes the plan of a job of which nothing is done.
-    pub fn new(job: Job) -> Self {
+    pub fn new(job: Job, now: Time) -> Self {
         let slots = job.needs.iter().map(|need| vec![Slot::default(); need.pieces]);
         Self {
             round: 0,
@@ -94,6 +95,7 @@
             is_granted: false,
             has_begun: false,
             tried: Vec::new(),
+            submitted: now,
             freed: vec![false; job.needs.len()],
             slots: slots.collect(),
             job,
@@ -233,8 +235,12 @@
         if now + least > self.job.end {
             return Some("the deadline cannot be met any more");
         }
-        let target = self.job.target.saturating_sub(now).mul_f64(1.0 + TOLERANCE);
-        let late = !self.has_begun && least > target;
-        late.then_some("the target cannot be met any more")
+        let spans = if self.has_begun {
+            LATE_SPANS
+        } else {
+            1.0 + TOLERANCE
+        };
+        let over = now + least > self.submitted + self.job.span.mul_f64(spans);
+        over.then_some("it would be answered too late")
     }
 }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -11,6 +11,7 @@
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use futures::future::LocalBoxFuture;
+use indexmap::IndexMap;
 use slog::{Logger, info};
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, spawn_local};
@@ -33,6 +34,8 @@
 
 /// How often the planner is asked whether it is alive.
 const PING_EVERY: Duration = Duration::from_millis(100);
+/// How often the planner of another region is asked: the link between regions is billed.
+const FAR_PING_EVERY: Duration = Duration::from_millis(500);
 /// How long it may take to answer before another one is used. A request has about a second of slack,
 /// and a daemon on a quota stands still for a tenth of a second.
 const PING_TIME: Duration = Duration::from_millis(300);
@@ -55,24 +58,41 @@
     }
 }
 
-/// Plans requests at the daemon that plans for the region.
+/// Plans requests at the daemon that plans for one region.
 pub struct Region {
-    own: id::Daemon,
-    local: Rc<Agent>,
+    /// The planner of this daemon, if it is of the region.
+    local: Option<Rc<Agent>>,
     ranking: RefCell<Ranking>,
     line: RefCell<Option<Rc<Line>>>,
+    ping_every: Duration,
     clock: Rc<dyn Clock>,
     log: Logger,
 }
 
 impl Region {
-    /// Starts to look for the daemon that plans; until then requests are planned here.
-    pub fn start(own: Member, local: Rc<Agent>, clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
+    /// Starts to look for the daemon that plans for this daemon's own region; until one answers,
+    /// requests are planned here.
+    pub fn own(own: Member, local: Rc<Agent>, clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
+        Self::start(Ranking::new(own), Some(local), PING_EVERY, clock, log)
+    }
+
+    /// Starts to look for the daemon that plans for another region.
+    pub fn other(clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
+        Self::start(Ranking::default(), None, FAR_PING_EVERY, clock, log)
+    }
+
+    fn start(
+        ranking: Ranking,
+        local: Option<Rc<Agent>>,
+        ping_every: Duration,
+        clock: Rc<dyn Clock>,
+        log: Logger,
+    ) -> Rc<Self> {
         let region = Rc::new(Self {
-            own: own.name.clone(),
             local,
-            ranking: RefCell::new(Ranking::new(own)),
+            ranking: RefCell::new(ranking),
             line: RefCell::new(None),
+            ping_every,
             clock,
             log,
         });
@@ -85,34 +105,26 @@
         self.ranking.borrow_mut().learn(name, member);
     }
 
-    /// Returns the number of daemons that are known in the region.
-    pub fn len(&self) -> usize {
-        self.ranking.borrow().len()
-    }
-
-    /// Returns whether no daemon is known.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     async fn keep(self: Rc<Self>) {
         loop {
             self.look().await;
-            tokio::time::sleep(PING_EVERY).await;
+            tokio::time::sleep(self.ping_every).await;
         }
     }
 
     /// Makes sure that the line leads to the first daemon that answers.
     async fn look(&self) {
         let now = self.clock.now();
-        let wanted = self.ranking.borrow().first(now);
+        let Some(wanted) = self.ranking.borrow().first(now) else {
+            return;
+        };
         let line = self.line.borrow().clone();
         if let Some(line) = &line
             && line.member == wanted
         {
             return self.ping(line).await;
         }
-        if wanted.name == self.own {
+        if self.ranking.borrow().is_own(&wanted.name) {
             if line.is_some() {
                 info!(self.log, "planning here"; "reason" => "no better daemon answers");
                 self.line.replace(None);
@@ -170,13 +182,13 @@
         self.ranking.borrow_mut().down(member, now);
     }
 
-    async fn plan(&self, job: Job) -> Result<Box<dyn Seat>, Refusal> {
+    async fn plan(&self, job: &Job) -> Result<Box<dyn Seat>, Refusal> {
         for _ in 0..PLANNERS {
             let line = self.line.borrow().clone();
             let Some(line) = line else {
                 break;
             };
-            match seat::Distant::take(line, &job, &*self.clock).await {
+            match seat::Distant::take(line, job, &*self.clock).await {
                 Ok(seat) => return seat.map(|seat| Box::new(seat) as Box<dyn Seat>),
                 Err(error) => {
                     info!(self.log, "planner lost a request"; "error" => %error);
@@ -185,11 +197,57 @@
                 }
             }
         }
-        Local(self.local.clone()).place(job).await
+        match &self.local {
+            Some(local) => Local(local.clone()).place(job.clone()).await,
+            None => Err(Refusal::gone()),
+        }
+    }
+}
+
+/// Plans requests in this daemon's region, and in another one what its own refuses: only the
+/// request itself crosses the link between regions then, and none of its results.
+pub struct Regions {
+    own: Rc<Region>,
+    others: IndexMap<id::Region, Rc<Region>>,
+    name: id::Region,
+}
+
+impl Regions {
+    /// Makes the desk of a daemon.
+    pub fn new(
+        name: id::Region,
+        own: Rc<Region>,
+        others: IndexMap<id::Region, Rc<Region>>,
+    ) -> Rc<Self> {
+        Rc::new(Self { own, others, name })
+    }
+
+    /// A daemon has registered or has changed; without one, it has left for good.
+    pub fn learn(&self, name: &id::Daemon, member: Option<(id::Region, Member)>) {
+        let of = member.as_ref().map(|(region, _)| region.clone());
+        let member = member.map(|(_, member)| member);
+        let all = std::iter::once((&self.name, &self.own)).chain(&self.others);
+        for (region, desk) in all {
+            let here = of.as_ref().is_some_and(|of| of == region);
+            desk.learn(name, member.clone().filter(|_| here));
+        }
+    }
+
+    async fn plan(&self, job: Job) -> Result<Box<dyn Seat>, Refusal> {
+        let refusal = match self.own.plan(&job).await {
+            Ok(seat) => return Ok(seat),
+            Err(refusal) => refusal,
+        };
+        for other in self.others.values() {
+            if let Ok(seat) = other.plan(&job).await {
+                return Ok(seat);
+            }
+        }
+        Err(refusal)
     }
 }
 
-impl Desk for Region {
+impl Desk for Regions {
     fn place(&self, job: Job) -> LocalBoxFuture<'_, Result<Box<dyn Seat>, Refusal>> {
         Box::pin(self.plan(job))
     }
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -25,8 +25,9 @@
 }
 
 /// The daemons of a region, and which of them did not answer of late.
+#[derive(Default)]
 pub struct Ranking {
-    own: Member,
+    own: Option<Member>,
     members: IndexMap<id::Daemon, Member>,
     down: IndexMap<id::Daemon, Time>,
 }
@@ -43,14 +44,19 @@
     pub fn new(own: Member) -> Self {
         Self {
             members: IndexMap::from([(own.name.clone(), own.clone())]),
-            own,
+            own: Some(own),
             down: IndexMap::new(),
         }
     }
 
+    /// Returns whether a name is the daemon's own.
+    pub fn is_own(&self, name: &id::Daemon) -> bool {
+        self.own.as_ref().is_some_and(|own| own.name == *name)
+    }
+
     /// A daemon has registered or has changed; without one, it has left for good.
     pub fn learn(&mut self, name: &id::Daemon, member: Option<Member>) {
-        if *name == self.own.name {
+        if self.is_own(name) {
             return;
         }
         match member {
@@ -73,20 +79,16 @@
     }
 
     /// Returns the first daemon that is not known to be down; the daemon itself never is.
-    pub fn first(&self, now: Time) -> Member {
+    pub fn first(&self, now: Time) -> Option<Member> {
         let up = |member: &&Member| {
             let until = self.down.get(&member.name);
-            member.name == self.own.name || until.is_none_or(|until| now >= *until)
+            self.is_own(&member.name) || until.is_none_or(|until| now >= *until)
         };
         let members = self.members.values().filter(up);
         let first = members.min_by_key(|member| rank(&member.name));
-        first.unwrap_or(&self.own).clone()
+        first.cloned()
     }
 
-    /// Returns the number of daemons.
-    pub fn len(&self) -> usize {
-        self.members.len()
-    }
 }
 
 #[cfg(test)]
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -38,6 +38,8 @@
     to.set_prompt_tokens(job.tokens.prompt);
     to.set_output_tokens(job.tokens.output);
     to.set_zone(&*job.zone);
+    to.set_span_nanos(nanos(job.span));
+    to.set_weight(job.weight);
     let mut needs = to.reborrow().init_needs(count(job.needs.len()));
     for (index, need) in (0..).zip(&job.needs) {
         let mut one = needs.reborrow().get(index);
@@ -96,6 +98,8 @@
             output: from.get_output_tokens(),
         },
         zone: name(from.get_zone()?)?,
+        span: Duration::from_nanos(from.get_span_nanos()),
+        weight: from.get_weight(),
     })
 }
 
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -6,6 +6,7 @@
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,6 +40,9 @@
 const PATIENCE: f64 = 0.6;
 /// The least time that an endpoint has before another one is asked.
 const MIN_PATIENCE: Duration = Duration::from_millis(150);
+/// How long before a client's deadline it is told that there is no answer: the way back and a busy
+/// daemon take that long.
+const LAST_WORD: Duration = Duration::from_millis(60);
 /// The time that a request without a deadline has.
 const NO_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -225,11 +229,12 @@
             return Err(failure(503, "the route has no service"));
         };
         let wait = ask.remaining.unwrap_or(NO_DEADLINE).min(route.timeout);
+        let spent = self.node.spent(&route.name, ask.remaining);
         let settings = catalog.services.get(&service);
         let is_engine = settings.is_some_and(|settings| settings.engine.is_some());
         Ok(Plan {
             is_staged: is_engine || !route.stages.is_empty(),
-            target: self.arrived + route.target,
+            target: self.arrived + route.target.saturating_sub(spent),
             end: self.arrived + wait,
             route,
             ask,
@@ -256,6 +261,8 @@
             priority: plan.priority,
             target: plan.target,
             end: plan.end,
+            span: plan.route.target,
+            weight: self.node.weigh(&plan.route.name, plan.ask.tokens),
             parts: plan.ask.parts.clone(),
             tokens: plan.ask.tokens,
             zone: self.node.options.zone.clone(),
@@ -265,9 +272,18 @@
     /// Serves it within its time.
     async fn within(&self, plan: &Plan, client: &mut Client) -> Done {
         let left = plan.end.saturating_sub(self.node.clock.now());
-        let served = timeout(left, self.attempts(plan, client)).await;
+        let begun = Cell::new(false);
+        let served = {
+            let mut serving = pin!(self.attempts(plan, client, &begun));
+            let early = left.saturating_sub(LAST_WORD);
+            match timeout(early, &mut serving).await {
+                // A stream that has begun may still be whole in time.
+                Err(_) if begun.get() => timeout(left.saturating_sub(early), serving).await,
+                served => served,
+            }
+        };
         served.unwrap_or_else(|_| {
-            if client.has_begun() {
+            if begun.get() {
                 return Done::Broken("the time is over");
             }
             let status = if self.may_have_run.get() { 504 } else { 503 };
@@ -275,7 +291,7 @@
         })
     }
 
-    async fn attempts(&self, plan: &Plan, client: &mut Client) -> Done {
+    async fn attempts(&self, plan: &Plan, client: &mut Client, begun: &Cell<bool>) -> Done {
         let node = &self.node;
         node.earn(&plan.service);
         let desk = if plan.is_staged {
@@ -290,7 +306,7 @@
         };
         let mut events = Events::default();
         loop {
-            let tried = self.attempt(plan, &*seat, client, &mut events).await;
+            let tried = self.attempt(plan, &*seat, client, &mut events, begun).await;
             let (again, otherwise) = match tried {
                 Tried::Done(done) => return done,
                 Tried::Turned { verdict, again } => {
@@ -349,6 +365,7 @@
         seat: &dyn Seat,
         client: &mut Client,
         events: &mut Events,
+        begun: &Cell<bool>,
     ) -> Tried {
         let id = seat.grant().endpoint.clone();
         self.note.borrow_mut().endpoint = Some(id.clone());
@@ -384,7 +401,7 @@
             None => Ok(sending.await),
         };
         match opened {
-            Ok(Ok(open)) => self.take(plan, seat, client, events, open).await,
+            Ok(Ok(open)) => self.take(plan, seat, client, events, begun, open).await,
             Ok(Err(error)) => {
                 info!(self.node.log, "no answer";
                     "id" => &*plan.ask.id, "endpoint" => &*id, "error" => %error);
@@ -418,6 +435,7 @@
         seat: &dyn Seat,
         client: &mut Client,
         events: &mut Events,
+        begun: &Cell<bool>,
         mut open: exchange::Open,
     ) -> Tried {
         let answer = self.node.dialect.answer(&open.reply, &plan.ask.id);
@@ -433,7 +451,7 @@
             return lost("the answer is not one to this request");
         }
         if is_good && plan.route.kind.is_stream() {
-            return self.stream(plan, seat, client, events, open).await;
+            return self.stream(plan, seat, client, events, begun, open).await;
         }
         seat.started(!plan.route.kind.is_repeatable());
         let body = match open.body(ANSWER_BYTES).await {
@@ -459,6 +477,7 @@
         seat: &dyn Seat,
         client: &mut Client,
         events: &mut Events,
+        begun: &Cell<bool>,
         mut open: exchange::Open,
     ) -> Tried {
         let is_resumable = plan.route.kind.is_repeatable();
@@ -487,6 +506,7 @@
                 None => events.rest(),
             };
             let sent = if !client.has_begun() && (is_end || !bytes.is_empty()) {
+                begun.set(true);
                 client.begin(open.reply.status, &fields, &framing, &bytes).await
             } else if bytes.is_empty() {
                 Ok(())
