--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -35,11 +35,14 @@
 struct Grant {
   endpoint @0 :Text;
   inputs @1 :List(Text);
+  address @2 :Text;
 }
 
 struct Refusal {
   reason @0 :Text;
   waitNanos @1 :UInt64;
+  # The planner is leaving; another one is to be asked.
+  isMoved @2 :Bool;
 }
 
 struct Reply {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -204,8 +204,8 @@
         self.catalog.borrow().clone()
     }
 
-    fn usable(&self, id: &str) -> Option<Endpoint> {
-        self.fleet.borrow().usable(id).cloned()
+    fn is_leaving(&self, id: &str) -> bool {
+        self.fleet.borrow().is_leaving(id)
     }
 
     /// Returns how much of its time a client had used before this request. Clients of a route have
@@ -265,6 +265,7 @@
     pub fn leave(&self) {
         warn!(self.log, "stopping"; "active" => self.active.get());
         self.leaving.set(Some(self.clock.now()));
+        self.staged.resign();
     }
 
     /// Returns since when the daemon is leaving.
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -13,9 +13,9 @@
 use tokio::time::timeout;
 
 use super::dialect::{Dialect, Message};
-use super::exchange;
+use super::exchange::{self, Channel};
 use super::health::Verdict;
-use super::plan::{Action, Ending, Entry, Grant, Job, Number, Planner, Refusal, Ticket};
+use super::plan::{Action, Ending, Entry, Grant, Handle, Job, Number, Planner, Refusal, Ticket};
 use crate::clock::{Clock, Time};
 use crate::id;
 
@@ -23,6 +23,10 @@
 const ANSWER_BYTES: usize = 1024 * 1024;
 /// How often deadlines and overdue calls are looked for.
 pub const TICK: Duration = Duration::from_millis(20);
+/// How long results are gathered before an endpoint is told to forget them.
+const FREE_GATHER: Duration = Duration::from_millis(15);
+/// How long a connection is kept without a call; endpoints close idle ones after seconds.
+const KEEP_TIME: Duration = Duration::from_millis(900);
 /// How long an endpoint may take to forget results.
 const FREE_TIME: Duration = Duration::from_secs(1);
 
@@ -30,6 +34,8 @@
 pub trait Desk {
     /// Plans a request; the seat stands for its place until it is dropped.
     fn place(&self, job: Job) -> LocalBoxFuture<'_, Result<Box<dyn Seat>, Refusal>>;
+    /// The daemon is about to stop: other daemons plan from now on.
+    fn resign(&self) {}
 }
 
 /// A planned request.
@@ -51,6 +57,9 @@
     planner: RefCell<Planner>,
     replies: RefCell<IndexMap<Ticket, Reply>>,
     next: Cell<Ticket>,
+    /// Results that are about to be given up, by endpoint.
+    freed: RefCell<IndexMap<id::Endpoint, Vec<Handle>>>,
+    kept: RefCell<IndexMap<id::Endpoint, Kept>>,
     dialect: Rc<dyn Dialect>,
     clock: Rc<dyn Clock>,
     log: Logger,
@@ -68,6 +77,8 @@
             planner: RefCell::new(planner),
             replies: RefCell::default(),
             next: Cell::new(0),
+            freed: RefCell::default(),
+            kept: RefCell::default(),
             dialect,
             clock,
             log,
@@ -124,17 +135,29 @@
                 endpoint,
                 address,
                 handles,
-            } => {
-                let message = self.dialect.free(&endpoint, &handles);
-                let log = self.log.clone();
-                spawn_local(async move {
-                    let sent = timeout(FREE_TIME, post(address, &message)).await;
-                    if !matches!(sent, Ok(Ok(Posted::Answer(_)))) {
-                        debug!(log, "results not freed"; "endpoint" => &*endpoint, "results" => handles.len());
-                    }
-                });
-            }
+            } => self.free(endpoint, address, handles),
+        }
+    }
+
+    /// Gathers results of one endpoint for a moment, and then gives them up in one call.
+    fn free(self: &Rc<Self>, endpoint: id::Endpoint, address: SocketAddr, handles: Vec<Handle>) {
+        let mut freed = self.freed.borrow_mut();
+        if let Some(gathered) = freed.get_mut(&endpoint) {
+            gathered.extend(handles);
+            return;
         }
+        freed.insert(endpoint.clone(), handles);
+        let agent = self.clone();
+        spawn_local(async move {
+            tokio::time::sleep(FREE_GATHER).await;
+            let handles = agent.freed.borrow_mut().swap_remove(&endpoint).unwrap_or_default();
+            let message = agent.dialect.free(&endpoint, &handles);
+            let sent = timeout(FREE_TIME, agent.post(&endpoint, address, &message)).await;
+            if !matches!(sent, Ok(Ok(Posted::Answer(_)))) {
+                debug!(agent.log, "results not freed";
+                    "endpoint" => &*endpoint, "results" => handles.len());
+            }
+        });
     }
 
     fn reply(&self, ticket: Ticket, result: Result<Grant, Refusal>) {
@@ -154,7 +177,7 @@
     ) {
         let message = self.dialect.call(&endpoint, &entries);
         let began = self.clock.now();
-        let posted = timeout(patience, post(address, &message)).await;
+        let posted = timeout(patience, self.post(&endpoint, address, &message)).await;
         let ending = match posted {
             Ok(Ok(Posted::Answer(body))) => {
                 let outcomes = self.dialect.outcomes(&body, entries.len());
@@ -202,16 +225,60 @@
     Refused,
 }
 
-async fn post(address: SocketAddr, message: &Message) -> Result<Posted, exchange::Error> {
-    let stream = exchange::connect(address).await?;
-    let size = message.body.len();
-    let head = exchange::request(message.method, message.target, &message.fields, size);
-    let mut open = exchange::send(stream, address, &head, &message.body).await?;
-    if open.reply.status != 200 {
-        return Ok(Posted::Refused);
+impl Agent {
+    /// Makes a call that may be repeated: on a kept connection, and on a new one if that fails.
+    async fn post(
+        &self,
+        endpoint: &id::Endpoint,
+        address: SocketAddr,
+        message: &Message,
+    ) -> Result<Posted, exchange::Error> {
+        let kept = self.kept.borrow_mut().swap_remove(endpoint);
+        let now = self.clock.now();
+        let fresh = |kept: &Kept| kept.address == address && now < kept.since + KEEP_TIME;
+        if let Some(mut kept) = kept.filter(fresh)
+            && kept.channel.is_quiet()
+            && let Ok(posted) = self.post_on(endpoint, address, kept.channel, message).await
+        {
+            return Ok(posted);
+        }
+        let channel = exchange::connect(address).await?;
+        self.post_on(endpoint, address, channel, message).await
     }
-    let body = open.body(ANSWER_BYTES).await?;
-    Ok(body.map_or(Posted::Refused, Posted::Answer))
+
+    async fn post_on(
+        &self,
+        endpoint: &id::Endpoint,
+        address: SocketAddr,
+        channel: Channel,
+        message: &Message,
+    ) -> Result<Posted, exchange::Error> {
+        let size = message.body.len();
+        let head = exchange::request(message.method, message.target, &message.fields, size, true);
+        let mut open = exchange::send(channel, &head, &message.body).await?;
+        let status = open.reply.status;
+        let body = open.body(ANSWER_BYTES).await?;
+        if let Some(channel) = open.into_channel() {
+            let since = self.clock.now();
+            let kept = Kept {
+                channel,
+                address,
+                since,
+            };
+            self.kept.borrow_mut().insert(endpoint.clone(), kept);
+        }
+        Ok(match body {
+            Some(body) if status == 200 => Posted::Answer(body),
+            _ => Posted::Refused,
+        })
+    }
+}
+
+/// A connection that waits for the next call.
+struct Kept {
+    channel: Channel,
+    address: SocketAddr,
+    since: Time,
 }
 
 /// A request that is planned in this daemon.
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -1,7 +1,8 @@
-//! One request to an endpoint on a connection of its own.
+//! One request to an endpoint, and its answer.
 //!
-//! A new connection costs an endpoint about a millisecond. A kept one may have been dropped or have
-//! gone silent, and then a request that must not be repeated is lost with it.
+//! A client's request gets a connection of its own: a new one costs an endpoint about a millisecond,
+//! while a kept one may have been dropped or have gone silent, and then a request that must not be
+//! repeated is lost with it. Calls of the system itself may be repeated and use kept ones.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +18,8 @@
 const CONNECT_TIME: Duration = Duration::from_millis(150);
 /// Attempts at a connection; the opening packet may be lost.
 const CONNECTS: u32 = 3;
+/// Bodies below this many bytes are sent with their head.
+const SHORT_BODY: usize = 1024;
 /// How long sent bytes may stay without an acknowledgement.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
 
@@ -44,14 +47,29 @@
     },
 }
 
+/// A connection to an endpoint on which nothing is under way.
+pub struct Channel {
+    source: Source,
+    sink: Sink,
+    peer: SocketAddr,
+}
+
+impl Channel {
+    /// Returns whether it is open and carries no bytes that nobody asked for.
+    pub fn is_quiet(&mut self) -> bool {
+        self.source.is_quiet()
+    }
+}
+
 /// Connects, with another attempt when the opening packet may have been lost.
-pub async fn connect(peer: SocketAddr) -> Result<TcpStream, Error> {
+pub async fn connect(peer: SocketAddr) -> Result<Channel, Error> {
     let mut reason = String::new();
     for attempt in 1..=CONNECTS {
         match timeout(CONNECT_TIME * attempt, TcpStream::connect(peer)).await {
             Ok(Ok(stream)) => {
                 prepare(&stream);
-                return Ok(stream);
+                let (source, sink) = http::split(stream);
+                return Ok(Channel { source, sink, peer });
             }
             Ok(Err(error)) => {
                 reason = error.to_string();
@@ -71,14 +89,15 @@
     drop(socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
 }
 
-/// Writes the head of a request.
-pub fn request(method: &str, target: &str, fields: &[Field], body: usize) -> Vec<u8> {
+/// Writes the head of a request; with `keep`, the connection may carry another one.
+pub fn request(method: &str, target: &str, fields: &[Field], body: usize, keep: bool) -> Vec<u8> {
     let mut head = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
     write_fields(&mut head, fields);
     if body > 0 || matches!(method, "POST" | "PUT" | "PATCH") {
         head.extend_from_slice(format!("Content-Length: {body}\r\n").as_bytes());
     }
-    head.extend_from_slice(b"Connection: close\r\n\r\n");
+    let connection = if keep { "keep-alive" } else { "close" };
+    head.extend_from_slice(format!("Connection: {connection}\r\n\r\n").as_bytes());
     head
 }
 
@@ -98,40 +117,46 @@
     pub reply: Reply,
     /// What is left of the body.
     pub framing: Framing,
-    source: Source,
-    /// Kept, since dropping it would tell the endpoint that nobody waits.
-    _sink: Sink,
-    peer: SocketAddr,
+    /// Both sides: closing the writing one would tell the endpoint that nobody waits.
+    channel: Channel,
+    is_sent: bool,
 }
 
 impl Open {
     /// Reads the next bytes of the body; none at its end.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
-        let peer = self.peer;
+        let peer = self.channel.peer;
         let step = "reading the answer of";
-        let chunk = self.source.chunk(&mut self.framing).await;
+        let chunk = self.channel.source.chunk(&mut self.framing).await;
         chunk.map_err(|source| Error::Lost { step, peer, source })
     }
 
+    /// Returns the connection when the answer was read whole and it can carry another request.
+    pub fn into_channel(mut self) -> Option<Channel> {
+        let is_over = self.is_sent && self.reply.keep && self.framing == Framing::End;
+        (is_over && self.channel.is_quiet()).then_some(self.channel)
+    }
+
     /// Reads the whole body; none when it is longer than `limit`.
     pub async fn body(&mut self, limit: usize) -> Result<Option<Bytes>, Error> {
-        let peer = self.peer;
+        let peer = self.channel.peer;
         let step = "reading the answer of";
-        let body = self.source.body(&mut self.framing, limit).await;
+        let body = self.channel.source.body(&mut self.framing, limit).await;
         body.map_err(|source| Error::Lost { step, peer, source })
     }
 }
 
-/// Sends a request on a new connection and reads the head of its answer.
-pub async fn send(stream: TcpStream, peer: SocketAddr, head: &[u8], body: &[u8]) -> Result<Open, Error> {
-    let (mut source, mut sink) = http::split(stream);
+/// Sends a request and reads the head of its answer.
+pub async fn send(mut channel: Channel, head: &[u8], body: &[u8]) -> Result<Open, Error> {
+    let Channel { source, sink, peer } = &mut channel;
+    let peer = *peer;
     let lost = |step| move |source| Error::Lost { step, peer, source };
     let writing = async {
-        if body.len() < 1024 {
-            http::send(&mut sink, &[head, body].concat()).await
+        if body.len() < SHORT_BODY {
+            http::send(sink, &[head, body].concat()).await
         } else {
-            http::send(&mut sink, head).await?;
-            http::send(&mut sink, body).await
+            http::send(sink, head).await?;
+            http::send(sink, body).await
         }
     };
     // An endpoint may answer before it has read the body; the rest is not sent then, and the
@@ -144,6 +169,7 @@
             None
         }
     };
+    let is_sent = reply.is_none();
     let reply = match reply {
         Some(reply) => reply,
         None => source.reply().await,
@@ -152,8 +178,7 @@
     Ok(Open {
         framing: reply.framing.clone(),
         reply,
-        source,
-        _sink: sink,
-        peer,
+        channel,
+        is_sent,
     })
 }
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -186,10 +186,10 @@
         gone
     }
 
-    /// Returns an endpoint that may be sent to.
-    pub fn usable(&self, id: &str) -> Option<&Endpoint> {
-        let endpoint = &self.known.get(id)?.endpoint;
-        (!endpoint.draining).then_some(endpoint)
+    /// Returns whether an endpoint is known to be leaving, or to be gone.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let known = self.known.get(id);
+        known.map_or(self.removed.contains_key(id), |known| known.endpoint.draining)
     }
 
     /// Returns all endpoints that may be sent to.
@@ -197,11 +197,6 @@
         let endpoints = self.known.values().map(|known| &known.endpoint);
         endpoints.filter(|endpoint| !endpoint.draining)
     }
-
-    /// Returns the endpoints of a service that may be sent to.
-    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Endpoint> {
-        self.all().filter(move |endpoint| &*endpoint.service == service)
-    }
 }
 
 #[cfg(test)]
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -168,6 +168,8 @@
     pub struct Grant {
         /// The endpoint that is to run the request.
         pub endpoint: id::Endpoint,
+        /// Where it listens.
+        pub address: SocketAddr,
         /// The results that it is to fetch, in the order of stages and pieces.
         pub inputs: Vec<Handle>,
     }
@@ -178,6 +180,8 @@
         pub reason: Cow<'static, str>,
         /// When the client may come back.
         pub wait: Duration,
+        /// Whether another planner is to be asked, since this one is leaving.
+        pub is_moved: bool,
     }
 }
 
@@ -229,17 +233,27 @@
     fn default() -> Self {
         Self {
             endpoint: "".into(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
             inputs: Vec::new(),
         }
     }
 }
 
 impl Refusal {
+    fn new(reason: &'static str, wait: Duration) -> Self {
+        Self {
+            reason: reason.into(),
+            wait: wait.clamp(MIN_WAIT, MAX_WAIT),
+            is_moved: false,
+        }
+    }
+
     /// The planner itself is gone.
     pub fn gone() -> Self {
         Self {
             reason: "the planner is gone".into(),
             wait: MIN_WAIT,
+            is_moved: false,
         }
     }
 }
@@ -253,6 +267,7 @@
     calls: IndexMap<Number, Call>,
     next_call: Number,
     actions: Vec<Action>,
+    is_resigned: bool,
 }
 
 impl Planner {
@@ -266,6 +281,7 @@
             calls: IndexMap::new(),
             next_call: 0,
             actions: Vec::new(),
+            is_resigned: false,
         }
     }
 
@@ -293,9 +309,35 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// The daemon is about to stop: what has not begun goes to another planner.
+    pub fn resign(&mut self, _now: Time) {
+        self.is_resigned = true;
+        let idle = self.works.iter().filter(|(_, work)| !work.has_begun && !work.is_granted);
+        let idle: Vec<Ticket> = idle.map(|(ticket, _)| *ticket).collect();
+        for ticket in idle {
+            self.works.shift_remove(&ticket);
+            self.hand_over(ticket);
+        }
+    }
+
+    /// No other daemon answers: this one plans on.
+    pub fn resume(&mut self, _now: Time) {
+        self.is_resigned = false;
+    }
+
+    fn hand_over(&mut self, ticket: Ticket) {
+        let mut refusal = Refusal::new("the planner is leaving", MIN_WAIT);
+        refusal.is_moved = true;
+        self.actions.push(Action::Refuse(ticket, refusal));
+    }
+
     /// A request has come.
     pub fn submit(&mut self, ticket: Ticket, job: Job, now: Time) {
-        let work = Work::new(job, now);
+        if self.is_resigned {
+            return self.hand_over(ticket);
+        }
+        let mut work = Work::new(job, now);
+        work.home = self.engines.home(&work.job, now);
         if let Some(refusal) = self.judge(&work, now) {
             self.actions.push(Action::Refuse(ticket, refusal));
             return;
@@ -467,10 +509,8 @@
         };
         let queued = forecast::forecast(&Work::new(work.job.clone(), now), &self.works, &self.makers, now);
         let wait = queued.map_or(MAX_WAIT, |forecast| forecast.wait);
-        let wait = wait.clamp(MIN_WAIT, MAX_WAIT);
         self.free(work.held());
-        let reason = reason.into();
-        let refusal = Refusal { reason, wait };
+        let refusal = Refusal::new(reason, wait);
         self.actions.push(Action::Refuse(ticket, refusal));
     }
 
@@ -489,6 +529,7 @@
                 Some(lease) => {
                     let grant = Grant {
                         endpoint: lease.engine.clone(),
+                        address: lease.address,
                         inputs: work.inputs(),
                     };
                     work.lease = Some(lease);
@@ -565,9 +606,8 @@
         if forecast.total <= span.min(left) {
             return None;
         }
-        let wait = forecast.wait.clamp(MIN_WAIT, MAX_WAIT);
-        let reason = "the stages are expected to end too late".into();
-        Some(Refusal { reason, wait })
+        let reason = "the stages are expected to end too late";
+        Some(Refusal::new(reason, forecast.wait))
     }
 }
 
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -3,12 +3,13 @@
 //! Reports of engines are old when they arrive and every daemon reads the same ones, so the load is
 //! what this planner has sent and not yet seen ended.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use super::work::Work;
-use super::Part;
+use super::{Job, Part};
 use crate::clock::Time;
 use crate::id;
 use crate::serve::catalog::{Catalog, Engine as Settings};
@@ -35,6 +36,8 @@
 const CACHED: Duration = Duration::from_secs(30);
 /// Parts that are remembered of one engine.
 const MAX_PARTS: usize = 2_000;
+/// Cached tokens for which a request's results are made near the engine that holds them.
+const HOME_TOKENS: u64 = 1_000;
 /// How long an engine that turned a request down is left alone.
 const FULL_TIME: Duration = Duration::from_millis(100);
 
@@ -43,6 +46,8 @@
 pub struct Lease {
     /// The engine.
     pub engine: id::Endpoint,
+    /// Where it listens.
+    pub address: SocketAddr,
     /// When it was granted.
     pub at: Time,
     /// Prompt tokens that the engine has still to read.
@@ -56,6 +61,7 @@
 struct Engine {
     service: id::Pool,
     zone: id::Zone,
+    address: SocketAddr,
     born: u64,
     slots: u32,
     running: u32,
@@ -91,7 +97,9 @@
                 continue;
             }
             let same = |engine: &Engine| {
-                engine.born == endpoint.born && engine.service == endpoint.service
+                engine.born == endpoint.born
+                    && engine.service == endpoint.service
+                    && engine.address == endpoint.address
             };
             if !self.all.get(&endpoint.id).is_some_and(same) {
                 self.all.insert(endpoint.id.clone(), Engine::new(endpoint));
@@ -99,6 +107,15 @@
         }
     }
 
+    /// Returns the availability zone whose engines have most of a prompt in their caches.
+    pub fn home(&self, job: &Job, now: Time) -> Option<id::Zone> {
+        let total: u64 = job.parts.iter().map(|part| part.tokens).sum();
+        let here = self.all.values().filter(|engine| engine.service == job.service);
+        let kept = |engine: &&Engine| total - engine.unread(&job.parts, now);
+        let best = here.max_by_key(kept)?;
+        (kept(&best) >= HOME_TOKENS).then(|| best.zone.clone())
+    }
+
     /// Chooses an engine for a request whose inputs are made.
     pub fn choose(&mut self, work: &Work, now: Time) -> Option<Lease> {
         let job = &work.job;
@@ -125,6 +142,7 @@
         let expected = BASE_MS + engine.pending as f64 / TOKENS_PER_MS;
         Some(Lease {
             engine: id,
+            address: engine.address,
             at: now,
             pending,
             memory,
@@ -180,6 +198,7 @@
         Self {
             service: endpoint.service.clone(),
             zone: endpoint.zone.clone(),
+            address: endpoint.address,
             born: endpoint.born,
             slots: endpoint.slots,
             running: 0,
--- a/src/serve/plan/forecast.rs
+++ b/src/serve/plan/forecast.rs
@@ -16,6 +16,8 @@
 
 /// How much later a request is worked on, as a multiple of the time that its pieces take.
 const COST_DELAY: f64 = 1.0;
+/// The size of a result from which it matters in which zone it is made, in bytes.
+const HOME_BYTES: u64 = 100_000;
 /// The wait for a service without endpoints: longer than any deadline.
 const NO_ENDPOINT: Duration = Duration::from_secs(60);
 
@@ -38,8 +40,8 @@
     pub turn: Turn,
     /// The time it can wait and still meet its target.
     pub slack: Duration,
-    /// The availability zone of the caller.
-    pub zone: id::Zone,
+    /// The availability zone in which it is best made, if that matters.
+    pub home: Option<id::Zone>,
 }
 
 /// What is expected of a request.
@@ -84,10 +86,10 @@
             last = Some((stage, turn, slack));
             let pool = work.job.needs[stage].service.clone();
             queue.entry(pool).or_default().push(Waiting {
-                piece,
                 turn,
                 slack,
-                zone: work.job.zone.clone(),
+                home: work.home.clone().filter(|_| piece.bytes >= HOME_BYTES),
+                piece,
             });
         }
     }
--- a/src/serve/plan/maker.rs
+++ b/src/serve/plan/maker.rs
@@ -26,6 +26,8 @@
 /// How long results of an unknown owner are expected to fill an endpoint that had no room. Another
 /// planner may have asked for them, and frees them within about a second.
 const FOREIGN_TIME: Duration = Duration::from_millis(700);
+/// How much later a piece is made outside of the zone where its result is best: about half a call.
+const AWAY_TIME: Duration = Duration::from_millis(150);
 /// Overdue calls in a row after which an endpoint is held to be down.
 const OVERDUE_CALLS: u32 = 2;
 /// An endpoint that takes this many times as long as expected gets only what can wait for it.
@@ -185,7 +187,8 @@
         makers.retain(|(_, maker)| open(maker) && idle(maker));
         makers.sort_by(|(_, a), (_, b)| {
             let key = |maker: &Maker| {
-                let far = if maker.zone == first.zone { 0.0 } else { 0.1 };
+                let home = first.home.as_ref().unwrap_or(&maker.zone);
+                let far = if maker.zone == *home { 0.0 } else { 0.1 };
                 maker.record.slowness(now) + maker.record.failing(now) + far
             };
             key(a).total_cmp(&key(b))
@@ -376,7 +379,13 @@
         let foreign = self.foreign.as_ref().filter(|foreign| now < foreign.until);
         let mut stock = self.stock + foreign.map_or(0, |foreign| foreign.bytes);
         let mut indexes = Vec::new();
-        for (index, one) in waiting.iter().enumerate() {
+        let away = |one: &Waiting| one.home.as_ref().is_some_and(|home| *home != self.zone);
+        let mut order: Vec<(usize, &Waiting)> = waiting.iter().enumerate().collect();
+        order.sort_by_key(|(_, one)| {
+            let wait = if away(one) { AWAY_TIME } else { Duration::ZERO };
+            (one.turn.is_late, one.turn.at + wait)
+        });
+        for (index, one) in order {
             if indexes.len() >= batch.size {
                 break;
             }
--- a/src/serve/plan/work.rs
+++ b/src/serve/plan/work.rs
@@ -76,6 +76,8 @@
     pub is_granted: bool,
     /// Whether an endpoint was asked for a piece.
     pub has_begun: bool,
+    /// The availability zone in which its results are best made.
+    pub home: Option<id::Zone>,
     /// Endpoints that have turned the request down.
     pub tried: Vec<id::Endpoint>,
     submitted: Time,
@@ -94,6 +96,7 @@
             lease: None,
             is_granted: false,
             has_begun: false,
+            home: None,
             tried: Vec::new(),
             submitted: now,
             freed: vec![false; job.needs.len()],
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use super::agent::{Agent, Desk, Local, Seat};
-use super::plan::{Job, Refusal};
+use super::plan::{Job, Planner, Refusal};
 use crate::clock::Clock;
 use crate::generated::plan_capnp::planner;
 use crate::id;
@@ -105,6 +105,16 @@
         self.ranking.borrow_mut().learn(name, member);
     }
 
+    /// The daemon is about to stop; the others are told at their next ping.
+    fn resign(&self) {
+        self.ranking.borrow_mut().resign();
+        let other = self.ranking.borrow().first(self.clock.now());
+        let is_alone = other.is_none_or(|other| self.ranking.borrow().is_own(&other.name));
+        if let Some(local) = self.local.as_ref().filter(|_| !is_alone) {
+            local.decide(Planner::resign);
+        }
+    }
+
     async fn keep(self: Rc<Self>) {
         loop {
             self.look().await;
@@ -189,6 +199,7 @@
                 break;
             };
             match seat::Distant::take(line, job, &*self.clock).await {
+                Ok(Err(refusal)) if refusal.is_moved => tokio::time::sleep(PING_EVERY).await,
                 Ok(seat) => return seat.map(|seat| Box::new(seat) as Box<dyn Seat>),
                 Err(error) => {
                     info!(self.log, "planner lost a request"; "error" => %error);
@@ -198,7 +209,10 @@
             }
         }
         match &self.local {
-            Some(local) => Local(local.clone()).place(job.clone()).await,
+            Some(local) => {
+                local.decide(Planner::resume);
+                Local(local.clone()).place(job.clone()).await
+            }
             None => Err(Refusal::gone()),
         }
     }
@@ -251,6 +265,10 @@
     fn place(&self, job: Job) -> LocalBoxFuture<'_, Result<Box<dyn Seat>, Refusal>> {
         Box::pin(self.plan(job))
     }
+
+    fn resign(&self) {
+        self.own.resign();
+    }
 }
 
 async fn connect(address: SocketAddr) -> std::io::Result<(planner::Client, JoinHandle<()>)> {
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -1,5 +1,6 @@
 //! Which daemon plans for a region. Every daemon computes the same order from the same names.
 
+use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,6 +22,8 @@
         pub address: SocketAddr,
         /// When its process started, in milliseconds since the Unix epoch.
         pub born: u64,
+        /// Its share of a processor, in thousandths of a core: planning needs the strongest.
+        pub power: u32,
     }
 }
 
@@ -30,6 +33,8 @@
     own: Option<Member>,
     members: IndexMap<id::Daemon, Member>,
     down: IndexMap<id::Daemon, Time>,
+    /// Whether the daemon itself is leaving and plans only if no other can.
+    is_resigned: bool,
 }
 
 /// A number that orders daemons; it spreads the duty over regions and deployments.
@@ -46,6 +51,7 @@
             members: IndexMap::from([(own.name.clone(), own.clone())]),
             own: Some(own),
             down: IndexMap::new(),
+            is_resigned: false,
         }
     }
 
@@ -78,6 +84,11 @@
         self.down.insert(member.name.clone(), now + DOWN);
     }
 
+    /// The daemon itself is about to stop.
+    pub fn resign(&mut self) {
+        self.is_resigned = true;
+    }
+
     /// Returns the first daemon that is not known to be down; the daemon itself never is.
     pub fn first(&self, now: Time) -> Option<Member> {
         let up = |member: &&Member| {
@@ -85,8 +96,11 @@
             self.is_own(&member.name) || until.is_none_or(|until| now >= *until)
         };
         let members = self.members.values().filter(up);
-        let first = members.min_by_key(|member| rank(&member.name));
-        first.cloned()
+        let order = |member: &&Member| {
+            let is_last = self.is_resigned && self.is_own(&member.name);
+            (is_last, Reverse(member.power), rank(&member.name))
+        };
+        members.min_by_key(order).cloned()
     }
 
 }
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -1,5 +1,6 @@
 //! Messages between a region's daemons: the planner's values as Cap'n Proto structures and back.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use capnp::Result;
@@ -27,6 +28,11 @@
     Ok(text.to_str()?.into())
 }
 
+fn address(text: capnp::text::Reader<'_>) -> Result<SocketAddr> {
+    let parsed = text.to_str()?.parse();
+    parsed.map_err(|_| capnp::Error::failed("an address that cannot be read".into()))
+}
+
 /// Writes a job; its times become durations from now.
 pub fn write_job(job: &Job, now: Time, mut to: schema::job::Builder<'_>) {
     to.set_request(&*job.request);
@@ -112,6 +118,7 @@
         Ok(grant) => {
             let mut one = to.init_grant();
             one.set_endpoint(&*grant.endpoint);
+            one.set_address(grant.address.to_string());
             let mut inputs = one.init_inputs(count(grant.inputs.len()));
             for (index, handle) in (0..).zip(&grant.inputs) {
                 inputs.set(index, &**handle);
@@ -121,6 +128,7 @@
             let mut one = to.init_refusal();
             one.set_reason(&*refusal.reason);
             one.set_wait_nanos(nanos(refusal.wait));
+            one.set_is_moved(refusal.is_moved);
         }
     }
 }
@@ -136,6 +144,7 @@
             let inputs = grant.get_inputs()?.iter().map(|handle| name(handle?));
             Ok(Ok(Grant {
                 endpoint: name(grant.get_endpoint()?)?,
+                address: address(grant.get_address()?)?,
                 inputs: inputs.collect::<Result<_>>()?,
             }))
         }
@@ -144,6 +153,7 @@
             Ok(Err(Refusal {
                 reason: refusal.get_reason()?.to_str()?.to_owned().into(),
                 wait: Duration::from_nanos(refusal.get_wait_nanos()),
+                is_moved: refusal.get_is_moved(),
             }))
         }
     }
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -17,7 +17,6 @@
 use super::agent::Seat;
 use super::catalog::{Catalog, Route};
 use super::dialect::{Ask, Order};
-use super::fleet::Endpoint;
 use super::health::Verdict;
 use super::http::{Field, Framing, Head, Sink};
 use super::plan::{Job, Need};
@@ -369,30 +368,27 @@
     ) -> Tried {
         let id = seat.grant().endpoint.clone();
         self.note.borrow_mut().endpoint = Some(id.clone());
-        let Some(endpoint) = self.node.usable(&id) else {
-            let verdict = Verdict::Unknown;
-            return Tried::Turned {
-                verdict,
-                again: false,
-            };
+        let address = seat.grant().address;
+        let turned = |verdict| Tried::Turned {
+            verdict,
+            again: false,
         };
-        let stream = match exchange::connect(endpoint.address).await {
-            Ok(stream) => stream,
+        if self.node.is_leaving(&id) {
+            return turned(Verdict::Unknown);
+        }
+        let channel = match exchange::connect(address).await {
+            Ok(channel) => channel,
             Err(error) => {
                 info!(self.node.log, "endpoint not reached";
                     "id" => &*plan.ask.id, "endpoint" => &*id, "error" => %error);
-                let verdict = Verdict::Lost;
-                return Tried::Turned {
-                    verdict,
-                    again: false,
-                };
+                return turned(Verdict::Lost);
             }
         };
-        let order = self.order(plan, &endpoint, seat, events);
+        let order = self.order(plan, seat, events);
         let fields = self.node.dialect.forward(&self.head, &order);
         let (method, target) = (&self.head.method, &self.head.target);
-        let head = exchange::request(method, target, &fields, self.body.len());
-        let sending = exchange::send(stream, endpoint.address, &head, &self.body);
+        let head = exchange::request(method, target, &fields, self.body.len(), false);
+        let sending = exchange::send(channel, &head, &self.body);
         self.may_have_run.set(true);
         self.note.borrow_mut().sent += 1;
         self.stays.set(!plan.route.kind.is_stream() && !plan.route.kind.is_repeatable());
@@ -411,9 +407,9 @@
         }
     }
 
-    fn order(&self, plan: &Plan, endpoint: &Endpoint, seat: &dyn Seat, events: &Events) -> Order {
+    fn order(&self, plan: &Plan, seat: &dyn Seat, events: &Events) -> Order {
         Order {
-            endpoint: endpoint.id.clone(),
+            endpoint: seat.grant().endpoint.clone(),
             remaining: plan.end.saturating_sub(self.node.clock.now()),
             workspace: plan.workspace.clone(),
             priority: plan.is_staged.then_some(plan.priority),
