--- a/src/serve.rs
+++ b/src/serve.rs
@@ -9,6 +9,7 @@
 
 use indexmap::IndexMap;
 use slog::{Logger, info, warn};
+use tokio::sync::Notify;
 
 use crate::clock::{Clock, Time};
 use crate::id;
@@ -37,6 +38,13 @@
 /// How long a daemon that leaves goes on to take requests: the balancer sends new connections
 /// elsewhere after two missed checks a second apart, and idle ones are closed after that.
 const LEAVE_TIME: Duration = Duration::from_millis(3_500);
+/// How long a daemon that leaves takes requests with stages, which may need several seconds; the
+/// operators' rule covers what was sent in the first three.
+const LAST_STAGED: Duration = Duration::from_secs(3);
+/// How long it takes other requests, which end within a second.
+const LAST_PLAIN: Duration = Duration::from_millis(5_500);
+/// How long before it ends what has no answer yet is told so.
+const LAST_CALL: Duration = Duration::from_millis(500);
 /// How often it looks whether everything has been served.
 const LEAVE_LOOK: Duration = Duration::from_millis(50);
 
@@ -95,6 +103,7 @@
     log: Logger,
     leaving: Cell<Option<Time>>,
     active: Cell<usize>,
+    last_call: Notify,
     budgets: RefCell<IndexMap<id::Pool, Budget>>,
     usual: RefCell<IndexMap<id::Name, Usual>>,
 }
@@ -142,6 +151,7 @@
             log: parts.log,
             leaving: Cell::new(None),
             active: Cell::new(0),
+            last_call: Notify::new(),
             budgets: RefCell::default(),
             usual: RefCell::default(),
         })
@@ -273,13 +283,29 @@
         self.leaving.get()
     }
 
+    /// Returns whether there is too little time left to take a request.
+    fn is_closed_for(&self, is_staged: bool) -> bool {
+        let left = self.leaving.get().map(|since| self.clock.now().saturating_sub(since));
+        let last = if is_staged { LAST_STAGED } else { LAST_PLAIN };
+        left.is_some_and(|left| left > last)
+    }
+
     /// Waits until everything that is open has been served, at most for `grace`.
     pub async fn finish(&self, grace: Duration) {
         let start = self.clock.now();
         loop {
             let waited = self.clock.now().saturating_sub(start);
             let is_idle = self.active.get() == 0 && self.agents.iter().all(|one| one.is_empty());
-            if waited >= grace || (waited >= LEAVE_TIME && is_idle) {
+            if waited >= LEAVE_TIME && is_idle {
+                return;
+            }
+            if waited >= grace.saturating_sub(LAST_CALL) {
+                self.last_call.notify_waiters();
+            }
+            if waited >= grace {
+                // Other daemons' requests that wait here are planned elsewhere.
+                self.agents.iter().for_each(|agent| agent.decide(|planner, _| planner.abandon()));
+                tokio::time::sleep(LEAVE_LOOK).await;
                 return;
             }
             tokio::time::sleep(LEAVE_LOOK).await;
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -267,7 +267,6 @@
     calls: IndexMap<Number, Call>,
     next_call: Number,
     actions: Vec<Action>,
-    is_resigned: bool,
 }
 
 impl Planner {
@@ -281,7 +280,6 @@
             calls: IndexMap::new(),
             next_call: 0,
             actions: Vec::new(),
-            is_resigned: false,
         }
     }
 
@@ -310,21 +308,25 @@
     }
 
     /// The daemon is about to stop: what has not begun goes to another planner.
-    pub fn resign(&mut self, _now: Time) {
-        self.is_resigned = true;
-        let idle = self.works.iter().filter(|(_, work)| !work.has_begun && !work.is_granted);
-        let idle: Vec<Ticket> = idle.map(|(ticket, _)| *ticket).collect();
-        for ticket in idle {
+    pub fn resign(&mut self) {
+        self.hand_over_all(|work| !work.has_begun);
+    }
+
+    /// The daemon stops now: what is not granted goes to another planner.
+    pub fn abandon(&mut self) {
+        self.hand_over_all(|_| true);
+    }
+
+    fn hand_over_all(&mut self, which: impl Fn(&Work) -> bool) {
+        let works = self.works.iter();
+        let chosen = works.filter(|(_, work)| !work.is_granted && which(work));
+        let chosen: Vec<Ticket> = chosen.map(|(ticket, _)| *ticket).collect();
+        for ticket in chosen {
             self.works.shift_remove(&ticket);
             self.hand_over(ticket);
         }
     }
 
-    /// No other daemon answers: this one plans on.
-    pub fn resume(&mut self, _now: Time) {
-        self.is_resigned = false;
-    }
-
     fn hand_over(&mut self, ticket: Ticket) {
         let mut refusal = Refusal::new("the planner is leaving", MIN_WAIT);
         refusal.is_moved = true;
@@ -333,9 +335,6 @@
 
     /// A request has come.
     pub fn submit(&mut self, ticket: Ticket, job: Job, now: Time) {
-        if self.is_resigned {
-            return self.hand_over(ticket);
-        }
         let mut work = Work::new(job, now);
         work.home = self.engines.home(&work.job, now);
         if let Some(refusal) = self.judge(&work, now) {
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -4,7 +4,7 @@
 //! plan at once while views differ; that costs full calls, never a promise. See
 //! [the design note](../../docs/design/serve.md).
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use super::agent::{Agent, Desk, Local, Seat};
-use super::plan::{Job, Planner, Refusal};
+use super::plan::{Job, Refusal};
 use crate::clock::Clock;
 use crate::generated::plan_capnp::planner;
 use crate::id;
@@ -41,6 +41,11 @@
 const PING_TIME: Duration = Duration::from_millis(300);
 /// How long a connection to a daemon of the region may take.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
+/// How long a request waits for the planner to be found: as long as it takes to notice that it is
+/// lost and to reach the next one.
+const LINE_TIME: Duration = Duration::from_millis(500);
+/// How often it looks.
+const LINE_LOOK: Duration = Duration::from_millis(15);
 /// Planners that one request is sent to.
 const PLANNERS: usize = 3;
 
@@ -49,7 +54,6 @@
     member: Member,
     client: planner::Client,
     running: JoinHandle<()>,
-    is_down: Rc<Cell<bool>>,
 }
 
 impl Drop for Line {
@@ -107,11 +111,30 @@
 
     /// The daemon is about to stop; the others are told at their next ping.
     fn resign(&self) {
-        self.ranking.borrow_mut().resign();
-        let other = self.ranking.borrow().first(self.clock.now());
-        let is_alone = other.is_none_or(|other| self.ranking.borrow().is_own(&other.name));
-        if let Some(local) = self.local.as_ref().filter(|_| !is_alone) {
-            local.decide(Planner::resign);
+        self.ranking.borrow_mut().resign(self.clock.now());
+        if let Some(local) = self.local.as_ref().filter(|_| !self.is_planner()) {
+            local.decide(|planner, _| planner.resign());
+        }
+    }
+
+    /// Returns whether this daemon itself is the first that can plan.
+    fn is_planner(&self) -> bool {
+        let ranking = self.ranking.borrow();
+        let first = ranking.first(self.clock.now());
+        ranking.is_listed() && first.is_some_and(|first| ranking.is_own(&first.name))
+    }
+
+    /// Returns the line to the planner. While it is looked for, planning here would only disturb the
+    /// calls of the one that plans, so that is done after a while at the earliest.
+    async fn line(&self) -> Option<Rc<Line>> {
+        let start = self.clock.now();
+        loop {
+            let line = self.line.borrow().clone();
+            let waited = self.clock.now().saturating_sub(start);
+            if line.is_some() || self.is_planner() || waited >= LINE_TIME {
+                return line;
+            }
+            tokio::time::sleep(LINE_LOOK).await;
         }
     }
 
@@ -134,20 +157,22 @@
         {
             return self.ping(line).await;
         }
-        if self.ranking.borrow().is_own(&wanted.name) {
+        if self.is_planner() {
             if line.is_some() {
                 info!(self.log, "planning here"; "reason" => "no better daemon answers");
                 self.line.replace(None);
             }
             return;
         }
+        if self.ranking.borrow().is_own(&wanted.name) {
+            return;
+        }
         match timeout(CONNECT_TIME, connect(wanted.address)).await {
             Ok(Ok((client, running))) => {
                 let line = Rc::new(Line {
                     member: wanted.clone(),
                     client,
                     running,
-                    is_down: Rc::default(),
                 });
                 // A daemon that accepts may still be frozen or cut off beyond its kernel.
                 if self.answers(&line).await {
@@ -159,29 +184,30 @@
         }
     }
 
+    /// Asks whether a daemon plans. One that is about to stop does, but others are preferred.
     async fn answers(&self, line: &Line) -> bool {
         let ping = line.client.ping_request().send().promise;
         let reason = match timeout(PING_TIME, ping).await {
             Ok(Ok(answer)) => match answer.get() {
-                Ok(answer) if !answer.get_leaving() => return true,
-                Ok(_) => "it is leaving",
+                Ok(answer) => {
+                    if answer.get_leaving() {
+                        let now = self.clock.now();
+                        self.ranking.borrow_mut().leave(&line.member, now);
+                    }
+                    return true;
+                }
                 Err(_) => "its answer cannot be read",
             },
             Ok(Err(_)) => "the connection broke",
             Err(_) => "no answer",
         };
         self.down(&line.member, reason);
-        // Requests that wait for a leaving daemon are still served by it.
-        line.is_down.set(reason != "it is leaving");
         false
     }
 
     async fn ping(&self, line: &Rc<Line>) {
-        if self.answers(line).await {
-            return;
-        }
-        self.line.replace(None);
-        if line.is_down.get() {
+        if !self.answers(line).await {
+            self.line.replace(None);
             line.running.abort();
         }
     }
@@ -193,28 +219,27 @@
     }
 
     async fn plan(&self, job: &Job) -> Result<Box<dyn Seat>, Refusal> {
+        let mut last = Refusal::gone();
         for _ in 0..PLANNERS {
-            let line = self.line.borrow().clone();
-            let Some(line) = line else {
+            if self.local.is_none() && self.line.borrow().is_none() {
                 break;
+            }
+            let planned = match (self.line().await, &self.local) {
+                (Some(line), _) => seat::Distant::take(line, job, &*self.clock).await,
+                (None, Some(local)) => Ok(Local(local.clone()).place(job.clone()).await),
+                (None, None) => break,
             };
-            match seat::Distant::take(line, job, &*self.clock).await {
-                Ok(Err(refusal)) if refusal.is_moved => tokio::time::sleep(PING_EVERY).await,
-                Ok(seat) => return seat.map(|seat| Box::new(seat) as Box<dyn Seat>),
+            match planned {
+                Ok(Err(refusal)) if refusal.is_moved => last = refusal,
+                Ok(planned) => return planned,
                 Err(error) => {
                     info!(self.log, "planner lost a request"; "error" => %error);
-                    // The keeper finds another one; the next try waits for it.
-                    tokio::time::sleep(PING_EVERY).await;
                 }
             }
+            // The keeper finds another planner meanwhile.
+            tokio::time::sleep(PING_EVERY).await;
         }
-        match &self.local {
-            Some(local) => {
-                local.decide(Planner::resume);
-                Local(local.clone()).place(job.clone()).await
-            }
-            None => Err(Refusal::gone()),
-        }
+        Err(last)
     }
 }
 
@@ -247,6 +272,13 @@
         }
     }
 
+    /// All registered daemons were told of.
+    pub fn listed(&self) {
+        for region in std::iter::once(&self.own).chain(self.others.values()) {
+            region.ranking.borrow_mut().listed();
+        }
+    }
+
     async fn plan(&self, job: Job) -> Result<Box<dyn Seat>, Refusal> {
         let refusal = match self.own.plan(&job).await {
             Ok(seat) => return Ok(seat),
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -33,8 +33,18 @@
     own: Option<Member>,
     members: IndexMap<id::Daemon, Member>,
     down: IndexMap<id::Daemon, Time>,
-    /// Whether the daemon itself is leaving and plans only if no other can.
-    is_resigned: bool,
+    /// Daemons that are about to stop.
+    leaving: IndexMap<id::Daemon, Leave>,
+    /// Whether the registered daemons are known.
+    is_listed: bool,
+}
+
+/// That a process is about to stop.
+struct Leave {
+    /// When the process started: its successor is not leaving.
+    born: u64,
+    /// When it was heard of.
+    at: Time,
 }
 
 /// A number that orders daemons; it spreads the duty over regions and deployments.
@@ -51,7 +61,8 @@
             members: IndexMap::from([(own.name.clone(), own.clone())]),
             own: Some(own),
             down: IndexMap::new(),
-            is_resigned: false,
+            leaving: IndexMap::new(),
+            is_listed: false,
         }
     }
 
@@ -84,9 +95,30 @@
         self.down.insert(member.name.clone(), now + DOWN);
     }
 
+    /// A daemon is about to stop; it plans only if no other can.
+    pub fn leave(&mut self, member: &Member, now: Time) {
+        let before = self.leaving.get(&member.name);
+        if before.is_none_or(|before| before.born != member.born) {
+            let born = member.born;
+            self.leaving.insert(member.name.clone(), Leave { born, at: now });
+        }
+    }
+
     /// The daemon itself is about to stop.
-    pub fn resign(&mut self) {
-        self.is_resigned = true;
+    pub fn resign(&mut self, now: Time) {
+        if let Some(own) = self.own.clone() {
+            self.leave(&own, now);
+        }
+    }
+
+    /// All registered daemons were told of.
+    pub fn listed(&mut self) {
+        self.is_listed = true;
+    }
+
+    /// Returns whether the registered daemons are known.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
     }
 
     /// Returns the first daemon that is not known to be down; the daemon itself never is.
@@ -95,14 +127,14 @@
             let until = self.down.get(&member.name);
             self.is_own(&member.name) || until.is_none_or(|until| now >= *until)
         };
-        let members = self.members.values().filter(up);
         let order = |member: &&Member| {
-            let is_last = self.is_resigned && self.is_own(&member.name);
-            (is_last, Reverse(member.power), rank(&member.name))
+            let leave = self.leaving.get(&member.name);
+            // Of those that leave, the last one stays longest, and the others get to restart.
+            let left = leave.filter(|leave| leave.born == member.born).map(|leave| Reverse(leave.at));
+            (left, Reverse(member.power), rank(&member.name))
         };
-        members.min_by_key(order).cloned()
+        self.members.values().filter(up).min_by_key(order).cloned()
     }
-
 }
 
 #[cfg(test)]
--- a/src/serve/region/seat.rs
+++ b/src/serve/region/seat.rs
@@ -30,7 +30,7 @@
         line: Rc<Line>,
         job: &Job,
         clock: &dyn Clock,
-    ) -> Result<std::result::Result<Self, Refusal>> {
+    ) -> Result<std::result::Result<Box<dyn Seat>, Refusal>> {
         let mut request = line.client.place_request();
         wire::write_job(job, clock.now(), request.get().init_job());
         let client = request.send().pipeline.get_seat();
@@ -43,7 +43,7 @@
         Ok(match read(waiting.get()?.get_reply())? {
             Ok(grant) => {
                 distant.grant = grant;
-                Ok(distant)
+                Ok(Box::new(distant))
             }
             Err(refusal) => Err(refusal),
         })
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -231,8 +231,12 @@
         let spent = self.node.spent(&route.name, ask.remaining);
         let settings = catalog.services.get(&service);
         let is_engine = settings.is_some_and(|settings| settings.engine.is_some());
+        let is_staged = is_engine || !route.stages.is_empty();
+        if self.node.is_closed_for(is_staged) {
+            return Err(failure(503, "the daemon is stopping"));
+        }
         Ok(Plan {
-            is_staged: is_engine || !route.stages.is_empty(),
+            is_staged,
             target: self.arrived + route.target.saturating_sub(spent),
             end: self.arrived + wait,
             route,
@@ -275,13 +279,18 @@
         let served = {
             let mut serving = pin!(self.attempts(plan, client, &begun));
             let early = left.saturating_sub(LAST_WORD);
-            match timeout(early, &mut serving).await {
+            let served = tokio::select! {
+                biased;
+                served = timeout(early, &mut serving) => served.ok(),
+                () = self.node.last_call.notified() => None,
+            };
+            match served {
                 // A stream that has begun may still be whole in time.
-                Err(_) if begun.get() => timeout(left.saturating_sub(early), serving).await,
+                None if begun.get() => timeout(left.saturating_sub(early), serving).await.ok(),
                 served => served,
             }
         };
-        served.unwrap_or_else(|_| {
+        served.unwrap_or_else(|| {
             if begun.get() {
                 return Done::Broken("the time is over");
             }
