--- a/src/serve/catalog/tests.rs
+++ b/src/serve/catalog/tests.rs
@@ -1,1 +1,71 @@
-//! Tests of the module above.
+//! Tests of routes and keys.
+
+use super::*;
+
+fn route(name: &str, prefix: &str) -> Route {
+    let share = |service: &str, weight| Share {
+        service: service.into(),
+        weight,
+    };
+    Route {
+        name: name.into(),
+        host: "x.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::AtMostOnce,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(300),
+        priority: 1,
+        split: vec![share("a", 3), share("b", 1)],
+        attempts: 1,
+        stages: Vec::new(),
+        public: false,
+    }
+}
+
+fn catalog() -> Catalog {
+    Catalog {
+        version: 1,
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        workspaces: Some(vec![Workspace {
+            name: "w".into(),
+            priority: None,
+        }]),
+        keys: IndexMap::from([("k".to_owned(), 0)]),
+        ..Catalog::default()
+    }
+}
+
+#[test]
+fn route_longest_prefix() {
+    let catalog = catalog();
+    let name = |host, path| catalog.route(host, path).map(|route| &*route.name);
+    assert_eq!(name("x.example", "/a/b/c"), Some("long"));
+    assert_eq!(name("X.Example", "/a/c"), Some("short"));
+    assert_eq!(name("x.example", "/b"), None);
+    assert_eq!(name("y.example", "/a/b/c"), None);
+}
+
+#[test]
+fn service_by_weight() {
+    let route = route("r", "/");
+    let chosen = |spread| route.service(spread).map(|service| &**service);
+    let of_a = (0..400).filter(|spread| chosen(*spread) == Some("a")).count();
+    assert_eq!(of_a, 300);
+}
+
+#[test]
+fn service_without_weight_none() {
+    let empty = Route {
+        split: Vec::new(),
+        ..route("r", "/")
+    };
+    assert_eq!(empty.service(7), None);
+}
+
+#[test]
+fn workspace_of_key() {
+    let catalog = catalog();
+    assert_eq!(catalog.workspace("k").map(|one| &*one.name), Some("w"));
+    assert!(catalog.workspace("other").is_none());
+    assert!(catalog.workspace("").is_none());
+}
--- a/src/serve/http/tests.rs
+++ b/src/serve/http/tests.rs
@@ -1,1 +1,151 @@
-//! Tests of the module above.
+//! Tests of heads and bodies, which need no connection.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+
+use super::body::{Framing, Step};
+use super::head::{parse_reply, parse_request};
+use super::{Error, REPLY_HEAD_BYTES};
+
+const LIMIT: usize = 512;
+
+fn request(text: &str) -> super::Result<super::Head> {
+    parse_request(text.as_bytes(), LIMIT).map(|parsed| parsed.expect("a whole head").0)
+}
+
+fn is_malformed<T>(result: super::Result<T>) -> bool {
+    matches!(result, Err(Error::Malformed { .. }))
+}
+
+#[test]
+fn head_parsed_whole() {
+    let head = request("POST /a/b?c HTTP/1.1\r\nHost: x.example\r\nContent-Length: 3\r\n\r\n");
+    let head = head.expect("a sound head");
+    assert_eq!((head.method.as_str(), head.target.as_str()), ("POST", "/a/b?c"));
+    assert_eq!(head.framing, Framing::Length(3));
+    assert!(head.keep);
+}
+
+#[test]
+fn head_incomplete_waits() {
+    let parsed = parse_request(b"GET / HTTP/1.1\r\nHost: x\r\n", LIMIT);
+    assert!(parsed.expect("nothing wrong yet").is_none());
+}
+
+#[test]
+fn head_ambiguous_refused() {
+    let fields = [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "Content-Length: 5\r\nContent-Length: 6",
+        "Content-Length: 5, 5",
+        "Content-Length: +5",
+        "Content-Length: 0x5",
+        "Content-Length:",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding : chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "X: a\r\n folded: b",
+        "X: a\nContent-Length: 5",
+        "Host: second.example",
+    ];
+    for field in fields {
+        let text = format!("POST / HTTP/1.1\r\nHost: x\r\n{field}\r\n\r\n");
+        assert!(is_malformed(request(&text)), "{field:?}");
+    }
+    assert!(is_malformed(request("POST / HTTP/1.1\r\n\r\n")), "no host");
+    let old = "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert!(is_malformed(request(old)));
+}
+
+#[test]
+fn head_long_refused() {
+    let long = format!("GET / HTTP/1.1\r\nHost: x\r\nX: {}\r\n\r\n", "a".repeat(LIMIT));
+    assert!(matches!(request(&long), Err(Error::Long { limit: LIMIT })));
+    let open = format!("GET / HTTP/1.1\r\nHost: x\r\nX: {}", "a".repeat(LIMIT));
+    let parsed = parse_request(open.as_bytes(), LIMIT);
+    assert!(matches!(parsed, Err(Error::Long { limit: LIMIT })));
+}
+
+#[test]
+fn fields_of_one_connection_dropped() {
+    let head = request(
+        "GET / HTTP/1.1\r\nHost: x\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: a\r\nX-End: 2\r\n\r\n",
+    );
+    let head = head.expect("a sound head");
+    let names: Vec<&str> = head.fields.end_to_end().map(|field| &*field.name).collect();
+    assert_eq!(names, ["Host", "X-End"]);
+    assert!(!head.keep);
+}
+
+#[test]
+fn reply_without_length_ends_with_close() {
+    let text = b"HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
+    let (reply, size) = parse_reply(text, REPLY_HEAD_BYTES).expect("sound").expect("whole");
+    assert_eq!((reply.framing, size), (Framing::Close, text.len()));
+    assert!(!reply.keep);
+}
+
+/// Feeds a body in portions and returns what came out, and what was left over.
+fn decode(framing: &mut Framing, body: &[u8], portion: usize) -> super::Result<(Vec<u8>, usize)> {
+    let mut buffer = BytesMut::new();
+    let mut out = Vec::new();
+    for bytes in body.chunks(portion.max(1)) {
+        buffer.extend_from_slice(bytes);
+        while let Some(step) = framing.take(&mut buffer)? {
+            match step {
+                Step::Bytes(bytes) => out.extend_from_slice(&bytes),
+                Step::End => break,
+            }
+        }
+    }
+    Ok((out, buffer.len()))
+}
+
+fn chunked(pieces: &[Vec<u8>]) -> Vec<u8> {
+    let mut body = Vec::new();
+    for piece in pieces.iter().filter(|piece| !piece.is_empty()) {
+        body.extend_from_slice(format!("{:x};x=y\r\n", piece.len()).as_bytes());
+        body.extend_from_slice(piece);
+        body.extend_from_slice(b"\r\n");
+    }
+    body.extend_from_slice(b"0\r\nTrailer: x\r\n\r\n");
+    body
+}
+
+proptest! {
+    #[test]
+    fn chunks_in_any_portions(
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
+        portion in 1usize..30,
+    ) {
+        let mut framing = Framing::chunked();
+        let (out, left) = decode(&mut framing, &chunked(&pieces), portion).expect("sound");
+        prop_assert_eq!(out, pieces.concat());
+        prop_assert_eq!(left, 0);
+        prop_assert_eq!(framing, Framing::End);
+    }
+}
+
+#[test]
+fn chunks_malformed_refused() {
+    let bodies = ["g\r\n", "\r\n", "-1\r\n", "123456789\r\n", "2\r\nabc\r\n", "2\nab\r\n"];
+    for body in bodies {
+        let decoded = decode(&mut Framing::chunked(), body.as_bytes(), 100);
+        assert!(is_malformed(decoded), "{body:?}");
+    }
+}
+
+#[test]
+fn length_leaves_the_next_message() {
+    let mut framing = Framing::of_length(3);
+    let (out, left) = decode(&mut framing, b"abcdef", 2).expect("sound");
+    assert_eq!((out.as_slice(), left), (&b"abc"[..], 3));
+    let mut buffer = BytesMut::from(&b"x"[..]);
+    let Ok(Some(Step::End)) = framing.take(&mut buffer) else {
+        panic!("a body that has ended takes nothing more");
+    };
+    assert_eq!(Bytes::from(buffer), Bytes::from_static(b"x"));
+}
