Let the region's planner vouch for the store

Change: pings carry how far the planner has followed the store and how old that is; the others read only what is new, or when it cannot vouch. Ruled out: longer waits alone, since 60 daemons still wait in parallel.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -60,6 +60,18 @@
   unknown @4;
 }
 
+enum Topic {
+  catalog @0;
+  endpoints @1;
+}
+
+# How far the planner has followed a topic of the store.
+struct Mark {
+  topic @0 :Topic;
+  change @1 :UInt64;
+  ageNanos @2 :UInt64;
+}
+
 # One planned request; it ends with `leave`, or with the connection.
 interface Seat {
   wait @0 () -> (reply :Reply);
@@ -71,6 +83,6 @@
 
 interface Planner {
   place @0 (job :Job) -> (seat :Seat);
-  # Says that the daemon is alive, and whether it is about to stop.
-  ping @1 () -> (leaving :Bool);
+  # Says that the daemon is alive, whether it is about to stop, and what it knows of the store.
+  ping @1 () -> (leaving :Bool, marks :List(Mark));
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -16,6 +16,7 @@
 use crate::retry::Budget;
 
 pub mod agent;
+pub mod board;
 pub mod catalog;
 pub mod dialect;
 pub mod door;
@@ -60,8 +61,6 @@
     pub enum Update {
         /// A version of the configuration.
         Catalog(Catalog),
-        /// An endpoint's entry.
-        Entry(Entry),
         /// All endpoints at one moment.
         Listing(Vec<Endpoint>),
         /// Every change of the configuration that was acknowledged before this time is known.
@@ -162,12 +161,6 @@
         let now = self.clock.now();
         match update {
             Update::Catalog(catalog) => self.configure(catalog),
-            Update::Entry(entry) => {
-                if self.fleet.borrow_mut().learn(entry.clone(), now) {
-                    info!(self.log, "endpoint changed"; "entry" => ?entry);
-                    self.sync();
-                }
-            }
             Update::Listing(endpoints) => {
                 info!(self.log, "endpoints listed"; "count" => endpoints.len());
                 self.fleet.borrow_mut().replace(endpoints, now);
@@ -189,6 +182,19 @@
         }
     }
 
+    /// Takes in an endpoint's entry; returns whether it may change what is believed: a removal that
+    /// is doubted does so later.
+    pub fn enter(&self, entry: Entry) -> bool {
+        let now = self.clock.now();
+        let is_removal = matches!(entry, Entry::Removed(_));
+        let is_change = self.fleet.borrow_mut().learn(entry.clone(), now);
+        if is_change {
+            info!(self.log, "endpoint changed"; "entry" => ?entry);
+            self.sync();
+        }
+        is_change || is_removal
+    }
+
     fn configure(&self, catalog: Catalog) {
         let before = self.catalog.borrow().version;
         if catalog.version <= before {
--- /dev/null
+++ b/src/serve/board/tests.rs
@@ -0,0 +1,31 @@
+//! Tests of vouching.
+
+use super::*;
+
+fn at(millis: u64) -> Time {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn vouched_while_fresh() {
+    let board = Board::default();
+    let mark = Mark {
+        change: 7,
+        at: at(1_000),
+    };
+    board.vouch(Topic::Endpoints, mark);
+    assert_eq!(board.vouched(Topic::Endpoints, at(3_200)), Some(mark));
+    assert_eq!(board.vouched(Topic::Endpoints, at(3_201)), None);
+    assert_eq!(board.vouched(Topic::Catalog, at(1_000)), None);
+}
+
+#[test]
+fn ages_of_own_reads() {
+    let board = Board::default();
+    let mark = Mark {
+        change: 7,
+        at: at(1_000),
+    };
+    board.read(Topic::Catalog, mark);
+    assert_eq!(board.ages(at(1_400)), [(Topic::Catalog, 7, at(400))]);
+}
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use super::agent::{Agent, Desk, Local, Seat};
+use super::board::Board;
 use super::plan::{Job, Refusal};
 use crate::clock::Clock;
 use crate::generated::plan_capnp::planner;
@@ -66,6 +67,8 @@
 pub struct Region {
     /// The planner of this daemon, if it is of the region.
     local: Option<Rc<Agent>>,
+    /// Where the planner's knowledge of the store is noted.
+    board: Option<Rc<Board>>,
     ranking: RefCell<Ranking>,
     line: RefCell<Option<Rc<Line>>>,
     ping_every: Duration,
@@ -76,24 +79,32 @@
 impl Region {
     /// Starts to look for the daemon that plans for this daemon's own region; until one answers,
     /// requests are planned here.
-    pub fn own(own: Member, local: Rc<Agent>, clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
-        Self::start(Ranking::new(own), Some(local), PING_EVERY, clock, log)
+    pub fn own(
+        own: Member,
+        local: Rc<Agent>,
+        board: Rc<Board>,
+        clock: Rc<dyn Clock>,
+        log: Logger,
+    ) -> Rc<Self> {
+        Self::start(Ranking::new(own), Some((local, board)), clock, log)
     }
 
     /// Starts to look for the daemon that plans for another region.
     pub fn other(clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
-        Self::start(Ranking::default(), None, FAR_PING_EVERY, clock, log)
+        Self::start(Ranking::default(), None, clock, log)
     }
 
     fn start(
         ranking: Ranking,
-        local: Option<Rc<Agent>>,
-        ping_every: Duration,
+        here: Option<(Rc<Agent>, Rc<Board>)>,
         clock: Rc<dyn Clock>,
         log: Logger,
     ) -> Rc<Self> {
+        let ping_every = if here.is_some() { PING_EVERY } else { FAR_PING_EVERY };
+        let (local, board) = here.unzip();
         let region = Rc::new(Self {
             local,
+            board,
             ranking: RefCell::new(ranking),
             line: RefCell::new(None),
             ping_every,
@@ -186,10 +197,16 @@
 
     /// Asks whether a daemon plans. One that is about to stop does, but others are preferred.
     async fn answers(&self, line: &Line) -> bool {
+        let asked = self.clock.now();
         let ping = line.client.ping_request().send().promise;
         let reason = match timeout(PING_TIME, ping).await {
             Ok(Ok(answer)) => match answer.get() {
                 Ok(answer) => {
+                    let marks = answer.get_marks();
+                    let marks = marks.and_then(|marks| wire::read_marks(marks, asked));
+                    if let (Some(board), Ok(marks)) = (&self.board, marks) {
+                        marks.into_iter().for_each(|(topic, mark)| board.vouch(topic, mark));
+                    }
                     if answer.get_leaving() {
                         let now = self.clock.now();
                         self.ranking.borrow_mut().leave(&line.member, now);
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -15,6 +15,7 @@
 use crate::peer::stream;
 use crate::serve::Node;
 use crate::serve::agent::{Agent, Place, Seat};
+use crate::serve::board::Board;
 use crate::serve::plan::{Grant, Job, Refusal};
 
 /// How long a new connection may take to say its coding.
@@ -27,6 +28,7 @@
     listener: TcpListener,
     agent: Rc<Agent>,
     node: Rc<Node>,
+    board: Rc<Board>,
     clock: Rc<dyn Clock>,
 ) {
     loop {
@@ -37,6 +39,7 @@
         let host = Host {
             agent: agent.clone(),
             node: node.clone(),
+            board: board.clone(),
             clock: clock.clone(),
         };
         spawn_local(serve(stream, host));
@@ -54,6 +57,7 @@
 struct Host {
     agent: Rc<Agent>,
     node: Rc<Node>,
+    board: Rc<Board>,
     clock: Rc<dyn Clock>,
 }
 
@@ -78,7 +82,11 @@
         _: planner::PingParams,
         mut results: planner::PingResults,
     ) -> capnp::Result<()> {
-        results.get().set_leaving(self.node.leaving().is_some());
+        let marks = self.board.ages(self.clock.now());
+        let mut answer = results.get();
+        answer.set_leaving(self.node.leaving().is_some());
+        let count = u32::try_from(marks.len()).unwrap_or_default();
+        wire::write_marks(&marks, answer.init_marks(count));
         Ok(())
     }
 }
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -8,6 +8,7 @@
 use crate::clock::Time;
 use crate::generated::plan_capnp as schema;
 use crate::id;
+use crate::serve::board::{Mark, Topic};
 use crate::serve::health::Verdict;
 use crate::serve::plan::{Grant, Job, Need, Part, Refusal, Tokens};
 
@@ -180,3 +181,37 @@
         schema::Verdict::Unknown => Verdict::Unknown,
     }
 }
+
+/// Writes how far topics of the store are known, each with its age.
+pub fn write_marks(
+    marks: &[(Topic, u64, Duration)],
+    mut to: capnp::struct_list::Builder<'_, schema::mark::Owned>,
+) {
+    for (index, (topic, change, age)) in (0..).zip(marks) {
+        let mut one = to.reborrow().get(index);
+        one.set_topic(match topic {
+            Topic::Catalog => schema::Topic::Catalog,
+            Topic::Endpoints => schema::Topic::Endpoints,
+        });
+        one.set_change(*change);
+        one.set_age_nanos(nanos(*age));
+    }
+}
+
+/// Reads how far topics are known at a daemon that was asked at `asked`.
+pub fn read_marks(
+    from: capnp::struct_list::Reader<'_, schema::mark::Owned>,
+    asked: Time,
+) -> Result<Vec<(Topic, Mark)>> {
+    let mark = |one: schema::mark::Reader<'_>| {
+        let topic = match one.get_topic()? {
+            schema::Topic::Catalog => Topic::Catalog,
+            schema::Topic::Endpoints => Topic::Endpoints,
+        };
+        // The age was taken after the question was sent, so the time is not too late.
+        let at = asked.saturating_sub(Duration::from_nanos(one.get_age_nanos()));
+        let change = one.get_change();
+        Ok((topic, Mark { change, at }))
+    };
+    from.iter().map(mark).collect()
+}
