Make results beside the engine that has the prompt cached

Change: weights from the users' prices; the home zone is one with the shared parts cached, else that of the first piece.

--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -564,6 +564,8 @@
                 if let Some(work) = self.works.get_mut(&one.piece.ticket) {
                     work.place(one.piece.at).running += 1;
                     work.has_begun = true;
+                    // Its other results are best made beside the first ones.
+                    work.home.get_or_insert_with(|| batch.zone.clone());
                 }
             }
             let begun = self.makers.begin(number, &batch, pieces, entries, now);
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -21,10 +21,11 @@
 const TOKENS_PER_MS: f64 = 32.0;
 /// What one more running request costs the others, in milliseconds.
 const RUNNING_MS: f64 = 1.0;
-/// What a megabyte of results from another availability zone costs, in milliseconds: the transfer
-/// is priced at about a third of a second of service for a typical request.
-const CROSS_MS_PER_MB: f64 = 33.0;
-/// What a prompt token that is read again costs besides its time, in milliseconds.
+/// What a megabyte of results from another availability zone costs, in milliseconds. The users price
+/// a gigabyte at 40 and a thousand tokens that are read again at 0.2, where a request on time is
+/// worth about 3; one unit is taken as 150 ms of its time.
+const CROSS_MS_PER_MB: f64 = 6.0;
+/// What a prompt token that is read again costs besides its time, in milliseconds; see above.
 const REREAD_MS: f64 = 0.03;
 /// What being the preferred engine of a prompt is worth, in milliseconds.
 const PREFERRED_MS: f64 = 20.0;
@@ -36,7 +37,7 @@
 const CACHED: Duration = Duration::from_secs(30);
 /// Parts that are remembered of one engine.
 const MAX_PARTS: usize = 2_000;
-/// Cached tokens for which a request's results are made near the engine that holds them.
+/// Shared tokens for which a request's results are made near the engine that holds them.
 const HOME_TOKENS: u64 = 1_000;
 /// How long an engine that turned a request down is left alone.
 const FULL_TIME: Duration = Duration::from_millis(100);
@@ -107,13 +108,15 @@
         }
     }
 
-    /// Returns the availability zone whose engines have most of a prompt in their caches.
+    /// Returns the availability zone of an engine that has the shared parts of a prompt cached.
     pub fn home(&self, job: &Job, now: Time) -> Option<id::Zone> {
-        let total: u64 = job.parts.iter().map(|part| part.tokens).sum();
+        let (own, shared) = job.parts.split_last()?;
+        let total: u64 = shared.iter().map(|part| part.tokens).sum();
         let here = self.all.values().filter(|engine| engine.service == job.service);
-        let kept = |engine: &&Engine| total - engine.unread(&job.parts, now);
-        let best = here.max_by_key(kept)?;
-        (kept(&best) >= HOME_TOKENS).then(|| best.zone.clone())
+        let unread = |engine: &&Engine| engine.unread(&job.parts, now);
+        let best = here.min_by_key(unread)?;
+        let is_cached = total >= HOME_TOKENS && unread(&best) <= own.tokens;
+        is_cached.then(|| best.zone.clone())
     }
 
     /// Chooses an engine for a request whose inputs are made.
--- a/src/serve/plan/maker.rs
+++ b/src/serve/plan/maker.rs
@@ -81,6 +81,8 @@
 /// The pieces that an endpoint gets next.
 pub struct Batch {
     maker: id::Endpoint,
+    /// The endpoint's availability zone.
+    pub zone: id::Zone,
     /// Their places among those that wait.
     pub indexes: Vec<usize>,
 }
@@ -195,8 +197,11 @@
         });
         makers.into_iter().find_map(|(id, maker)| {
             let indexes = maker.fill(batch, waiting, has_fast, now);
-            let maker = id.clone();
-            (!indexes.is_empty()).then_some(Batch { maker, indexes })
+            (!indexes.is_empty()).then(|| Batch {
+                maker: id.clone(),
+                zone: maker.zone.clone(),
+                indexes,
+            })
         })
     }
 
