Refuse at the door what cannot be on time, and finish what has begun

Change: a call behind others is full; no tolerance; begun requests first. Also: quarantine of content that crashes endpoints at the planner, metrics as text, tests of planning with the load patterns it answers.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -30,6 +30,8 @@
   spanNanos @11 :UInt64;
   # What its answer is worth beside others of the route.
   weight @12 :Float32;
+  # The digest of its content, under which crashes of endpoints are held against it.
+  digest @13 :Text;
 }
 
 struct Grant {
@@ -58,6 +60,7 @@
   refused @2;
   lost @3;
   unknown @4;
+  crashed @5;
 }
 
 enum Topic {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -24,6 +24,7 @@
 pub mod fleet;
 pub mod health;
 pub mod http;
+pub mod meter;
 pub mod plan;
 pub mod ready;
 pub mod region;
@@ -34,6 +35,7 @@
 use catalog::Catalog;
 use dialect::Dialect;
 use fleet::{Endpoint, Entry, Fleet};
+use meter::Meter;
 use plan::Tokens;
 
 /// How long a daemon that leaves goes on to take requests: the balancer sends new connections
@@ -99,6 +101,7 @@
     staged: Rc<dyn Desk>,
     dialect: Rc<dyn Dialect>,
     clock: Rc<dyn Clock>,
+    meter: Rc<Meter>,
     log: Logger,
     leaving: Cell<Option<Time>>,
     active: Cell<usize>,
@@ -130,6 +133,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// The clock, which a suspension of the VM does not stop.
     pub clock: Rc<dyn Clock>,
+    /// The metrics.
+    pub meter: Rc<Meter>,
     /// The logger.
     pub log: Logger,
 }
@@ -147,6 +152,7 @@
             staged: parts.staged,
             dialect: parts.dialect,
             clock: parts.clock,
+            meter: parts.meter,
             log: parts.log,
             leaving: Cell::new(None),
             active: Cell::new(0),
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -15,6 +15,7 @@
 use super::dialect::{Dialect, Message};
 use super::exchange::{self, Channel};
 use super::health::Verdict;
+use super::meter::Meter;
 use super::plan::{Action, Ending, Entry, Grant, Handle, Job, Number, Planner, Refusal, Ticket};
 use crate::clock::{Clock, Time};
 use crate::id;
@@ -62,6 +63,7 @@
     kept: RefCell<IndexMap<id::Endpoint, Kept>>,
     dialect: Rc<dyn Dialect>,
     clock: Rc<dyn Clock>,
+    meter: Rc<Meter>,
     log: Logger,
 }
 
@@ -71,6 +73,7 @@
         planner: Planner,
         dialect: Rc<dyn Dialect>,
         clock: Rc<dyn Clock>,
+        meter: Rc<Meter>,
         log: Logger,
     ) -> Rc<Self> {
         let agent = Rc::new(Self {
@@ -81,6 +84,7 @@
             kept: RefCell::default(),
             dialect,
             clock,
+            meter,
             log,
         });
         let ticking = Rc::downgrade(&agent);
@@ -191,6 +195,8 @@
             Err(_) => Ending::Lost,
         };
         let took = self.clock.now().saturating_sub(began);
+        self.meter.count(ending.name());
+        self.meter.time("stage", took);
         info!(self.log, "stage call";
             "endpoint" => &*endpoint, "pieces" => entries.len(), "stage" => entries[0].stage,
             "ms" => took.as_millis() as u64, "ending" => ending.name());
--- a/src/serve/health.rs
+++ b/src/serve/health.rs
@@ -23,8 +23,10 @@
         Bad,
         /// It rejected the call before it ran.
         Refused,
-        /// The connection could not be made, was lost, or stayed silent.
+        /// The connection could not be made, or stayed silent.
         Lost,
+        /// The connection broke while the endpoint ran the call.
+        Crashed,
         /// It ended for a reason that says nothing of the endpoint.
         Unknown,
     }
@@ -99,10 +101,10 @@
                 self.breaker.succeed();
                 false
             }
-            Verdict::Bad | Verdict::Lost => {
+            Verdict::Bad | Verdict::Lost | Verdict::Crashed => {
                 self.failing += SHARE * (1.0 - self.failing);
                 self.breaker.fail(EJECTION, now);
-                let eject = verdict == Verdict::Lost || self.breaker.failures() >= FAILURES;
+                let eject = verdict != Verdict::Bad || self.breaker.failures() >= FAILURES;
                 let eject = eject && !self.breaker.is_ejected();
                 if eject {
                     self.breaker.eject(EJECTION, now);
--- /dev/null
+++ b/src/serve/meter.rs
@@ -0,0 +1,144 @@
+//! Counters and latencies of a daemon, as text on its metrics address.
+//!
+//! Metrics go through `cadence` like everywhere in the system; here its sink keeps the sums in the
+//! process, because the platform fetches them instead of taking datagrams. See
+//! [the operators' page](../../docs/OPERATIONS.md).
+
+use std::io;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::{Counted, MetricSink, StatsdClient, Timed};
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::http;
+use super::relay::text;
+
+/// The longest latency that is told apart, in milliseconds: no deadline is longer.
+const MAX_MS: u64 = 60_000;
+/// Significant digits of latencies; two keep a histogram at a few kilobytes.
+const DIGITS: u8 = 2;
+/// Different metrics that are kept; their names are fixed, so more would be a fault.
+const MAX_METRICS: usize = 256;
+/// The quantiles that are shown, with their names.
+const QUANTILES: [(&str, f64); 3] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99)];
+/// How long a reader of metrics may take to ask, and the longest question in bytes.
+const ASK_TIME: Duration = Duration::from_secs(5);
+const ASK_BYTES: usize = 8 * 1024;
+
+#[derive(Default)]
+struct Sums {
+    counters: IndexMap<String, u64>,
+    latencies: IndexMap<String, Histogram<u32>>,
+}
+
+impl Sums {
+    /// Adds a metric in the format of StatsD: `name:value|type`.
+    fn add(&mut self, metric: &str) -> Option<()> {
+        let (name, rest) = metric.split_once(':')?;
+        let (value, kind) = rest.split_once('|')?;
+        let value: u64 = value.parse().ok()?;
+        let is_known = self.counters.contains_key(name) || self.latencies.contains_key(name);
+        if !is_known && self.counters.len() + self.latencies.len() >= MAX_METRICS {
+            return None;
+        }
+        if kind.starts_with("ms") {
+            let latencies = &mut self.latencies;
+            if !latencies.contains_key(name) {
+                let empty = Histogram::new_with_bounds(1, MAX_MS, DIGITS).ok()?;
+                latencies.insert(name.to_owned(), empty);
+            }
+            latencies.get_mut(name)?.saturating_record(value.max(1));
+        } else {
+            *self.counters.entry(name.to_owned()).or_default() += value;
+        }
+        Some(())
+    }
+
+    fn show(&self) -> String {
+        let counters = self.counters.iter();
+        let mut lines: Vec<String> = counters.map(|(name, count)| format!("{name} {count}")).collect();
+        for (name, latency) in &self.latencies {
+            lines.push(format!("{name}.count {}", latency.len()));
+            let quantile = |(label, at)| format!("{name}.{label} {}", latency.value_at_quantile(at));
+            lines.extend(QUANTILES.map(quantile));
+            lines.push(format!("{name}.max {}", latency.max()));
+        }
+        lines.push(String::new());
+        lines.join("\n")
+    }
+}
+
+/// A panic within it would leave a sum one too low at worst.
+struct Sink(AssertUnwindSafe<Arc<Mutex<Sums>>>);
+
+impl MetricSink for Sink {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let added = self.0.lock().add(metric);
+        let refused = || io::Error::other("not a metric that is kept");
+        added.map(|()| metric.len()).ok_or_else(refused)
+    }
+}
+
+/// The metrics of one daemon.
+pub struct Meter {
+    client: StatsdClient,
+    sums: Arc<Mutex<Sums>>,
+}
+
+impl Meter {
+    /// Makes one whose metrics begin with `prefix`.
+    pub fn new(prefix: &str) -> Rc<Self> {
+        let sums = Arc::<Mutex<Sums>>::default();
+        let client = StatsdClient::from_sink(prefix, Sink(AssertUnwindSafe(sums.clone())));
+        Rc::new(Self { client, sums })
+    }
+
+    /// Counts an event.
+    pub fn count(&self, name: &str) {
+        // A metric over the bound is the only failure; it is then missing from the page.
+        drop(self.client.count(name, 1));
+    }
+
+    /// Notes how long something took.
+    pub fn time(&self, name: &str, took: Duration) {
+        let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        drop(self.client.time(name, millis));
+    }
+
+    /// Returns all metrics, one a line.
+    pub fn show(&self) -> String {
+        self.sums.lock().show()
+    }
+}
+
+/// Shows the metrics to whoever asks, for as long as the process lives.
+pub async fn answer(listener: TcpListener, meter: Rc<Meter>) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            spawn_local(one(stream, meter.clone()));
+        } else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn one(stream: TcpStream, meter: Rc<Meter>) {
+    let (mut source, mut sink) = http::split(stream);
+    while let Ok(Ok(head)) = timeout(ASK_TIME, source.head(ASK_BYTES)).await {
+        let answer = text(&meter.show(), head.keep);
+        if http::send(&mut sink, &answer).await.is_err() || !head.keep {
+            return;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -16,6 +16,7 @@
 use super::health::Verdict;
 use crate::clock::Time;
 use crate::id;
+use crate::quarantine::table::{Event, Limit, Table, Verdict as Standing};
 
 mod engine;
 mod forecast;
@@ -33,13 +34,19 @@
 /// A result that an endpoint holds, as the endpoint names it.
 pub type Handle = id::Name;
 
+/// When content is refused: two planners that learn apart let four endpoints crash, one more than the
+/// operators' rule counts from. Clients come back with it for about a minute.
+const CRASHES: Limit = Limit {
+    endpoints: 2,
+    refusal: Duration::from_secs(120),
+};
 /// Times that a job's inputs may vanish before it is given up.
 const MAX_RESTARTS: u32 = 2;
 /// Times that one piece may fail at endpoints before its request is given up.
 const MAX_TRIES: u32 = 4;
 /// How much later than its target a request may be expected to end when it is let in. Beyond it, a
 /// refusal at once lets the client come back when there is room.
-const TOLERANCE: f64 = 0.15;
+const TOLERANCE: f64 = 0.0;
 /// Spans after which a request that has begun is given up: until then its results are kept, but they
 /// take room that requests on time need.
 const LATE_SPANS: f64 = 2.0;
@@ -70,6 +77,8 @@
         pub span: Duration,
         /// What its answer is worth beside others of its route; 1 on average.
         pub weight: f32,
+        /// The digest of its content, under which crashes of endpoints are held against it.
+        pub digest: id::Digest,
         /// The parts of the prompt, in order.
         pub parts: Vec<Part>,
         /// Tokens of the prompt and the most that are generated.
@@ -218,12 +227,12 @@
 }
 
 impl Ending {
-    /// Returns the name of the ending in logs.
+    /// Returns the name of the ending in logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
-            Self::Answered(_) => "answered",
-            Self::Refused => "refused",
-            Self::Lost => "lost",
+            Self::Answered(_) => "stage.answered",
+            Self::Refused => "stage.refused",
+            Self::Lost => "stage.lost",
         }
     }
 }
@@ -267,11 +276,15 @@
     calls: IndexMap<Number, Call>,
     next_call: Number,
     actions: Vec<Action>,
+    /// Content that crashes the endpoints that run it.
+    crashes: Table,
 }
 
 impl Planner {
     /// Makes a planner for the endpoints of these availability zones.
     pub fn new(region: Vec<id::Zone>) -> Self {
+        let mut crashes = Table::default();
+        crashes.set_limit(CRASHES);
         Self {
             region,
             works: IndexMap::new(),
@@ -280,6 +293,7 @@
             calls: IndexMap::new(),
             next_call: 0,
             actions: Vec::new(),
+            crashes,
         }
     }
 
@@ -380,10 +394,24 @@
         let Some(work) = self.works.get_mut(&ticket) else {
             return;
         };
-        if let Some(lease) = work.lease.take() {
-            self.engines.end(&lease, verdict, now);
-            work.tried.push(lease.engine);
+        let Some(lease) = work.lease.take() else {
+            return;
+        };
+        self.engines.end(&lease, verdict, now);
+        let endpoint = (verdict == Verdict::Crashed).then(|| lease.engine.clone());
+        if endpoint.is_some() || verdict == Verdict::Good {
+            let digest = work.job.digest.clone();
+            let at = now;
+            self.crashes.apply(
+                &Event {
+                    digest,
+                    endpoint,
+                    at,
+                },
+                now,
+            );
         }
+        work.tried.push(lease.engine);
     }
 
     /// The endpoint did not run the request: another one is chosen. With `again`, the inputs are
@@ -601,6 +629,10 @@
 
     /// Decides whether a request is let in.
     fn judge(&self, work: &Work, now: Time) -> Option<Refusal> {
+        if let Standing::Refused(until) = self.crashes.standing(&work.job.digest, now) {
+            let reason = "its content crashes the endpoints that run it";
+            return Some(Refusal::new(reason, until.saturating_sub(now)));
+        }
         let forecast = forecast::forecast(work, &self.works, &self.makers, now)?;
         let span = work.job.span.mul_f64(1.0 + TOLERANCE);
         let left = work.job.end.saturating_sub(now);
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -178,7 +178,7 @@
             engine.record.end(verdict, now);
             match verdict {
                 Verdict::Refused => engine.blocked = now + FULL_TIME,
-                Verdict::Lost => engine.parts.clear(),
+                Verdict::Lost | Verdict::Crashed => engine.parts.clear(),
                 Verdict::Good | Verdict::Bad | Verdict::Unknown => {}
             }
         }
--- a/src/serve/plan/forecast.rs
+++ b/src/serve/plan/forecast.rs
@@ -64,7 +64,11 @@
     let tail = work.tail(stage, makers);
     let begin = work.job.target.saturating_sub(tail);
     let is_late = begin < now;
-    let at = begin + RANK_DELAY * u32::from(work.job.priority) + cost(work, makers);
+    let mut at = begin + RANK_DELAY * u32::from(work.job.priority) + cost(work, makers);
+    if work.has_begun {
+        // What was made for it already would be in vain, and takes room.
+        at = at.saturating_sub(RANK_DELAY);
+    }
     (Turn { is_late, at }, begin.saturating_sub(now))
 }
 
@@ -121,7 +125,8 @@
         // What is queued shrinks while the stages before this one are worked on.
         let queued = queued.saturating_sub(begin);
         wait = wait.max(queued);
-        let own = makers.least_time(&need.service, need.pieces);
+        // Behind others, its pieces are made in a call that is filled with theirs.
+        let own = makers.least_time(&need.service, need.pieces + ahead);
         ends.push(begin + queued + own);
     }
     let last = ends.iter().max().copied()?;
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -1,1 +1,438 @@
-//! Tests of the module above.
+//! Tests of planning, each with the load pattern or the failure that it answers.
+
+use super::*;
+use crate::serve::catalog;
+
+mod load;
+
+/// A small region: one zone or two, endpoints of one stage service, and engines.
+pub(super) struct Site {
+    pub planner: Planner,
+    fleet: Fleet,
+    catalog: Catalog,
+    pub now: Time,
+    next: Ticket,
+}
+
+pub(super) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn endpoint(id: &str, service: &str, zone: &str) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        service: service.into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        zone: zone.into(),
+        slots: 128,
+        draining: false,
+        born: 1,
+        seq: 0,
+    }
+}
+
+fn batch(size: usize, item: u64, room: u64) -> catalog::Service {
+    catalog::Service {
+        batch: Some(catalog::Batch {
+            size,
+            call: ms(150),
+            item: ms(item),
+            room,
+            keep: ms(4_000),
+        }),
+        ..catalog::Service::default()
+    }
+}
+
+impl Site {
+    pub fn new(makers: &[(&str, &str)], engines: &[(&str, &str)]) -> Self {
+        let mut catalog = Catalog::default();
+        catalog.services.insert("look-up".into(), batch(10, 13, 64_000_000));
+        catalog.services.insert("pack".into(), batch(36, 4, 6_200_000));
+        let engine = catalog::Service {
+            engine: Some(catalog::Engine {
+                slots: 128,
+                memory: 500_000,
+            }),
+            ..catalog::Service::default()
+        };
+        catalog.services.insert("model".into(), engine);
+        let mut fleet = Fleet::default();
+        for (id, zone) in makers {
+            fleet.learn(super::super::fleet::Entry::Present(endpoint(id, "look-up", zone)), ms(0));
+        }
+        fleet.learn(super::super::fleet::Entry::Present(endpoint("p", "pack", "a")), ms(0));
+        for (id, zone) in engines {
+            fleet.learn(super::super::fleet::Entry::Present(endpoint(id, "model", zone)), ms(0));
+        }
+        let mut planner = Planner::new(vec!["a".into(), "b".into()]);
+        planner.sync(&fleet, &catalog, ms(0));
+        Self {
+            planner,
+            fleet,
+            catalog,
+            now: ms(0),
+            next: 0,
+        }
+    }
+
+    pub fn submit(&mut self, job: Job) -> Ticket {
+        let ticket = self.next;
+        self.next += 1;
+        self.planner.submit(ticket, job, self.now);
+        ticket
+    }
+
+    pub fn job(&self, pieces: &[usize], target: u64) -> Job {
+        let service = |stage| if stage == 0 { "look-up" } else { "pack" };
+        let need = |(stage, pieces): (usize, &usize)| Need {
+            service: service(stage).into(),
+            after: if stage == 0 { vec![] } else { vec![stage - 1] },
+            bytes: 3_000_000,
+            pieces: *pieces,
+        };
+        Job {
+            request: format!("r{}", self.next).into(),
+            key: "k".into(),
+            needs: pieces.iter().enumerate().map(need).collect(),
+            service: "model".into(),
+            priority: 1,
+            target: self.now + ms(target),
+            end: self.now + ms(6_000),
+            span: ms(target),
+            weight: 1.0,
+            digest: format!("d{}", self.next).into(),
+            parts: Vec::new(),
+            tokens: Tokens::default(),
+            zone: "a".into(),
+        }
+    }
+
+    pub fn actions(&mut self) -> Vec<Action> {
+        self.planner.actions()
+    }
+
+    /// Answers a call with a handle for each piece.
+    pub fn answer(&mut self, call: Number, pieces: usize) {
+        let handle = |piece| Outcome::Handle(format!("h{call}-{piece}").into());
+        let ending = Ending::Answered((0..pieces).map(handle).collect());
+        self.planner.answered(call, &ending, self.now);
+    }
+
+    fn restart(&mut self, id: &str, service: &str) {
+        let born = 2;
+        let newer = Endpoint {
+            born,
+            ..endpoint(id, service, "a")
+        };
+        self.fleet.learn(super::super::fleet::Entry::Present(newer), self.now);
+        self.planner.sync(&self.fleet, &self.catalog, self.now);
+    }
+}
+
+/// The calls among actions: number, endpoint and entries.
+fn calls(actions: &[Action]) -> Vec<(Number, id::Endpoint, Vec<Entry>)> {
+    let call = |action: &Action| match action {
+        Action::Call {
+            call,
+            endpoint,
+            entries,
+            ..
+        } => Some((*call, endpoint.clone(), entries.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(call).collect()
+}
+
+fn grants(actions: &[Action]) -> Vec<(Ticket, Grant)> {
+    let grant = |action: &Action| match action {
+        Action::Grant(ticket, grant) => Some((*ticket, grant.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(grant).collect()
+}
+
+fn refusals(actions: &[Action]) -> Vec<(Ticket, Refusal)> {
+    let refusal = |action: &Action| match action {
+        Action::Refuse(ticket, refusal) => Some((*ticket, refusal.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+fn freed(actions: &[Action]) -> Vec<Handle> {
+    let free = |action: &Action| match action {
+        Action::Free { handles, .. } => Some(handles.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(free).flatten().collect()
+}
+
+#[test]
+fn pieces_gathered_while_a_call_runs() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    site.submit(site.job(&[1], 2_000));
+    let first = calls(&site.actions());
+    assert_eq!(first.len(), 1);
+    for _ in 0..4 {
+        site.submit(site.job(&[2], 2_000));
+    }
+    assert!(calls(&site.actions()).is_empty(), "one call at a time");
+    site.now = ms(170);
+    site.answer(first[0].0, 1);
+    let next = calls(&site.actions());
+    assert_eq!(next.len(), 1);
+    assert_eq!(next[0].2.len(), 8);
+}
+
+#[test]
+fn call_never_over_its_size_or_room() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    for _ in 0..6 {
+        site.submit(site.job(&[5], 4_000));
+    }
+    let mut made = 0;
+    for step in 1..6 {
+        let running = calls(&site.actions());
+        for (call, _, entries) in &running {
+            assert!(entries.len() <= 10);
+            made += entries.len();
+            site.now = ms(step * 280);
+            site.answer(*call, entries.len());
+        }
+    }
+    // 64 MB hold 21 results of 3 MB; none of them was given up.
+    assert!(made <= 21, "{made}");
+}
+
+#[test]
+fn stages_in_order_with_all_inputs() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let ticket = site.submit(site.job(&[2, 1], 3_000));
+    let first = calls(&site.actions());
+    assert!(first[0].2.iter().all(|entry| entry.source == Input::Key("k".into())));
+    site.now = ms(200);
+    site.answer(first[0].0, 2);
+    let second = calls(&site.actions());
+    let inputs = vec![Handle::from("h0-0"), Handle::from("h0-1")];
+    assert_eq!(second[0].2[0].source, Input::Handles(inputs.clone()));
+    assert_eq!(second[0].2[0].stage, 1);
+    site.now = ms(400);
+    site.answer(second[0].0, 1);
+    let actions = site.actions();
+    let granted = grants(&actions);
+    assert_eq!(granted[0].0, ticket);
+    assert_eq!(granted[0].1.inputs, [Handle::from("h1-0")]);
+    assert_eq!(freed(&actions), inputs);
+}
+
+#[test]
+fn results_freed_when_the_answer_begins() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let ticket = site.submit(site.job(&[1], 2_000));
+    site.actions();
+    site.answer(0, 1);
+    site.actions();
+    site.planner.started(ticket, false, ms(300));
+    assert!(freed(&site.actions()).is_empty(), "a resumable stream may need them again");
+    site.planner.leave(ticket, ms(400));
+    assert_eq!(freed(&site.actions()), [Handle::from("h0-0")]);
+}
+
+#[test]
+fn lost_call_made_elsewhere() {
+    let mut site = Site::new(&[("m", "a"), ("n", "a")], &[("e", "a")]);
+    site.submit(site.job(&[1], 2_000));
+    let first = calls(&site.actions());
+    site.planner.answered(first[0].0, &Ending::Lost, ms(50));
+    let second = calls(&site.actions());
+    assert_ne!(second[0].1, first[0].1);
+}
+
+#[test]
+fn overdue_call_repeated_and_extra_result_freed() {
+    let mut site = Site::new(&[("m", "a"), ("n", "a")], &[("e", "a")]);
+    let ticket = site.submit(site.job(&[1], 3_000));
+    let first = calls(&site.actions());
+    site.planner.tick(ms(300));
+    assert!(calls(&site.actions()).is_empty(), "163 ms are expected, and 443 ms allowed");
+    site.planner.tick(ms(450));
+    let second = calls(&site.actions());
+    assert_eq!(second.len(), 1);
+    site.now = ms(700);
+    site.answer(second[0].0, 1);
+    assert_eq!(grants(&site.actions())[0].0, ticket);
+    site.answer(first[0].0, 1);
+    assert_eq!(freed(&site.actions()), [Handle::from("h0-0")]);
+}
+
+#[test]
+fn endpoint_of_an_overdue_call_used_again() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    site.submit(site.job(&[1], 3_000));
+    site.actions();
+    site.planner.tick(ms(450));
+    assert_eq!(calls(&site.actions()).len(), 1, "its answer may be lost and it idle");
+    site.planner.tick(ms(2_000));
+    assert!(calls(&site.actions()).is_empty(), "twice in a row it is down");
+}
+
+#[test]
+fn vanished_input_begins_anew() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    site.submit(site.job(&[1, 1], 4_000));
+    site.actions();
+    site.now = ms(170);
+    site.answer(0, 1);
+    site.actions();
+    site.planner.answered(1, &Ending::Answered(vec![Outcome::Gone]), ms(200));
+    let again = calls(&site.actions());
+    assert_eq!(again[0].2[0].stage, 0);
+}
+
+#[test]
+fn endpoint_without_room_not_asked_at_once() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    site.submit(site.job(&[2], 4_000));
+    site.actions();
+    let ending = Ending::Answered(vec![Outcome::Room, Outcome::Room]);
+    site.planner.answered(0, &ending, ms(170));
+    assert!(calls(&site.actions()).is_empty());
+    site.planner.tick(ms(900));
+    assert_eq!(calls(&site.actions()).len(), 1);
+}
+
+#[test]
+fn refused_by_the_engine_goes_to_another() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a")]);
+    let ticket = site.submit(site.job(&[], 2_000));
+    let first = grants(&site.actions())[0].1.endpoint.clone();
+    site.planner.ended(ticket, Verdict::Refused, ms(10));
+    site.planner.retry(ticket, false, ms(10));
+    let second = grants(&site.actions())[0].1.endpoint.clone();
+    assert_ne!(first, second);
+    site.planner.ended(ticket, Verdict::Refused, ms(20));
+    site.planner.retry(ticket, false, ms(20));
+    assert_eq!(refusals(&site.actions())[0].0, ticket);
+}
+
+#[test]
+fn inputs_gone_at_the_engine_made_anew() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a"), ("f", "a")]);
+    let ticket = site.submit(site.job(&[1], 3_000));
+    site.actions();
+    site.answer(0, 1);
+    site.actions();
+    site.planner.ended(ticket, Verdict::Refused, ms(250));
+    site.planner.retry(ticket, true, ms(250));
+    let actions = site.actions();
+    assert_eq!(freed(&actions), [Handle::from("h0-0")]);
+    assert_eq!(calls(&actions).len(), 1);
+}
+
+#[test]
+fn shared_prompt_goes_to_the_engine_that_has_it() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
+    let part = |id: &str, tokens| Part {
+        id: id.into(),
+        tokens,
+    };
+    let mut chosen = Vec::new();
+    for number in 0..12 {
+        let mut job = site.job(&[], 2_000);
+        let own = format!("own{number}");
+        job.parts = vec![part("system", 2_500), part("subject", 3_800), part(&own, 500)];
+        site.submit(job);
+        chosen.extend(grants(&site.actions()).into_iter().map(|(_, grant)| grant.endpoint));
+    }
+    let first = chosen[0].clone();
+    assert!(chosen.iter().all(|one| *one == first), "{chosen:?}");
+}
+
+#[test]
+fn requests_spread_over_engines() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
+    let mut counts: IndexMap<id::Endpoint, usize> = IndexMap::new();
+    for number in 0..30 {
+        let mut job = site.job(&[], 2_000);
+        job.tokens.prompt = 3_000;
+        job.parts = vec![Part {
+            id: format!("own{number}").into(),
+            tokens: 3_000,
+        }];
+        site.submit(job);
+        for (_, grant) in grants(&site.actions()) {
+            *counts.entry(grant.endpoint).or_default() += 1;
+        }
+    }
+    assert_eq!(counts.len(), 3);
+    assert!(counts.values().all(|count| (8..=12).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn crashing_content_refused() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
+    for at in [50, 100] {
+        site.now = ms(at);
+        let mut job = site.job(&[], 2_000);
+        job.digest = "poison".into();
+        let ticket = site.submit(job);
+        assert_eq!(grants(&site.actions()).len(), 1);
+        site.planner.ended(ticket, Verdict::Crashed, site.now);
+        site.planner.leave(ticket, site.now);
+    }
+    site.now = ms(200);
+    let mut job = site.job(&[], 2_000);
+    job.digest = "poison".into();
+    site.submit(job);
+    assert_eq!(refusals(&site.actions()).len(), 1);
+    site.now = ms(2_000);
+    site.submit(site.job(&[], 2_000));
+    assert_eq!(grants(&site.actions()).len(), 1, "other content is served");
+}
+
+#[test]
+fn restarted_maker_holds_nothing() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    for _ in 0..4 {
+        site.submit(site.job(&[5], 4_000));
+    }
+    for (call, pieces) in [(0, 5), (1, 10), (2, 5)] {
+        let running = calls(&site.actions());
+        assert_eq!(running[0].2.len(), pieces);
+        site.answer(call, pieces);
+    }
+    site.submit(site.job(&[5], 4_000));
+    let last = calls(&site.actions());
+    assert_eq!(last[0].2.len(), 1, "after 20 results of 3 MB there is room for one more");
+    site.answer(last[0].0, 1);
+    assert!(calls(&site.actions()).is_empty());
+    site.restart("m", "look-up");
+    site.submit(site.job(&[5], 4_000));
+    assert_eq!(calls(&site.actions()).len(), 1);
+}
+
+#[test]
+fn handed_over_when_the_daemon_stops() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let begun = site.submit(site.job(&[1], 2_000));
+    let waiting = site.submit(site.job(&[1], 2_000));
+    site.actions();
+    site.planner.resign();
+    let moved = refusals(&site.actions());
+    assert_eq!(moved.len(), 1);
+    assert!(moved[0].0 == waiting && moved[0].1.is_moved);
+    site.planner.abandon();
+    assert_eq!(refusals(&site.actions())[0].0, begun);
+}
+
+#[test]
+fn nothing_left_after_leaving() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let ticket = site.submit(site.job(&[3], 2_000));
+    site.actions();
+    site.planner.leave(ticket, ms(50));
+    assert!(site.planner.is_empty());
+    site.answer(0, 3);
+    assert_eq!(freed(&site.actions()).len(), 3, "results that nobody waits for");
+}
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -47,6 +47,7 @@
     to.set_zone(&*job.zone);
     to.set_span_nanos(nanos(job.span));
     to.set_weight(job.weight);
+    to.set_digest(&*job.digest);
     let mut needs = to.reborrow().init_needs(count(job.needs.len()));
     for (index, need) in (0..).zip(&job.needs) {
         let mut one = needs.reborrow().get(index);
@@ -107,6 +108,7 @@
         zone: name(from.get_zone()?)?,
         span: Duration::from_nanos(from.get_span_nanos()),
         weight: from.get_weight(),
+        digest: name(from.get_digest()?)?,
     })
 }
 
@@ -167,6 +169,7 @@
         Verdict::Bad => schema::Verdict::Bad,
         Verdict::Refused => schema::Verdict::Refused,
         Verdict::Lost => schema::Verdict::Lost,
+        Verdict::Crashed => schema::Verdict::Crashed,
         Verdict::Unknown => schema::Verdict::Unknown,
     }
 }
@@ -178,6 +181,7 @@
         schema::Verdict::Bad => Verdict::Bad,
         schema::Verdict::Refused => Verdict::Refused,
         schema::Verdict::Lost => Verdict::Lost,
+        schema::Verdict::Crashed => Verdict::Crashed,
         schema::Verdict::Unknown => Verdict::Unknown,
     }
 }
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -39,6 +39,14 @@
     answer
 }
 
+/// Writes a page of text, whole.
+pub fn text(page: &str, keep: bool) -> Vec<u8> {
+    let connection = if keep { "keep-alive" } else { "close" };
+    let size = page.len();
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain";
+    format!("{head}\r\nContent-Length: {size}\r\nConnection: {connection}\r\n\r\n{page}").into_bytes()
+}
+
 /// The client of one request.
 pub struct Client {
     sink: Sink,
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sha2::{Digest, Sha256};
 use slog::info;
 use tokio::time::timeout;
 
@@ -42,6 +43,8 @@
 /// How long before a client's deadline it is told that there is no answer: the way back and a busy
 /// daemon take that long.
 const LAST_WORD: Duration = Duration::from_millis(60);
+/// Bytes of a digest that are kept: enough to tell the contents of some minutes apart.
+const DIGEST_BYTES: usize = 12;
 /// The time that a request without a deadline has.
 const NO_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -173,6 +176,14 @@
         let mut note = self.note.borrow_mut();
         note.is_done = true;
         let took = self.node.clock.now().saturating_sub(self.arrived);
+        let kind = match status {
+            0 => "request.broken",
+            200..=299 => "request.answered",
+            503 => "request.refused",
+            _ => "request.failed",
+        };
+        self.node.meter.count(kind);
+        self.node.meter.time("request", took);
         let age = self.node.age().map(|age| age.as_millis() as u64);
         info!(self.node.log, "request";
             "id" => &*note.id, "route" => note.route.as_deref(), "status" => status,
@@ -266,12 +277,25 @@
             end: plan.end,
             span: plan.route.target,
             weight: self.node.weigh(&plan.route.name, plan.ask.tokens),
+            digest: self.digest(plan),
             parts: plan.ask.parts.clone(),
             tokens: plan.ask.tokens,
             zone: self.node.options.zone.clone(),
         }
     }
 
+    /// Returns the digest of what a client would send again with another id.
+    fn digest(&self, plan: &Plan) -> id::Digest {
+        let mut digest = Sha256::new();
+        let workspace = plan.workspace.as_deref().unwrap_or_default();
+        for part in [&self.head.method, &self.head.target, workspace] {
+            digest.update(part.as_bytes());
+            digest.update([0]);
+        }
+        digest.update(&self.body);
+        hex::encode(&digest.finalize()[..DIGEST_BYTES]).into()
+    }
+
     /// Serves it within its time.
     async fn within(&self, plan: &Plan, client: &mut Client) -> Done {
         let left = plan.end.saturating_sub(self.node.clock.now());
@@ -410,7 +434,10 @@
             Ok(Err(error)) => {
                 info!(self.node.log, "no answer";
                     "id" => &*plan.ask.id, "endpoint" => &*id, "error" => %error);
-                lost("the connection to the endpoint was lost")
+                Tried::Lost {
+                    verdict: Verdict::Crashed,
+                    reason: "the connection to the endpoint was lost",
+                }
             }
             Err(_) => lost("the endpoint did not answer in time"),
         }
@@ -498,7 +525,10 @@
                 Ok(chunk) => chunk,
                 Err(_) => {
                     events.drop_partial();
-                    return lost("the stream broke off");
+                    return Tried::Lost {
+                        verdict: Verdict::Crashed,
+                        reason: "the stream broke off",
+                    };
                 }
             };
             let is_end = chunk.is_none();
