--- a/src/serve.rs
+++ b/src/serve.rs
@@ -62,7 +62,7 @@
     /// Something that was read of the platform's store.
     pub enum Update {
         /// A version of the configuration.
-        Catalog(Catalog),
+        Catalog(Box<Catalog>),
         /// All endpoints at one moment.
         Listing(Vec<Endpoint>),
         /// Every change of the configuration that was acknowledged before this time is known.
@@ -166,7 +166,7 @@
     pub fn learn(&self, update: Update) {
         let now = self.clock.now();
         match update {
-            Update::Catalog(catalog) => self.configure(catalog),
+            Update::Catalog(catalog) => self.configure(*catalog),
             Update::Listing(endpoints) => {
                 info!(self.log, "endpoints listed"; "count" => endpoints.len());
                 self.fleet.borrow_mut().replace(endpoints, now);
@@ -190,7 +190,7 @@
 
     /// Takes in an endpoint's entry; returns whether it may change what is believed: a removal that
     /// is doubted does so later.
-    pub fn enter(&self, entry: Entry) -> bool {
+    pub fn enter(&self, entry: &Entry) -> bool {
         let now = self.clock.now();
         let is_removal = matches!(entry, Entry::Removed(_));
         let is_change = self.fleet.borrow_mut().learn(entry.clone(), now);
@@ -240,7 +240,11 @@
         let usual = usual.entry(route.clone()).or_default();
         usual.patience = usual.patience.max(remaining);
         let spent = usual.patience.saturating_sub(remaining);
-        if spent > SPENT_LEAST { spent } else { Duration::ZERO }
+        if spent > SPENT_LEAST {
+            spent
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// Returns what a request's answer is worth beside others of its route, by its size.
@@ -297,7 +301,10 @@
 
     /// Returns whether there is too little time left to take a request.
     fn is_closed_for(&self, is_staged: bool) -> bool {
-        let left = self.leaving.get().map(|since| self.clock.now().saturating_sub(since));
+        let left = self
+            .leaving
+            .get()
+            .map(|since| self.clock.now().saturating_sub(since));
         let last = if is_staged { LAST_STAGED } else { LAST_PLAIN };
         left.is_some_and(|left| left > last)
     }
@@ -316,7 +323,9 @@
             }
             if waited >= grace {
                 // Other daemons' requests that wait here are planned elsewhere.
-                self.agents.iter().for_each(|agent| agent.decide(|planner, _| planner.abandon()));
+                self.agents
+                    .iter()
+                    .for_each(|agent| agent.decide(|planner, _| planner.abandon()));
                 tokio::time::sleep(LEAVE_LOOK).await;
                 return;
             }
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -133,7 +133,10 @@
                 patience,
                 entries,
             } => {
-                spawn_local(self.clone().call(call, endpoint, address, patience, entries));
+                spawn_local(
+                    self.clone()
+                        .call(call, endpoint, address, patience, entries),
+                );
             }
             Action::Free {
                 endpoint,
@@ -154,7 +157,11 @@
         let agent = self.clone();
         spawn_local(async move {
             tokio::time::sleep(FREE_GATHER).await;
-            let handles = agent.freed.borrow_mut().swap_remove(&endpoint).unwrap_or_default();
+            let handles = agent
+                .freed
+                .borrow_mut()
+                .swap_remove(&endpoint)
+                .unwrap_or_default();
             let message = agent.dialect.free(&endpoint, &handles);
             let sent = timeout(FREE_TIME, agent.post(&endpoint, address, &message)).await;
             if !matches!(sent, Ok(Ok(Posted::Answer(_)))) {
@@ -299,7 +306,8 @@
     pub async fn again(&mut self, again: bool) -> Result<(), Refusal> {
         let received = self.agent.enter(self.ticket);
         let ticket = self.ticket;
-        self.agent.decide(|planner, now| planner.retry(ticket, again, now));
+        self.agent
+            .decide(|planner, now| planner.retry(ticket, again, now));
         self.grant = received.await.unwrap_or_else(|_| Err(Refusal::gone()))?;
         Ok(())
     }
@@ -312,12 +320,14 @@
 
     fn started(&self, is_final: bool) {
         let ticket = self.ticket;
-        self.agent.decide(|planner, now| planner.started(ticket, is_final, now));
+        self.agent
+            .decide(|planner, now| planner.started(ticket, is_final, now));
     }
 
     fn ended(&self, verdict: Verdict) {
         let ticket = self.ticket;
-        self.agent.decide(|planner, now| planner.ended(ticket, verdict, now));
+        self.agent
+            .decide(|planner, now| planner.ended(ticket, verdict, now));
     }
 
     fn retry(&mut self, again: bool) -> LocalBoxFuture<'_, Result<(), Refusal>> {
--- a/src/serve/board.rs
+++ b/src/serve/board.rs
@@ -54,7 +54,9 @@
     pub fn ages(&self, now: Time) -> Vec<(Topic, u64, Duration)> {
         let own = self.own.borrow();
         let age = |mark: &Mark| now.saturating_sub(mark.at);
-        own.iter().map(|(topic, mark)| (*topic, mark.change, age(mark))).collect()
+        own.iter()
+            .map(|(topic, mark)| (*topic, mark.change, age(mark)))
+            .collect()
     }
 
     /// Returns the planner's mark while it is fresh.
--- a/src/serve/catalog/tests.rs
+++ b/src/serve/catalog/tests.rs
@@ -49,7 +49,9 @@
 fn service_by_weight() {
     let route = route("r", "/");
     let chosen = |spread| route.service(spread).map(|service| &**service);
-    let of_a = (0..400).filter(|spread| chosen(*spread) == Some("a")).count();
+    let of_a = (0..400)
+        .filter(|spread| chosen(*spread) == Some("a"))
+        .count();
     assert_eq!(of_a, 300);
 }
 
--- a/src/serve/door.rs
+++ b/src/serve/door.rs
@@ -110,7 +110,7 @@
 
     async fn refuse(&mut self, status: u16) {
         if let Some(sink) = &mut self.sink {
-            let answer = refusal(status, Vec::new(), None, false);
+            let answer = refusal(status, &[], None, false);
             if http::send(sink, &answer).await.is_ok() {
                 self.discard().await;
             }
@@ -129,7 +129,9 @@
         let bounds = self.node.catalog().bounds.clone();
         if head.fields.has("expect", "100-continue")
             && let Some(sink) = &mut self.sink
-            && http::send(sink, b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
+            && http::send(sink, b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await
+                .is_err()
         {
             return false;
         }
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -73,7 +73,10 @@
     /// Returns whether two entries say the same, whenever they were written.
     fn says(&self, other: &Self) -> bool {
         let seq = other.seq;
-        Self { seq, ..self.clone() } == *other
+        Self {
+            seq,
+            ..self.clone()
+        } == *other
     }
 }
 
@@ -188,7 +191,9 @@
     /// Returns whether an endpoint is known to be leaving, or to be gone.
     pub fn is_leaving(&self, id: &str) -> bool {
         let known = self.known.get(id);
-        known.map_or(self.removed.contains_key(id), |known| known.endpoint.draining)
+        known.map_or(self.removed.contains_key(id), |known| {
+            known.endpoint.draining
+        })
     }
 
     /// Returns all endpoints that may be sent to.
--- a/src/serve/health.rs
+++ b/src/serve/health.rs
@@ -88,7 +88,11 @@
     /// A call took `ratio` times as long as expected.
     pub fn took(&mut self, ratio: f64, now: Time) {
         self.decay(now);
-        let share = if ratio > self.slowness { 2.0 * SHARE } else { SHARE };
+        let share = if ratio > self.slowness {
+            2.0 * SHARE
+        } else {
+            SHARE
+        };
         self.slowness += share * (ratio.clamp(0.2, 20.0) - self.slowness);
     }
 
--- a/src/serve/http/head.rs
+++ b/src/serve/http/head.rs
@@ -59,7 +59,7 @@
     pub fn has(&self, name: &str, word: &str) -> bool {
         self.all(name).any(|value| {
             let words = value.split(|byte| *byte == b',');
-            let mut words = words.map(|word| word.trim_ascii());
+            let mut words = words.map(<[u8]>::trim_ascii);
             words.any(|one| one.eq_ignore_ascii_case(word.as_bytes()))
         })
     }
--- a/src/serve/http/tests.rs
+++ b/src/serve/http/tests.rs
@@ -13,7 +13,7 @@
     parse_request(text.as_bytes(), LIMIT).map(|parsed| parsed.expect("a whole head").0)
 }
 
-fn is_malformed<T>(result: super::Result<T>) -> bool {
+fn is_malformed<T>(result: &super::Result<T>) -> bool {
     matches!(result, Err(Error::Malformed { .. }))
 }
 
@@ -21,7 +21,10 @@
 fn head_parsed_whole() {
     let head = request("POST /a/b?c HTTP/1.1\r\nHost: x.example\r\nContent-Length: 3\r\n\r\n");
     let head = head.expect("a sound head");
-    assert_eq!((head.method.as_str(), head.target.as_str()), ("POST", "/a/b?c"));
+    assert_eq!(
+        (head.method.as_str(), head.target.as_str()),
+        ("POST", "/a/b?c")
+    );
     assert_eq!(head.framing, Framing::Length(3));
     assert!(head.keep);
 }
@@ -53,16 +56,19 @@
     ];
     for field in fields {
         let text = format!("POST / HTTP/1.1\r\nHost: x\r\n{field}\r\n\r\n");
-        assert!(is_malformed(request(&text)), "{field:?}");
+        assert!(is_malformed(&request(&text)), "{field:?}");
     }
-    assert!(is_malformed(request("POST / HTTP/1.1\r\n\r\n")), "no host");
+    assert!(is_malformed(&request("POST / HTTP/1.1\r\n\r\n")), "no host");
     let old = "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
-    assert!(is_malformed(request(old)));
+    assert!(is_malformed(&request(old)));
 }
 
 #[test]
 fn head_long_refused() {
-    let long = format!("GET / HTTP/1.1\r\nHost: x\r\nX: {}\r\n\r\n", "a".repeat(LIMIT));
+    let long = format!(
+        "GET / HTTP/1.1\r\nHost: x\r\nX: {}\r\n\r\n",
+        "a".repeat(LIMIT)
+    );
     assert!(matches!(request(&long), Err(Error::Long { limit: LIMIT })));
     let open = format!("GET / HTTP/1.1\r\nHost: x\r\nX: {}", "a".repeat(LIMIT));
     let parsed = parse_request(open.as_bytes(), LIMIT);
@@ -83,7 +89,9 @@
 #[test]
 fn reply_without_length_ends_with_close() {
     let text = b"HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
-    let (reply, size) = parse_reply(text, REPLY_HEAD_BYTES).expect("sound").expect("whole");
+    let (reply, size) = parse_reply(text, REPLY_HEAD_BYTES)
+        .expect("sound")
+        .expect("whole");
     assert_eq!((reply.framing, size), (Framing::Close, text.len()));
     assert!(!reply.keep);
 }
@@ -131,10 +139,17 @@
 
 #[test]
 fn chunks_malformed_refused() {
-    let bodies = ["g\r\n", "\r\n", "-1\r\n", "123456789\r\n", "2\r\nabc\r\n", "2\nab\r\n"];
+    let bodies = [
+        "g\r\n",
+        "\r\n",
+        "-1\r\n",
+        "123456789\r\n",
+        "2\r\nabc\r\n",
+        "2\nab\r\n",
+    ];
     for body in bodies {
         let decoded = decode(&mut Framing::chunked(), body.as_bytes(), 100);
-        assert!(is_malformed(decoded), "{body:?}");
+        assert!(is_malformed(&decoded), "{body:?}");
     }
 }
 
--- a/src/serve/meter.rs
+++ b/src/serve/meter.rs
@@ -64,10 +64,13 @@
 
     fn show(&self) -> String {
         let counters = self.counters.iter();
-        let mut lines: Vec<String> = counters.map(|(name, count)| format!("{name} {count}")).collect();
+        let mut lines: Vec<String> = counters
+            .map(|(name, count)| format!("{name} {count}"))
+            .collect();
         for (name, latency) in &self.latencies {
             lines.push(format!("{name}.count {}", latency.len()));
-            let quantile = |(label, at)| format!("{name}.{label} {}", latency.value_at_quantile(at));
+            let quantile =
+                |(label, at)| format!("{name}.{label} {}", latency.value_at_quantile(at));
             lines.extend(QUANTILES.map(quantile));
             lines.push(format!("{name}.max {}", latency.max()));
         }
--- a/src/serve/meter/tests.rs
+++ b/src/serve/meter/tests.rs
@@ -11,8 +11,16 @@
         meter.time("request", Duration::from_millis(millis));
     }
     let page = meter.show();
-    for line in ["c.request.answered 2", "c.request.count 100", "c.request.p50 50", "c.request.max 100"] {
-        assert!(page.lines().any(|one| one == line), "{line} is missing in {page}");
+    for line in [
+        "c.request.answered 2",
+        "c.request.count 100",
+        "c.request.p50 50",
+        "c.request.max 100",
+    ] {
+        assert!(
+            page.lines().any(|one| one == line),
+            "{line} is missing in {page}"
+        );
     }
 }
 
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -112,7 +112,10 @@
     pub fn home(&self, job: &Job, now: Time) -> Option<id::Zone> {
         let (own, shared) = job.parts.split_last()?;
         let total: u64 = shared.iter().map(|part| part.tokens).sum();
-        let here = self.all.values().filter(|engine| engine.service == job.service);
+        let here = self
+            .all
+            .values()
+            .filter(|engine| engine.service == job.service);
         let unread = |engine: &&Engine| engine.unread(&job.parts, now);
         let best = here.min_by_key(unread)?;
         let is_cached = total >= HOME_TOKENS && unread(&best) <= own.tokens;
@@ -132,7 +135,10 @@
                 && engine.running < slots.max(1)
                 && (engine.running == 0 || engine.memory + memory <= room)
         };
-        let costs = self.all.iter().filter(|(id, engine)| fits(engine) && !work.tried.contains(id));
+        let costs = self
+            .all
+            .iter()
+            .filter(|(id, engine)| fits(engine) && !work.tried.contains(id));
         let costs = costs.map(|(id, engine)| (id.clone(), engine.cost(id, work, now)));
         let (id, _) = costs.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
         let engine = self.all.get_mut(&id)?;
@@ -229,7 +235,8 @@
             self.parts.insert(part.id.clone(), now);
         }
         if self.parts.len() > MAX_PARTS {
-            self.parts.retain(|_, used| now.saturating_sub(*used) < CACHED);
+            self.parts
+                .retain(|_, used| now.saturating_sub(*used) < CACHED);
         }
     }
 
--- a/src/serve/plan/forecast.rs
+++ b/src/serve/plan/forecast.rs
@@ -4,9 +4,9 @@
 
 use indexmap::IndexMap;
 
+use super::Ticket;
 use super::maker::Makers;
 use super::work::{Piece, Work};
-use super::Ticket;
 use crate::clock::Time;
 use crate::id;
 
@@ -56,7 +56,9 @@
 /// answers as possible are given in the time of the endpoints.
 fn cost(work: &Work, makers: &Makers) -> Duration {
     let needs = work.job.needs.iter();
-    let time: Duration = needs.map(|need| makers.item_time(&need.service, need.pieces)).sum();
+    let time: Duration = needs
+        .map(|need| makers.item_time(&need.service, need.pieces))
+        .sum();
     time.mul_f64(COST_DELAY / f64::from(work.job.weight.clamp(0.25, 4.0)))
 }
 
@@ -121,7 +123,9 @@
         }
         let (turn, _) = turn(new, stage, makers, now);
         let ahead = ahead(works, &need.service, turn, makers, now);
-        let queued = makers.wait(&need.service, ahead, now).unwrap_or(NO_ENDPOINT);
+        let queued = makers
+            .wait(&need.service, ahead, now)
+            .unwrap_or(NO_ENDPOINT);
         // What is queued shrinks while the stages before this one are worked on.
         let queued = queued.saturating_sub(begin);
         wait = wait.max(queued);
--- a/src/serve/plan/maker.rs
+++ b/src/serve/plan/maker.rs
@@ -1,18 +1,18 @@
 //! The endpoints that work on stages: which one takes the next call, and what it holds.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use super::forecast::Waiting;
+use super::shelf::{Holding, Maker, SLOW};
 use super::work::{Made, Piece};
 use super::{Action, Ending, Entry, Handle, Number, Outcome};
 use crate::clock::Time;
 use crate::id;
 use crate::serve::catalog::{self, Catalog};
 use crate::serve::fleet::Endpoint;
-use crate::serve::health::{Record, Verdict};
+use crate::serve::health::Verdict;
 
 /// A call is overdue after this multiple of its expected time, so that its pieces are made
 /// elsewhere; items differ by stage, so a smaller one would repeat sound calls.
@@ -26,44 +26,13 @@
 /// How long results of an unknown owner are expected to fill an endpoint that had no room. Another
 /// planner may have asked for them, and frees them within about a second.
 const FOREIGN_TIME: Duration = Duration::from_millis(700);
-/// How much later a piece is made outside of the zone where its result is best: about half a call.
-const AWAY_TIME: Duration = Duration::from_millis(150);
 /// Overdue calls in a row after which an endpoint is held to be down.
 const OVERDUE_CALLS: u32 = 2;
-/// An endpoint that takes this many times as long as expected gets only what can wait for it.
-const SLOW: f64 = 1.6;
 /// The time from the grant to the first byte of an answer, before any was measured.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// The share of a new observation in the mean time to the first byte.
 const SHARE: f64 = 0.1;
 
-/// An endpoint of a stage.
-struct Maker {
-    pool: id::Pool,
-    zone: id::Zone,
-    address: SocketAddr,
-    born: u64,
-    record: Record,
-    busy: Option<Number>,
-    /// When its call is expected to end.
-    free_at: Time,
-    /// No call is sent before this time.
-    blocked: Time,
-    /// Bytes of results that it holds or is making.
-    stock: u64,
-    held: IndexMap<Handle, Holding>,
-    /// Results that this planner does not know of.
-    foreign: Option<Holding>,
-    overdue: u32,
-}
-
-/// A result at its maker.
-struct Holding {
-    bytes: u64,
-    /// When the endpoint drops it by itself.
-    until: Time,
-}
-
 /// A call that is being worked on.
 pub struct Call {
     /// The endpoint.
@@ -164,7 +133,10 @@
         if number == 0 {
             return None;
         }
-        let speed: f64 = makers.iter().map(|maker| 1.0 / maker.record.slowness(now)).sum();
+        let speed: f64 = makers
+            .iter()
+            .map(|maker| 1.0 / maker.record.slowness(now))
+            .sum();
         let left = |maker: &&Maker| match maker.busy {
             Some(_) => maker.free_at.saturating_sub(now),
             None => Duration::ZERO,
@@ -184,7 +156,9 @@
         let open = |maker: &&Maker| maker.pool == *pool && maker.record.is_open(now);
         let idle = |maker: &Maker| maker.busy.is_none() && now >= maker.blocked;
         let fast = self.all.values().filter(open);
-        let has_fast = fast.into_iter().any(|maker| maker.record.slowness(now) < SLOW);
+        let has_fast = fast
+            .into_iter()
+            .any(|maker| maker.record.slowness(now) < SLOW);
         let mut makers: Vec<(&id::Endpoint, &Maker)> = self.all.iter().collect();
         makers.retain(|(_, maker)| open(maker) && idle(maker));
         makers.sort_by(|(_, a), (_, b)| {
@@ -351,73 +325,3 @@
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
-
-impl Maker {
-    fn new(endpoint: &Endpoint) -> Self {
-        Self {
-            pool: endpoint.service.clone(),
-            zone: endpoint.zone.clone(),
-            address: endpoint.address,
-            born: endpoint.born,
-            record: Record::default(),
-            busy: None,
-            free_at: Time::ZERO,
-            blocked: Time::ZERO,
-            stock: 0,
-            held: IndexMap::new(),
-            foreign: None,
-            overdue: 0,
-        }
-    }
-
-    /// Returns the places of the pieces that it takes, in their order.
-    fn fill(
-        &self,
-        batch: &catalog::Batch,
-        waiting: &[Waiting],
-        has_fast: bool,
-        now: Time,
-    ) -> Vec<usize> {
-        let slowness = self.record.slowness(now);
-        let longer = batch.call.mul_f64((slowness - 1.0).max(0.0));
-        let is_slow = slowness >= SLOW && has_fast;
-        let foreign = self.foreign.as_ref().filter(|foreign| now < foreign.until);
-        let mut stock = self.stock + foreign.map_or(0, |foreign| foreign.bytes);
-        let mut indexes = Vec::new();
-        let away = |one: &Waiting| one.home.as_ref().is_some_and(|home| *home != self.zone);
-        let mut order: Vec<(usize, &Waiting)> = waiting.iter().enumerate().collect();
-        order.sort_by_key(|(_, one)| {
-            let wait = if away(one) { AWAY_TIME } else { Duration::ZERO };
-            (one.turn.is_late, one.turn.at + wait)
-        });
-        for (index, one) in order {
-            if indexes.len() >= batch.size {
-                break;
-            }
-            let unfit = is_slow && !one.turn.is_late && one.slack < longer;
-            if unfit || stock + one.piece.bytes > batch.room {
-                continue;
-            }
-            stock += one.piece.bytes;
-            indexes.push(index);
-        }
-        indexes
-    }
-
-    fn book(&mut self, piece: &Piece, outcome: &Outcome, until: Time) {
-        match outcome {
-            Outcome::Handle(handle) => {
-                let bytes = piece.bytes;
-                self.held.insert(handle.clone(), Holding { bytes, until });
-            }
-            Outcome::Room | Outcome::Late | Outcome::Gone | Outcome::Error => {
-                self.stock = self.stock.saturating_sub(piece.bytes);
-            }
-        }
-    }
-
-    fn unbook(&mut self, pieces: &[Piece]) {
-        let bytes: u64 = pieces.iter().map(|piece| piece.bytes).sum();
-        self.stock = self.stock.saturating_sub(bytes);
-    }
-}
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -1,8 +1,11 @@
 //! Tests of planning, each with the load pattern or the failure that it answers.
 
+use std::net::SocketAddr;
+
 use super::*;
 use crate::serve::catalog;
 
+mod engine;
 mod load;
 
 /// A small region: one zone or two, endpoints of one stage service, and engines.
@@ -47,8 +50,12 @@
 impl Site {
     pub fn new(makers: &[(&str, &str)], engines: &[(&str, &str)]) -> Self {
         let mut catalog = Catalog::default();
-        catalog.services.insert("look-up".into(), batch(10, 13, 64_000_000));
-        catalog.services.insert("pack".into(), batch(36, 4, 6_200_000));
+        catalog
+            .services
+            .insert("look-up".into(), batch(10, 13, 64_000_000));
+        catalog
+            .services
+            .insert("pack".into(), batch(36, 4, 6_200_000));
         let engine = catalog::Service {
             engine: Some(catalog::Engine {
                 slots: 128,
@@ -59,11 +66,20 @@
         catalog.services.insert("model".into(), engine);
         let mut fleet = Fleet::default();
         for (id, zone) in makers {
-            fleet.learn(super::super::fleet::Entry::Present(endpoint(id, "look-up", zone)), ms(0));
+            fleet.learn(
+                super::super::fleet::Entry::Present(endpoint(id, "look-up", zone)),
+                ms(0),
+            );
         }
-        fleet.learn(super::super::fleet::Entry::Present(endpoint("p", "pack", "a")), ms(0));
+        fleet.learn(
+            super::super::fleet::Entry::Present(endpoint("p", "pack", "a")),
+            ms(0),
+        );
         for (id, zone) in engines {
-            fleet.learn(super::super::fleet::Entry::Present(endpoint(id, "model", zone)), ms(0));
+            fleet.learn(
+                super::super::fleet::Entry::Present(endpoint(id, "model", zone)),
+                ms(0),
+            );
         }
         let mut planner = Planner::new(vec!["a".into(), "b".into()]);
         planner.sync(&fleet, &catalog, ms(0));
@@ -125,7 +141,8 @@
             born,
             ..endpoint(id, service, "a")
         };
-        self.fleet.learn(super::super::fleet::Entry::Present(newer), self.now);
+        self.fleet
+            .learn(super::super::fleet::Entry::Present(newer), self.now);
         self.planner.sync(&self.fleet, &self.catalog, self.now);
     }
 }
@@ -210,7 +227,12 @@
     let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
     let ticket = site.submit(site.job(&[2, 1], 3_000));
     let first = calls(&site.actions());
-    assert!(first[0].2.iter().all(|entry| entry.source == Input::Key("k".into())));
+    assert!(
+        first[0]
+            .2
+            .iter()
+            .all(|entry| entry.source == Input::Key("k".into()))
+    );
     site.now = ms(200);
     site.answer(first[0].0, 2);
     let second = calls(&site.actions());
@@ -234,7 +256,10 @@
     site.answer(0, 1);
     site.actions();
     site.planner.started(ticket, false, ms(300));
-    assert!(freed(&site.actions()).is_empty(), "a resumable stream may need them again");
+    assert!(
+        freed(&site.actions()).is_empty(),
+        "a resumable stream may need them again"
+    );
     site.planner.leave(ticket, ms(400));
     assert_eq!(freed(&site.actions()), [Handle::from("h0-0")]);
 }
@@ -255,7 +280,10 @@
     let ticket = site.submit(site.job(&[1], 3_000));
     let first = calls(&site.actions());
     site.planner.tick(ms(300));
-    assert!(calls(&site.actions()).is_empty(), "163 ms are expected, and 443 ms allowed");
+    assert!(
+        calls(&site.actions()).is_empty(),
+        "163 ms are expected, and 443 ms allowed"
+    );
     site.planner.tick(ms(450));
     let second = calls(&site.actions());
     assert_eq!(second.len(), 1);
@@ -272,9 +300,16 @@
     site.submit(site.job(&[1], 3_000));
     site.actions();
     site.planner.tick(ms(450));
-    assert_eq!(calls(&site.actions()).len(), 1, "its answer may be lost and it idle");
+    assert_eq!(
+        calls(&site.actions()).len(),
+        1,
+        "its answer may be lost and it idle"
+    );
     site.planner.tick(ms(2_000));
-    assert!(calls(&site.actions()).is_empty(), "twice in a row it is down");
+    assert!(
+        calls(&site.actions()).is_empty(),
+        "twice in a row it is down"
+    );
 }
 
 #[test]
@@ -285,7 +320,8 @@
     site.now = ms(170);
     site.answer(0, 1);
     site.actions();
-    site.planner.answered(1, &Ending::Answered(vec![Outcome::Gone]), ms(200));
+    site.planner
+        .answered(1, &Ending::Answered(vec![Outcome::Gone]), ms(200));
     let again = calls(&site.actions());
     assert_eq!(again[0].2[0].stage, 0);
 }
@@ -302,95 +338,6 @@
     assert_eq!(calls(&site.actions()).len(), 1);
 }
 
-#[test]
-fn refused_by_the_engine_goes_to_another() {
-    let mut site = Site::new(&[], &[("e", "a"), ("f", "a")]);
-    let ticket = site.submit(site.job(&[], 2_000));
-    let first = grants(&site.actions())[0].1.endpoint.clone();
-    site.planner.ended(ticket, Verdict::Refused, ms(10));
-    site.planner.retry(ticket, false, ms(10));
-    let second = grants(&site.actions())[0].1.endpoint.clone();
-    assert_ne!(first, second);
-    site.planner.ended(ticket, Verdict::Refused, ms(20));
-    site.planner.retry(ticket, false, ms(20));
-    assert_eq!(refusals(&site.actions())[0].0, ticket);
-}
-
-#[test]
-fn inputs_gone_at_the_engine_made_anew() {
-    let mut site = Site::new(&[("m", "a")], &[("e", "a"), ("f", "a")]);
-    let ticket = site.submit(site.job(&[1], 3_000));
-    site.actions();
-    site.answer(0, 1);
-    site.actions();
-    site.planner.ended(ticket, Verdict::Refused, ms(250));
-    site.planner.retry(ticket, true, ms(250));
-    let actions = site.actions();
-    assert_eq!(freed(&actions), [Handle::from("h0-0")]);
-    assert_eq!(calls(&actions).len(), 1);
-}
-
-#[test]
-fn shared_prompt_goes_to_the_engine_that_has_it() {
-    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
-    let part = |id: &str, tokens| Part {
-        id: id.into(),
-        tokens,
-    };
-    let mut chosen = Vec::new();
-    for number in 0..12 {
-        let mut job = site.job(&[], 2_000);
-        let own = format!("own{number}");
-        job.parts = vec![part("system", 2_500), part("subject", 3_800), part(&own, 500)];
-        site.submit(job);
-        chosen.extend(grants(&site.actions()).into_iter().map(|(_, grant)| grant.endpoint));
-    }
-    let first = chosen[0].clone();
-    assert!(chosen.iter().all(|one| *one == first), "{chosen:?}");
-}
-
-#[test]
-fn requests_spread_over_engines() {
-    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
-    let mut counts: IndexMap<id::Endpoint, usize> = IndexMap::new();
-    for number in 0..30 {
-        let mut job = site.job(&[], 2_000);
-        job.tokens.prompt = 3_000;
-        job.parts = vec![Part {
-            id: format!("own{number}").into(),
-            tokens: 3_000,
-        }];
-        site.submit(job);
-        for (_, grant) in grants(&site.actions()) {
-            *counts.entry(grant.endpoint).or_default() += 1;
-        }
-    }
-    assert_eq!(counts.len(), 3);
-    assert!(counts.values().all(|count| (8..=12).contains(count)), "{counts:?}");
-}
-
-#[test]
-fn crashing_content_refused() {
-    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
-    for at in [50, 100] {
-        site.now = ms(at);
-        let mut job = site.job(&[], 2_000);
-        job.digest = "poison".into();
-        let ticket = site.submit(job);
-        assert_eq!(grants(&site.actions()).len(), 1);
-        site.planner.ended(ticket, Verdict::Crashed, site.now);
-        site.planner.leave(ticket, site.now);
-    }
-    site.now = ms(200);
-    let mut job = site.job(&[], 2_000);
-    job.digest = "poison".into();
-    site.submit(job);
-    assert_eq!(refusals(&site.actions()).len(), 1);
-    site.now = ms(2_000);
-    site.submit(site.job(&[], 2_000));
-    assert_eq!(grants(&site.actions()).len(), 1, "other content is served");
-}
-
 #[test]
 fn restarted_maker_holds_nothing() {
     let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
@@ -404,7 +351,11 @@
     }
     site.submit(site.job(&[5], 4_000));
     let last = calls(&site.actions());
-    assert_eq!(last[0].2.len(), 1, "after 20 results of 3 MB there is room for one more");
+    assert_eq!(
+        last[0].2.len(),
+        1,
+        "after 20 results of 3 MB there is room for one more"
+    );
     site.answer(last[0].0, 1);
     assert!(calls(&site.actions()).is_empty());
     site.restart("m", "look-up");
@@ -434,5 +385,9 @@
     site.planner.leave(ticket, ms(50));
     assert!(site.planner.is_empty());
     site.answer(0, 3);
-    assert_eq!(freed(&site.actions()).len(), 3, "results that nobody waits for");
+    assert_eq!(
+        freed(&site.actions()).len(),
+        3,
+        "results that nobody waits for"
+    );
 }
--- /dev/null
+++ b/src/serve/plan/tests/engine.rs
@@ -0,0 +1,103 @@
+//! Tests of which endpoint runs a request.
+
+use super::*;
+
+#[test]
+fn refused_by_the_engine_goes_to_another() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a")]);
+    let ticket = site.submit(site.job(&[], 2_000));
+    let first = grants(&site.actions())[0].1.endpoint.clone();
+    site.planner.ended(ticket, Verdict::Refused, ms(10));
+    site.planner.retry(ticket, false, ms(10));
+    let second = grants(&site.actions())[0].1.endpoint.clone();
+    assert_ne!(first, second);
+    site.planner.ended(ticket, Verdict::Refused, ms(20));
+    site.planner.retry(ticket, false, ms(20));
+    assert_eq!(refusals(&site.actions())[0].0, ticket);
+}
+
+#[test]
+fn inputs_gone_at_the_engine_made_anew() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a"), ("f", "a")]);
+    let ticket = site.submit(site.job(&[1], 3_000));
+    site.actions();
+    site.answer(0, 1);
+    site.actions();
+    site.planner.ended(ticket, Verdict::Refused, ms(250));
+    site.planner.retry(ticket, true, ms(250));
+    let actions = site.actions();
+    assert_eq!(freed(&actions), [Handle::from("h0-0")]);
+    assert_eq!(calls(&actions).len(), 1);
+}
+
+#[test]
+fn shared_prompt_goes_to_the_engine_that_has_it() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
+    let part = |id: &str, tokens| Part {
+        id: id.into(),
+        tokens,
+    };
+    let mut chosen = Vec::new();
+    for number in 0..12 {
+        let mut job = site.job(&[], 2_000);
+        let own = format!("own{number}");
+        job.parts = vec![
+            part("system", 2_500),
+            part("subject", 3_800),
+            part(&own, 500),
+        ];
+        site.submit(job);
+        chosen.extend(
+            grants(&site.actions())
+                .into_iter()
+                .map(|(_, grant)| grant.endpoint),
+        );
+    }
+    let first = chosen[0].clone();
+    assert!(chosen.iter().all(|one| *one == first), "{chosen:?}");
+}
+
+#[test]
+fn requests_spread_over_engines() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
+    let mut counts: IndexMap<id::Endpoint, usize> = IndexMap::new();
+    for number in 0..30 {
+        let mut job = site.job(&[], 2_000);
+        job.tokens.prompt = 3_000;
+        job.parts = vec![Part {
+            id: format!("own{number}").into(),
+            tokens: 3_000,
+        }];
+        site.submit(job);
+        for (_, grant) in grants(&site.actions()) {
+            *counts.entry(grant.endpoint).or_default() += 1;
+        }
+    }
+    assert_eq!(counts.len(), 3);
+    assert!(
+        counts.values().all(|count| (8..=12).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn crashing_content_refused() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
+    for at in [50, 100] {
+        site.now = ms(at);
+        let mut job = site.job(&[], 2_000);
+        job.digest = "poison".into();
+        let ticket = site.submit(job);
+        assert_eq!(grants(&site.actions()).len(), 1);
+        site.planner.ended(ticket, Verdict::Crashed, site.now);
+        site.planner.leave(ticket, site.now);
+    }
+    site.now = ms(200);
+    let mut job = site.job(&[], 2_000);
+    job.digest = "poison".into();
+    site.submit(job);
+    assert_eq!(refusals(&site.actions()).len(), 1);
+    site.now = ms(2_000);
+    site.submit(site.job(&[], 2_000));
+    assert_eq!(grants(&site.actions()).len(), 1, "other content is served");
+}
--- a/src/serve/plan/tests/load.rs
+++ b/src/serve/plan/tests/load.rs
@@ -53,16 +53,25 @@
             let ticket = site.submit(job);
             open.insert(ticket, (arrival.priority, millis, millis + 920));
         }
-        while running.peek().is_some_and(|Reverse((at, ..))| *at <= millis) {
-            let Some(Reverse((_, call, pieces))) = running.pop() else { break };
+        while running
+            .peek()
+            .is_some_and(|Reverse((at, ..))| *at <= millis)
+        {
+            let Some(Reverse((_, call, pieces))) = running.pop() else {
+                break;
+            };
             site.answer(call, pieces);
         }
         while ending.peek().is_some_and(|Reverse((at, _))| *at <= millis) {
-            let Some(Reverse((_, ticket))) = ending.pop() else { break };
+            let Some(Reverse((_, ticket))) = ending.pop() else {
+                break;
+            };
             site.planner.started(ticket, true, site.now);
             site.planner.ended(ticket, Verdict::Good, site.now);
             site.planner.leave(ticket, site.now);
-            let Some((rank, _, target)) = open.swap_remove(&ticket) else { continue };
+            let Some((rank, _, target)) = open.swap_remove(&ticket) else {
+                continue;
+            };
             let tally = &mut tallies[usize::from(rank)].1;
             if millis <= target {
                 tally.on_time += 1;
@@ -86,7 +95,9 @@
                 }
                 Action::Grant(ticket, _) => ending.push(Reverse((millis + ANSWER, ticket))),
                 Action::Refuse(ticket, _) => {
-                    let Some((rank, came, _)) = open.swap_remove(&ticket) else { continue };
+                    let Some((rank, came, _)) = open.swap_remove(&ticket) else {
+                        continue;
+                    };
                     let tally = &mut tallies[usize::from(rank)].1;
                     tally.refused += 1;
                     tally.held = tally.held.max(ms(millis - came));
@@ -95,12 +106,19 @@
             }
         }
     }
-    assert!(open.is_empty(), "{} requests were never answered", open.len());
+    assert!(
+        open.is_empty(),
+        "{} requests were never answered",
+        open.len()
+    );
     tallies
 }
 
 fn three() -> Site {
-    Site::new(&[("l", "a"), ("m", "a"), ("n", "b")], &[("e", "a"), ("f", "b")])
+    Site::new(
+        &[("l", "a"), ("m", "a"), ("n", "b")],
+        &[("e", "a"), ("f", "b")],
+    )
 }
 
 /// Three endpoints make about 107 pieces a second in full calls; 20 requests bring 50.
@@ -108,7 +126,11 @@
 fn calm_load_all_on_time() {
     let tallies = replay(&mut three(), arrivals(20.0, 10, 1), |_| 1.0);
     let tally = &tallies[1].1;
-    assert_eq!((tally.on_time, tally.late, tally.refused), (200, 0, 0), "{tally:?}");
+    assert_eq!(
+        (tally.on_time, tally.late, tally.refused),
+        (200, 0, 0),
+        "{tally:?}"
+    );
 }
 
 /// 34 requests bring 85 pieces a second, four fifths of what full calls can do; calls that are not
--- a/src/serve/plan/work.rs
+++ b/src/serve/plan/work.rs
@@ -89,7 +89,10 @@
 impl Work {
     /// Makes the plan of a job of which nothing is done.
     pub fn new(job: Job, now: Time) -> Self {
-        let slots = job.needs.iter().map(|need| vec![Slot::default(); need.pieces]);
+        let slots = job
+            .needs
+            .iter()
+            .map(|need| vec![Slot::default(); need.pieces]);
         Self {
             round: 0,
             restarts: 0,
@@ -116,7 +119,10 @@
 
     /// Returns whether a stage can be worked on: its inputs are there.
     pub fn is_open(&self, stage: usize) -> bool {
-        self.job.needs[stage].after.iter().all(|before| self.is_done(*before))
+        self.job.needs[stage]
+            .after
+            .iter()
+            .all(|before| self.is_done(*before))
     }
 
     /// Returns whether the request itself can run.
@@ -141,7 +147,10 @@
 
     /// Returns the number of pieces of a stage that are not made yet.
     pub fn missing(&self, stage: usize) -> usize {
-        self.slots[stage].iter().filter(|slot| !slot.is_made()).count()
+        self.slots[stage]
+            .iter()
+            .filter(|slot| !slot.is_made())
+            .count()
     }
 
     /// Returns the number of pieces of a stage that wait for an endpoint.
@@ -168,7 +177,9 @@
 
     /// Returns the handles that the request itself needs, in order.
     pub fn inputs(&self) -> Vec<Handle> {
-        self.last_results().map(|made| made.handle.clone()).collect()
+        self.last_results()
+            .map(|made| made.handle.clone())
+            .collect()
     }
 
     /// Returns the handles of all pieces of the stages.
@@ -178,7 +189,9 @@
     }
 
     fn made(&self, stage: usize) -> impl Iterator<Item = &Made> {
-        self.slots[stage].iter().filter_map(|slot| slot.made.as_ref())
+        self.slots[stage]
+            .iter()
+            .filter_map(|slot| slot.made.as_ref())
     }
 
     /// Returns all results that are held for it.
@@ -234,7 +247,10 @@
             return None;
         }
         let open = (0..self.slots.len()).filter(|stage| self.is_open(*stage));
-        let least = open.map(|stage| self.tail(stage, makers)).max().unwrap_or_default();
+        let least = open
+            .map(|stage| self.tail(stage, makers))
+            .max()
+            .unwrap_or_default();
         if now + least > self.job.end {
             return Some("the deadline cannot be met any more");
         }
--- a/src/serve/ready.rs
+++ b/src/serve/ready.rs
@@ -30,7 +30,7 @@
     let (mut source, mut sink) = http::split(stream);
     while let Ok(Ok(head)) = timeout(ASK_TIME, source.head(ASK_BYTES)).await {
         let status = if node.is_ready() { 200 } else { 503 };
-        let answer = refusal(status, Vec::new(), None, head.keep);
+        let answer = refusal(status, &[], None, head.keep);
         if http::send(&mut sink, &answer).await.is_err() || !head.keep {
             return;
         }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -100,7 +100,11 @@
         clock: Rc<dyn Clock>,
         log: Logger,
     ) -> Rc<Self> {
-        let ping_every = if here.is_some() { PING_EVERY } else { FAR_PING_EVERY };
+        let ping_every = if here.is_some() {
+            PING_EVERY
+        } else {
+            FAR_PING_EVERY
+        };
         let (local, board) = here.unzip();
         let region = Rc::new(Self {
             local,
@@ -205,7 +209,9 @@
                     let marks = answer.get_marks();
                     let marks = marks.and_then(|marks| wire::read_marks(marks, asked));
                     if let (Some(board), Ok(marks)) = (&self.board, marks) {
-                        marks.into_iter().for_each(|(topic, mark)| board.vouch(topic, mark));
+                        marks
+                            .into_iter()
+                            .for_each(|(topic, mark)| board.vouch(topic, mark));
                     }
                     if answer.get_leaving() {
                         let now = self.clock.now();
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -100,7 +100,8 @@
         let before = self.leaving.get(&member.name);
         if before.is_none_or(|before| before.born != member.born) {
             let born = member.born;
-            self.leaving.insert(member.name.clone(), Leave { born, at: now });
+            self.leaving
+                .insert(member.name.clone(), Leave { born, at: now });
         }
     }
 
@@ -130,7 +131,9 @@
         let order = |member: &&Member| {
             let leave = self.leaving.get(&member.name);
             // Of those that leave, the last one stays longest, and the others get to restart.
-            let left = leave.filter(|leave| leave.born == member.born).map(|leave| Reverse(leave.at));
+            let left = leave
+                .filter(|leave| leave.born == member.born)
+                .map(|leave| Reverse(leave.at));
             (left, Reverse(member.power), rank(&member.name))
         };
         self.members.values().filter(up).min_by_key(order).cloned()
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -89,7 +89,9 @@
     let needs: Vec<Need> = needs.collect::<Result<_>>()?;
     let known = needs.iter().flat_map(|need| &need.after);
     if known.into_iter().any(|stage| *stage >= needs.len()) {
-        return Err(capnp::Error::failed("a stage comes after one that is not there".into()));
+        return Err(capnp::Error::failed(
+            "a stage comes after one that is not there".into(),
+        ));
     }
     let parts = from.get_parts()?.iter().map(read_part);
     Ok(Job {
@@ -113,10 +115,7 @@
 }
 
 /// Writes how a request was planned.
-pub fn write_reply(
-    reply: &std::result::Result<Grant, Refusal>,
-    to: schema::reply::Builder<'_>,
-) {
+pub fn write_reply(reply: &std::result::Result<Grant, Refusal>, to: schema::reply::Builder<'_>) {
     match reply {
         Ok(grant) => {
             let mut one = to.init_grant();
@@ -137,9 +136,7 @@
 }
 
 /// Reads how a request was planned.
-pub fn read_reply(
-    from: schema::reply::Reader<'_>,
-) -> Result<std::result::Result<Grant, Refusal>> {
+pub fn read_reply(from: schema::reply::Reader<'_>) -> Result<std::result::Result<Grant, Refusal>> {
     use schema::reply::Which;
     match from.which()? {
         Which::Grant(grant) => {
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -26,9 +26,9 @@
 }
 
 /// Writes a failure of our own, whole.
-pub fn refusal(status: u16, fields: Vec<Field>, wait: Option<Duration>, keep: bool) -> Vec<u8> {
+pub fn refusal(status: u16, fields: &[Field], wait: Option<Duration>, keep: bool) -> Vec<u8> {
     let mut answer = format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes();
-    write_fields(&mut answer, &fields);
+    write_fields(&mut answer, fields);
     if let Some(wait) = wait {
         let wait = format!("Retry-After: {:.2}\r\n", wait.as_secs_f64());
         answer.extend_from_slice(wait.as_bytes());
@@ -44,7 +44,8 @@
     let connection = if keep { "keep-alive" } else { "close" };
     let size = page.len();
     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain";
-    format!("{head}\r\nContent-Length: {size}\r\nConnection: {connection}\r\n\r\n{page}").into_bytes()
+    format!("{head}\r\nContent-Length: {size}\r\nConnection: {connection}\r\n\r\n{page}")
+        .into_bytes()
 }
 
 /// The client of one request.
@@ -80,7 +81,7 @@
     pub async fn fail(
         mut self,
         status: u16,
-        fields: Vec<Field>,
+        fields: &[Field],
         wait: Option<Duration>,
     ) -> Option<Sink> {
         let answer = refusal(status, fields, wait, self.keep);
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -5,7 +5,6 @@
 
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,16 +15,18 @@
 use tokio::time::timeout;
 
 use super::agent::Seat;
-use super::catalog::{Catalog, Route};
+use super::catalog::Route;
 use super::dialect::{Ask, Order};
 use super::health::Verdict;
-use super::http::{Field, Framing, Head, Sink};
+use super::http::{Field, Head, Sink};
 use super::plan::{Job, Need};
 use super::relay::Client;
 use super::{Node, exchange};
 use crate::clock::Time;
 use crate::id;
 
+mod answer;
+mod check;
 mod event;
 
 use event::Events;
@@ -107,9 +108,15 @@
 enum Tried {
     Done(Done),
     /// It did not run; with `again`, its inputs are gone.
-    Turned { verdict: Verdict, again: bool },
+    Turned {
+        verdict: Verdict,
+        again: bool,
+    },
     /// It may have run and has no answer.
-    Lost { verdict: Verdict, reason: &'static str },
+    Lost {
+        verdict: Verdict,
+        reason: &'static str,
+    },
     /// It ran and failed; the answer is the endpoint's.
     Failed(Done),
 }
@@ -157,7 +164,7 @@
             Done::Broken(_) => None,
             Done::Fail(failure) => {
                 let fields = self.node.dialect.failure(&self.note.borrow().id);
-                client.fail(failure.status, fields, failure.wait).await
+                client.fail(failure.status, &fields, failure.wait).await
             }
         }
     }
@@ -193,71 +200,6 @@
             "may_have_run" => self.may_have_run.get());
     }
 
-    /// Decides whether it is served at all.
-    fn check(&self) -> Result<Plan, Failure> {
-        let node = &self.node;
-        let ask = node.dialect.ask(&self.head).map_err(|reason| failure(400, reason))?;
-        self.note.borrow_mut().id = ask.id.to_string();
-        let catalog = node.catalog();
-        let Some(age) = node.age() else {
-            return Err(failure(503, "no configuration yet"));
-        };
-        let is_fresh = age <= node.options.key_age;
-        let Some(route) = catalog.route(&ask.host, &ask.path) else {
-            let reason = "no route";
-            return Err(failure(if is_fresh { 404 } else { 503 }, reason));
-        };
-        self.note.borrow_mut().route = Some(route.name.clone());
-        let mut workspace = None;
-        let mut priority = route.priority;
-        if catalog.workspaces.is_some() && !route.public {
-            if !is_fresh {
-                return Err(failure(503, "the knowledge of keys is too old"));
-            }
-            let key = ask.key.as_deref().unwrap_or_default();
-            let Some(found) = catalog.workspace(key) else {
-                return Err(failure(401, "unknown key"));
-            };
-            workspace = Some(found.name.clone());
-            priority = found.priority.unwrap_or(priority);
-        }
-        self.plan(ask, route.clone(), &catalog, workspace, priority)
-    }
-
-    fn plan(
-        &self,
-        ask: Ask,
-        route: Route,
-        catalog: &Catalog,
-        workspace: Option<id::Workspace>,
-        priority: u8,
-    ) -> Result<Plan, Failure> {
-        let mut hasher = DefaultHasher::new();
-        ask.id.hash(&mut hasher);
-        let service = route.service(hasher.finish()).cloned();
-        let Some(service) = service else {
-            return Err(failure(503, "the route has no service"));
-        };
-        let wait = ask.remaining.unwrap_or(NO_DEADLINE).min(route.timeout);
-        let spent = self.node.spent(&route.name, ask.remaining);
-        let settings = catalog.services.get(&service);
-        let is_engine = settings.is_some_and(|settings| settings.engine.is_some());
-        let is_staged = is_engine || !route.stages.is_empty();
-        if self.node.is_closed_for(is_staged) {
-            return Err(failure(503, "the daemon is stopping"));
-        }
-        Ok(Plan {
-            is_staged,
-            target: self.arrived + route.target.saturating_sub(spent),
-            end: self.arrived + wait,
-            route,
-            ask,
-            service,
-            workspace,
-            priority,
-        })
-    }
-
     fn job(&self, plan: &Plan) -> Job {
         let pieces = |stage: usize| plan.ask.pieces.get(stage).copied().unwrap_or(0);
         let stages = plan.route.stages.iter().enumerate();
@@ -424,7 +366,8 @@
         let sending = exchange::send(channel, &head, &self.body);
         self.may_have_run.set(true);
         self.note.borrow_mut().sent += 1;
-        self.stays.set(!plan.route.kind.is_stream() && !plan.route.kind.is_repeatable());
+        self.stays
+            .set(!plan.route.kind.is_stream() && !plan.route.kind.is_repeatable());
         let opened = match self.patience(plan) {
             Some(patience) => timeout(patience, sending).await,
             None => Ok(sending.await),
@@ -450,7 +393,10 @@
             workspace: plan.workspace.clone(),
             priority: plan.is_staged.then_some(plan.priority),
             inputs: seat.grant().inputs.clone(),
-            resume: events.last().or(plan.ask.resume.as_deref()).map(str::to_owned),
+            resume: events
+                .last()
+                .or(plan.ask.resume.as_deref())
+                .map(str::to_owned),
         }
     }
 
@@ -459,110 +405,13 @@
         let patience = plan.route.target.mul_f64(PATIENCE).max(MIN_PATIENCE);
         self.may_repeat(plan).then_some(patience)
     }
-
-    /// Takes an answer whose head has been read.
-    async fn take(
-        &self,
-        plan: &Plan,
-        seat: &dyn Seat,
-        client: &mut Client,
-        events: &mut Events,
-        begun: &Cell<bool>,
-        mut open: exchange::Open,
-    ) -> Tried {
-        let answer = self.node.dialect.answer(&open.reply, &plan.ask.id);
-        if answer.is_refusal {
-            return Tried::Turned {
-                verdict: Verdict::Refused,
-                again: answer.is_input_gone,
-            };
-        }
-        let status = open.reply.status;
-        let is_good = (200..300).contains(&status);
-        if !answer.is_ours || !answer.is_sealed {
-            return lost("the answer is not one to this request");
-        }
-        if is_good && plan.route.kind.is_stream() {
-            return self.stream(plan, seat, client, events, begun, open).await;
-        }
-        seat.started(!plan.route.kind.is_repeatable());
-        let body = match open.body(ANSWER_BYTES).await {
-            Ok(Some(body)) => body,
-            Ok(None) => return lost("the answer is too long"),
-            Err(_) => return lost("the answer broke off"),
-        };
-        let done = Done::Whole(status, self.node.dialect.back(&open.reply), body);
-        if client.has_begun() && !is_good {
-            return lost("a resumed stream failed");
-        }
-        if status >= 500 {
-            return Tried::Failed(done);
-        }
-        seat.ended(Verdict::Good);
-        Tried::Done(done)
-    }
-
-    /// Passes a stream of events on as it arrives.
-    async fn stream(
-        &self,
-        plan: &Plan,
-        seat: &dyn Seat,
-        client: &mut Client,
-        events: &mut Events,
-        begun: &Cell<bool>,
-        mut open: exchange::Open,
-    ) -> Tried {
-        let is_resumable = plan.route.kind.is_repeatable();
-        let framing = if is_resumable {
-            Framing::chunked()
-        } else {
-            open.framing.clone()
-        };
-        let fields = self.node.dialect.back(&open.reply);
-        let mut is_first = true;
-        loop {
-            let chunk = match open.chunk().await {
-                Ok(chunk) => chunk,
-                Err(_) => {
-                    events.drop_partial();
-                    return Tried::Lost {
-                        verdict: Verdict::Crashed,
-                        reason: "the stream broke off",
-                    };
-                }
-            };
-            let is_end = chunk.is_none();
-            if !is_end && std::mem::replace(&mut is_first, false) {
-                seat.started(!is_resumable);
-            }
-            let bytes = match chunk {
-                Some(bytes) if is_resumable => events.push(&bytes),
-                Some(bytes) => bytes,
-                None => events.rest(),
-            };
-            let sent = if !client.has_begun() && (is_end || !bytes.is_empty()) {
-                begun.set(true);
-                client.begin(open.reply.status, &fields, &framing, &bytes).await
-            } else if bytes.is_empty() {
-                Ok(())
-            } else {
-                client.bytes(&bytes).await
-            };
-            if sent.is_err() {
-                seat.ended(Verdict::Unknown);
-                return Tried::Done(Done::Broken("the client left"));
-            }
-            if is_end {
-                seat.ended(Verdict::Good);
-                return Tried::Done(Done::Sent);
-            }
-        }
-    }
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
-        self.node.active.set(self.node.active.get().saturating_sub(1));
+        self.node
+            .active
+            .set(self.node.active.get().saturating_sub(1));
         if !self.note.borrow().is_done {
             self.log(0, "the client left");
         }
--- /dev/null
+++ b/src/serve/run/answer.rs
@@ -0,0 +1,114 @@
+//! An endpoint's answer on its way to the client.
+
+use std::cell::Cell;
+
+use super::event::Events;
+use super::{ANSWER_BYTES, Done, Plan, Run, Tried, lost};
+use crate::serve::agent::Seat;
+use crate::serve::exchange;
+use crate::serve::health::Verdict;
+use crate::serve::http::Framing;
+use crate::serve::relay::Client;
+
+impl Run {
+    /// Takes an answer whose head has been read.
+    pub(super) async fn take(
+        &self,
+        plan: &Plan,
+        seat: &dyn Seat,
+        client: &mut Client,
+        events: &mut Events,
+        begun: &Cell<bool>,
+        mut open: exchange::Open,
+    ) -> Tried {
+        let answer = self.node.dialect.answer(&open.reply, &plan.ask.id);
+        if answer.is_refusal {
+            return Tried::Turned {
+                verdict: Verdict::Refused,
+                again: answer.is_input_gone,
+            };
+        }
+        let status = open.reply.status;
+        let is_good = (200..300).contains(&status);
+        if !answer.is_ours || !answer.is_sealed {
+            return lost("the answer is not one to this request");
+        }
+        if is_good && plan.route.kind.is_stream() {
+            return self.stream(plan, seat, client, events, begun, open).await;
+        }
+        seat.started(!plan.route.kind.is_repeatable());
+        let body = match open.body(ANSWER_BYTES).await {
+            Ok(Some(body)) => body,
+            Ok(None) => return lost("the answer is too long"),
+            Err(_) => return lost("the answer broke off"),
+        };
+        let done = Done::Whole(status, self.node.dialect.back(&open.reply), body);
+        if client.has_begun() && !is_good {
+            return lost("a resumed stream failed");
+        }
+        if status >= 500 {
+            return Tried::Failed(done);
+        }
+        seat.ended(Verdict::Good);
+        Tried::Done(done)
+    }
+
+    /// Passes a stream of events on as it arrives.
+    async fn stream(
+        &self,
+        plan: &Plan,
+        seat: &dyn Seat,
+        client: &mut Client,
+        events: &mut Events,
+        begun: &Cell<bool>,
+        mut open: exchange::Open,
+    ) -> Tried {
+        let is_resumable = plan.route.kind.is_repeatable();
+        let framing = if is_resumable {
+            Framing::chunked()
+        } else {
+            open.framing.clone()
+        };
+        let fields = self.node.dialect.back(&open.reply);
+        let mut is_first = true;
+        loop {
+            let chunk = match open.chunk().await {
+                Ok(chunk) => chunk,
+                Err(_) => {
+                    events.drop_partial();
+                    return Tried::Lost {
+                        verdict: Verdict::Crashed,
+                        reason: "the stream broke off",
+                    };
+                }
+            };
+            let is_end = chunk.is_none();
+            if !is_end && std::mem::replace(&mut is_first, false) {
+                seat.started(!is_resumable);
+            }
+            let bytes = match chunk {
+                Some(bytes) if is_resumable => events.push(&bytes),
+                Some(bytes) => bytes,
+                None => events.rest(),
+            };
+            let sent = if !client.has_begun() && (is_end || !bytes.is_empty()) {
+                begun.set(true);
+                client
+                    .begin(open.reply.status, &fields, &framing, &bytes)
+                    .await
+            } else if bytes.is_empty() {
+                Ok(())
+            } else {
+                client.bytes(&bytes).await
+            };
+            if sent.is_err() {
+                seat.ended(Verdict::Unknown);
+                return Tried::Done(Done::Broken("the client left"));
+            }
+            if is_end {
+                seat.ended(Verdict::Good);
+                return Tried::Done(Done::Sent);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/run/check.rs
@@ -0,0 +1,78 @@
+//! Whether a request is served, for whom, and how long it may take.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use super::{Failure, NO_DEADLINE, Plan, Run, failure};
+use crate::id;
+use crate::serve::catalog::{Catalog, Route};
+use crate::serve::dialect::Ask;
+
+impl Run {
+    /// Decides whether it is served at all.
+    pub(super) fn check(&self) -> Result<Plan, Failure> {
+        let node = &self.node;
+        let ask = node
+            .dialect
+            .ask(&self.head)
+            .map_err(|reason| failure(400, reason))?;
+        self.note.borrow_mut().id = ask.id.to_string();
+        let catalog = node.catalog();
+        let Some(age) = node.age() else {
+            return Err(failure(503, "no configuration yet"));
+        };
+        let is_fresh = age <= node.options.key_age;
+        let Some(route) = catalog.route(&ask.host, &ask.path) else {
+            let reason = "no route";
+            return Err(failure(if is_fresh { 404 } else { 503 }, reason));
+        };
+        self.note.borrow_mut().route = Some(route.name.clone());
+        let mut workspace = None;
+        let mut priority = route.priority;
+        if catalog.workspaces.is_some() && !route.public {
+            if !is_fresh {
+                return Err(failure(503, "the knowledge of keys is too old"));
+            }
+            let key = ask.key.as_deref().unwrap_or_default();
+            let Some(found) = catalog.workspace(key) else {
+                return Err(failure(401, "unknown key"));
+            };
+            workspace = Some(found.name.clone());
+            priority = found.priority.unwrap_or(priority);
+        }
+        self.plan(ask, route.clone(), &catalog, workspace, priority)
+    }
+
+    fn plan(
+        &self,
+        ask: Ask,
+        route: Route,
+        catalog: &Catalog,
+        workspace: Option<id::Workspace>,
+        priority: u8,
+    ) -> Result<Plan, Failure> {
+        let mut hasher = DefaultHasher::new();
+        ask.id.hash(&mut hasher);
+        let service = route.service(hasher.finish()).cloned();
+        let Some(service) = service else {
+            return Err(failure(503, "the route has no service"));
+        };
+        let wait = ask.remaining.unwrap_or(NO_DEADLINE).min(route.timeout);
+        let spent = self.node.spent(&route.name, ask.remaining);
+        let settings = catalog.services.get(&service);
+        let is_engine = settings.is_some_and(|settings| settings.engine.is_some());
+        let is_staged = is_engine || !route.stages.is_empty();
+        if self.node.is_closed_for(is_staged) {
+            return Err(failure(503, "the daemon is stopping"));
+        }
+        Ok(Plan {
+            is_staged,
+            target: self.arrived + route.target.saturating_sub(spent),
+            end: self.arrived + wait,
+            route,
+            ask,
+            service,
+            workspace,
+            priority,
+        })
+    }
+}
--- a/src/serve/run/event.rs
+++ b/src/serve/run/event.rs
@@ -24,8 +24,8 @@
         };
         let whole = self.partial.split_to(end + END.len()).freeze();
         let lines = whole.split(|byte| *byte == b'\n');
-        let ids = lines.filter_map(|line| line.strip_prefix(ID));
-        if let Some(id) = ids.last() {
+        let mut ids = lines.filter_map(|line| line.strip_prefix(ID));
+        if let Some(id) = ids.next_back() {
             let id = String::from_utf8_lossy(id.trim_ascii());
             self.last = Some(id.into_owned());
         }
