--- a/src/serve/region/rank/tests.rs
+++ b/src/serve/region/rank/tests.rs
@@ -1,1 +1,93 @@
-//! Tests of the order of daemons.
+//! Tests of the order of daemons through losses, stops and restarts.
+
+use super::*;
+
+fn at(millis: u64) -> Time {
+    Duration::from_millis(millis)
+}
+
+fn member(name: &str, born: u64, power: u32) -> Member {
+    Member {
+        name: name.into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 7740)),
+        born,
+        power,
+    }
+}
+
+fn ranking(own: &str, others: &[&str]) -> Ranking {
+    let mut ranking = Ranking::new(member(own, 1, 250));
+    for name in others {
+        ranking.learn(&(*name).into(), Some(member(name, 1, 250)));
+    }
+    ranking
+}
+
+fn first(ranking: &Ranking, now: u64) -> String {
+    let first = ranking
+        .first(at(now))
+        .expect("there is always the daemon itself");
+    first.name.to_string()
+}
+
+#[test]
+fn order_alike_everywhere() {
+    let names = ["a", "b", "c", "d"];
+    let firsts = names.map(|own| {
+        let others: Vec<&str> = names.into_iter().filter(|name| *name != own).collect();
+        first(&ranking(own, &others), 0)
+    });
+    assert!(firsts.iter().all(|one| *one == firsts[0]), "{firsts:?}");
+}
+
+#[test]
+fn strongest_first() {
+    let mut ranking = ranking("a", &["b", "c"]);
+    ranking.learn(&"d".into(), Some(member("d", 1, 500)));
+    assert_eq!(first(&ranking, 0), "d");
+}
+
+#[test]
+fn down_passed_over_for_a_while() {
+    let mut ranking = ranking("a", &["b"]);
+    ranking.learn(&"c".into(), Some(member("c", 1, 500)));
+    ranking.down(&member("c", 1, 500), at(100));
+    assert_ne!(first(&ranking, 200), "c");
+    assert_eq!(first(&ranking, 1_600), "c");
+}
+
+#[test]
+fn restarted_used_at_once() {
+    let mut ranking = ranking("a", &[]);
+    ranking.learn(&"c".into(), Some(member("c", 1, 500)));
+    ranking.down(&member("c", 1, 500), at(100));
+    ranking.learn(&"c".into(), Some(member("c", 2, 500)));
+    assert_eq!(first(&ranking, 200), "c");
+}
+
+#[test]
+fn leaving_used_only_if_all_leave() {
+    let mut ranking = ranking("a", &[]);
+    let (b, c) = (member("b", 1, 300), member("c", 1, 500));
+    ranking.learn(&"b".into(), Some(b.clone()));
+    ranking.learn(&"c".into(), Some(c.clone()));
+    ranking.leave(&c, at(10));
+    assert_eq!(first(&ranking, 20), "b");
+    ranking.resign(at(20));
+    ranking.leave(&b, at(30));
+    assert_eq!(first(&ranking, 40), "b", "the last to leave stays longest");
+    ranking.learn(&"c".into(), Some(member("c", 2, 500)));
+    assert_eq!(first(&ranking, 50), "c", "its successor does not leave");
+}
+
+#[test]
+fn own_process_never_down() {
+    let mut ranking = ranking("a", &[]);
+    ranking.down(&member("a", 1, 250), at(0));
+    assert_eq!(first(&ranking, 1), "a");
+}
+
+#[test]
+fn other_region_may_be_unknown() {
+    assert_eq!(Ranking::default().first(at(0)), None);
+}
