Vouch for the store only while it can be read

Cause: in the incident of Ognjište the planner was turned away by the store, and four daemons that relied on its word learnt five configurations 2.2 s late, of 2.5 s allowed. Ruled out: their own way to the store, which they used as soon as the word was old. Change: a planner that fails to read says so at its next ping; its word counts for 1.4 s where it is silent, and reads wait one second.

--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, debug, info, warn};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -24,6 +24,8 @@
 const ANSWER_BYTES: usize = 1024 * 1024;
 /// How often deadlines and overdue calls are looked for.
 pub const TICK: Duration = Duration::from_millis(20);
+/// Requests of one call that its log line names.
+const LOGGED_IDS: usize = 32;
 /// How long results are gathered before an endpoint is told to forget them.
 const FREE_GATHER: Duration = Duration::from_millis(15);
 /// How long a connection is kept without a call; endpoints close idle ones after seconds.
@@ -204,7 +206,7 @@
         let took = self.clock.now().saturating_sub(began);
         self.meter.count(ending.name());
         self.meter.time("stage", took);
-        info!(self.log, "stage call";
+        info!(self.log, "stage call"; "ids" => ids(&entries),
             "endpoint" => &*endpoint, "pieces" => entries.len(), "stage" => entries[0].stage,
             "ms" => took.as_millis() as u64, "ending" => ending.name());
         self.decide(|planner, now| planner.answered(number, &ending, now));
@@ -232,6 +234,13 @@
     }
 }
 
+/// Returns the requests of a call for the log.
+fn ids(entries: &[Entry]) -> String {
+    let ids: IndexSet<&str> = entries.iter().map(|entry| &*entry.request).collect();
+    let ids: Vec<&str> = ids.into_iter().take(LOGGED_IDS).collect();
+    ids.join(",")
+}
+
 /// How an endpoint took a call of our own.
 enum Posted {
     Answer(bytes::Bytes),
--- a/src/serve/board.rs
+++ b/src/serve/board.rs
@@ -11,8 +11,10 @@
 
 use crate::clock::Time;
 
-/// How old the planner's knowledge may be that replaces a read of one's own. Its reads wait 1.5 s.
-const FRESH: Duration = Duration::from_millis(2_200);
+/// How old the planner's knowledge may be that replaces a read of one's own. Its reads wait a second;
+/// a planner that is cut off without a sign holds up changes by this much, of the 2.5 s within which
+/// they have to be in force.
+const FRESH: Duration = Duration::from_millis(1_400);
 
 token! {
     /// What is followed in the store.
@@ -45,9 +47,14 @@
         self.own.borrow_mut().insert(topic, mark);
     }
 
-    /// The planner has read the store this far.
-    pub fn vouch(&self, topic: Topic, mark: Mark) {
-        self.vouched.borrow_mut().insert(topic, mark);
+    /// The daemon itself cannot read the store: it vouches for nothing until it can.
+    pub fn lost(&self, topic: Topic) {
+        self.own.borrow_mut().swap_remove(&topic);
+    }
+
+    /// The planner has read the store this far, and can say nothing of topics that are left out.
+    pub fn vouch(&self, marks: impl IntoIterator<Item = (Topic, Mark)>) {
+        *self.vouched.borrow_mut() = marks.into_iter().collect();
     }
 
     /// Returns how far the daemon itself has read, with the age of each mark.
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -14,8 +14,8 @@
 /// How long after an outage a missing entry may still come back; endpoints register about every
 /// 1.2 s, and the operators state 2 s.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
-/// A gap between successful reads of the store that counts as an outage: a read waits up to 1.5 s
-/// for a change, and may be answered a second late.
+/// A gap between successful reads of the store that counts as an outage: a read waits a second for
+/// a change, and may be answered as late again.
 const OUTAGE_GAP: Duration = Duration::from_millis(3_500);
 /// Removed endpoints that are remembered: some nights' worth of upgrades.
 const MAX_REMOVED: usize = 8_192;
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -437,7 +437,12 @@
         if forecast.total <= span.min(left) {
             return None;
         }
-        let reason = "the stages are expected to end too late";
+        let reason = format!(
+            "the stages are expected to end too late: {} ms of {} ms, {} ms of them in queues",
+            forecast.total.as_millis(),
+            span.min(left).as_millis(),
+            forecast.wait.as_millis()
+        );
         Some(Refusal::new(reason, forecast.wait))
     }
 }
--- a/src/serve/plan/task.rs
+++ b/src/serve/plan/task.rs
@@ -206,7 +206,7 @@
 
 impl Refusal {
     /// Makes a refusal whose wait is within bounds.
-    pub fn new(reason: &'static str, wait: Duration) -> Self {
+    pub fn new(reason: impl Into<Cow<'static, str>>, wait: Duration) -> Self {
         Self {
             reason: reason.into(),
             wait: wait.clamp(MIN_WAIT, MAX_WAIT),
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -209,9 +209,7 @@
                     let marks = answer.get_marks();
                     let marks = marks.and_then(|marks| wire::read_marks(marks, asked));
                     if let (Some(board), Ok(marks)) = (&self.board, marks) {
-                        marks
-                            .into_iter()
-                            .for_each(|(topic, mark)| board.vouch(topic, mark));
+                        board.vouch(marks);
                     }
                     if answer.get_leaving() {
                         let now = self.clock.now();
