--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -130,15 +130,21 @@
         let fits = |engine: &Engine| {
             let slots = settings.map_or(engine.slots, |settings| settings.slots);
             let room = settings.map_or(u64::MAX, |settings| settings.memory);
-            let own = engine.service == job.service && engine.record.is_open(now);
-            own && now >= engine.blocked
+            engine.service == job.service
+                && now >= engine.blocked
                 && engine.running < slots.max(1)
                 && (engine.running == 0 || engine.memory + memory <= room)
         };
-        let costs = self
+        let fitting = self
             .all
             .iter()
-            .filter(|(id, engine)| fits(engine) && !work.tried.contains(id));
+            .filter(|(id, engine)| fits(engine) && !work.tried.contains(*id));
+        let fitting: Vec<(&id::Endpoint, &Engine)> = fitting.collect();
+        // An ejected engine is better than none.
+        let has_open = fitting.iter().any(|(_, engine)| engine.record.is_open(now));
+        let costs = fitting
+            .into_iter()
+            .filter(|(_, engine)| !has_open || engine.record.is_open(now));
         let costs = costs.map(|(id, engine)| (id.clone(), engine.cost(id, work, now)));
         let (id, _) = costs.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
         let engine = self.all.get_mut(&id)?;
--- a/src/serve/plan/tests/engine.rs
+++ b/src/serve/plan/tests/engine.rs
@@ -101,3 +101,15 @@
     site.submit(site.job(&[], 2_000));
     assert_eq!(grants(&site.actions()).len(), 1, "other content is served");
 }
+
+#[test]
+fn last_engine_used_though_ejected() {
+    let mut site = Site::new(&[], &[("e", "a")]);
+    let ticket = site.submit(site.job(&[], 2_000));
+    site.actions();
+    site.planner.ended(ticket, Verdict::Lost, ms(50));
+    site.planner.leave(ticket, ms(50));
+    site.now = ms(60);
+    site.submit(site.job(&[], 2_000));
+    assert_eq!(grants(&site.actions()).len(), 1);
+}
