--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,7 +1,7 @@
 //! Serves clients on one event loop: from a client's connection over the stages of its request to
 //! the endpoint that runs it, and back.
 //!
-//! See [the design note](../docs/design/serve.md).
+//! See [the design note](../docs/design/fleet.md).
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/src/serve/board.rs
+++ b/src/serve/board.rs
@@ -2,7 +2,7 @@
 //!
 //! Calls to the store are priced, and most of them say that nothing has changed. The planner says so
 //! to the others at each ping, so that they read the store only when there is something to read, or
-//! when the planner cannot vouch. See [the design note](../../docs/design/serve.md).
+//! when the planner cannot vouch. See [the design note](../../docs/design/fleet.md).
 
 use std::cell::RefCell;
 use std::time::Duration;
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -2,7 +2,7 @@
 //!
 //! Forwarding has to know what a general client hides: whether a body ended with a close or a
 //! reset, and whether bytes follow an answer that nobody asked for. See
-//! [the design note](../../docs/design/serve.md).
+//! [the design note](../../docs/design/fleet.md).
 
 use std::io;
 
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -3,7 +3,7 @@
 //! One daemon of a region plans for all of them, so that a call to a stage's endpoint gathers pieces
 //! of many requests and the endpoint never waits while there are any. Planning does no I/O: events
 //! and the time go in, actions come out. Two planners at once do no harm, because a piece may be
-//! made again; they only fill calls less well. See [the design note](../../docs/design/serve.md).
+//! made again; they only fill calls less well. See [the design note](../../docs/design/fleet.md).
 
 use std::time::Duration;
 
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -2,7 +2,7 @@
 //!
 //! All daemons rank the daemons of the region alike and use the first that answers. Two of them may
 //! plan at once while views differ; that costs full calls, never a promise. See
-//! [the design note](../../docs/design/serve.md).
+//! [the design note](../../docs/design/fleet.md).
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
