Give back what a frozen planner holds, and do not return to a slow one at once

Planners that were slow were taken up again every 1.5 s, and all requests planned anew each time. Ruled out: the planner's own refusals, which were at once. Change: a lost line ends its calls; a daemon that is lost again is passed over twice as long, up to 12 s.

--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -4,7 +4,7 @@
 //! plan at once while views differ; that costs full calls, never a promise. See
 //! [the design note](../../docs/design/fleet.md).
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use indexmap::IndexMap;
 use slog::{Logger, info};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout;
 
@@ -55,6 +56,41 @@
     member: Member,
     client: planner::Client,
     running: JoinHandle<()>,
+    /// Whether the daemon is held to be lost.
+    is_lost: Cell<bool>,
+    changed: Notify,
+}
+
+impl Line {
+    fn new(member: Member, client: planner::Client, running: JoinHandle<()>) -> Rc<Self> {
+        Rc::new(Self {
+            member,
+            client,
+            running,
+            is_lost: Cell::new(false),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Gives the daemon up: a frozen one never answers what it was asked.
+    fn lose(&self) {
+        self.is_lost.set(true);
+        self.changed.notify_waiters();
+        self.running.abort();
+    }
+
+    /// Waits for an answer, or until the daemon is held to be lost.
+    async fn answer<T>(&self, promise: impl Future<Output = capnp::Result<T>>) -> capnp::Result<T> {
+        let lost = || capnp::Error::disconnected("the planner does not answer".into());
+        if self.is_lost.get() {
+            return Err(lost());
+        }
+        tokio::select! {
+            biased;
+            answer = promise => answer,
+            () = self.changed.notified() => Err(lost()),
+        }
+    }
 }
 
 impl Drop for Line {
@@ -184,11 +220,7 @@
         }
         match timeout(CONNECT_TIME, connect(wanted.address)).await {
             Ok(Ok((client, running))) => {
-                let line = Rc::new(Line {
-                    member: wanted.clone(),
-                    client,
-                    running,
-                });
+                let line = Line::new(wanted.clone(), client, running);
                 // A daemon that accepts may still be frozen or cut off beyond its kernel.
                 if self.answers(&line).await {
                     info!(self.log, "planning elsewhere"; "daemon" => &*wanted.name);
@@ -229,7 +261,7 @@
     async fn ping(&self, line: &Rc<Line>) {
         if !self.answers(line).await {
             self.line.replace(None);
-            line.running.abort();
+            line.lose();
         }
     }
 
@@ -331,3 +363,6 @@
     let running = spawn_local(async move { drop(system.await) });
     Ok((client, running))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -10,8 +10,13 @@
 use crate::clock::Time;
 use crate::id;
 
-/// How long a daemon that did not answer is passed over.
+/// How long a daemon that did not answer is passed over at first. All requests are planned anew when
+/// the planner changes, so one that fails again and again is passed over longer each time.
 const DOWN: Duration = Duration::from_millis(1_500);
+/// The longest time, as a power of two of the first.
+const MAX_DOUBLINGS: u32 = 3;
+/// A daemon that was up for so long is trusted as at first.
+const TRUSTED: Duration = Duration::from_secs(15);
 
 event! {
     /// A daemon of the region.
@@ -32,13 +37,21 @@
 pub struct Ranking {
     own: Option<Member>,
     members: IndexMap<id::Daemon, Member>,
-    down: IndexMap<id::Daemon, Time>,
+    down: IndexMap<id::Daemon, Loss>,
     /// Daemons that are about to stop.
     leaving: IndexMap<id::Daemon, Leave>,
     /// Whether the registered daemons are known.
     is_listed: bool,
 }
 
+/// That a daemon did not answer.
+struct Loss {
+    /// Until when it is passed over.
+    until: Time,
+    /// How often it was lost before, without a longer time up.
+    again: u32,
+}
+
 /// That a process is about to stop.
 struct Leave {
     /// When the process started: its successor is not leaving.
@@ -92,7 +105,11 @@
 
     /// A daemon did not answer.
     pub fn down(&mut self, member: &Member, now: Time) {
-        self.down.insert(member.name.clone(), now + DOWN);
+        let before = self.down.get(&member.name);
+        let before = before.filter(|loss| now < loss.until + TRUSTED);
+        let again = before.map_or(0, |loss| (loss.again + 1).min(MAX_DOUBLINGS));
+        let until = now + DOWN * (1 << again);
+        self.down.insert(member.name.clone(), Loss { until, again });
     }
 
     /// A daemon is about to stop; it plans only if no other can.
@@ -125,8 +142,8 @@
     /// Returns the first daemon that is not known to be down; the daemon itself never is.
     pub fn first(&self, now: Time) -> Option<Member> {
         let up = |member: &&Member| {
-            let until = self.down.get(&member.name);
-            self.is_own(&member.name) || until.is_none_or(|until| now >= *until)
+            let loss = self.down.get(&member.name);
+            self.is_own(&member.name) || loss.is_none_or(|loss| now >= loss.until)
         };
         let order = |member: &&Member| {
             let leave = self.leaving.get(&member.name);
--- a/src/serve/region/rank/tests.rs
+++ b/src/serve/region/rank/tests.rs
@@ -91,3 +91,20 @@
 fn other_region_may_be_unknown() {
     assert_eq!(Ranking::default().first(at(0)), None);
 }
+
+#[test]
+fn flapping_passed_over_longer() {
+    let mut ranking = ranking("a", &[]);
+    let c = member("c", 1, 500);
+    ranking.learn(&"c".into(), Some(c.clone()));
+    ranking.down(&c, at(0));
+    ranking.down(&c, at(1_600));
+    assert_ne!(first(&ranking, 4_500), "c");
+    assert_eq!(first(&ranking, 4_600), "c");
+    ranking.down(&c, at(30_000));
+    assert_eq!(
+        first(&ranking, 31_500),
+        "c",
+        "after a long time up it is trusted again"
+    );
+}
--- a/src/serve/region/seat.rs
+++ b/src/serve/region/seat.rs
@@ -39,7 +39,8 @@
             client,
             grant: Grant::default(),
         };
-        let waiting = distant.client.wait_request().send().promise.await?;
+        let waiting = distant.client.wait_request().send().promise;
+        let waiting = distant.line.answer(waiting).await?;
         Ok(match read(waiting.get()?.get_reply())? {
             Ok(grant) => {
                 distant.grant = grant;
@@ -52,7 +53,7 @@
     async fn again(&mut self, again: bool) -> std::result::Result<(), Refusal> {
         let mut request = self.client.retry_request();
         request.get().set_again(again);
-        let replied = match request.send().promise.await {
+        let replied = match self.line.answer(request.send().promise).await {
             Ok(answer) => answer.get().and_then(|answer| read(answer.get_reply())),
             Err(error) => Err(error),
         };
