--- a/src/serve/http/tests.rs
+++ b/src/serve/http/tests.rs
@@ -124,6 +124,13 @@
 }
 
 proptest! {
+    #[test]
+    fn head_any_bytes_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        drop(parse_request(&bytes, LIMIT));
+        drop(parse_reply(&bytes, LIMIT));
+        drop(decode(&mut Framing::chunked(), &bytes, 7));
+    }
+
     #[test]
     fn chunks_in_any_portions(
         pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -16,6 +16,7 @@
 use crate::id;
 use crate::quarantine::table::{Event, Limit, Table, Verdict as Standing};
 
+mod ending;
 mod engine;
 mod forecast;
 mod maker;
@@ -29,7 +30,7 @@
 
 use engine::Engines;
 use maker::{Call, Makers};
-use work::{Made, Piece, Place, Work};
+use work::{Made, Place, Work};
 
 /// A request that is being planned.
 pub type Ticket = u64;
@@ -223,75 +224,6 @@
         self.dispatch_all(now);
     }
 
-    /// A call has ended.
-    pub fn answered(&mut self, number: Number, ending: &Ending, now: Time) {
-        let Some(call) = self.calls.shift_remove(&number) else {
-            return;
-        };
-        self.makers.end(number, &call, ending, now);
-        let mut moved: Vec<Ticket> = Vec::new();
-        for (index, piece) in call.pieces.iter().enumerate() {
-            let outcome = match ending {
-                Ending::Answered(outcomes) => outcomes.get(index),
-                Ending::Refused | Ending::Lost => None,
-            };
-            self.settle(piece, outcome, &call, now);
-            if moved.last() != Some(&piece.ticket) {
-                moved.push(piece.ticket);
-            }
-        }
-        for ticket in moved {
-            self.advance(ticket, now);
-        }
-        self.dispatch_all(now);
-    }
-
-    fn settle(&mut self, piece: &Piece, outcome: Option<&Outcome>, call: &Call, now: Time) {
-        let made = |handle: &Handle| Made {
-            handle: handle.clone(),
-            maker: call.maker.clone(),
-            zone: call.zone.clone(),
-            bytes: piece.bytes,
-        };
-        let work = self.works.get_mut(&piece.ticket);
-        let work = work.filter(|work| work.round == piece.round);
-        let Some(work) = work else {
-            if let Some(Outcome::Handle(handle)) = outcome {
-                self.free(vec![made(handle)]);
-            }
-            return;
-        };
-        let place = work.place(piece.at);
-        match outcome {
-            Some(Outcome::Handle(handle)) => {
-                if !place.is_made() {
-                    place.made = Some(made(handle));
-                } else {
-                    let extra = made(handle);
-                    self.free(vec![extra]);
-                }
-            }
-            Some(Outcome::Late) => self.refuse(piece.ticket, "a stage was too late", now),
-            Some(Outcome::Gone) => {
-                work.restarts += 1;
-                if work.restarts > MAX_RESTARTS {
-                    self.refuse(piece.ticket, "inputs vanished again and again", now);
-                } else {
-                    let held = work.reset();
-                    self.free(held);
-                }
-            }
-            Some(Outcome::Error) => {
-                place.running = place.running.saturating_sub(1);
-                place.tries += 1;
-                if place.tries >= MAX_TRIES {
-                    self.refuse(piece.ticket, "a stage failed again and again", now);
-                }
-            }
-            Some(Outcome::Room) | None => place.running = place.running.saturating_sub(1),
-        }
-    }
-
     /// Gives up requests whose time is over, and calls that take too long.
     pub fn tick(&mut self, now: Time) {
         for number in self.makers.overdue(&self.calls, now) {
