--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -88,4 +88,7 @@
   place @0 (job :Job) -> (seat :Seat);
   # Says that the daemon is alive, whether it is about to stop, and what it knows of the store.
   ping @1 () -> (leaving :Bool, marks :List(Mark));
+  # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
+  # when there is none to hand out.
+  copy @2 (topic :Topic) -> (change :UInt64, packed :Data);
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::clock::{Clock, Time};
 use crate::id;
@@ -51,6 +52,10 @@
 /// How often it looks whether everything has been served.
 const LEAVE_LOOK: Duration = Duration::from_millis(50);
 
+/// How long after its start a daemon lets requests wait for the first configuration, which takes a
+/// fraction of a second to read. When all daemons start at once there is no other one to go to.
+const START_TIME: Duration = Duration::from_secs(1);
+
 /// Less time than this may have passed on the way of a first attempt.
 const SPENT_LEAST: Duration = Duration::from_millis(50);
 /// What a generated token costs beside one of the prompt; the users count ten.
@@ -106,6 +111,8 @@
     leaving: Cell<Option<Time>>,
     active: Cell<usize>,
     last_call: Notify,
+    started: Time,
+    configured: Notify,
     budgets: RefCell<IndexMap<id::Pool, Budget>>,
     usual: RefCell<IndexMap<id::Name, Usual>>,
 }
@@ -142,6 +149,7 @@
 impl Node {
     /// Makes a node that knows nothing yet.
     pub fn new(parts: Parts) -> Rc<Self> {
+        let started = parts.clock.now();
         Rc::new(Self {
             options: parts.options,
             catalog: RefCell::default(),
@@ -157,6 +165,8 @@
             leaving: Cell::new(None),
             active: Cell::new(0),
             last_call: Notify::new(),
+            started,
+            configured: Notify::new(),
             budgets: RefCell::default(),
             usual: RefCell::default(),
         })
@@ -175,6 +185,7 @@
             Update::Confirmed(at) => {
                 let latest = self.confirmed.get().map_or(at, |before| before.max(at));
                 self.confirmed.set(Some(latest));
+                self.configured.notify_waiters();
             }
             Update::Read => {
                 self.fleet.borrow_mut().read(now);
@@ -213,6 +224,18 @@
         self.sync();
     }
 
+    /// Waits for the first configuration while the daemon starts.
+    async fn configured(&self) {
+        while self.age().is_none() {
+            let waited = self.clock.now().saturating_sub(self.started);
+            let configured = self.configured.notified();
+            let left = START_TIME.saturating_sub(waited);
+            if left.is_zero() || timeout(left, configured).await.is_err() {
+                return;
+            }
+        }
+    }
+
     fn sync(&self) {
         let catalog = self.catalog();
         let fleet = self.fleet.borrow();
--- a/src/serve/board.rs
+++ b/src/serve/board.rs
@@ -5,12 +5,20 @@
 //! when the planner cannot vouch. See [the design note](../../docs/design/fleet.md).
 
 use std::cell::RefCell;
+use std::io::{Read, Write};
 use std::time::Duration;
 
+use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use indexmap::IndexMap;
 
 use crate::clock::Time;
 
+/// The longest record that is handed on, in bytes: what the store takes in one call, and more.
+const RECORD_BYTES: u64 = 16 * 1024 * 1024;
+
 /// How old the planner's knowledge may be that replaces a read of one's own. Its reads wait a second;
 /// a planner that is cut off without a sign holds up changes by this much, of the 2.5 s within which
 /// they have to be in force.
@@ -34,11 +42,53 @@
     }
 }
 
-/// The marks of a daemon and of its planner.
+event! {
+    /// A record that is handed on in place of a read of the store.
+    pub struct Copy {
+        /// The offset up to which it is the newest.
+        pub change: u64,
+        /// The record, compressed.
+        pub packed: Bytes,
+    }
+}
+
+impl Copy {
+    /// Returns the record itself.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no compressed record, or one of more than [`RECORD_BYTES`].
+    pub fn unpack(&self) -> std::io::Result<Bytes> {
+        let mut record = Vec::new();
+        let decoder = DeflateDecoder::new(&*self.packed);
+        let size = decoder.take(RECORD_BYTES + 1).read_to_end(&mut record)?;
+        if size as u64 > RECORD_BYTES {
+            return Err(std::io::Error::other("the record is too long"));
+        }
+        Ok(record.into())
+    }
+}
+
+fn pack(record: &[u8]) -> std::io::Result<Bytes> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(record)?;
+    Ok(encoder.finish()?.into())
+}
+
+/// A record of the store that this daemon can hand on.
+enum Held {
+    /// As it was read: most daemons are never asked for it, so it is compressed on demand.
+    Plain(Bytes),
+    /// As it is handed on.
+    Packed(Bytes),
+}
+
+/// The marks of a daemon and of its planner, and the records that it can hand on.
 #[derive(Default)]
 pub struct Board {
     own: RefCell<IndexMap<Topic, Mark>>,
     vouched: RefCell<IndexMap<Topic, Mark>>,
+    held: RefCell<IndexMap<Topic, Held>>,
 }
 
 impl Board {
@@ -66,6 +116,40 @@
             .collect()
     }
 
+    /// The newest record of a topic was read.
+    pub fn hold(&self, topic: Topic, record: Bytes) {
+        self.held.borrow_mut().insert(topic, Held::Plain(record));
+    }
+
+    /// The newest record of a topic was handed on to this daemon.
+    pub fn hold_copy(&self, topic: Topic, copy: &Copy) {
+        let held = Held::Packed(copy.packed.clone());
+        self.held.borrow_mut().insert(topic, held);
+    }
+
+    /// Returns a topic's newest record for another daemon; none unless this daemon follows the store
+    /// itself.
+    ///
+    /// # Errors
+    ///
+    /// When the record cannot be compressed.
+    pub fn copy(&self, topic: Topic) -> std::io::Result<Option<Copy>> {
+        let Some(change) = self.own.borrow().get(&topic).map(|mark| mark.change) else {
+            return Ok(None);
+        };
+        let mut held = self.held.borrow_mut();
+        let packed = match held.get(&topic) {
+            None => return Ok(None),
+            Some(Held::Packed(packed)) => packed.clone(),
+            Some(Held::Plain(record)) => {
+                let packed = pack(record)?;
+                held.insert(topic, Held::Packed(packed.clone()));
+                packed
+            }
+        };
+        Ok(Some(Copy { change, packed }))
+    }
+
     /// Returns the planner's mark while it is fresh.
     pub fn vouched(&self, topic: Topic, now: Time) -> Option<Mark> {
         let mark = self.vouched.borrow().get(&topic).copied()?;
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -26,6 +26,7 @@
 use crate::id;
 use crate::peer::stream::{self, Coding, Count};
 
+mod copy;
 mod host;
 mod rank;
 mod seat;
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -89,6 +89,22 @@
         wire::write_marks(&marks, answer.init_marks(count));
         Ok(())
     }
+
+    async fn copy(
+        self: Capability<Self>,
+        params: planner::CopyParams,
+        mut results: planner::CopyResults,
+    ) -> capnp::Result<()> {
+        let topic = wire::read_topic(params.get()?.get_topic()?);
+        let copy = self.board.copy(topic);
+        let copy = copy.map_err(|error| capnp::Error::failed(error.to_string()))?;
+        if let Some(copy) = copy {
+            let mut answer = results.get();
+            answer.set_change(copy.change);
+            answer.set_packed(&copy.packed);
+        }
+        Ok(())
+    }
 }
 
 /// A request of another daemon.
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -183,6 +183,22 @@
     }
 }
 
+/// Returns the topic as the schema has it.
+pub fn write_topic(topic: Topic) -> schema::Topic {
+    match topic {
+        Topic::Catalog => schema::Topic::Catalog,
+        Topic::Endpoints => schema::Topic::Endpoints,
+    }
+}
+
+/// Returns the topic that the schema names.
+pub fn read_topic(topic: schema::Topic) -> Topic {
+    match topic {
+        schema::Topic::Catalog => Topic::Catalog,
+        schema::Topic::Endpoints => Topic::Endpoints,
+    }
+}
+
 /// Writes how far topics of the store are known, each with its age.
 pub fn write_marks(
     marks: &[(Topic, u64, Duration)],
@@ -190,10 +206,7 @@
 ) {
     for (index, (topic, change, age)) in (0..).zip(marks) {
         let mut one = to.reborrow().get(index);
-        one.set_topic(match topic {
-            Topic::Catalog => schema::Topic::Catalog,
-            Topic::Endpoints => schema::Topic::Endpoints,
-        });
+        one.set_topic(write_topic(*topic));
         one.set_change(*change);
         one.set_age_nanos(nanos(*age));
     }
@@ -205,10 +218,7 @@
     asked: Time,
 ) -> Result<Vec<(Topic, Mark)>> {
     let mark = |one: schema::mark::Reader<'_>| {
-        let topic = match one.get_topic()? {
-            schema::Topic::Catalog => Topic::Catalog,
-            schema::Topic::Endpoints => Topic::Endpoints,
-        };
+        let topic = read_topic(one.get_topic()?);
         // The age was taken after the question was sent, so the time is not too late.
         let at = asked.saturating_sub(Duration::from_nanos(one.get_age_nanos()));
         let change = one.get_change();
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -153,6 +153,7 @@
 
     /// Serves it; returns the connection when it can carry another request.
     pub async fn serve(self, mut client: Client) -> Option<Sink> {
+        self.node.configured().await;
         let done = match self.check() {
             Ok(plan) => self.within(&plan, &mut client).await,
             Err(failure) => Done::Fail(failure),
