Hand work over between planners with its results

Cause: losing the planner cost most of all kinds of trouble. The log shows two or three planners of one region at once for seconds: one that leaves kept all that had begun and went on calling, requests were sent back to it while its leaving was not known, and each new one knew of no cached prompt.

Change: a planner that leaves, or that finds a better one, starts no more calls and hands each request over with its results as soon as no call works on it; the daemon that has the request waits for the line to the next planner, which goes on from the results. Daemons tell a new planner what shared prompts they have sent to which engine in the last 12 s. A planner that has just started lets requests wait half a second until it knows of endpoints.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -32,6 +32,20 @@
   weight @12 :Float32;
   # The digest of its content, under which crashes of endpoints are held against it.
   digest @13 :Text;
+  # Results that another planner had made for it.
+  made @14 :List(Made);
+}
+
+# A result that an endpoint of a stage holds.
+struct Made {
+  stage @0 :UInt16;
+  piece @1 :UInt16;
+  handle @2 :Text;
+  endpoint @3 :Text;
+  zone @4 :Text;
+  bytes @5 :UInt64;
+  # How long the endpoint still holds it.
+  leftNanos @6 :UInt64;
 }
 
 struct Grant {
@@ -45,6 +59,8 @@
   waitNanos @1 :UInt64;
   # The planner is leaving; another one is to be asked.
   isMoved @2 :Bool;
+  # What was made for the request; the other planner goes on with it.
+  made @3 :List(Made);
 }
 
 struct Reply {
@@ -75,6 +91,18 @@
   ageNanos @2 :UInt64;
 }
 
+# A part of a prompt that was sent to an engine.
+struct Sent {
+  part @0 :Text;
+  ageNanos @1 :UInt64;
+}
+
+# What was sent to one engine of late.
+struct Use {
+  endpoint @0 :Text;
+  sent @1 :List(Sent);
+}
+
 # One planned request; it ends with `leave`, or with the connection.
 interface Seat {
   wait @0 () -> (reply :Reply);
@@ -91,4 +119,6 @@
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
   copy @2 (topic :Topic) -> (change :UInt64, packed :Data);
+  # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached.
+  recall @3 (uses :List(Use)) -> ();
 }
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -24,6 +24,8 @@
 const ANSWER_BYTES: usize = 1024 * 1024;
 /// How often deadlines and overdue calls are looked for.
 pub const TICK: Duration = Duration::from_millis(20);
+/// How long a request waits for a planner that has just started and knows of no endpoint.
+const INFORM_TIME: Duration = Duration::from_millis(500);
 /// Requests of one call that its log line names.
 const LOGGED_IDS: usize = 32;
 /// How long results are gathered before an endpoint is told to forget them.
@@ -218,8 +220,20 @@
         received
     }
 
+    /// Waits until the planner knows the endpoints, for as long as a daemon takes to learn them when
+    /// it starts.
+    async fn informed(&self) {
+        let start = self.clock.now();
+        while !self.planner.borrow().is_informed()
+            && self.clock.now().saturating_sub(start) < INFORM_TIME
+        {
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
     /// Plans a request in this daemon.
     pub async fn plan(self: &Rc<Self>, job: Job) -> Result<Place, Refusal> {
+        self.informed().await;
         let ticket = self.next.get();
         self.next.set(ticket + 1);
         let received = self.enter(ticket);
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -25,7 +25,8 @@
 mod work;
 
 pub use task::{
-    Action, Ending, Entry, Grant, Handle, Input, Job, Need, Outcome, Part, Refusal, Tokens,
+    Action, Ending, Entry, Given, Grant, Handle, Input, Job, Need, Outcome, Part, Refusal, Tokens,
+    Use,
 };
 
 use engine::Engines;
@@ -69,6 +70,7 @@
     actions: Vec<Action>,
     /// Content that crashes the endpoints that run it.
     crashes: Table,
+    is_informed: bool,
 }
 
 impl Planner {
@@ -85,6 +87,7 @@
             next_call: 0,
             actions: Vec::new(),
             crashes,
+            is_informed: false,
         }
     }
 
@@ -92,6 +95,7 @@
     pub fn sync(&mut self, fleet: &Fleet, catalog: &Catalog, now: Time) {
         let here = |endpoint: &&Endpoint| self.region.contains(&endpoint.zone);
         let endpoints: Vec<&Endpoint> = fleet.all().filter(here).collect();
+        self.is_informed = catalog.version > 0 && fleet.all().next().is_some();
         self.makers.sync(&endpoints, catalog);
         self.engines.sync(&endpoints, catalog);
         self.dispatch_all(now);
@@ -112,36 +116,54 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// The daemon is about to stop: what has not begun goes to another planner.
+    /// Another daemon plans from now on: it takes over what is not granted, each request as soon as
+    /// no call works on it any more. Endpoints would meet calls of two planners otherwise.
     pub fn resign(&mut self) {
-        self.hand_over_all(|work| !work.has_begun);
+        for work in self.works.values_mut().filter(|work| !work.is_granted) {
+            work.is_moving = true;
+        }
+        self.hand_over_all(|work| work.is_moving && !work.is_granted && !work.is_running());
     }
 
     /// The daemon stops now: what is not granted goes to another planner.
     pub fn abandon(&mut self) {
-        self.hand_over_all(|_| true);
+        self.hand_over_all(|work| !work.is_granted);
     }
 
     fn hand_over_all(&mut self, which: impl Fn(&Work) -> bool) {
-        let works = self.works.iter();
-        let chosen = works.filter(|(_, work)| !work.is_granted && which(work));
+        let chosen = self.works.iter().filter(|(_, work)| which(work));
         let chosen: Vec<Ticket> = chosen.map(|(ticket, _)| *ticket).collect();
         for ticket in chosen {
-            self.works.shift_remove(&ticket);
             self.hand_over(ticket);
         }
     }
 
     fn hand_over(&mut self, ticket: Ticket) {
+        let Some(work) = self.works.shift_remove(&ticket) else {
+            return;
+        };
         let mut refusal = Refusal::new("the planner is leaving", MIN_WAIT);
         refusal.is_moved = true;
+        refusal.made = work.give(|made| self.makers.holds_until(made));
         self.actions.push(Action::Refuse(ticket, refusal));
     }
 
+    /// Takes in what daemons have sent to engines while another one planned.
+    pub fn recall(&mut self, uses: &[Use]) {
+        self.engines.recall(uses);
+    }
+
+    /// Returns whether it knows of endpoints and how they are made.
+    pub fn is_informed(&self) -> bool {
+        self.is_informed
+    }
+
     /// A request has come.
     pub fn submit(&mut self, ticket: Ticket, job: Job, now: Time) {
         let mut work = Work::new(job, now);
-        work.home = self.engines.home(&work.job, now);
+        let given = work.adopt();
+        self.makers.adopt(&given);
+        work.home = work.home.or_else(|| self.engines.home(&work.job, now));
         if let Some(refusal) = self.judge(&work, now) {
             self.actions.push(Action::Refuse(ticket, refusal));
             return;
@@ -277,6 +299,9 @@
         let Some(work) = self.works.get_mut(&ticket) else {
             return;
         };
+        if work.is_moving && !work.is_granted && !work.is_ready() && !work.is_running() {
+            return self.hand_over(ticket);
+        }
         let spent = work.take_spent();
         if work.lease.is_none() && !work.is_granted && work.is_ready() {
             match self.engines.choose(work, now) {
@@ -363,6 +388,10 @@
             let reason = "its content crashes the endpoints that run it";
             return Some(Refusal::new(reason, until.saturating_sub(now)));
         }
+        if work.has_begun {
+            // Another planner has let it in.
+            return None;
+        }
         let forecast = forecast::forecast(work, &self.works, &self.makers, now)?;
         let span = work.job.span.mul_f64(1.0 + TOLERANCE);
         let left = work.job.end.saturating_sub(now);
--- a/src/serve/plan/ending.rs
+++ b/src/serve/plan/ending.rs
@@ -45,6 +45,10 @@
             return;
         };
         let place = work.place(piece.at);
+        if !call.is_overdue {
+            // The pieces of an overdue call were taken off when it was passed over.
+            place.running = place.running.saturating_sub(1);
+        }
         match outcome {
             Some(Outcome::Handle(handle)) => {
                 if !place.is_made() {
@@ -65,13 +69,12 @@
                 }
             }
             Some(Outcome::Error) => {
-                place.running = place.running.saturating_sub(1);
                 place.tries += 1;
                 if place.tries >= MAX_TRIES {
                     self.refuse(piece.ticket, "a stage failed again and again", now);
                 }
             }
-            Some(Outcome::Room) | None => place.running = place.running.saturating_sub(1),
+            Some(Outcome::Room) | None => {}
         }
     }
 }
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 use super::work::Work;
-use super::{Job, Part};
+use super::{Job, Part, Use};
 use crate::clock::Time;
 use crate::id;
 use crate::serve::catalog::{Catalog, Engine as Settings};
@@ -81,6 +81,8 @@
     all: IndexMap<id::Endpoint, Engine>,
     /// The mean of measured times to the first byte, as a multiple of the expected ones.
     ratio: Option<f64>,
+    /// What was sent to engines that are not listed yet.
+    early: Vec<Use>,
 }
 
 impl Engines {
@@ -106,6 +108,25 @@
                 self.all.insert(endpoint.id.clone(), Engine::new(endpoint));
             }
         }
+        if !self.all.is_empty() {
+            let early = std::mem::take(&mut self.early);
+            self.recall(&early);
+        }
+    }
+
+    /// Takes in what was sent to engines while another daemon planned.
+    pub fn recall(&mut self, uses: &[Use]) {
+        if self.all.is_empty() {
+            self.early.extend_from_slice(uses);
+            return;
+        }
+        for one in uses {
+            // One that is not listed has left.
+            if let Some(engine) = self.all.get_mut(&one.endpoint) {
+                let used = engine.parts.entry(one.part.clone()).or_insert(one.at);
+                *used = one.at.max(*used);
+            }
+        }
     }
 
     /// Returns the availability zone of an engine that has the shared parts of a prompt cached.
--- a/src/serve/plan/maker.rs
+++ b/src/serve/plan/maker.rs
@@ -7,7 +7,7 @@
 use super::forecast::Waiting;
 use super::shelf::{Holding, Maker, SLOW};
 use super::work::{Made, Piece};
-use super::{Action, Ending, Entry, Handle, Number, Outcome};
+use super::{Action, Ending, Entry, Given, Handle, Number, Outcome};
 use crate::clock::Time;
 use crate::id;
 use crate::serve::catalog::{self, Catalog};
@@ -284,6 +284,30 @@
         }
     }
 
+    /// Takes in results that another planner had made.
+    pub fn adopt(&mut self, given: &[Given]) {
+        for one in given {
+            let Some(maker) = self.all.get_mut(&one.maker) else {
+                continue;
+            };
+            let (bytes, until) = (one.bytes, one.until);
+            if maker
+                .held
+                .insert(one.handle.clone(), Holding { bytes, until })
+                .is_none()
+            {
+                maker.stock += bytes;
+            }
+        }
+    }
+
+    /// Returns how long an endpoint holds a result.
+    pub fn holds_until(&self, made: &Made) -> Time {
+        let maker = self.all.get(&made.maker);
+        let holding = maker.and_then(|maker| maker.held.get(&made.handle));
+        holding.map_or(Time::ZERO, |holding| holding.until)
+    }
+
     /// Drops what endpoints no longer hold.
     pub fn expire(&mut self, now: Time) {
         for maker in self.all.values_mut() {
--- a/src/serve/plan/task.rs
+++ b/src/serve/plan/task.rs
@@ -41,6 +41,36 @@
         pub tokens: Tokens,
         /// The availability zone of the caller.
         pub zone: id::Zone,
+        /// Results that another planner had made for it.
+        pub made: Vec<Given>,
+    }
+
+    /// A result that another planner had made.
+    pub struct Given {
+        /// The stage.
+        pub stage: usize,
+        /// The piece, numbered from 0.
+        pub piece: usize,
+        /// The result's handle.
+        pub handle: Handle,
+        /// The endpoint that holds it.
+        pub maker: id::Endpoint,
+        /// The endpoint's availability zone.
+        pub zone: id::Zone,
+        /// Its size, in bytes.
+        pub bytes: u64,
+        /// When the endpoint drops it.
+        pub until: Time,
+    }
+
+    /// A part of a prompt that was sent to an engine, which has it cached.
+    pub struct Use {
+        /// The engine.
+        pub endpoint: id::Endpoint,
+        /// The part.
+        pub part: id::Name,
+        /// When it was sent last.
+        pub at: Time,
     }
 }
 
@@ -147,6 +177,8 @@
         pub wait: Duration,
         /// Whether another planner is to be asked, since this one is leaving.
         pub is_moved: bool,
+        /// What was made for a request that is moved.
+        pub made: Vec<Given>,
     }
 }
 
@@ -211,6 +243,7 @@
             reason: reason.into(),
             wait: wait.clamp(MIN_WAIT, MAX_WAIT),
             is_moved: false,
+            made: Vec::new(),
         }
     }
 
@@ -220,6 +253,7 @@
             reason: "the planner is gone".into(),
             wait: MIN_WAIT,
             is_moved: false,
+            made: Vec::new(),
         }
     }
 }
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -7,6 +7,7 @@
 
 mod engine;
 mod load;
+mod moving;
 
 /// A small region: one zone or two, endpoints of one stage service, and engines.
 pub(super) struct Site {
@@ -121,6 +122,7 @@
             parts: Vec::new(),
             tokens: Tokens::default(),
             zone: "a".into(),
+            made: Vec::new(),
         }
     }
 
--- /dev/null
+++ b/src/serve/plan/tests/moving.rs
@@ -0,0 +1,193 @@
+//! Tests of a change of planner: what one has made, the next one goes on with.
+//!
+//! Load pattern: all daemons of a region are stopped and started again in turn, and each of them plans
+//! for a while.
+
+use super::*;
+
+/// Hands everything of one planner to another one, as daemons do, and returns its tickets.
+fn move_all(from: &mut Site, to: &mut Site, jobs: &[(Ticket, Job)]) -> Vec<Ticket> {
+    let moved = refusals(&from.actions());
+    to.now = from.now;
+    let again = |(ticket, refusal): (Ticket, Refusal)| {
+        assert!(refusal.is_moved, "{ticket}: {refusal:?}");
+        let (_, job) = jobs.iter().find(|(of, _)| *of == ticket).expect("a job");
+        let mut job = job.clone();
+        job.made = refusal.made;
+        to.submit(job)
+    };
+    moved.into_iter().map(again).collect()
+}
+
+#[test]
+fn results_go_to_the_next_planner() {
+    let mut before = Site::new(&[("m", "a")], &[("e", "a")]);
+    let mut after = Site::new(&[("m", "a")], &[("e", "a")]);
+    let job = before.job(&[2, 1], 3_000);
+    let ticket = before.submit(job.clone());
+    before.actions();
+    before.now = ms(180);
+    before.answer(0, 2);
+    before.planner.resign();
+    assert!(
+        refusals(&before.actions()).is_empty(),
+        "the call of the second stage is awaited"
+    );
+    before.now = ms(340);
+    before.answer(1, 1);
+    // All its results are there, so it is granted by the one that made them.
+    assert_eq!(grants(&before.actions())[0].0, ticket);
+    assert!(before.planner.len() == 1 && after.planner.is_empty());
+    // The next request is moved between its stages.
+    let job = before.job(&[1, 1], 3_000);
+    let ticket = before.submit(job.clone());
+    before.actions();
+    before.planner.resign();
+    before.now = ms(520);
+    before.answer(2, 1);
+    let moved = move_all(&mut before, &mut after, &[(ticket, job)]);
+    let calls = calls(&after.actions());
+    assert_eq!(calls.len(), 1);
+    assert_eq!(calls[0].2[0].stage, 1, "the first stage is not made again");
+    assert_eq!(
+        calls[0].2[0].source,
+        Input::Handles(vec!["h2-0".into()]),
+        "it goes on with the result"
+    );
+    after.planner.leave(moved[0], ms(600));
+    let freed = freed(&after.actions());
+    assert_eq!(freed, [Handle::from("h2-0")], "and frees it");
+}
+
+#[test]
+fn moving_request_gets_no_more_calls() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let running = site.submit(site.job(&[10], 4_000));
+    let waiting = site.submit(site.job(&[1], 4_000));
+    site.actions();
+    site.planner.resign();
+    assert_eq!(refusals(&site.actions())[0].0, waiting);
+    // Some of its pieces fail: the next planner has them made, and not this one beside it.
+    let mut outcomes = vec![Outcome::Handle("h".into()); 9];
+    outcomes.push(Outcome::Error);
+    site.planner
+        .answered(0, &Ending::Answered(outcomes), ms(300));
+    let actions = site.actions();
+    assert!(calls(&actions).is_empty());
+    let moved = refusals(&actions);
+    assert_eq!((moved[0].0, moved[0].1.made.len()), (running, 9));
+}
+
+#[test]
+fn moved_request_let_in_under_load() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    for millis in 0..50 {
+        site.now = ms(millis);
+        site.submit(site.job(&[5], 920));
+    }
+    assert!(!refusals(&site.actions()).is_empty(), "there is no room");
+    let mut job = site.job(&[2], 920);
+    job.made.push(Given {
+        stage: 0,
+        piece: 0,
+        handle: "h".into(),
+        maker: "m".into(),
+        zone: "a".into(),
+        bytes: 3_000_000,
+        until: ms(4_000),
+    });
+    let moved = site.submit(job);
+    let refused = refusals(&site.actions());
+    assert!(
+        refused.iter().all(|(ticket, _)| *ticket != moved),
+        "it was let in before"
+    );
+}
+
+#[test]
+fn strange_results_left_out() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let mut job = site.job(&[1], 2_000);
+    job.made.push(Given {
+        stage: 3,
+        piece: 9,
+        handle: "h".into(),
+        maker: "m".into(),
+        zone: "a".into(),
+        bytes: 1,
+        until: ms(4_000),
+    });
+    site.submit(job);
+    assert_eq!(calls(&site.actions())[0].2.len(), 1);
+}
+
+#[test]
+fn overdue_call_that_ends_leaves_the_next_one_running() {
+    let mut site = Site::new(&[("m", "a"), ("n", "a")], &[("e", "a")]);
+    site.submit(site.job(&[1], 4_000));
+    site.actions();
+    site.planner.tick(ms(700));
+    let again = calls(&site.actions());
+    assert_eq!(
+        again.len(),
+        1,
+        "the call is overdue, and made again elsewhere"
+    );
+    site.planner.answered(0, &Ending::Lost, ms(710));
+    assert!(
+        calls(&site.actions()).is_empty(),
+        "the piece is being made by the second call"
+    );
+}
+
+#[test]
+fn prompts_of_the_planner_before_found_again() {
+    let part = |id: &str, tokens| Part {
+        id: id.into(),
+        tokens,
+    };
+    let site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
+    let mut job = site.job(&[], 2_000);
+    job.parts = vec![part("shared", 6_000), part("own", 500)];
+    let mut chosen = Vec::new();
+    for engine in ["e", "f", "g"] {
+        let mut next = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
+        next.now = ms(5_000);
+        next.planner.recall(&[Use {
+            endpoint: engine.into(),
+            part: "shared".into(),
+            at: ms(1_000),
+        }]);
+        let mut job = job.clone();
+        job.target = ms(7_000);
+        job.end = ms(9_000);
+        next.submit(job);
+        chosen.push(grants(&next.actions())[0].1.endpoint.to_string());
+    }
+    assert_eq!(chosen, ["e", "f", "g"]);
+}
+
+#[test]
+fn prompts_told_before_the_engines_are_listed() {
+    let mut planner = Planner::new(vec!["a".into()]);
+    planner.recall(&[Use {
+        endpoint: "f".into(),
+        part: "shared".into(),
+        at: ms(0),
+    }]);
+    let site = Site::new(&[], &[("e", "a"), ("f", "a")]);
+    planner.sync(&site.fleet, &site.catalog, ms(10));
+    let mut job = site.job(&[], 2_000);
+    job.parts = vec![
+        Part {
+            id: "shared".into(),
+            tokens: 9_000,
+        },
+        Part {
+            id: "own".into(),
+            tokens: 10,
+        },
+    ];
+    planner.submit(1, job, ms(10));
+    assert_eq!(&*grants(&planner.actions())[0].1.endpoint, "f");
+}
--- a/src/serve/plan/work.rs
+++ b/src/serve/plan/work.rs
@@ -4,7 +4,7 @@
 
 use super::engine::Lease;
 use super::maker::Makers;
-use super::{Handle, Job, LATE_SPANS, TOLERANCE, Ticket};
+use super::{Given, Handle, Job, LATE_SPANS, TOLERANCE, Ticket};
 use crate::clock::Time;
 use crate::id;
 
@@ -80,6 +80,8 @@
     pub home: Option<id::Zone>,
     /// Endpoints that have turned the request down.
     pub tried: Vec<id::Endpoint>,
+    /// Whether another planner takes it over once the calls that work on it have ended.
+    pub is_moving: bool,
     submitted: Time,
     slots: Vec<Vec<Slot>>,
     /// Stages whose results were given up.
@@ -101,6 +103,7 @@
             has_begun: false,
             home: None,
             tried: Vec::new(),
+            is_moving: false,
             submitted: now,
             freed: vec![false; job.needs.len()],
             slots: slots.collect(),
@@ -108,6 +111,55 @@
         }
     }
 
+    /// Takes in what another planner had made for it.
+    pub fn adopt(&mut self) -> Vec<Given> {
+        let given = std::mem::take(&mut self.job.made);
+        let fits = |given: &Given| {
+            let stage = self.slots.get(given.stage);
+            stage.is_some_and(|stage| given.piece < stage.len())
+        };
+        let given: Vec<Given> = given.into_iter().filter(fits).collect();
+        for one in &given {
+            let Given { stage, piece, .. } = *one;
+            self.place(Place { stage, piece }).made = Some(Made {
+                handle: one.handle.clone(),
+                maker: one.maker.clone(),
+                zone: one.zone.clone(),
+                bytes: one.bytes,
+            });
+            self.home.get_or_insert_with(|| one.zone.clone());
+            self.has_begun = true;
+        }
+        given
+    }
+
+    /// Returns its results, for another planner; `until` says how long an endpoint holds one.
+    pub fn give(&self, until: impl Fn(&Made) -> Time) -> Vec<Given> {
+        let stages = self.slots.iter().enumerate();
+        let stages = stages.filter(|(stage, _)| !self.freed[*stage]);
+        let slots = stages.flat_map(|(stage, slots)| {
+            let slots = slots.iter().enumerate();
+            slots.map(move |(piece, slot)| (stage, piece, slot))
+        });
+        let made =
+            slots.filter_map(|(stage, piece, slot)| Some((stage, piece, slot.made.as_ref()?)));
+        let given = made.map(|(stage, piece, made)| Given {
+            stage,
+            piece,
+            handle: made.handle.clone(),
+            maker: made.maker.clone(),
+            zone: made.zone.clone(),
+            bytes: made.bytes,
+            until: until(made),
+        });
+        given.collect()
+    }
+
+    /// Returns whether a call works on one of its pieces.
+    pub fn is_running(&self) -> bool {
+        self.slots.iter().flatten().any(|slot| slot.running > 0)
+    }
+
     /// Returns the state of a piece.
     pub fn place(&mut self, at: Place) -> &mut Slot {
         &mut self.slots[at.stage][at.piece]
@@ -132,7 +184,8 @@
 
     /// Returns the pieces that wait for an endpoint.
     pub fn waiting(&self, ticket: Ticket) -> impl Iterator<Item = Piece> {
-        let open = (0..self.slots.len()).filter(|stage| self.is_open(*stage));
+        let stays = !self.is_moving;
+        let open = (0..self.slots.len()).filter(move |stage| stays && self.is_open(*stage));
         open.flat_map(move |stage| {
             let slots = self.slots[stage].iter().enumerate();
             let waiting = slots.filter(|(_, slot)| !slot.is_made() && slot.running == 0);
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -4,6 +4,7 @@
 //! plan at once while views differ; that costs full calls, never a promise. See
 //! [the design note](../../docs/design/fleet.md).
 
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,10 +31,12 @@
 mod host;
 mod rank;
 mod seat;
+mod uses;
 mod wire;
 
 pub use host::listen;
 pub use rank::{Member, Ranking};
+use uses::Uses;
 
 /// How often the planner is asked whether it is alive.
 const PING_EVERY: Duration = Duration::from_millis(100);
@@ -108,6 +111,9 @@
     board: Option<Rc<Board>>,
     ranking: RefCell<Ranking>,
     line: RefCell<Option<Rc<Line>>>,
+    uses: RefCell<Uses>,
+    /// Another daemon is looked for at once.
+    wake: Notify,
     ping_every: Duration,
     clock: Rc<dyn Clock>,
     log: Logger,
@@ -148,6 +154,8 @@
             board,
             ranking: RefCell::new(ranking),
             line: RefCell::new(None),
+            uses: RefCell::default(),
+            wake: Notify::new(),
             ping_every,
             clock,
             log,
@@ -193,7 +201,7 @@
     async fn keep(self: Rc<Self>) {
         loop {
             self.look().await;
-            tokio::time::sleep(self.ping_every).await;
+            drop(timeout(self.ping_every, self.wake.notified()).await);
         }
     }
 
@@ -213,6 +221,10 @@
             if line.is_some() {
                 info!(self.log, "planning here"; "reason" => "no better daemon answers");
                 self.line.replace(None);
+                if let Some(local) = &self.local {
+                    let uses = self.uses.borrow().list(now);
+                    local.decide(|planner, _| planner.recall(&uses));
+                }
             }
             return;
         }
@@ -225,13 +237,31 @@
                 // A daemon that accepts may still be frozen or cut off beyond its kernel.
                 if self.answers(&line).await {
                     info!(self.log, "planning elsewhere"; "daemon" => &*wanted.name);
+                    self.recall(&line);
                     self.line.replace(Some(line));
+                    if let Some(local) = &self.local {
+                        local.decide(|planner, _| planner.resign());
+                    }
                 }
             }
             _ => self.down(&wanted, "no connection"),
         }
     }
 
+    /// Tells a daemon that begins to plan what was sent to engines.
+    fn recall(&self, line: &Line) {
+        let uses = self.uses.borrow().ages(self.clock.now());
+        if uses.is_empty() {
+            return;
+        }
+        let mut request = line.client.recall_request();
+        let count = u32::try_from(uses.len()).unwrap_or_default();
+        wire::write_uses(&uses, request.get().init_uses(count));
+        let sent = request.send().promise;
+        // It only saves work, so a failure is of no consequence; the next ping notices it.
+        spawn_local(async move { drop(sent.await) });
+    }
+
     /// Asks whether a daemon plans. One that is about to stop does, but others are preferred.
     async fn answers(&self, line: &Line) -> bool {
         let asked = self.clock.now();
@@ -247,6 +277,14 @@
                     if answer.get_leaving() {
                         let now = self.clock.now();
                         self.ranking.borrow_mut().leave(&line.member, now);
+                        if self
+                            .ranking
+                            .borrow()
+                            .first(now)
+                            .is_some_and(|first| first != line.member)
+                        {
+                            self.wake.notify_one();
+                        }
                     }
                     return true;
                 }
@@ -273,19 +311,31 @@
     }
 
     async fn plan(&self, job: &Job) -> Result<Box<dyn Seat>, Refusal> {
+        let mut job = Cow::Borrowed(job);
         let mut last = Refusal::gone();
         for _ in 0..PLANNERS {
             if self.local.is_none() && self.line.borrow().is_none() {
                 break;
             }
-            let planned = match (self.line().await, &self.local) {
-                (Some(line), _) => seat::Distant::take(line, job, &*self.clock).await,
-                (None, Some(local)) => Ok(Local(local.clone()).place(job.clone()).await),
+            let line = self.line().await;
+            let planned = match (&line, &self.local) {
+                (Some(line), _) => seat::Distant::take(line.clone(), &job, &self.clock).await,
+                (None, Some(local)) => Ok(Local(local.clone()).place((*job).clone()).await),
                 (None, None) => break,
             };
             match planned {
-                Ok(Err(refusal)) if refusal.is_moved => last = refusal,
-                Ok(planned) => return planned,
+                Ok(Err(refusal)) if refusal.is_moved => {
+                    job.to_mut().made.clone_from(&refusal.made);
+                    last = refusal;
+                    self.moved(line).await;
+                    continue;
+                }
+                Ok(Ok(seat)) => {
+                    let (endpoint, now) = (&seat.grant().endpoint, self.clock.now());
+                    self.uses.borrow_mut().note(endpoint, &job, now);
+                    return Ok(seat);
+                }
+                Ok(refused) => return refused,
                 Err(error) => {
                     info!(self.log, "planner lost a request"; "error" => %error);
                 }
@@ -295,6 +345,20 @@
         }
         Err(last)
     }
+
+    /// The planner on this line hands its requests over: waits until there is a line to the one that
+    /// plans from now on.
+    async fn moved(&self, from: Option<Rc<Line>>) {
+        self.wake.notify_one();
+        let is_same = || {
+            let line = self.line.borrow();
+            line.as_ref().map(Rc::as_ptr) == from.as_ref().map(Rc::as_ptr)
+        };
+        let start = self.clock.now();
+        while is_same() && self.clock.now().saturating_sub(start) < LINE_TIME {
+            tokio::time::sleep(LINE_LOOK).await;
+        }
+    }
 }
 
 /// Plans requests in this daemon's region, and in another one what its own refuses: only the
--- a/src/serve/region/copy.rs
+++ b/src/serve/region/copy.rs
@@ -48,6 +48,11 @@
         self.own.copy(topic).await
     }
 
+    /// Returns whether another daemon plans for this region and answers.
+    pub fn has_planner(&self) -> bool {
+        self.own.line.borrow().is_some()
+    }
+
     /// Returns whether this daemon plans for its region: then it is the one that reads the store.
     pub fn is_planner(&self) -> bool {
         self.own.is_planner()
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -72,6 +72,7 @@
             agent: self.agent.clone(),
             job: RefCell::new(Some(job)),
             place: RefCell::new(None),
+            clock: self.clock.clone(),
         };
         results.get().set_seat(capnp_rpc::new_client(guest));
         Ok(())
@@ -105,6 +106,16 @@
         }
         Ok(())
     }
+
+    async fn recall(
+        self: Capability<Self>,
+        params: planner::RecallParams,
+        _: planner::RecallResults,
+    ) -> capnp::Result<()> {
+        let uses = wire::read_uses(params.get()?.get_uses()?, self.clock.now())?;
+        self.agent.decide(|planner, _| planner.recall(&uses));
+        Ok(())
+    }
 }
 
 /// A request of another daemon.
@@ -112,6 +123,7 @@
     agent: Rc<Agent>,
     job: RefCell<Option<Job>>,
     place: RefCell<Option<Place>>,
+    clock: Rc<dyn Clock>,
 }
 
 impl Guest {
@@ -136,7 +148,7 @@
         let job = self.job.take().ok_or_else(Self::over)?;
         let planned = self.agent.plan(job).await;
         let reply = self.keep(planned);
-        wire::write_reply(&reply, results.get().init_reply());
+        wire::write_reply(&reply, self.clock.now(), results.get().init_reply());
         Ok(())
     }
 
@@ -173,7 +185,7 @@
         let mut place = self.place.take().ok_or_else(Self::over)?;
         let retried = place.again(again).await;
         let reply = self.keep(retried.map(|()| place));
-        wire::write_reply(&reply, results.get().init_reply());
+        wire::write_reply(&reply, self.clock.now(), results.get().init_reply());
         Ok(())
     }
 
--- a/src/serve/region/seat.rs
+++ b/src/serve/region/seat.rs
@@ -18,10 +18,14 @@
     line: Rc<Line>,
     client: seat::Client,
     grant: Grant,
+    clock: Rc<dyn Clock>,
 }
 
-fn read(reply: Result<reply::Reader<'_>>) -> Result<std::result::Result<Grant, Refusal>> {
-    wire::read_reply(reply?)
+fn read(
+    reply: Result<reply::Reader<'_>>,
+    clock: &dyn Clock,
+) -> Result<std::result::Result<Grant, Refusal>> {
+    wire::read_reply(reply?, clock.now())
 }
 
 impl Distant {
@@ -29,7 +33,7 @@
     pub async fn take(
         line: Rc<Line>,
         job: &Job,
-        clock: &dyn Clock,
+        clock: &Rc<dyn Clock>,
     ) -> Result<std::result::Result<Box<dyn Seat>, Refusal>> {
         let mut request = line.client.place_request();
         wire::write_job(job, clock.now(), request.get().init_job());
@@ -38,10 +42,11 @@
             line,
             client,
             grant: Grant::default(),
+            clock: clock.clone(),
         };
         let waiting = distant.client.wait_request().send().promise;
         let waiting = distant.line.answer(waiting).await?;
-        Ok(match read(waiting.get()?.get_reply())? {
+        Ok(match read(waiting.get()?.get_reply(), &**clock)? {
             Ok(grant) => {
                 distant.grant = grant;
                 Ok(Box::new(distant))
@@ -54,7 +59,9 @@
         let mut request = self.client.retry_request();
         request.get().set_again(again);
         let replied = match self.line.answer(request.send().promise).await {
-            Ok(answer) => answer.get().and_then(|answer| read(answer.get_reply())),
+            Ok(answer) => answer
+                .get()
+                .and_then(|answer| read(answer.get_reply(), &*self.clock)),
             Err(error) => Err(error),
         };
         self.grant = replied.unwrap_or_else(|_| Err(Refusal::gone()))?;
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -1,11 +1,12 @@
 //! Tests of planning at another daemon.
 
 use capnp::capability::Rc as Capability;
+use capnp::message;
 
 use super::*;
 use crate::clock::Boot;
-use crate::generated::plan_capnp::seat as wire_seat;
-use crate::serve::plan::Tokens;
+use crate::generated::plan_capnp::{job as wire_job, reply, seat as wire_seat, use_};
+use crate::serve::plan::{Given, Part, Tokens};
 
 /// A planner that takes requests and never answers, as one that has been frozen.
 struct Frozen;
@@ -48,6 +49,7 @@
         parts: Vec::new(),
         tokens: Tokens::default(),
         zone: "z".into(),
+        made: Vec::new(),
     }
 }
 
@@ -62,7 +64,8 @@
 }
 
 async fn take(line: &Rc<Line>) -> bool {
-    let taken = seat::Distant::take(line.clone(), &job(), &Boot::new()).await;
+    let clock: Rc<dyn Clock> = Rc::new(Boot::new());
+    let taken = seat::Distant::take(line.clone(), &job(), &clock).await;
     taken.is_err()
 }
 
@@ -87,3 +90,97 @@
         assert!(take(&line).await, "and nothing more is sent there");
     });
 }
+
+fn given(until: Duration) -> Given {
+    Given {
+        stage: 2,
+        piece: 3,
+        handle: "10.1.0.1:80/h".into(),
+        maker: "m".into(),
+        zone: "z".into(),
+        bytes: 3_000_000,
+        until,
+    }
+}
+
+#[test]
+fn moved_job_with_results_read_as_written() {
+    let (here, there) = (Duration::from_secs(100), Duration::from_secs(7));
+    let mut job = job();
+    job.target += here;
+    job.end += here;
+    job.made.push(given(here + Duration::from_millis(900)));
+    let mut message = message::Builder::new_default();
+    wire::write_job(&job, here, message.init_root());
+    let read: wire_job::Reader<'_> = message.get_root_as_reader().expect("a job");
+    let read = wire::read_job(read, there).expect("it is read");
+    assert_eq!(read.made, [given(there + Duration::from_millis(900))]);
+    assert_eq!(read.end, there + Duration::from_secs(5));
+}
+
+#[test]
+fn refusal_with_results_read_as_written() {
+    let (here, there) = (Duration::from_secs(100), Duration::from_secs(7));
+    let mut refusal = Refusal::new("leaving", Duration::from_millis(300));
+    refusal.is_moved = true;
+    refusal.made.push(given(here + Duration::from_millis(900)));
+    let mut message = message::Builder::new_default();
+    wire::write_reply(&Err(refusal), here, message.init_root());
+    let read: reply::Reader<'_> = message.get_root_as_reader().expect("a reply");
+    let read = wire::read_reply(read, there).expect("it is read");
+    let refusal = read.expect_err("a refusal");
+    assert!(refusal.is_moved);
+    assert_eq!(refusal.made, [given(there + Duration::from_millis(900))]);
+}
+
+/// Load pattern: a planner is lost while prompts are shared; its successor has to know where.
+#[test]
+fn uses_told_with_their_ages() {
+    let at = Duration::from_secs;
+    let mut job = job();
+    let part = |id: &str| Part {
+        id: id.into(),
+        tokens: 100,
+    };
+    job.parts = vec![part("shared"), part("own")];
+    let mut uses = Uses::default();
+    uses.note(&"e".into(), &job, at(100));
+    uses.note(&"f".into(), &job, at(103));
+    assert_eq!(
+        uses.list(at(113)).len(),
+        1,
+        "the older one is not cached any more"
+    );
+    let ages = uses.ages(at(105));
+    let mut message = message::Builder::new_default();
+    let list = message.initn_root::<capnp::struct_list::Builder<'_, use_::Owned>>(2);
+    wire::write_uses(&ages, list);
+    let list = message.get_root_as_reader().expect("a list");
+    let read = wire::read_uses(list, at(8)).expect("it is read");
+    assert_eq!(read.len(), 2);
+    assert_eq!(
+        (&*read[0].endpoint, &*read[0].part, read[0].at),
+        ("e", "shared", at(3))
+    );
+    assert_eq!((&*read[1].endpoint, read[1].at), ("f", at(6)));
+}
+
+#[test]
+fn uses_bounded() {
+    let mut uses = Uses::default();
+    for number in 0..3_000 {
+        let mut job = job();
+        let part = |id: String| Part {
+            id: id.into(),
+            tokens: 100,
+        };
+        job.parts = vec![part(format!("p{number}")), part("own".to_owned())];
+        uses.note(&"e".into(), &job, Duration::from_millis(number));
+    }
+    let list = uses.list(Duration::from_secs(3));
+    assert!(list.len() <= 500);
+    assert!(
+        list.iter().any(|one| &*one.part == "p2999"),
+        "the newest stay"
+    );
+}
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use capnp::Result;
+use indexmap::IndexMap;
 
 use crate::clock::Time;
 use crate::generated::plan_capnp as schema;
 use crate::id;
 use crate::serve::board::{Mark, Topic};
 use crate::serve::health::Verdict;
-use crate::serve::plan::{Grant, Job, Need, Part, Refusal, Tokens};
+use crate::serve::plan::{Given, Grant, Job, Need, Part, Refusal, Tokens, Use};
 
 fn nanos(duration: Duration) -> u64 {
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
@@ -48,6 +49,11 @@
     to.set_span_nanos(nanos(job.span));
     to.set_weight(job.weight);
     to.set_digest(&*job.digest);
+    write_made(
+        &job.made,
+        now,
+        to.reborrow().init_made(count(job.made.len())),
+    );
     let mut needs = to.reborrow().init_needs(count(job.needs.len()));
     for (index, need) in (0..).zip(&job.needs) {
         let mut one = needs.reborrow().get(index);
@@ -111,11 +117,87 @@
         span: Duration::from_nanos(from.get_span_nanos()),
         weight: from.get_weight(),
         digest: name(from.get_digest()?)?,
+        made: read_made(from.get_made()?, now)?,
     })
 }
 
+fn write_made(
+    made: &[Given],
+    now: Time,
+    mut to: capnp::struct_list::Builder<'_, schema::made::Owned>,
+) {
+    for (index, given) in (0..).zip(made) {
+        let mut one = to.reborrow().get(index);
+        one.set_stage(small(given.stage));
+        one.set_piece(small(given.piece));
+        one.set_handle(&*given.handle);
+        one.set_endpoint(&*given.maker);
+        one.set_zone(&*given.zone);
+        one.set_bytes(given.bytes);
+        one.set_left_nanos(nanos(given.until.saturating_sub(now)));
+    }
+}
+
+fn read_made(
+    from: capnp::struct_list::Reader<'_, schema::made::Owned>,
+    now: Time,
+) -> Result<Vec<Given>> {
+    let given = |one: schema::made::Reader<'_>| {
+        Ok(Given {
+            stage: one.get_stage().into(),
+            piece: one.get_piece().into(),
+            handle: name(one.get_handle()?)?,
+            maker: name(one.get_endpoint()?)?,
+            zone: name(one.get_zone()?)?,
+            bytes: one.get_bytes(),
+            until: now + Duration::from_nanos(one.get_left_nanos()),
+        })
+    };
+    from.iter().map(given).collect()
+}
+
+/// Writes what was sent to engines, by engine.
+pub fn write_uses(
+    uses: &IndexMap<id::Endpoint, Vec<(id::Name, Duration)>>,
+    mut to: capnp::struct_list::Builder<'_, schema::use_::Owned>,
+) {
+    for (index, (endpoint, parts)) in (0..).zip(uses) {
+        let mut one = to.reborrow().get(index);
+        one.set_endpoint(&**endpoint);
+        let mut sent = one.init_sent(count(parts.len()));
+        for (index, (part, age)) in (0..).zip(parts) {
+            let mut one = sent.reborrow().get(index);
+            one.set_part(&**part);
+            one.set_age_nanos(nanos(*age));
+        }
+    }
+}
+
+/// Reads what was sent to engines.
+pub fn read_uses(
+    from: capnp::struct_list::Reader<'_, schema::use_::Owned>,
+    now: Time,
+) -> Result<Vec<Use>> {
+    let mut uses = Vec::new();
+    for one in from {
+        let endpoint = name(one.get_endpoint()?)?;
+        for sent in one.get_sent()? {
+            uses.push(Use {
+                endpoint: endpoint.clone(),
+                part: name(sent.get_part()?)?,
+                at: now.saturating_sub(Duration::from_nanos(sent.get_age_nanos())),
+            });
+        }
+    }
+    Ok(uses)
+}
+
 /// Writes how a request was planned.
-pub fn write_reply(reply: &std::result::Result<Grant, Refusal>, to: schema::reply::Builder<'_>) {
+pub fn write_reply(
+    reply: &std::result::Result<Grant, Refusal>,
+    now: Time,
+    to: schema::reply::Builder<'_>,
+) {
     match reply {
         Ok(grant) => {
             let mut one = to.init_grant();
@@ -131,12 +213,17 @@
             one.set_reason(&*refusal.reason);
             one.set_wait_nanos(nanos(refusal.wait));
             one.set_is_moved(refusal.is_moved);
+            let length = count(refusal.made.len());
+            write_made(&refusal.made, now, one.init_made(length));
         }
     }
 }
 
 /// Reads how a request was planned.
-pub fn read_reply(from: schema::reply::Reader<'_>) -> Result<std::result::Result<Grant, Refusal>> {
+pub fn read_reply(
+    from: schema::reply::Reader<'_>,
+    now: Time,
+) -> Result<std::result::Result<Grant, Refusal>> {
     use schema::reply::Which;
     match from.which()? {
         Which::Grant(grant) => {
@@ -154,6 +241,7 @@
                 reason: refusal.get_reason()?.to_str()?.to_owned().into(),
                 wait: Duration::from_nanos(refusal.get_wait_nanos()),
                 is_moved: refusal.get_is_moved(),
+                made: read_made(refusal.get_made()?, now)?,
             }))
         }
     }
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -224,6 +224,7 @@
             parts: plan.ask.parts.clone(),
             tokens: plan.ask.tokens,
             zone: self.node.options.zone.clone(),
+            made: Vec::new(),
         }
     }
 
