--- a/src/serve/board.rs
+++ b/src/serve/board.rs
@@ -57,7 +57,7 @@
     ///
     /// # Errors
     ///
-    /// When the bytes are no compressed record, or one of more than [`RECORD_BYTES`].
+    /// When the bytes are no compressed record, or one of more than 16 MB.
     pub fn unpack(&self) -> std::io::Result<Bytes> {
         let mut record = Vec::new();
         let decoder = DeflateDecoder::new(&*self.packed);
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -52,8 +52,10 @@
 const LINE_TIME: Duration = Duration::from_millis(500);
 /// How often it looks.
 const LINE_LOOK: Duration = Duration::from_millis(15);
-/// Planners that one request is sent to.
+/// Planners that may be lost with one request.
 const PLANNERS: usize = 3;
+/// Planners that may hand one request over; while all daemons are stopped in turn, each of them may.
+const MOVES: usize = 10;
 
 /// A connection to the daemon that plans.
 struct Line {
@@ -313,7 +315,8 @@
     async fn plan(&self, job: &Job) -> Result<Box<dyn Seat>, Refusal> {
         let mut job = Cow::Borrowed(job);
         let mut last = Refusal::gone();
-        for _ in 0..PLANNERS {
+        let (mut lost, mut moves) = (0, 0);
+        while lost < PLANNERS && moves < MOVES {
             if self.local.is_none() && self.line.borrow().is_none() {
                 break;
             }
@@ -327,6 +330,7 @@
                 Ok(Err(refusal)) if refusal.is_moved => {
                     job.to_mut().made.clone_from(&refusal.made);
                     last = refusal;
+                    moves += 1;
                     self.moved(line).await;
                     continue;
                 }
@@ -338,6 +342,7 @@
                 Ok(refused) => return refused,
                 Err(error) => {
                     info!(self.log, "planner lost a request"; "error" => %error);
+                    lost += 1;
                 }
             }
             // The keeper finds another planner meanwhile.
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -6,7 +6,7 @@
 use super::*;
 use crate::clock::Boot;
 use crate::generated::plan_capnp::{job as wire_job, reply, seat as wire_seat, use_};
-use crate::serve::plan::{Given, Part, Tokens};
+use crate::serve::plan::{Given, Grant, Part, Tokens};
 
 /// A planner that takes requests and never answers, as one that has been frozen.
 struct Frozen;
@@ -184,3 +184,71 @@
         "the newest stay"
     );
 }
+
+/// A planner that hands the first requests over and grants the others.
+struct Leaving(Rc<Cell<usize>>);
+
+impl planner::Server for Leaving {
+    async fn place(
+        self: Capability<Self>,
+        _: planner::PlaceParams,
+        mut results: planner::PlaceResults,
+    ) -> capnp::Result<()> {
+        let seat = Moving(self.0.clone());
+        results.get().set_seat(capnp_rpc::new_client(seat));
+        Ok(())
+    }
+}
+
+struct Moving(Rc<Cell<usize>>);
+
+impl wire_seat::Server for Moving {
+    async fn wait(
+        self: Capability<Self>,
+        _: wire_seat::WaitParams,
+        mut results: wire_seat::WaitResults,
+    ) -> capnp::Result<()> {
+        let left = self.0.get();
+        let reply = if left > 0 {
+            self.0.set(left - 1);
+            let mut refusal = Refusal::new("leaving", Duration::ZERO);
+            refusal.is_moved = true;
+            Err(refusal)
+        } else {
+            Ok(Grant {
+                endpoint: "e".into(),
+                ..Grant::default()
+            })
+        };
+        wire::write_reply(&reply, Duration::ZERO, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn leave(
+        self: Capability<Self>,
+        _: wire_seat::LeaveParams,
+        _: wire_seat::LeaveResults,
+    ) -> capnp::Result<()> {
+        Ok(())
+    }
+}
+
+/// Load pattern: all daemons of a region are stopped in turn while a request waits.
+#[test]
+fn request_moved_more_often_than_planners_may_be_lost() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.expect("a runtime"), async {
+        let left = Rc::new(Cell::new(PLANNERS + 1));
+        let log = Logger::root(slog::Discard, slog::o!());
+        let region = Region::other(Rc::new(Boot::new()), log);
+        let client = capnp_rpc::new_client(Leaving(left.clone()));
+        let line = Line::new(line().member.clone(), client, spawn_local(async {}));
+        region.line.replace(Some(line));
+        let planned = region.plan(&job()).await;
+        assert_eq!(left.get(), 0);
+        assert_eq!(&*planned.expect("it is granted").grant().endpoint, "e");
+    });
+}
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -312,12 +312,24 @@
             if !node.spend(&plan.service) {
                 return self.give_up(client, otherwise);
             }
-            if let Err(refusal) = seat.retry(again).await {
-                if self.may_have_run.get() {
-                    return self.give_up(client, otherwise);
+            let retried = match seat.retry(again).await {
+                Ok(()) => Ok(seat),
+                // The planner has left meanwhile, and another one goes on.
+                Err(refusal) if refusal.is_moved => {
+                    let made = refusal.made;
+                    let job = Job {
+                        made,
+                        ..self.job(plan)
+                    };
+                    desk.place(job).await
                 }
-                return Done::Fail(refused(&refusal));
-            }
+                Err(refusal) => Err(refusal),
+            };
+            seat = match retried {
+                Ok(seat) => seat,
+                Err(_) if self.may_have_run.get() => return self.give_up(client, otherwise),
+                Err(refusal) => return Done::Fail(refused(&refusal)),
+            };
         }
     }
 
