Tell the others when a doubt about an endpoint ends

A lapsed entry that comes back unchanged was no change, so the planner vouched that there was no news and the others did not read it. It was there before; the planner's word used to be too old now and then, and the others read by themselves. Change: the end of a doubt is news. Ruled out: the reads after the outage (all daemons regained the store within a second). The test failed first.

--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -137,7 +137,8 @@
         if before.endpoint.age() > known.endpoint.age() {
             return false;
         }
-        let changed = !before.endpoint.says(&known.endpoint);
+        // The end of a doubt is news too: daemons that are not told of it would let the entry expire.
+        let changed = before.doubted.is_some() || !before.endpoint.says(&known.endpoint);
         self.known.insert(id, known);
         changed
     }
--- a/src/serve/fleet/tests.rs
+++ b/src/serve/fleet/tests.rs
@@ -126,3 +126,14 @@
     fleet.replace(vec![endpoint("b", 1, 0)], at(1_000));
     assert_eq!(ids(&fleet), ["b"]);
 }
+
+/// Load pattern: entries lapse while the store is down and come back unchanged. Daemons that rely on the
+/// planner read them only if the planner tells them that there is news.
+#[test]
+fn doubt_ended_is_news() {
+    let mut fleet = fleet();
+    fleet.failed(at(2_000));
+    assert!(!fleet.learn(Entry::Removed("a".into()), at(2_100)));
+    assert!(fleet.learn(Entry::Present(endpoint("a", 1, 6)), at(2_200)));
+    assert!(!fleet.learn(Entry::Present(endpoint("a", 1, 7)), at(2_300)));
+}
