--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -66,6 +66,8 @@
     id: String,
     route: Option<id::Name>,
     endpoint: Option<id::Endpoint>,
+    /// How the endpoint delimited the body of its last response.
+    framing: Option<&'static str>,
     sent: u32,
     not_run: u32,
     is_logged: bool,
@@ -201,8 +203,8 @@
         let age = self.node.config_age().map(|age| age.as_millis() as u64);
         info!(self.node.log, "request";
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
-            "reason" => reason, "endpoint" => fields.endpoint.as_deref(), "sent" => fields.sent,
-            "turned" => fields.not_run, "ms" => took.as_millis() as u64,
+            "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
+            "framing" => fields.framing, "sent" => fields.sent, "turned" => fields.not_run, "ms" => took.as_millis() as u64,
             "config" => self.node.catalog().version, "config_age_ms" => age,
             "may_have_run" => self.may_have_run.get());
     }
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -21,6 +21,7 @@
         has_started: &Cell<bool>,
         mut response: exchange::Response,
     ) -> AttemptOutcome {
+        self.log_fields.borrow_mut().framing = Some(response.framing.name());
         let meta = self
             .node
             .protocol
--- a/src/serve/http/body.rs
+++ b/src/serve/http/body.rs
@@ -116,6 +116,16 @@
         }
     }
 
+    /// Returns its name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked(_) => "chunked",
+            Self::Close => "close",
+            Self::End => "empty",
+        }
+    }
+
     /// Returns whether a close of the connection completes the body.
     pub fn ends_with_close(&self) -> bool {
         matches!(self, Self::Close | Self::End)
