End a stream to the client only after a whole event

Cause: an answer with neither a length nor chunks ends with its connection, and an endpoint that fails closes its connection, too. The codec returned "no more bytes" for both, without saying what it was based on, and the handler sent the last chunk; for resumable streams it even sent the unfinished event first. The class: an answer is called complete at a border that does not know whether it is. The same happened to streams whose own framing was complete and whose last event was not.

Change: the end of a body says what shows it (http::End: the framing, or a close). EventBuffer decides whether a stream is whole: no unfinished event, and at least one event if only the close shows the end. All streams pass through it, and all are sent in chunks, since a length that was passed on cannot be taken back. A stream that is not whole is treated like one that was cut off: it goes on at another endpoint if its route allows it, else the last chunk is withheld.

Why it works: nothing else leads to the last chunk of a stream.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::http::{self, Field, Framing, ResponseHead, Sink, Source};
+use super::http::{self, Chunk, Field, Framing, ResponseHead, Sink, Source};
 
 /// How long the first connection attempt may take: several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -129,8 +129,8 @@
 }
 
 impl Response {
-    /// Reads the next bytes of the body; none at its end.
-    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
+    /// Reads the next bytes of the body, or its end.
+    pub async fn chunk(&mut self) -> Result<Chunk, Error> {
         let peer = self.connection.peer;
         let step = "reading the answer of";
         let chunk = self.connection.source.chunk(&mut self.framing).await;
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -2,12 +2,17 @@
 
 use std::cell::Cell;
 
+use bytes::Bytes;
+
 use super::event::EventBuffer;
-use super::{AcceptedRequest, AttemptOutcome, MAX_RESPONSE_BYTES, Outcome, RequestHandler, lost};
+use super::{
+    AcceptedRequest, AttemptOutcome, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES, Outcome, RequestHandler,
+    lost,
+};
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
-use crate::serve::http::Framing;
+use crate::serve::http::{Chunk, Framing};
 use crate::serve::response::ResponseWriter;
 
 impl RequestHandler {
@@ -73,35 +78,26 @@
         has_started: &Cell<bool>,
         mut response: exchange::Response,
     ) -> AttemptOutcome {
-        let is_resumable = request.route.kind.is_repeatable();
-        let framing = if is_resumable {
-            Framing::chunked()
-        } else {
-            response.framing.clone()
-        };
+        // The length that an endpoint announces says nothing about its events, and the last chunk
+        // can still be withheld when the stream turns out to have broken off.
+        let framing = Framing::chunked();
         let fields = self.node.protocol.response_fields(&response.head);
+        let is_resumable = request.route.kind.is_repeatable();
         let mut is_first = true;
+        events.begin();
         loop {
-            let chunk = match response.chunk().await {
-                Ok(chunk) => chunk,
-                Err(_) => {
-                    events.drop_partial();
-                    return AttemptOutcome::Lost {
-                        verdict: Verdict::Crashed,
-                        reason: "the stream broke off",
-                    };
-                }
+            let (bytes, end) = match response.chunk().await {
+                Ok(Chunk::Bytes(bytes)) => (events.push(&bytes), None),
+                Ok(Chunk::End(end)) if events.is_whole(end) => (Bytes::new(), Some(end)),
+                Ok(Chunk::End(_)) | Err(_) => return stream_broke_off(),
             };
-            let is_end = chunk.is_none();
-            if !is_end && std::mem::replace(&mut is_first, false) {
+            if events.partial_length() > MAX_EVENT_BYTES {
+                return lost("an event of the stream is too long");
+            }
+            if end.is_none() && std::mem::replace(&mut is_first, false) {
                 planned.started(!is_resumable);
             }
-            let bytes = match chunk {
-                Some(bytes) if is_resumable => events.push(&bytes),
-                Some(bytes) => bytes,
-                None => events.take_rest(),
-            };
-            let sent = if !client.has_started() && (is_end || !bytes.is_empty()) {
+            let sent = if !client.has_started() && (end.is_some() || !bytes.is_empty()) {
                 has_started.set(true);
                 client
                     .start(response.head.status, &fields, &framing, &bytes)
@@ -115,10 +111,17 @@
                 planned.ended(Verdict::Unknown);
                 return AttemptOutcome::Done(Outcome::Truncated("client disconnected"));
             }
-            if is_end {
+            if end.is_some() {
                 planned.ended(Verdict::Good);
                 return AttemptOutcome::Done(Outcome::Streamed);
             }
         }
     }
 }
+
+fn stream_broke_off() -> AttemptOutcome {
+    AttemptOutcome::Lost {
+        verdict: Verdict::Crashed,
+        reason: "the stream broke off",
+    }
+}
--- a/src/serve/handler/event.rs
+++ b/src/serve/handler/event.rs
@@ -1,8 +1,12 @@
-//! Events of a stream that another endpoint may resume: only complete ones are passed on.
+//! Events of a stream, of which only complete ones are passed on: another endpoint may resume the
+//! stream after any of them, and a stream that ends within one has broken off.
 
 use bytes::{Bytes, BytesMut};
 
-const EVENT_END: &[u8] = b"\n\n";
+use crate::serve::http::End;
+
+/// The blank lines that end an event.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
 const ID_FIELD: &[u8] = b"id:";
 
 /// Buffers bytes until events are complete, and keeps the id of the last one that was passed on.
@@ -10,17 +14,35 @@
 pub struct EventBuffer {
     partial: BytesMut,
     last_id: Option<String>,
+    /// Whether the current endpoint has sent a complete event.
+    has_events: bool,
+}
+
+/// Returns the length of the complete events at the start of the bytes.
+fn complete_length(bytes: &[u8]) -> usize {
+    let length = |end: &&[u8]| {
+        let at = bytes.windows(end.len()).rposition(|window| window == *end);
+        at.map(|at| at + end.len())
+    };
+    EVENT_ENDS.iter().filter_map(length).max().unwrap_or(0)
 }
 
 impl EventBuffer {
+    /// Begins the stream of another endpoint; an incomplete event of the previous one is dropped.
+    pub fn begin(&mut self) {
+        self.partial.clear();
+        self.has_events = false;
+    }
+
     /// Adds bytes and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
-        let ends = self.partial.windows(EVENT_END.len());
-        let Some(end) = ends.into_iter().rposition(|window| window == EVENT_END) else {
-            return Bytes::new();
-        };
-        let whole = self.partial.split_to(end + EVENT_END.len()).freeze();
+        let whole = self.partial.split_to(complete_length(&self.partial));
+        let whole = whole.freeze();
+        if whole.is_empty() {
+            return whole;
+        }
+        self.has_events = true;
         let lines = whole.split(|byte| *byte == b'\n');
         let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
         if let Some(id) = ids.next_back() {
@@ -30,14 +52,15 @@
         whole
     }
 
-    /// Returns the buffered bytes at the end of the stream.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.partial.split().freeze()
+    /// Returns the number of bytes of the incomplete event.
+    pub fn partial_length(&self) -> usize {
+        self.partial.len()
     }
 
-    /// Drops the incomplete event after the stream broke off.
-    pub fn drop_partial(&mut self) {
-        self.partial.clear();
+    /// Returns whether the stream is whole, given how its body ended. A close of the connection ends
+    /// it only after an event: an endpoint that fails before its first one closes, too.
+    pub fn is_whole(&self, end: End) -> bool {
+        self.partial.is_empty() && (end == End::Framed || self.has_events)
     }
 
     /// Returns the id of the last event that was passed on.
@@ -45,3 +68,6 @@
         self.last_id.as_deref()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/serve/handler/event/tests.rs
@@ -0,0 +1,67 @@
+//! Tests of which bytes of a stream are passed on, and of when it is whole.
+
+use super::*;
+
+/// Pushes a stream in portions; returns what was passed on.
+fn push_all(events: &mut EventBuffer, stream: &str, portion: usize) -> String {
+    let portions = stream.as_bytes().chunks(portion);
+    let passed: Vec<u8> = portions
+        .flat_map(|portion| events.push(portion).to_vec())
+        .collect();
+    String::from_utf8(passed).expect("text")
+}
+
+#[test]
+fn push_passes_complete_events_on() {
+    for (stream, complete, id) in [
+        ("id: 1\ndata: a\n\nid: 2\n", "id: 1\ndata: a\n\n", "1"),
+        (
+            "id: 1\r\n\r\nid: 2\r\n\r\nid",
+            "id: 1\r\n\r\nid: 2\r\n\r\n",
+            "2",
+        ),
+        ("id:1\n\nid:2\n\n", "id:1\n\nid:2\n\n", "2"),
+    ] {
+        for portion in 1..=stream.len() {
+            let mut events = EventBuffer::default();
+            events.begin();
+            assert_eq!(
+                push_all(&mut events, stream, portion),
+                complete,
+                "{portion}"
+            );
+            assert_eq!(events.last_id(), Some(id));
+            assert_eq!(events.partial_length(), stream.len() - complete.len());
+        }
+    }
+}
+
+#[test]
+fn is_whole_only_after_an_event() {
+    for (stream, framed, closed) in [
+        ("id: 1\n\n", true, true),
+        ("id: 1\n\nid: 2", false, false),
+        ("id: 1\n\nid: 2\n", false, false),
+        ("id: 1", false, false),
+        ("", true, false),
+    ] {
+        let mut events = EventBuffer::default();
+        events.begin();
+        events.push(stream.as_bytes());
+        let is_whole = (events.is_whole(End::Framed), events.is_whole(End::Closed));
+        assert_eq!(is_whole, (framed, closed), "{stream:?}");
+    }
+}
+
+/// The events of an earlier endpoint do not show that the next one ended its stream whole.
+#[test]
+fn begin_forgets_the_previous_endpoint() {
+    let mut events = EventBuffer::default();
+    events.begin();
+    events.push(b"id: 1\n\nid: 2\nda");
+    events.begin();
+    assert!(!events.is_whole(End::Closed));
+    assert_eq!(events.last_id(), Some("1"), "the stream goes on after it");
+    assert_eq!(events.push(b"id: 2\n\n"), "id: 2\n\n");
+    assert!(events.is_whole(End::Closed));
+}
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -15,7 +15,7 @@
 mod body;
 mod head;
 
-pub use body::Framing;
+pub use body::{Chunk, End, Framing};
 pub use head::{Field, Fields, RequestHead, ResponseHead, field};
 
 /// The size of one read from a socket; prompts arrive in a few reads.
@@ -152,29 +152,26 @@
         Ok(())
     }
 
-    /// Reads the next bytes of a body as they arrive; none at its end.
-    pub async fn chunk(&mut self, framing: &mut Framing) -> Result<Option<Bytes>> {
+    /// Reads the next bytes of a body as they arrive, or its end.
+    pub async fn chunk(&mut self, framing: &mut Framing) -> Result<Chunk> {
         loop {
-            if let Some(decoded) = framing.decode(&mut self.buffer)? {
-                return Ok(decoded.into_bytes());
+            if let Some(chunk) = framing.decode(&mut self.buffer)? {
+                return Ok(chunk);
             }
             if self.fill().await? == 0 {
-                return if framing.ends_with_close() {
-                    Ok(None)
-                } else {
-                    Err(Error::Truncated)
-                };
+                return framing.close();
             }
         }
     }
 
-    /// Reads a whole body; none when it is longer than `limit`.
+    /// Reads a whole body; none when it is longer than `limit`. One that ends with its connection is
+    /// whole unless the connection was reset.
     pub async fn body(&mut self, framing: &mut Framing, limit: usize) -> Result<Option<Bytes>> {
         if framing.length().is_some_and(|length| length > limit as u64) {
             return Ok(None);
         }
         let mut body = BytesMut::new();
-        while let Some(bytes) = self.chunk(framing).await? {
+        while let Chunk::Bytes(bytes) = self.chunk(framing).await? {
             if body.len() + bytes.len() > limit {
                 return Ok(None);
             }
--- a/src/serve/http/body.rs
+++ b/src/serve/http/body.rs
@@ -36,20 +36,22 @@
     }
 }
 
-/// A decoded part of a body.
-pub enum Decoded {
+/// The next part of a body.
+pub enum Chunk {
     /// Bytes of the body.
     Bytes(Bytes),
     /// The end of the body.
-    End,
+    End(End),
 }
 
-impl Decoded {
-    pub(super) fn into_bytes(self) -> Option<Bytes> {
-        match self {
-            Self::Bytes(bytes) => Some(bytes),
-            Self::End => None,
-        }
+token! {
+    /// What shows that a body has ended.
+    pub enum End {
+        /// Its length was reached, or its last chunk was read.
+        Framed,
+        /// The peer closed the connection, as it also does when it fails: only the content can
+        /// tell whether the body is whole.
+        Closed,
     }
 }
 
@@ -126,26 +128,30 @@
         }
     }
 
-    /// Returns whether a close of the connection completes the body.
-    pub fn ends_with_close(&self) -> bool {
-        matches!(self, Self::Close | Self::End)
+    /// Returns the end that a close of the connection makes, unless it truncates the body.
+    pub(super) fn close(&self) -> Result<Chunk> {
+        match self {
+            Self::Close => Ok(Chunk::End(End::Closed)),
+            Self::End => Ok(Chunk::End(End::Framed)),
+            Self::Length(_) | Self::Chunked(_) => Err(Error::Truncated),
+        }
     }
 
     /// Decodes bytes from the buffer; none when more have to be read.
-    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Decoded>> {
+    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Chunk>> {
         loop {
             match self {
-                Self::End => return Ok(Some(Decoded::End)),
+                Self::End => return Ok(Some(Chunk::End(End::Framed))),
                 Self::Close if buffer.is_empty() => return Ok(None),
-                Self::Close => return Ok(Some(Decoded::Bytes(buffer.split().freeze()))),
+                Self::Close => return Ok(Some(Chunk::Bytes(buffer.split().freeze()))),
                 Self::Length(_) if buffer.is_empty() => return Ok(None),
                 Self::Length(remaining) => {
                     let bytes = take_up_to(buffer, *remaining);
                     *self = Self::of_length(*remaining - bytes.len() as u64);
-                    return Ok(Some(Decoded::Bytes(bytes)));
+                    return Ok(Some(Chunk::Bytes(bytes)));
                 }
                 Self::Chunked(chunk) => match chunk.decode(buffer)? {
-                    Some(ChunkStep::Bytes(bytes)) => return Ok(Some(Decoded::Bytes(bytes))),
+                    Some(ChunkStep::Bytes(bytes)) => return Ok(Some(Chunk::Bytes(bytes))),
                     Some(ChunkStep::Next(next)) => *chunk = next,
                     Some(ChunkStep::End) => *self = Self::End,
                     None => return Ok(None),
--- a/src/serve/http/tests.rs
+++ b/src/serve/http/tests.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use proptest::prelude::*;
 
-use super::body::{Decoded, Framing};
+use super::body::{Chunk, End, Framing};
 use super::head::{parse_request, parse_response};
 use super::{Error, MAX_RESPONSE_HEAD_BYTES};
 
@@ -107,8 +107,8 @@
         buffer.extend_from_slice(bytes);
         while let Some(part) = framing.decode(&mut buffer)? {
             match part {
-                Decoded::Bytes(bytes) => decoded.extend_from_slice(&bytes),
-                Decoded::End => break,
+                Chunk::Bytes(bytes) => decoded.extend_from_slice(&bytes),
+                Chunk::End(_) => break,
             }
         }
     }
@@ -169,7 +169,7 @@
     let (decoded, rest) = decode(&mut framing, b"abcdef", 2).expect("valid");
     assert_eq!((decoded.as_slice(), rest), (&b"abc"[..], 3));
     let mut buffer = BytesMut::from(&b"x"[..]);
-    let Ok(Some(Decoded::End)) = framing.decode(&mut buffer) else {
+    let Ok(Some(Chunk::End(End::Framed))) = framing.decode(&mut buffer) else {
         panic!("a body that has ended takes nothing more");
     };
     assert_eq!(Bytes::from(buffer), Bytes::from_static(b"x"));
