Pass on responses without a body

What callers saw: a HEAD request got 504 at its deadline although the endpoint had answered. By the code, a last chunk also followed a response 204 to a stream route; the test stops at its first case, so that was not seen in a run.

Cause: the framing of a response was taken from its fields alone. That it has no body follows from the request's method or from the status, and the reader and the writer did not know these.

Evidence: response_without_body_keeps_connection, which failed before with 504 for the first of its cases.

Change: the response to a HEAD request ends with its head; the writer sends no framing where there is no body; a response that has ended with its head is not sent as a stream.

--- a/src/serve/connection.rs
+++ b/src/serve/connection.rs
@@ -168,7 +168,7 @@
             return false;
         };
         let keep_alive = head.keep_alive && self.node.leaving_since().is_none();
-        let client = ResponseWriter::new(sink, keep_alive);
+        let client = ResponseWriter::new(sink, &head, keep_alive);
         let outlives_client = Rc::new(Cell::new(false));
         let handler = RequestHandler::new(
             self.node.clone(),
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -129,6 +129,16 @@
 }
 
 impl Response {
+    /// Makes the response end with its head, as one to a HEAD request does whatever its fields say.
+    pub fn expect_no_body(&mut self) {
+        self.framing = Framing::End;
+    }
+
+    /// Returns whether nothing of the body is left to read.
+    pub fn is_read(&self) -> bool {
+        self.framing == Framing::End
+    }
+
     /// Reads the next bytes of the body, or its end.
     pub async fn chunk(&mut self) -> Result<Chunk, Error> {
         let peer = self.connection.peer;
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -42,7 +42,8 @@
         if !meta.is_id_matching || !meta.is_sealed {
             return lost("the answer has another id or no signature");
         }
-        if is_good && request.route.kind.is_stream() {
+        let has_events = !response.is_read() || client.has_started();
+        if is_good && has_events && request.route.kind.is_stream() {
             return self
                 .stream_response(request, planned, client, events, has_started, response)
                 .await;
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -58,7 +58,10 @@
             None => Ok(sending.await),
         };
         match received {
-            Ok(Ok(response)) => {
+            Ok(Ok(mut response)) => {
+                if self.head.is_head() {
+                    response.expect_no_body();
+                }
                 self.handle_response(request, planned, client, events, has_started, response)
                     .await
             }
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -16,7 +16,7 @@
 mod head;
 
 pub use body::{Chunk, End, Framing};
-pub use head::{Field, Fields, RequestHead, ResponseHead, field};
+pub use head::{Field, Fields, RequestHead, ResponseHead, field, has_body};
 
 /// The size of one read from a socket; prompts arrive in a few reads.
 const READ_BYTES: usize = 16 * 1024;
--- a/src/serve/http/head.rs
+++ b/src/serve/http/head.rs
@@ -120,6 +120,13 @@
     }
 }
 
+impl RequestHead {
+    /// Returns whether the response has no body, whatever its fields say.
+    pub fn is_head(&self) -> bool {
+        self.method == "HEAD"
+    }
+}
+
 event! {
     /// The head of a response.
     pub struct ResponseHead {
@@ -202,6 +209,11 @@
     Ok(Some((head, size)))
 }
 
+/// Returns whether a response of this status to a request other than HEAD has a body.
+pub fn has_body(status: u16) -> bool {
+    status >= 200 && status != 204 && status != 304
+}
+
 /// Parses the head of a response; returns it with its size, or none when it is incomplete.
 pub(super) fn parse_response(bytes: &[u8], limit: usize) -> Result<Option<(ResponseHead, usize)>> {
     if bytes.is_empty() {
@@ -215,9 +227,8 @@
     };
     let fields = collect(response.headers);
     let status = response.code.unwrap_or_default();
-    let has_no_body = status < 200 || status == 204 || status == 304;
     let framing = match fields.framing()? {
-        _ if has_no_body => Framing::End,
+        _ if !has_body(status) => Framing::End,
         Some(framing) => framing,
         None => Framing::Close,
     };
--- a/src/serve/response.rs
+++ b/src/serve/response.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::exchange::write_fields;
-use super::http::{self, Field, Framing, Sink};
+use super::http::{self, Field, Framing, RequestHead, Sink};
 
 fn status_text(status: u16) -> &'static str {
     match status {
@@ -57,16 +57,19 @@
 pub struct ResponseWriter {
     sink: Sink,
     keep_alive: bool,
+    /// Whether the request is a HEAD request, whose response has no body.
+    is_head_request: bool,
     is_head_sent: bool,
     is_chunked: bool,
 }
 
 impl ResponseWriter {
-    /// Makes a writer on a connection.
-    pub fn new(sink: Sink, keep_alive: bool) -> Self {
+    /// Makes a writer of the response to a request; with `keep_alive`, the connection stays open.
+    pub fn new(sink: Sink, request: &RequestHead, keep_alive: bool) -> Self {
         Self {
             sink,
             keep_alive,
+            is_head_request: request.is_head(),
             is_head_sent: false,
             is_chunked: false,
         }
@@ -98,6 +101,7 @@
         let mut head = format!("HTTP/1.1 {status} {}\r\n", status_text(status)).into_bytes();
         write_fields(&mut head, fields);
         let framing = match length {
+            _ if self.is_head_request || !http::has_body(status) => String::new(),
             Some(length) => format!("Content-Length: {length}\r\n"),
             None => "Transfer-Encoding: chunked\r\n".to_owned(),
         };
