Stop a stream at bytes that are no event of it

What callers saw: nothing yet; found with the stand-in's table of answers.

Cause: events were told apart by blank lines only. What stands in them was never looked at, so a head of a response or events that had been sent before were passed on, too.

Change: an event has only lines that may stand in one, and an id that follows the one before, as the platform states (increasing ids; those that are no numbers are not compared). Events before the first invalid one are passed on, then the stream counts as broken off. The id that a client sent with Last-Event-Id is the first to follow.

The plain body without a framing stays: a second answer in it cannot be told from its content.

--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -303,7 +303,7 @@
             Ok(planned) => planned,
             Err(refusal) => return Outcome::Failure(planner_refusal(&refusal)),
         };
-        let mut events = EventBuffer::default();
+        let mut events = EventBuffer::after(request.meta.last_event_id.clone());
         loop {
             let attempted = self
                 .attempt(request, &*planned, client, &mut events, has_started)
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -112,6 +112,9 @@
                 planned.ended(Verdict::Unknown);
                 return AttemptOutcome::Done(Outcome::Truncated("client disconnected"));
             }
+            if events.is_invalid() {
+                return lost("the stream has bytes that are no event of it");
+            }
             if end.is_some() {
                 planned.ended(Verdict::Good);
                 return AttemptOutcome::Done(Outcome::Streamed);
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -89,10 +89,7 @@
             workspace: request.workspace.clone(),
             priority: request.is_staged.then_some(request.priority),
             inputs: planned.grant().inputs.clone(),
-            last_event_id: events
-                .last_id()
-                .or(request.meta.last_event_id.as_deref())
-                .map(str::to_owned),
+            last_event_id: events.last_id().map(str::to_owned),
         }
     }
 
--- a/src/serve/handler/event/tests.rs
+++ b/src/serve/handler/event/tests.rs
@@ -36,6 +36,39 @@
     }
 }
 
+/// Guards against a second response or a repeated stream that follows on the same connection.
+#[test]
+fn push_stops_at_what_is_no_event() {
+    for rest in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\n\r\nid: 3\n\n",
+        "daHTTP/1.1 200 OK\n\n",
+        "id: 2\ndata: again\n\n",
+        "id: 1\n\nid: 2\n\nid: 3\n\n",
+        "\u{1}\u{2}: x\n\n",
+    ] {
+        let stream = format!("id: 1\ndata: a\n\nid: 2\n\n{rest}");
+        for portion in [1, 5, stream.len()] {
+            let mut events = EventBuffer::default();
+            events.begin();
+            let passed = push_all(&mut events, &stream, portion);
+            assert_eq!(passed, "id: 1\ndata: a\n\nid: 2\n\n", "{rest:?}");
+            assert!(events.is_invalid(), "{rest:?}");
+            assert!(!events.is_whole(End::Closed) && !events.is_whole(End::Framed));
+        }
+    }
+}
+
+#[test]
+fn push_accepts_fields_and_comments() {
+    let stream =
+        ": hello\n\nweight-versions: 3\nid: 9\nevent: x\ndata\nretry: 10\n\ndata: y\n\nid: a\n\n";
+    let mut events = EventBuffer::after(Some("8".to_owned()));
+    events.begin();
+    assert_eq!(push_all(&mut events, stream, 7), stream);
+    assert!(events.is_whole(End::Closed));
+}
+
 #[test]
 fn is_whole_only_after_an_event() {
     for (stream, framed, closed) in [
