Hold a stream for a client of HTTP/1.0 until it is whole

What callers saw: nothing on the users' platform, whose clients speak HTTP/1.1. A client of HTTP/1.0 got streams in chunks, which it does not understand.

Cause: the writer did not know the client's version.

Change: a body of unknown length is held for such a client, up to 8 MiB, and sent with its length once it is whole.

Evidence: response_to_http_1_0_whole_or_short_of_its_length failed before at its first case.

Result: it passes, and so do the other tables.

--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -12,7 +12,7 @@
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
-use crate::serve::http::{Chunk, Framing};
+use crate::serve::http::Chunk;
 use crate::serve::response::ResponseWriter;
 
 impl RequestHandler {
@@ -79,9 +79,8 @@
         has_started: &Cell<bool>,
         mut response: exchange::Response,
     ) -> AttemptOutcome {
-        // The length that an endpoint announces says nothing about its events, and the last chunk
-        // can still be withheld when the stream turns out to have broken off.
-        let framing = Framing::chunked();
+        // The length that an endpoint announces is not passed on: it says nothing about its events, and
+        // the last chunk can still be withheld when the stream turns out to have broken off.
         let fields = self.node.protocol.response_fields(&response.head);
         let is_resumable = request.route.kind.is_repeatable();
         let mut is_first = true;
@@ -100,9 +99,7 @@
             }
             let sent = if !client.has_started() && (end.is_some() || !bytes.is_empty()) {
                 has_started.set(true);
-                client
-                    .start(response.head.status, &fields, &framing, &bytes)
-                    .await
+                client.start(response.head.status, &fields, &bytes).await
             } else if bytes.is_empty() {
                 Ok(())
             } else {
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -44,6 +44,12 @@
         /// What is wrong with it.
         reason: &'static str,
     },
+    /// The body is too long.
+    #[snafu(display("the body is over {limit} bytes"))]
+    BodyTooLong {
+        /// The longest body, in bytes.
+        limit: usize,
+    },
     /// The head is too long.
     #[snafu(display("the head is over {limit} bytes"))]
     HeadTooLong {
--- a/src/serve/http/head.rs
+++ b/src/serve/http/head.rs
@@ -115,6 +115,8 @@
         pub fields: Fields,
         /// How the body is delimited.
         pub framing: Framing,
+        /// Whether the client speaks HTTP/1.1, and so understands chunks.
+        pub is_http_1_1: bool,
         /// Whether the connection may carry another request.
         pub keep_alive: bool,
     }
@@ -202,6 +204,7 @@
     let head = RequestHead {
         method: request.method.unwrap_or_default().to_owned(),
         target: request.path.unwrap_or_default().to_owned(),
+        is_http_1_1,
         keep_alive: is_http_1_1 && !fields.has_token("connection", "close"),
         fields,
         framing,
--- a/src/serve/response.rs
+++ b/src/serve/response.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::exchange::write_fields;
-use super::http::{self, Field, Framing, RequestHead, Sink};
+use super::http::{self, Field, RequestHead, Sink};
 
 fn status_text(status: u16) -> &'static str {
     match status {
@@ -53,14 +53,39 @@
         .into_bytes()
 }
 
+/// The longest body that is held for a client of HTTP/1.0.
+const MAX_HELD_BYTES: usize = 8 * 1024 * 1024;
+
+fn write_chunk(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    buffer.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+    buffer.extend_from_slice(bytes);
+    buffer.extend_from_slice(b"\r\n");
+}
+
 /// Writes the response to one request.
 pub struct ResponseWriter {
     sink: Sink,
     keep_alive: bool,
     /// Whether the request is a HEAD request, whose response has no body.
     is_head_request: bool,
+    /// Whether the client understands chunks.
+    is_http_1_1: bool,
     is_head_sent: bool,
-    is_chunked: bool,
+    body: Body,
+}
+
+/// How the body is sent.
+enum Body {
+    /// As it comes; its length was announced.
+    Plain,
+    /// As it comes, in chunks.
+    Chunked,
+    /// With its length once it is complete: to a client of HTTP/1.0, a close would end a part of it as
+    /// well as the whole. Contains the head's fields and the body so far.
+    Held(u16, Vec<Field>, Vec<u8>),
 }
 
 impl ResponseWriter {
@@ -70,8 +95,9 @@
             sink,
             keep_alive,
             is_head_request: request.is_head(),
+            is_http_1_1: request.is_http_1_1,
             is_head_sent: false,
-            is_chunked: false,
+            body: Body::Plain,
         }
     }
 
@@ -97,6 +123,7 @@
         self.keep_alive.then_some(self.sink)
     }
 
+    /// Returns the head of a response; without a length, the body is sent in chunks.
     fn head(&mut self, status: u16, fields: &[Field], length: Option<u64>) -> Vec<u8> {
         let mut head = format!("HTTP/1.1 {status} {}\r\n", status_text(status)).into_bytes();
         write_fields(&mut head, fields);
@@ -113,7 +140,6 @@
         };
         head.extend_from_slice(format!("Connection: {connection}\r\n\r\n").as_bytes());
         self.is_head_sent = true;
-        self.is_chunked = length.is_none();
         head
     }
 
@@ -125,43 +151,53 @@
         self.keep_alive.then_some(self.sink)
     }
 
-    /// Sends the head of a response and the `first` bytes of its body.
-    pub async fn start(
-        &mut self,
-        status: u16,
-        fields: &[Field],
-        framing: &Framing,
-        first: &[u8],
-    ) -> http::Result<()> {
-        let mut head = self.head(status, fields, framing.length());
-        self.write_chunk(&mut head, first);
-        http::send(&mut self.sink, &head).await
-    }
-
-    fn write_chunk(&self, buffer: &mut Vec<u8>, bytes: &[u8]) {
-        if bytes.is_empty() {
-            return;
-        }
-        if self.is_chunked {
-            buffer.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
-        }
-        buffer.extend_from_slice(bytes);
-        if self.is_chunked {
-            buffer.extend_from_slice(b"\r\n");
+    /// Sends the head of a response and the `first` bytes of its body, whose length is not known yet.
+    pub async fn start(&mut self, status: u16, fields: &[Field], first: &[u8]) -> http::Result<()> {
+        if !self.is_http_1_1 {
+            self.is_head_sent = true;
+            self.body = Body::Held(status, fields.to_vec(), Vec::new());
+            return self.send_chunk(first).await;
         }
+        let mut head = self.head(status, fields, None);
+        self.body = Body::Chunked;
+        write_chunk(&mut head, first);
+        http::send(&mut self.sink, &head).await
     }
 
     /// Sends the next bytes of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection does, and when a body that is held becomes too long.
     pub async fn send_chunk(&mut self, bytes: &[u8]) -> http::Result<()> {
-        let mut chunk = Vec::with_capacity(bytes.len() + 16);
-        self.write_chunk(&mut chunk, bytes);
-        http::send(&mut self.sink, &chunk).await
+        match &mut self.body {
+            Body::Plain => http::send(&mut self.sink, bytes).await,
+            Body::Chunked => {
+                let mut chunk = Vec::with_capacity(bytes.len() + 16);
+                write_chunk(&mut chunk, bytes);
+                http::send(&mut self.sink, &chunk).await
+            }
+            Body::Held(_, _, held) if held.len() + bytes.len() > MAX_HELD_BYTES => {
+                http::BodyTooLongSnafu {
+                    limit: MAX_HELD_BYTES,
+                }
+                .fail()
+            }
+            Body::Held(_, _, held) => {
+                held.extend_from_slice(bytes);
+                Ok(())
+            }
+        }
     }
 
     /// Ends the body; returns a reusable connection.
     pub async fn finish(mut self) -> Option<Sink> {
-        if self.is_chunked {
-            http::send(&mut self.sink, b"0\r\n\r\n").await.ok()?;
+        match std::mem::replace(&mut self.body, Body::Plain) {
+            Body::Plain => {}
+            Body::Chunked => http::send(&mut self.sink, b"0\r\n\r\n").await.ok()?,
+            Body::Held(status, fields, held) => {
+                return self.send_whole(status, &fields, &held.into()).await;
+            }
         }
         self.keep_alive.then_some(self.sink)
     }
