Let a stream go on within an answer at its software version only

The operators' record has one in full: begun at v1, which crashed, and gone on at v1.1 by the same daemon 2 ms later.

Cause: the platform now lets endpoints of several software versions serve side by side, and what they write does not fit together. The adapter decoded the version of an endpoint and dropped it, so neither the planner, which chooses the endpoint, nor the daemon, which passes the stream on, knew of it. The class: two runs are joined on fewer facts than make them one stream; request, route and event id were compared, the software version was not.

Change: an endpoint has a release. A grant names it; the daemon keeps that of the first event passed on and sends it with each further request for an endpoint, also to another planner, which then grants endpoints of that release only. A planner that does not tell the release (a daemon of an earlier version) leaves the stream without a continuation. A planner without any endpoint of the release refuses before stages are run. The line of a request names the release.

Why it works: after the first event no endpoint is asked for without its release.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -34,6 +34,8 @@
   digest @13 :Text;
   # Results that another planner had made for it.
   made @14 :List(Made);
+  # The software version that began its stream; empty when any may run it.
+  release @15 :Text;
 }
 
 # A result that an endpoint of a stage holds.
@@ -52,6 +54,8 @@
   endpoint @0 :Text;
   inputs @1 :List(Text);
   address @2 :Text;
+  # The version of the endpoint's software.
+  release @3 :Text;
 }
 
 struct Refusal {
@@ -108,7 +112,8 @@
   wait @0 () -> (reply :Reply);
   started @1 (isFinal :Bool) -> ();
   ended @2 (verdict :Verdict) -> ();
-  retry @3 (again :Bool) -> (reply :Reply);
+  # With a release, the stream has begun there and goes on at no other one.
+  retry @3 (again :Bool, release :Text) -> (reply :Reply);
   leave @4 () -> ();
 }
 
--- a/src/id.rs
+++ b/src/id.rs
@@ -30,6 +30,8 @@
 pub type Region = Name;
 /// A model version.
 pub type Version = Name;
+/// A version of an endpoint's software; versions have no order.
+pub type Release = Name;
 /// A position in a stream of the platform's log.
 pub type Offset = u64;
 /// A revision of the configuration: one past the offset of the last accepted change.
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -52,8 +52,13 @@
     fn started(&self, is_final: bool);
     /// Records how the request ended at the endpoint.
     fn ended(&self, verdict: Verdict);
-    /// Gets a grant of another endpoint; with `inputs_lost`, the inputs are computed again.
-    fn retry(&mut self, inputs_lost: bool) -> LocalBoxFuture<'_, Result<(), Refusal>>;
+    /// Gets a grant of another endpoint; with `inputs_lost`, the inputs are computed again. A stream that
+    /// has begun goes on at the release that began it.
+    fn retry(
+        &mut self,
+        inputs_lost: bool,
+        release: Option<id::Release>,
+    ) -> LocalBoxFuture<'_, Result<(), Refusal>>;
 }
 
 type GrantSender = oneshot::Sender<Result<Grant, Refusal>>;
@@ -342,11 +347,15 @@
 
 impl LocalRequest {
     /// Gets a grant of another endpoint.
-    pub async fn request_other_endpoint(&mut self, inputs_lost: bool) -> Result<(), Refusal> {
+    pub async fn request_other_endpoint(
+        &mut self,
+        inputs_lost: bool,
+        release: Option<id::Release>,
+    ) -> Result<(), Refusal> {
         let grant_receiver = self.dispatcher.expect_grant(self.job_id);
         let job_id = self.job_id;
         self.dispatcher
-            .update_planner(|planner, now| planner.retry(job_id, inputs_lost, now));
+            .update_planner(|planner, now| planner.retry(job_id, inputs_lost, release, now));
         self.grant = grant_receiver
             .await
             .unwrap_or_else(|_| Err(Refusal::planner_gone()))?;
@@ -371,8 +380,12 @@
             .update_planner(|planner, now| planner.ended(job_id, verdict, now));
     }
 
-    fn retry(&mut self, inputs_lost: bool) -> LocalBoxFuture<'_, Result<(), Refusal>> {
-        Box::pin(self.request_other_endpoint(inputs_lost))
+    fn retry(
+        &mut self,
+        inputs_lost: bool,
+        release: Option<id::Release>,
+    ) -> LocalBoxFuture<'_, Result<(), Refusal>> {
+        Box::pin(self.request_other_endpoint(inputs_lost, release))
     }
 }
 
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -60,6 +60,8 @@
     /// Whether it continues when the client disconnects.
     outlives_client: Rc<Cell<bool>>,
     may_have_run: Cell<bool>,
+    /// The software version that began the stream, once an event was passed on.
+    release: RefCell<Option<id::Release>>,
     log_fields: RefCell<LogFields>,
 }
 
@@ -150,6 +152,7 @@
             arrived_at,
             outlives_client,
             may_have_run: Cell::new(false),
+            release: RefCell::default(),
             log_fields: RefCell::default(),
         }
     }
@@ -206,7 +209,7 @@
         info!(self.node.log, "request";
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
-            "framing" => fields.framing, "sent" => fields.sent, "turned" => fields.not_run, "ms" => took.as_millis() as u64,
+            "framing" => fields.framing, "release" => self.release.borrow().as_deref(), "sent" => fields.sent, "turned" => fields.not_run, "ms" => took.as_millis() as u64,
             "config" => self.node.catalog().version, "config_age_ms" => age,
             "may_have_run" => self.may_have_run.get());
     }
@@ -235,6 +238,7 @@
             tokens: request.meta.tokens,
             zone: self.node.options.zone.clone(),
             transferred_results: Vec::new(),
+            release: self.release.borrow().clone(),
         }
     }
 
@@ -338,10 +342,15 @@
                     (false, "the endpoint failed")
                 }
             };
+            let release = self.release.borrow().clone();
+            if client.has_started() && release.is_none() {
+                return self
+                    .final_outcome(client, "the version that began the stream is not known");
+            }
             if !node.spend_retry(&request.service) {
                 return self.final_outcome(client, reason);
             }
-            let retried = match planned.retry(inputs_lost).await {
+            let retried = match planned.retry(inputs_lost, release).await {
                 Ok(()) => Ok(planned),
                 // The planner is stopping: another one continues with the results.
                 Err(refusal) if refusal.is_transferred => {
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -97,6 +97,9 @@
             if end.is_none() && std::mem::replace(&mut is_first, false) {
                 planned.started(!is_resumable);
             }
+            if !bytes.is_empty() {
+                self.begin_stream(planned);
+            }
             let sent = if !client.has_started() && (end.is_some() || !bytes.is_empty()) {
                 has_started.set(true);
                 client.start(response.head.status, &fields, &bytes).await
@@ -118,6 +121,14 @@
             }
         }
     }
+
+    /// Records which software version begins the stream; it goes on at no other one.
+    fn begin_stream(&self, planned: &dyn PlannedRequest) {
+        let mut release = self.release.borrow_mut();
+        if release.is_none() {
+            release.clone_from(&planned.grant().release);
+        }
+    }
 }
 
 fn stream_broke_off() -> AttemptOutcome {
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -240,10 +240,18 @@
     }
 
     /// Chooses another engine for a request; with `inputs_lost`, after computing its inputs again.
-    pub fn retry(&mut self, job_id: JobId, inputs_lost: bool, now: Time) {
+    /// With a release, its stream has begun there and may go on at no other one.
+    pub fn retry(
+        &mut self,
+        job_id: JobId,
+        inputs_lost: bool,
+        release: Option<id::Release>,
+        now: Time,
+    ) {
         let Some(request) = self.requests.get_mut(&job_id) else {
             return;
         };
+        request.job.release = release.or(request.job.release.take());
         request.is_granted = false;
         if inputs_lost {
             request.restarts += 1;
@@ -326,6 +334,7 @@
                     let grant = Grant {
                         endpoint: reservation.engine.clone(),
                         address: reservation.address,
+                        release: Some(reservation.release.clone()),
                         inputs: request.inputs(),
                     };
                     request.reservation = Some(reservation);
@@ -412,6 +421,10 @@
             let reason = "its content crashes the endpoints that run it";
             return Some(Refusal::new(reason, until.saturating_sub(now)));
         }
+        if request.job.release.is_some() && !self.engines.has_engine(&request.job) {
+            let reason = "no endpoint has the software version of its stream";
+            return Some(Refusal::new(reason, MIN_RETRY_AFTER));
+        }
         if request.has_started {
             // Another planner has admitted it.
             return None;
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -50,6 +50,8 @@
     pub engine: id::Endpoint,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The version of its software.
+    pub release: id::Release,
     /// When the request was granted.
     pub granted_at: Time,
     /// Prompt tokens that the engine has to read.
@@ -65,6 +67,7 @@
     service: id::Pool,
     zone: id::Zone,
     address: SocketAddr,
+    release: id::Release,
     born: u64,
     slots: u32,
     running: u32,
@@ -106,6 +109,7 @@
                 engine.born == endpoint.born
                     && engine.service == endpoint.service
                     && engine.address == endpoint.address
+                    && engine.release == endpoint.release
             };
             if !self.engines.get(&endpoint.id).is_some_and(is_same) {
                 self.engines
@@ -150,6 +154,11 @@
         is_cached.then(|| best.zone.clone())
     }
 
+    /// Returns whether an engine may run a job, whether or not it has room.
+    pub fn has_engine(&self, job: &Job) -> bool {
+        self.engines.values().any(|engine| engine.may_run(job))
+    }
+
     /// Chooses the engine of the lowest cost for a request; none when no engine has room.
     pub fn reserve(&mut self, request: &Request, now: Time) -> Option<Reservation> {
         let job = &request.job;
@@ -158,7 +167,7 @@
         let fits = |engine: &Engine| {
             let slots = config.map_or(engine.slots, |config| config.slots);
             let memory_limit = config.map_or(u64::MAX, |config| config.memory_tokens);
-            engine.service == job.service
+            engine.may_run(job)
                 && now >= engine.blocked_until
                 && engine.running < slots.max(1)
                 && (engine.running == 0 || engine.memory_tokens + tokens <= memory_limit)
@@ -188,6 +197,7 @@
         Some(Reservation {
             engine: id,
             address: engine.address,
+            release: engine.release.clone(),
             granted_at: now,
             unread_tokens: uncached_tokens,
             memory_tokens: tokens,
@@ -250,6 +260,7 @@
             service: endpoint.service.clone(),
             zone: endpoint.zone.clone(),
             address: endpoint.address,
+            release: endpoint.release.clone(),
             born: endpoint.born,
             slots: endpoint.slots,
             running: 0,
@@ -261,6 +272,13 @@
         }
     }
 
+    /// Returns whether it is of the job's service and, for a stream that goes on, of the software version
+    /// that began it.
+    fn may_run(&self, job: &Job) -> bool {
+        let is_same = |release: &id::Release| *release == self.release;
+        self.service == job.service && job.release.as_ref().is_none_or(is_same)
+    }
+
     fn is_cached(&self, part: &PromptPart, now: Time) -> bool {
         let last_used = self.cached_parts.get(&part.id);
         last_used.is_some_and(|last_used| now.saturating_sub(*last_used) < CACHE_LIFETIME)
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -28,6 +28,7 @@
         service: service.into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         zone: zone.into(),
+        release: "v1".into(),
         slots: 128,
         draining: false,
         born: 1,
@@ -123,6 +124,7 @@
             tokens: Tokens::default(),
             zone: "a".into(),
             transferred_results: Vec::new(),
+            release: None,
         }
     }
 
@@ -138,13 +140,23 @@
     }
 
     fn restart(&mut self, id: &str, service: &str) {
-        let born = 2;
-        let restarted = Endpoint {
-            born,
+        self.change(Endpoint {
+            born: 2,
             ..endpoint(id, service, "a")
-        };
+        });
+    }
+
+    /// Makes an endpoint have another version of its software.
+    fn set_release(&mut self, id: &str, service: &str, release: &str) {
+        self.change(Endpoint {
+            release: release.into(),
+            ..endpoint(id, service, "a")
+        });
+    }
+
+    fn change(&mut self, endpoint: Endpoint) {
         self.registry
-            .apply(super::super::registry::Entry::Present(restarted), self.now);
+            .apply(super::super::registry::Entry::Present(endpoint), self.now);
         self.planner.sync(&self.registry, &self.catalog, self.now);
     }
 }
--- a/src/serve/plan/tests/engine.rs
+++ b/src/serve/plan/tests/engine.rs
@@ -8,11 +8,11 @@
     let job_id = site.submit(site.job(&[], 2_000));
     let first = grants(&site.actions())[0].1.endpoint.clone();
     site.planner.ended(job_id, Verdict::Refused, ms(10));
-    site.planner.retry(job_id, false, ms(10));
+    site.planner.retry(job_id, false, None, ms(10));
     let second = grants(&site.actions())[0].1.endpoint.clone();
     assert_ne!(first, second);
     site.planner.ended(job_id, Verdict::Refused, ms(20));
-    site.planner.retry(job_id, false, ms(20));
+    site.planner.retry(job_id, false, None, ms(20));
     assert_eq!(refusals(&site.actions())[0].0, job_id);
 }
 
@@ -24,7 +24,7 @@
     site.answer(0, 1);
     site.actions();
     site.planner.ended(job_id, Verdict::Refused, ms(250));
-    site.planner.retry(job_id, true, ms(250));
+    site.planner.retry(job_id, true, None, ms(250));
     let actions = site.actions();
     assert_eq!(freed(&actions), [Handle::from("h0-0")]);
     assert_eq!(calls(&actions).len(), 1);
@@ -116,3 +116,48 @@
     site.submit(site.job(&[], 2_000));
     assert_eq!(grants(&site.actions()).len(), 1);
 }
+
+/// Guards against streams that go on at another version of the endpoints' software.
+#[test]
+fn stream_goes_on_at_its_release_only() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a"), ("h", "a")]);
+    for id in ["g", "h"] {
+        site.set_release(id, "model", "v2");
+    }
+    let job_id = site.submit(site.job(&[], 2_000));
+    let first = grants(&site.actions())[0].1.clone();
+    let other = |id: &id::Endpoint| match &**id {
+        "e" => "f",
+        "f" => "e",
+        "g" => "h",
+        _ => "g",
+    };
+    site.planner.ended(job_id, Verdict::Crashed, ms(10));
+    site.planner
+        .retry(job_id, false, first.release.clone(), ms(10));
+    let second = grants(&site.actions())[0].1.clone();
+    assert_eq!(&*second.endpoint, other(&first.endpoint));
+    assert_eq!(second.release, first.release);
+    site.planner.ended(job_id, Verdict::Crashed, ms(20));
+    site.planner.retry(job_id, false, None, ms(20));
+    assert_eq!(
+        refusals(&site.actions())[0].0,
+        job_id,
+        "none of its release is left"
+    );
+}
+
+#[test]
+fn stream_of_missing_release_refused_before_its_stages() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    for (release, is_served) in [("v1", true), ("v2", false)] {
+        let mut job = site.job(&[1], 3_000);
+        job.release = Some(release.into());
+        site.submit(job);
+        let actions = site.actions();
+        assert_eq!(
+            (calls(&actions).len(), refusals(&actions).len()),
+            (usize::from(is_served), usize::from(!is_served))
+        );
+    }
+}
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -43,6 +43,8 @@
         pub zone: id::Zone,
         /// Results that an earlier planner hands over.
         pub transferred_results: Vec<TransferredResult>,
+        /// The software version that began its stream, at which alone it may go on.
+        pub release: Option<id::Release>,
     }
 
     /// A result that one planner hands over to another.
@@ -165,6 +167,8 @@
         pub endpoint: id::Endpoint,
         /// Where it listens.
         pub address: SocketAddr,
+        /// The version of the endpoint's software; none from a planner that does not tell.
+        pub release: Option<id::Release>,
         /// The results that it is to fetch, in the order of stages and pieces.
         pub inputs: Vec<Handle>,
     }
@@ -231,6 +235,7 @@
         Self {
             endpoint: "".into(),
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            release: None,
             inputs: Vec::new(),
         }
     }
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -181,9 +181,11 @@
         params: seat::RetryParams,
         mut results: seat::RetryResults,
     ) -> capnp::Result<()> {
-        let inputs_lost = params.get()?.get_again();
+        let params = params.get()?;
+        let inputs_lost = params.get_again();
+        let release = wire::read_release(params.get_release()?)?;
         let mut request = self.request.take().ok_or_else(Self::not_planned)?;
-        let retried = request.request_other_endpoint(inputs_lost).await;
+        let retried = request.request_other_endpoint(inputs_lost, release).await;
         let reply = self.store_request(retried.map(|()| request));
         wire::write_reply(&reply, self.clock.now(), results.get().init_reply());
         Ok(())
--- a/src/serve/region/remote.rs
+++ b/src/serve/region/remote.rs
@@ -9,6 +9,7 @@
 use super::{PlannerConnection, wire};
 use crate::clock::Clock;
 use crate::generated::plan_capnp::{reply, seat};
+use crate::id;
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::health::Verdict;
 use crate::serve::plan::{Grant, Job, Refusal};
@@ -58,9 +59,13 @@
     async fn request_other_endpoint(
         &mut self,
         inputs_lost: bool,
+        release: Option<id::Release>,
     ) -> std::result::Result<(), Refusal> {
         let mut request = self.client.retry_request();
         request.get().set_again(inputs_lost);
+        request
+            .get()
+            .set_release(release.as_deref().unwrap_or_default());
         let replied = match self.connection.wait_response(request.send().promise).await {
             Ok(answer) => answer
                 .get()
@@ -94,8 +99,12 @@
         send_one_way(request.send().promise);
     }
 
-    fn retry(&mut self, inputs_lost: bool) -> LocalBoxFuture<'_, std::result::Result<(), Refusal>> {
-        Box::pin(self.request_other_endpoint(inputs_lost))
+    fn retry(
+        &mut self,
+        inputs_lost: bool,
+        release: Option<id::Release>,
+    ) -> LocalBoxFuture<'_, std::result::Result<(), Refusal>> {
+        Box::pin(self.request_other_endpoint(inputs_lost, release))
     }
 }
 
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -51,6 +51,7 @@
         tokens: Tokens::default(),
         zone: "z".into(),
         transferred_results: Vec::new(),
+        release: None,
     }
 }
 
@@ -146,6 +147,31 @@
     );
 }
 
+/// A daemon of an earlier version sends no release, which is none rather than an empty one.
+#[test]
+fn release_round_trip() {
+    for release in [None, Some(id::Release::from("v1.1"))] {
+        let mut message = message::Builder::new_default();
+        let sent = Job {
+            release: release.clone(),
+            ..job()
+        };
+        wire::write_job(&sent, Duration::ZERO, message.init_root());
+        let read: wire_job::Reader<'_> = message.get_root_as_reader().expect("a job");
+        let read = wire::read_job(read, Duration::ZERO).expect("a valid message");
+        assert_eq!(read.release, release);
+        let grant = Grant {
+            release: release.clone(),
+            ..Grant::default()
+        };
+        let mut message = message::Builder::new_default();
+        wire::write_reply(&Ok(grant), Duration::ZERO, message.init_root());
+        let read: reply::Reader<'_> = message.get_root_as_reader().expect("a reply");
+        let read = wire::read_reply(read, Duration::ZERO).expect("a valid message");
+        assert_eq!(read.expect("a grant").release, release);
+    }
+}
+
 /// Load pattern: a planner is lost while prompts are shared; the next one has to know where.
 #[test]
 fn sent_parts_round_trip_with_ages() {
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -37,6 +37,11 @@
     parsed.map_err(|_| capnp::Error::failed("invalid address".into()))
 }
 
+/// Reads a software version; an empty one is none, as daemons of earlier versions send.
+pub fn read_release(text: capnp::text::Reader<'_>) -> Result<Option<id::Release>> {
+    Ok(Some(read_name(text)?).filter(|release| !release.is_empty()))
+}
+
 /// Writes a job; its times become durations from `now`.
 pub fn write_job(job: &Job, now: Time, mut builder: schema::job::Builder<'_>) {
     builder.set_request(&*job.request);
@@ -51,6 +56,7 @@
     builder.set_span_nanos(nanos(job.target_latency));
     builder.set_weight(job.weight);
     builder.set_digest(&*job.digest);
+    builder.set_release(job.release.as_deref().unwrap_or_default());
     write_transferred(
         &job.transferred_results,
         now,
@@ -122,6 +128,7 @@
         weight: reader.get_weight(),
         digest: read_name(reader.get_digest()?)?,
         transferred_results: read_transferred(reader.get_made()?, now)?,
+        release: read_release(reader.get_release()?)?,
     })
 }
 
@@ -207,6 +214,7 @@
             let mut entry = builder.init_grant();
             entry.set_endpoint(&*grant.endpoint);
             entry.set_address(grant.address.to_string());
+            entry.set_release(grant.release.as_deref().unwrap_or_default());
             let mut inputs = entry.init_inputs(to_u32(grant.inputs.len()));
             for (index, handle) in (0..).zip(&grant.inputs) {
                 inputs.set(index, &**handle);
@@ -236,6 +244,7 @@
             Ok(Ok(Grant {
                 endpoint: read_name(grant.get_endpoint()?)?,
                 address: read_address(grant.get_address()?)?,
+                release: read_release(grant.get_release()?)?,
                 inputs: inputs.collect::<Result<_>>()?,
             }))
         }
--- a/src/serve/registry.rs
+++ b/src/serve/registry.rs
@@ -31,6 +31,8 @@
         pub address: SocketAddr,
         /// Its availability zone.
         pub zone: id::Zone,
+        /// The version of its software.
+        pub release: id::Release,
         /// Requests that it runs concurrently.
         pub slots: u32,
         /// Whether it is draining.
--- a/src/serve/registry/tests.rs
+++ b/src/serve/registry/tests.rs
@@ -12,6 +12,7 @@
         service: "s".into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         zone: "z".into(),
+        release: "v1".into(),
         slots: 1,
         draining: false,
         born,
