Let clients resume a stream at its software version, at any daemon

Cause: the same as within one answer, over a border more: which version began the stream was known to the daemon that passed it on at best, and the client goes on at another one, often because the first was killed.

Evidence: stream_goes_on_at_another_daemon_at_its_version_only and stream_of_unknown_version_refused_among_several failed before.

Change: serve::origin decides for all who resume. Daemons note service and release of the streams that they pass on, by the client's attempt that Resumes names, and share them in a topic of the platform's log while the service has several releases. Without a record, a stream goes on only if the service has had one release for 30 s; otherwise the client gets 503 at once, since the request has not run. A resumed stream also stays at the service that a split route gave its first attempt.

Why it works: no endpoint is asked for a resumed stream without a release, and the release comes from the log or is the only one.

Tests of the decisions and of the log: a daemon that is gone, a record on its way, a log that is down, a daemon that has just started.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -24,6 +24,7 @@
 pub mod health;
 pub mod http;
 pub mod meter;
+pub mod origin;
 pub mod plan;
 pub mod progress;
 pub mod protocol;
@@ -35,6 +36,7 @@
 use catalog::Catalog;
 use dispatcher::{Dispatcher, RequestPlanner};
 use meter::Meter;
+use origin::{Origin, Origins};
 use plan::Tokens;
 use protocol::Protocol;
 use registry::{Endpoint, Entry, Registry};
@@ -104,6 +106,7 @@
     dispatchers: Vec<Rc<Dispatcher>>,
     plain_planner: Rc<dyn RequestPlanner>,
     staged_planner: Rc<dyn RequestPlanner>,
+    origins: Rc<Origins>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
@@ -136,6 +139,8 @@
     pub plain_planner: Rc<dyn RequestPlanner>,
     /// Plans requests with stages or a prompt.
     pub staged_planner: Rc<dyn RequestPlanner>,
+    /// What began each stream.
+    pub origins: Rc<Origins>,
     /// The protocol of clients and endpoints.
     pub protocol: Rc<dyn Protocol>,
     /// The clock, which a suspension of the VM does not stop.
@@ -158,6 +163,7 @@
             dispatchers: dependencies.dispatchers,
             plain_planner: dependencies.plain_planner,
             staged_planner: dependencies.staged_planner,
+            origins: dependencies.origins,
             protocol: dependencies.protocol,
             clock: dependencies.clock,
             meter: dependencies.meter,
@@ -243,6 +249,11 @@
     fn sync(&self) {
         let catalog = self.catalog();
         let registry = self.registry.borrow();
+        let origin = |endpoint: &Endpoint| Origin {
+            service: endpoint.service.clone(),
+            release: endpoint.release.clone(),
+        };
+        self.origins.observe(registry.all().map(origin));
         for dispatcher in &self.dispatchers {
             dispatcher.update_planner(|planner, now| planner.sync(&registry, &catalog, now));
         }
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -60,8 +60,10 @@
     /// Whether it continues when the client disconnects.
     outlives_client: Rc<Cell<bool>>,
     may_have_run: Cell<bool>,
-    /// The software version that began the stream, once an event was passed on.
+    /// The software version that began the stream, once it is known.
     release: RefCell<Option<id::Release>>,
+    /// Whether an event of a stream was passed on.
+    has_begun: Cell<bool>,
     log_fields: RefCell<LogFields>,
 }
 
@@ -70,6 +72,7 @@
     id: String,
     route: Option<id::Name>,
     endpoint: Option<id::Endpoint>,
+    resumes: Option<id::Name>,
     /// How the endpoint delimited the body of its last response.
     framing: Option<&'static str>,
     sent: u32,
@@ -153,6 +156,7 @@
             outlives_client,
             may_have_run: Cell::new(false),
             release: RefCell::default(),
+            has_begun: Cell::new(false),
             log_fields: RefCell::default(),
         }
     }
@@ -160,7 +164,11 @@
     /// Serves the request; returns the connection when it can carry another one.
     pub async fn serve(self, mut client: ResponseWriter) -> Option<Sink> {
         self.node.wait_configured().await;
-        let outcome = match self.accept() {
+        let accepted = match self.accept() {
+            Ok(request) => self.follow_origin(request).await,
+            refused => refused,
+        };
+        let outcome = match accepted {
             Ok(request) => self.serve_in_time(&request, &mut client).await,
             Err(failure) => Outcome::Failure(failure),
         };
@@ -209,7 +217,7 @@
         info!(self.node.log, "request";
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
-            "framing" => fields.framing, "release" => self.release.borrow().as_deref(), "sent" => fields.sent, "turned" => fields.not_run, "ms" => took.as_millis() as u64,
+            "framing" => fields.framing, "release" => self.release.borrow().as_deref(), "resumes" => fields.resumes.as_deref(), "sent" => fields.sent, "turned" => fields.not_run, "ms" => took.as_millis() as u64,
             "config" => self.node.catalog().version, "config_age_ms" => age,
             "may_have_run" => self.may_have_run.get());
     }
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -13,6 +13,7 @@
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
 use crate::serve::http::Chunk;
+use crate::serve::origin::Origin;
 use crate::serve::response::ResponseWriter;
 
 impl RequestHandler {
@@ -98,7 +99,7 @@
                 planned.started(!is_resumable);
             }
             if !bytes.is_empty() {
-                self.begin_stream(planned);
+                self.begin_stream(request, planned);
             }
             let sent = if !client.has_started() && (end.is_some() || !bytes.is_empty()) {
                 has_started.set(true);
@@ -123,11 +124,25 @@
     }
 
     /// Records which software version begins the stream; it goes on at no other one.
-    fn begin_stream(&self, planned: &dyn PlannedRequest) {
+    fn begin_stream(&self, request: &AcceptedRequest, planned: &dyn PlannedRequest) {
+        if self.has_begun.replace(true) {
+            return;
+        }
         let mut release = self.release.borrow_mut();
         if release.is_none() {
             release.clone_from(&planned.grant().release);
         }
+        if let Some(release) = release
+            .clone()
+            .filter(|_| request.route.kind.is_repeatable())
+        {
+            let meta = &request.meta;
+            let service = request.service.clone();
+            let attempt = meta.resumes.as_ref().unwrap_or(&meta.id);
+            self.node
+                .origins
+                .begin(attempt, Origin { service, release });
+        }
     }
 }
 
--- a/src/serve/handler/check.rs
+++ b/src/serve/handler/check.rs
@@ -16,6 +16,10 @@
             .parse_request(&self.head)
             .map_err(|reason| failure(400, reason))?;
         self.log_fields.borrow_mut().id = meta.id.to_string();
+        self.log_fields
+            .borrow_mut()
+            .resumes
+            .clone_from(&meta.resumes);
         let catalog = node.catalog();
         let Some(age) = node.config_age() else {
             return Err(failure(503, "no configuration yet"));
@@ -42,6 +46,35 @@
         self.build(meta, route.clone(), &catalog, workspace, priority)
     }
 
+    /// Makes a resumed stream go on at the service and the software version that began it.
+    pub(super) async fn follow_origin(
+        &self,
+        mut request: AcceptedRequest,
+    ) -> Result<AcceptedRequest, Failure> {
+        let meta = &request.meta;
+        let is_resumed = meta.last_event_id.is_some() || meta.resumes.is_some();
+        if !is_resumed || !request.route.kind.is_stream() {
+            return Ok(request);
+        }
+        let origins = &self.node.origins;
+        let Some(origin) = origins.find(meta.resumes.as_ref(), &request.service).await else {
+            return Err(failure(
+                503,
+                "the version that began the stream is not known",
+            ));
+        };
+        let services = request.route.split.iter().map(|share| &share.service);
+        if !services
+            .into_iter()
+            .any(|service| *service == origin.service)
+        {
+            return Err(failure(503, "the route has left the service of the stream"));
+        }
+        self.release.replace(Some(origin.release));
+        request.service = origin.service;
+        Ok(request)
+    }
+
     fn build(
         &self,
         meta: RequestMeta,
@@ -51,7 +84,8 @@
         priority: u8,
     ) -> Result<AcceptedRequest, Failure> {
         let mut hasher = DefaultHasher::new();
-        meta.id.hash(&mut hasher);
+        // A resumed stream belongs to the service that its first attempt was given.
+        meta.resumes.as_ref().unwrap_or(&meta.id).hash(&mut hasher);
         let service = route.service(hasher.finish()).cloned();
         let Some(service) = service else {
             return Err(failure(503, "the route has no service"));
--- /dev/null
+++ b/src/serve/origin.rs
@@ -0,0 +1,225 @@
+//! Which service and software version began each stream, so that a client may take it up at any daemon.
+//!
+//! What endpoints of two software versions write does not fit together, and no endpoint checks it. The
+//! daemon that began a stream may be gone when its client resumes it, so daemons share what they know in
+//! a log, while a service has several versions. See [the design note](../../docs/design/streams.md).
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use futures::future::LocalBoxFuture;
+use slog::{Logger, info, warn};
+use snafu::Snafu;
+use tokio::sync::{Mutex, Notify};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::clock::{Clock, Time};
+use crate::id;
+
+mod table;
+
+use table::Table;
+pub use table::{Origin, Record};
+
+/// How long new streams are gathered before they are written together: calls to the log are priced.
+const FLUSH_DELAY: Duration = Duration::from_millis(150);
+/// The time between attempts to write to a log that fails.
+const FLUSH_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// The longest time for reading what was added to the log since the last read.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a log that could not be read is not read again; a client waits for each read.
+const READ_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// How long a record that is not in the log may still be on its way to it.
+const RECORD_DELAY: Duration = Duration::from_millis(250);
+
+/// Why the log could not be used.
+#[derive(Debug, Snafu)]
+#[snafu(display("{step} the log of streams: {reason}"))]
+pub struct Error {
+    /// The step that failed.
+    pub step: &'static str,
+    /// What went wrong.
+    pub reason: String,
+}
+
+event! {
+    /// Records that one daemon wrote together.
+    pub struct Batch {
+        /// When they were written, since the Unix epoch.
+        pub written_at: Duration,
+        /// The records.
+        pub records: Vec<Record>,
+    }
+}
+
+event! {
+    /// Batches that were read from the log.
+    pub struct Page {
+        /// The batches, in the order of their offsets.
+        pub batches: Vec<Batch>,
+        /// The offset of the next read.
+        pub next_offset: id::Offset,
+    }
+}
+
+/// The log in which daemons share the origins of streams.
+pub trait Log {
+    /// Appends a batch.
+    fn append<'a>(&'a self, batch: &'a Batch) -> LocalBoxFuture<'a, Result<(), Error>>;
+    /// Reads from an offset to the end, or from the first retained offset if that one is not there.
+    fn read(&self, from: id::Offset) -> LocalBoxFuture<'_, Result<Page, Error>>;
+}
+
+/// What a daemon knows of streams, with the log that it shares with others.
+pub struct Origins {
+    table: RefCell<Table>,
+    log: Rc<dyn Log>,
+    next_offset: Cell<id::Offset>,
+    /// The time before which everything in the log has been read.
+    read_at: Cell<Option<Time>>,
+    read_failed_at: Cell<Option<Time>>,
+    reading: Mutex<()>,
+    has_unsent: Notify,
+    clock: Rc<dyn Clock>,
+    logger: Logger,
+}
+
+impl Origins {
+    /// Starts to write new streams to the log.
+    pub fn start(log: Rc<dyn Log>, clock: Rc<dyn Clock>, logger: Logger) -> Rc<Self> {
+        let origins = Rc::new(Self {
+            table: RefCell::new(Table::new(clock.now())),
+            log,
+            next_offset: Cell::new(0),
+            read_at: Cell::new(None),
+            read_failed_at: Cell::new(None),
+            reading: Mutex::new(()),
+            has_unsent: Notify::new(),
+            clock,
+            logger,
+        });
+        spawn_local(origins.clone().write());
+        origins
+    }
+
+    /// Records that this daemon has passed on events of a stream, by the client's attempt that began it.
+    pub fn begin(&self, attempt: &id::Name, origin: Origin) {
+        let record = Record {
+            attempt: attempt.clone(),
+            origin,
+        };
+        self.table.borrow_mut().begin(record, self.clock.now());
+        self.notify_unsent();
+    }
+
+    /// Records the releases of all endpoints that are listed now.
+    pub fn observe(&self, listed: impl Iterator<Item = Origin>) {
+        self.table.borrow_mut().observe(listed, self.clock.now());
+        self.notify_unsent();
+    }
+
+    fn notify_unsent(&self) {
+        if self.table.borrow().has_unsent() {
+            self.has_unsent.notify_one();
+        }
+    }
+
+    /// Finds what began the stream of an attempt, or the only release of the service that it can be; none
+    /// when there are several.
+    pub async fn find(&self, attempt: Option<&id::Name>, service: &id::Pool) -> Option<Origin> {
+        let known = || self.table.borrow().find(attempt?);
+        let only = |is_log_read| {
+            let table = self.table.borrow();
+            table.only_release(service, is_log_read, self.clock.now())
+        };
+        if let Some(origin) = known() {
+            return Some(origin);
+        }
+        let is_log_read = self.read().await;
+        if let Some(origin) = known().or_else(|| only(is_log_read)) {
+            return Some(origin);
+        }
+        if attempt.is_none() || !is_log_read {
+            return None;
+        }
+        tokio::time::sleep(RECORD_DELAY).await;
+        self.read().await;
+        known()
+    }
+
+    /// Reads what was added to the log; returns whether all that was written before the call is known.
+    async fn read(&self) -> bool {
+        let called_at = self.clock.now();
+        let _reading = self.reading.lock().await;
+        if self
+            .read_at
+            .get()
+            .is_some_and(|read_at| read_at >= called_at)
+        {
+            return true;
+        }
+        let now = self.clock.now();
+        let failed_at = self.read_failed_at.get();
+        if failed_at.is_some_and(|failed_at| now < failed_at + READ_RETRY_DELAY) {
+            return false;
+        }
+        let page = match timeout(READ_TIMEOUT, self.log.read(self.next_offset.get())).await {
+            Ok(Ok(page)) => page,
+            Ok(Err(error)) => return self.record_failed_read(&error.to_string()),
+            Err(_) => return self.record_failed_read("no answer in time"),
+        };
+        self.next_offset.set(page.next_offset);
+        self.read_at.set(Some(now));
+        self.read_failed_at.set(None);
+        let unix_time = self.unix_time();
+        let mut table = self.table.borrow_mut();
+        for batch in page.batches {
+            let age = unix_time.saturating_sub(batch.written_at);
+            for record in batch.records {
+                table.learn(record, age, now);
+            }
+        }
+        true
+    }
+
+    fn record_failed_read(&self, reason: &str) -> bool {
+        info!(self.logger, "origins of streams not read"; "error" => reason);
+        self.read_failed_at.set(Some(self.clock.now()));
+        false
+    }
+
+    fn unix_time(&self) -> Duration {
+        let elapsed = self.clock.wall().duration_since(UNIX_EPOCH);
+        elapsed.unwrap_or_default()
+    }
+
+    /// Writes new streams to the log as long as the process runs.
+    async fn write(self: Rc<Self>) {
+        loop {
+            self.has_unsent.notified().await;
+            tokio::time::sleep(FLUSH_DELAY).await;
+            let records = self.table.borrow_mut().unsent(self.clock.now());
+            if records.is_empty() {
+                continue;
+            }
+            let batch = Batch {
+                written_at: self.unix_time(),
+                records,
+            };
+            match self.log.append(&batch).await {
+                Ok(()) => self.table.borrow_mut().set_sent(&batch.records),
+                Err(error) => {
+                    warn!(self.logger, "origins of streams not written";
+                        "streams" => batch.records.len(), "error" => %error);
+                    tokio::time::sleep(FLUSH_RETRY_DELAY).await;
+                }
+            }
+            self.notify_unsent();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/serve/origin/table.rs
@@ -0,0 +1,164 @@
+//! Decides what a stream may go on at, from what is known of streams and of endpoints.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::clock::Time;
+use crate::id;
+
+/// How long after its first event a stream may be resumed. Clients of the users wait for 15 s.
+pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
+/// The most streams of this daemon, and of others, that are remembered.
+const MAX_STREAMS: usize = 20_000;
+/// The most records that are written together.
+const MAX_BATCH: usize = 1_000;
+
+event! {
+    /// What began a stream. It goes on at endpoints of the same service and release only.
+    #[derive(Eq, Hash)]
+    pub struct Origin {
+        /// The service.
+        pub service: id::Pool,
+        /// The version of the endpoint's software.
+        pub release: id::Release,
+    }
+
+    /// The origin of one stream.
+    pub struct Record {
+        /// The client's attempt that brought the first event.
+        pub attempt: id::Name,
+        /// What began it.
+        pub origin: Origin,
+    }
+}
+
+struct Stream {
+    origin: Origin,
+    at: Time,
+    /// Whether other daemons can read it in the log.
+    is_shared: bool,
+}
+
+/// Streams and releases of the last `STREAM_LIFETIME`.
+pub struct Table {
+    started: Time,
+    streams: IndexMap<id::Name, Stream>,
+    /// When a release was last known to serve; none while it is listed.
+    releases: IndexMap<Origin, Option<Time>>,
+}
+
+impl Table {
+    /// Makes a table of a daemon that starts now.
+    pub fn new(now: Time) -> Self {
+        Self {
+            started: now,
+            streams: IndexMap::new(),
+            releases: IndexMap::new(),
+        }
+    }
+
+    /// Records a stream of which this daemon has passed events on.
+    pub fn begin(&mut self, record: Record, now: Time) {
+        self.insert(record, false, now);
+    }
+
+    /// Records a stream that was read from the log, where it was written `age` ago.
+    pub fn learn(&mut self, record: Record, age: Duration, now: Time) {
+        if age <= STREAM_LIFETIME {
+            self.insert(record, true, now.saturating_sub(age));
+        }
+    }
+
+    fn insert(&mut self, record: Record, is_shared: bool, at: Time) {
+        let Record { attempt, origin } = record;
+        let seen = self.releases.entry(origin.clone()).or_insert(Some(at));
+        *seen = seen.map(|seen| seen.max(at));
+        let stream = Stream {
+            origin,
+            at,
+            is_shared,
+        };
+        // The first record stands: what a daemon writes again later is the same.
+        self.streams.entry(attempt).or_insert(stream);
+        if self.streams.len() > MAX_STREAMS {
+            self.streams.shift_remove_index(0);
+        }
+    }
+
+    /// Records the releases of all endpoints that are listed now.
+    pub fn observe(&mut self, listed: impl Iterator<Item = Origin>, now: Time) {
+        for seen in self.releases.values_mut() {
+            seen.get_or_insert(now);
+        }
+        for origin in listed {
+            self.releases.insert(origin, None);
+        }
+        self.expire(now);
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.releases
+            .retain(|_, seen| seen.is_none_or(|seen| is_recent(seen, now)));
+        self.streams.retain(|_, stream| is_recent(stream.at, now));
+    }
+
+    fn release_count(&self, service: &id::Pool) -> usize {
+        let releases = self.releases.keys();
+        releases.filter(|origin| origin.service == *service).count()
+    }
+
+    /// Returns whether a stream has to be written to the log: where a service has one release only, all
+    /// daemons know what its streams began at.
+    fn is_unsent(&self, stream: &Stream) -> bool {
+        !stream.is_shared && self.release_count(&stream.origin.service) > 1
+    }
+
+    /// Returns whether there are streams to write to the log.
+    pub fn has_unsent(&self) -> bool {
+        self.streams.values().any(|stream| self.is_unsent(stream))
+    }
+
+    /// Returns the streams to write to the log.
+    pub fn unsent(&mut self, now: Time) -> Vec<Record> {
+        self.expire(now);
+        let streams = self.streams.iter();
+        let unsent = streams.filter(|(_, stream)| self.is_unsent(stream));
+        let records = unsent.map(|(attempt, stream)| Record {
+            attempt: attempt.clone(),
+            origin: stream.origin.clone(),
+        });
+        records.take(MAX_BATCH).collect()
+    }
+
+    /// Records that streams were written to the log.
+    pub fn set_sent(&mut self, records: &[Record]) {
+        for record in records {
+            if let Some(stream) = self.streams.get_mut(&record.attempt) {
+                stream.is_shared = true;
+            }
+        }
+    }
+
+    /// Returns what began the stream of an attempt.
+    pub fn find(&self, attempt: &id::Name) -> Option<Origin> {
+        let stream = self.streams.get(attempt)?;
+        Some(stream.origin.clone())
+    }
+
+    /// Returns the only release of a service at which a stream without a record can have begun. A daemon
+    /// that has started since, and has not read the log, does not know which ones have left.
+    pub fn only_release(&self, service: &id::Pool, is_log_read: bool, now: Time) -> Option<Origin> {
+        let has_seen_all = is_log_read || !is_recent(self.started, now);
+        let is_possible = |(origin, seen): &(&Origin, &Option<Time>)| {
+            origin.service == *service && seen.is_none_or(|seen| is_recent(seen, now))
+        };
+        let mut possible = self.releases.iter().filter(is_possible);
+        let (origin, _) = possible.next().filter(|_| has_seen_all)?;
+        possible.next().is_none().then(|| origin.clone())
+    }
+}
+
+fn is_recent(at: Time, now: Time) -> bool {
+    now.saturating_sub(at) <= STREAM_LIFETIME
+}
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -31,6 +31,8 @@
         pub piece_key: Option<id::Name>,
         /// The last event that the client received, when it resumes a stream.
         pub last_event_id: Option<String>,
+        /// The client's attempt that brought the first event of the stream that it resumes.
+        pub resumes: Option<id::Name>,
     }
 }
 
--- a/src/serve/registry.rs
+++ b/src/serve/registry.rs
@@ -200,10 +200,14 @@
         })
     }
 
+    /// Returns all endpoints, also those that are draining.
+    pub fn all(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().map(|known| &known.endpoint)
+    }
+
     /// Returns all endpoints that take requests.
     pub fn available(&self) -> impl Iterator<Item = &Endpoint> {
-        let endpoints = self.endpoints.values().map(|known| &known.endpoint);
-        endpoints.filter(|endpoint| !endpoint.draining)
+        self.all().filter(|endpoint| !endpoint.draining)
     }
 }
 
