Follow a store that returns from a copy

What callers would see: after the platform's drill, endpoints that leave get requests for as long as the store's new end lies before the old cursor's records, endpoints that the copy lacks are dropped at once, and a daemon that the copy lacks is never found by the others.

Cause: the store never lost what it had acknowledged, so offsets were compared as if there were one history.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -93,6 +93,8 @@
   topic @0 :Topic;
   change @1 :UInt64;
   ageNanos @2 :UInt64;
+  # How often the store had gone back to a copy; offsets of other epochs say nothing.
+  epoch @3 :UInt64;
 }
 
 # A part of a prompt that was sent to an engine.
@@ -123,7 +125,7 @@
   ping @1 () -> (leaving :Bool, marks :List(Mark));
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
-  copy @2 (topic :Topic) -> (change :UInt64, packed :Data);
+  copy @2 (topic :Topic) -> (change :UInt64, packed :Data, epoch :UInt64);
   # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached.
   recall @3 (uses :List(Use)) -> ();
 }
--- a/src/id.rs
+++ b/src/id.rs
@@ -32,6 +32,8 @@
 pub type Version = Name;
 /// A version of an endpoint's software; versions have no order.
 pub type Release = Name;
+/// How often the platform's log has gone back to a copy; offsets of different epochs are unrelated.
+pub type Epoch = u64;
 /// A position in a stream of the platform's log.
 pub type Offset = u64;
 /// A revision of the configuration: one past the offset of the last accepted change.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -78,6 +78,8 @@
         ReadSucceeded,
         /// A read of the store failed.
         ReadFailed,
+        /// The store answers in this epoch; in a later one than before, it went back to a copy.
+        Epoch(id::Epoch),
     }
 }
 
@@ -103,6 +105,7 @@
     catalog: RefCell<Rc<Catalog>>,
     registry: RefCell<Registry>,
     config_as_of: Cell<Option<Time>>,
+    epoch: Cell<Option<id::Epoch>>,
     dispatchers: Vec<Rc<Dispatcher>>,
     plain_planner: Rc<dyn RequestPlanner>,
     staged_planner: Rc<dyn RequestPlanner>,
@@ -160,6 +163,7 @@
             catalog: RefCell::default(),
             registry: RefCell::default(),
             config_as_of: Cell::new(None),
+            epoch: Cell::new(None),
             dispatchers: dependencies.dispatchers,
             plain_planner: dependencies.plain_planner,
             staged_planner: dependencies.staged_planner,
@@ -205,6 +209,21 @@
                 }
             }
             Update::ReadFailed => self.registry.borrow_mut().read_failed(now),
+            Update::Epoch(epoch) => self.enter_epoch(epoch, now),
+        }
+    }
+
+    /// Prepares for a store that lacks what was written last.
+    fn enter_epoch(&self, epoch: id::Epoch, now: Time) {
+        let previous = self.epoch.get();
+        if previous.is_some_and(|previous| epoch <= previous) {
+            return;
+        }
+        self.epoch.set(Some(epoch));
+        if let Some(previous) = previous {
+            warn!(self.log, "store went back to a copy"; "epoch" => epoch, "before" => previous);
+            self.registry.borrow_mut().log_went_back(now);
+            self.origins.log_went_back();
         }
     }
 
--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -120,6 +120,14 @@
         self.notify_unsent();
     }
 
+    /// Records that the log went back to a copy: it is read anew, and own streams are written again.
+    pub fn log_went_back(&self) {
+        self.next_offset.set(0);
+        self.read_at.set(None);
+        self.table.borrow_mut().log_went_back();
+        self.notify_unsent();
+    }
+
     fn notify_unsent(&self) {
         if self.table.borrow().has_unsent() {
             self.has_unsent.notify_one();
--- a/src/serve/origin/table.rs
+++ b/src/serve/origin/table.rs
@@ -36,6 +36,8 @@
 struct Stream {
     origin: Origin,
     at: Time,
+    /// Whether this daemon has passed events of it on, and so writes it to the log.
+    is_own: bool,
     /// Whether other daemons can read it in the log.
     is_shared: bool,
 }
@@ -77,6 +79,7 @@
         let stream = Stream {
             origin,
             at,
+            is_own: !is_shared,
             is_shared,
         };
         // The first record stands: what a daemon writes again later is the same.
@@ -140,6 +143,12 @@
         }
     }
 
+    /// Records that the log may lack the streams that this daemon wrote last.
+    pub fn log_went_back(&mut self) {
+        let own = self.streams.values_mut().filter(|stream| stream.is_own);
+        own.for_each(|stream| stream.is_shared = false);
+    }
+
     /// Returns what began the stream of an attempt.
     pub fn find(&self, attempt: &id::Name) -> Option<Origin> {
         let stream = self.streams.get(attempt)?;
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -85,6 +85,12 @@
     table.learn(record("b", "v2"), SECOND, now + SECOND);
     assert!(!table.has_unsent());
     assert_eq!(table.find(&"a".into()), Some(origin("v1")));
+    table.log_went_back();
+    assert_eq!(
+        table.unsent(now + SECOND),
+        unsent,
+        "those of others are theirs to write"
+    );
 }
 
 /// A release that is granted before its entry has been read counts as one that serves.
--- a/src/serve/progress.rs
+++ b/src/serve/progress.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::clock::Time;
+use crate::id;
 
 /// The longest record that is passed on; more than the store accepts in one call.
 const MAX_RECORD_BYTES: u64 = 16 * 1024 * 1024;
@@ -33,10 +34,19 @@
         Endpoints,
     }
 
+    /// A position in a topic. A later epoch is ahead of an earlier one, whose records it may lack.
+    #[derive(Default)]
+    pub struct Position {
+        /// The epoch of the store.
+        pub epoch: id::Epoch,
+        /// The offset in this epoch.
+        pub offset: id::Offset,
+    }
+
     /// How far a topic has been read.
     pub struct Watermark {
-        /// The offset after the last record that changed something.
-        pub offset: u64,
+        /// The position after the last record that changed something.
+        pub position: Position,
         /// Everything that was written before this time has been read.
         pub as_of: Time,
     }
@@ -45,8 +55,8 @@
 event! {
     /// A record that is passed on in place of a read of the store.
     pub struct CompressedRecord {
-        /// The offset up to which the record is the newest.
-        pub offset: u64,
+        /// The position up to which the record is the newest.
+        pub position: Position,
         /// The compressed record.
         pub packed: Bytes,
     }
@@ -109,12 +119,12 @@
         *self.planner.borrow_mut() = watermarks.into_iter().collect();
     }
 
-    /// Returns the topic, offset and age of each of this daemon's watermarks.
-    pub fn watermark_ages(&self, now: Time) -> Vec<(Topic, u64, Duration)> {
+    /// Returns the topic, position and age of each of this daemon's watermarks.
+    pub fn watermark_ages(&self, now: Time) -> Vec<(Topic, Position, Duration)> {
         let own = self.own.borrow();
         let age = |watermark: &Watermark| now.saturating_sub(watermark.as_of);
         own.iter()
-            .map(|(topic, watermark)| (*topic, watermark.offset, age(watermark)))
+            .map(|(topic, watermark)| (*topic, watermark.position, age(watermark)))
             .collect()
     }
 
@@ -137,11 +147,11 @@
     ///
     /// When the record cannot be compressed.
     pub fn compressed_record(&self, topic: Topic) -> std::io::Result<Option<CompressedRecord>> {
-        let Some(offset) = self
+        let Some(position) = self
             .own
             .borrow()
             .get(&topic)
-            .map(|watermark| watermark.offset)
+            .map(|watermark| watermark.position)
         else {
             return Ok(None);
         };
@@ -155,7 +165,7 @@
                 packed
             }
         };
-        Ok(Some(CompressedRecord { offset, packed }))
+        Ok(Some(CompressedRecord { position, packed }))
     }
 
     /// Returns the planner's watermark of a topic, unless it is too old.
--- a/src/serve/progress/tests.rs
+++ b/src/serve/progress/tests.rs
@@ -6,11 +6,25 @@
     Duration::from_millis(millis)
 }
 
+fn position(offset: u64) -> Position {
+    Position { epoch: 1, offset }
+}
+
+/// Offsets start again when the store returns from a copy.
+#[test]
+fn position_of_later_epoch_is_ahead() {
+    let later = Position {
+        epoch: 2,
+        offset: 0,
+    };
+    assert!(later > position(900) && position(900) > position(7));
+}
+
 #[test]
 fn planner_watermark_expires() {
     let progress = ReadProgress::default();
     let watermark = Watermark {
-        offset: 7,
+        position: position(7),
         as_of: at(1_000),
     };
     progress.set_planner_watermarks([(Topic::Endpoints, watermark)]);
@@ -29,13 +43,13 @@
 fn watermark_ages_of_own_reads() {
     let progress = ReadProgress::default();
     let watermark = Watermark {
-        offset: 7,
+        position: position(7),
         as_of: at(1_000),
     };
     progress.read_succeeded(Topic::Catalog, watermark);
     assert_eq!(
         progress.watermark_ages(at(1_400)),
-        [(Topic::Catalog, 7, at(400))]
+        [(Topic::Catalog, position(7), at(400))]
     );
 }
 
@@ -43,7 +57,7 @@
 fn watermark_of_failed_topic_missing() {
     let progress = ReadProgress::default();
     let watermark = Watermark {
-        offset: 7,
+        position: position(7),
         as_of: at(1_000),
     };
     progress.read_succeeded(Topic::Catalog, watermark);
@@ -66,7 +80,7 @@
         "not read yet"
     );
     let watermark = Watermark {
-        offset: 7,
+        position: position(7),
         as_of: at(1_000),
     };
     progress.read_succeeded(Topic::Catalog, watermark);
@@ -74,7 +88,7 @@
         .compressed_record(Topic::Catalog)
         .expect("packed")
         .expect("a record");
-    assert_eq!(compressed.offset, 7);
+    assert_eq!(compressed.position, position(7));
     assert!(compressed.packed.len() < record.len() / 10);
     assert_eq!(compressed.unpack().expect("a record"), record);
     let next = ReadProgress::default();
@@ -89,7 +103,7 @@
 #[test]
 fn compressed_record_damaged_not_unpacked() {
     let compressed = CompressedRecord {
-        offset: 1,
+        position: position(1),
         packed: Bytes::from_static(&[0xff; 20]),
     };
     assert!(compressed.unpack().is_err());
@@ -99,7 +113,7 @@
 fn compressed_record_of_failed_topic_missing() {
     let progress = ReadProgress::default();
     let watermark = Watermark {
-        offset: 7,
+        position: position(7),
         as_of: at(1_000),
     };
     progress.cache_record(Topic::Catalog, Bytes::from_static(b"record"));
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -100,7 +100,8 @@
         let record = record.map_err(|error| capnp::Error::failed(error.to_string()))?;
         if let Some(record) = record {
             let mut answer = results.get();
-            answer.set_change(record.offset);
+            answer.set_change(record.position.offset);
+            answer.set_epoch(record.position.epoch);
             answer.set_packed(&record.packed);
         }
         Ok(())
--- a/src/serve/region/record.rs
+++ b/src/serve/region/record.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::{Region, Regions, wire};
-use crate::serve::progress::{CompressedRecord, Topic};
+use crate::serve::progress::{CompressedRecord, Position, Topic};
 
 /// How long fetching a record from the planner may take; a small VM with a tenth of a core and
 /// 10 Mbit/s takes half of it to read the largest one.
@@ -30,8 +30,11 @@
         let read = match answer {
             Ok(Ok(answer)) => answer.get().and_then(|answer| {
                 let packed = answer.get_packed()?.to_vec().into();
-                let offset = answer.get_change();
-                Ok(CompressedRecord { offset, packed })
+                let position = Position {
+                    epoch: answer.get_epoch(),
+                    offset: answer.get_change(),
+                };
+                Ok(CompressedRecord { position, packed })
             }),
             Ok(Err(error)) => Err(error),
             Err(_) => Err(capnp::Error::failed("no answer".into())),
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -13,7 +13,7 @@
 use crate::serve::plan::{
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
 };
-use crate::serve::progress::{Topic, Watermark};
+use crate::serve::progress::{Position, Topic, Watermark};
 
 fn nanos(duration: Duration) -> u64 {
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
@@ -302,13 +302,14 @@
 
 /// Writes watermarks of topics, each with its age.
 pub fn write_watermarks(
-    watermarks: &[(Topic, u64, Duration)],
+    watermarks: &[(Topic, Position, Duration)],
     mut builder: capnp::struct_list::Builder<'_, schema::mark::Owned>,
 ) {
-    for (index, (topic, offset, age)) in (0..).zip(watermarks) {
+    for (index, (topic, position, age)) in (0..).zip(watermarks) {
         let mut entry = builder.reborrow().get(index);
         entry.set_topic(write_topic(*topic));
-        entry.set_change(*offset);
+        entry.set_change(position.offset);
+        entry.set_epoch(position.epoch);
         entry.set_age_nanos(nanos(*age));
     }
 }
@@ -322,8 +323,11 @@
         let topic = read_topic(entry.get_topic()?);
         // The age was taken after the ping was sent, so the watermark is not set too late.
         let as_of = sent_at.saturating_sub(Duration::from_nanos(entry.get_age_nanos()));
-        let offset = entry.get_change();
-        Ok((topic, Watermark { offset, as_of }))
+        let position = Position {
+            epoch: entry.get_epoch(),
+            offset: entry.get_change(),
+        };
+        Ok((topic, Watermark { position, as_of }))
     };
     reader.iter().map(watermark).collect()
 }
--- a/src/serve/registry.rs
+++ b/src/serve/registry.rs
@@ -114,6 +114,11 @@
         self.grace_until = self.grace_until.max(now + RETURN_GRACE);
     }
 
+    /// Records that the store went back to a copy: entries that it lacks may be written again.
+    pub fn log_went_back(&mut self, now: Time) {
+        self.grace_until = self.grace_until.max(now + RETURN_GRACE);
+    }
+
     /// Applies a change of an entry; returns whether it changes what is known.
     pub fn apply(&mut self, entry: Entry, now: Time) -> bool {
         match entry {
