Obey endpoints that leave or close themselves by their answers

What callers would see: requests sent to an endpoint that has announced its leaving in an answer, for as long as its entry does not show it, and requests sent every tenth of a second to one that has said, with 503 and Retry-After, for how long it wants nothing: both break the platform's newer rules (DRAIN, BUDGET), and clients wait for nothing.

Cause: what an endpoint says of itself was taken from the store only; of a refusal, only that the request had not run was read.

Change: serve::closure keeps what endpoints said to this daemon: leaving, for one life of the endpoint, and closed, for a time of at most an hour. Jobs carry it to the planner, which grants around it for that daemon alone; stage endpoints close for the planner's own calls. The check before a request is sent knows it too, so a plan that comes late is not followed. Where all endpoints that a request needs are closed, it is refused at once, with the time after which the first opens, spread over a quarter of it.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -36,6 +36,15 @@
   made @14 :List(Made);
   # The software version that began its stream; empty when any may run it.
   release @15 :Text;
+  # Endpoints that take nothing from the daemon that serves the client.
+  closures @16 :List(Closure);
+}
+
+struct Closure {
+  endpoint @0 :Text;
+  # It is leaving; otherwise it takes nothing for some time.
+  isLeaving @1 :Bool;
+  leftNanos @2 :UInt64;
 }
 
 # A result that an endpoint of a stage holds.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::retry::Budget;
 
 pub mod catalog;
+pub mod closure;
 pub mod connection;
 pub mod dispatcher;
 pub mod exchange;
@@ -34,11 +35,12 @@
 pub mod response;
 
 use catalog::Catalog;
+use closure::Closures;
 use dispatcher::{Dispatcher, RequestPlanner};
 use meter::Meter;
 use origin::{Origin, Origins};
 use plan::Tokens;
-use protocol::Protocol;
+use protocol::{Protocol, ResponseMeta};
 use registry::{Endpoint, Entry, Registry};
 
 /// How long a stopping daemon serves at least: the load balancer sends new connections
@@ -110,6 +112,7 @@
     plain_planner: Rc<dyn RequestPlanner>,
     staged_planner: Rc<dyn RequestPlanner>,
     origins: Rc<Origins>,
+    closures: Rc<Closures>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
@@ -144,6 +147,8 @@
     pub staged_planner: Rc<dyn RequestPlanner>,
     /// What began each stream.
     pub origins: Rc<Origins>,
+    /// The endpoints that take nothing from this daemon, as its dispatchers learn of them, too.
+    pub closures: Rc<Closures>,
     /// The protocol of clients and endpoints.
     pub protocol: Rc<dyn Protocol>,
     /// The clock, which a suspension of the VM does not stop.
@@ -168,6 +173,7 @@
             plain_planner: dependencies.plain_planner,
             staged_planner: dependencies.staged_planner,
             origins: dependencies.origins,
+            closures: dependencies.closures,
             protocol: dependencies.protocol,
             clock: dependencies.clock,
             meter: dependencies.meter,
@@ -273,6 +279,7 @@
             release: endpoint.release.clone(),
         };
         self.origins.observe(registry.all().map(origin));
+        self.closures.observe(registry.all());
         for dispatcher in &self.dispatchers {
             dispatcher.update_planner(|planner, now| planner.sync(&registry, &catalog, now));
         }
@@ -283,8 +290,18 @@
         self.catalog.borrow().clone()
     }
 
-    fn is_leaving(&self, id: &str) -> bool {
-        self.registry.borrow().is_leaving(id)
+    /// Returns whether an endpoint must get no request, as its entry or its own answers say.
+    fn is_closed(&self, id: &str) -> bool {
+        let closure = self.closures.get(id, self.clock.now());
+        closure.is_some() || self.registry.borrow().is_leaving(id)
+    }
+
+    /// Records what an endpoint's answer says of itself.
+    fn record_closure(&self, id: &id::Endpoint, meta: &ResponseMeta) {
+        if self.closures.record(id, meta, self.clock.now()) {
+            info!(self.log, "endpoint closed"; "endpoint" => &**id, "leaving" => meta.is_leaving,
+                "seconds" => meta.retry_after.map(|time| time.as_secs()));
+        }
     }
 
     /// Returns how much time a client had spent before this request. Clients of a route have the
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -12,13 +12,14 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::closure::Closures;
 use super::exchange::{self, Connection};
 use super::health::Verdict;
 use super::meter::Meter;
 use super::plan::{
     Action, CallId, CallOutcome, Grant, Handle, Job, JobId, PieceRequest, Planner, Refusal,
 };
-use super::protocol::{HttpRequest, Protocol};
+use super::protocol::{HttpRequest, Protocol, ResponseMeta};
 use crate::clock::{Clock, Time};
 use crate::id;
 
@@ -71,6 +72,7 @@
     /// Results to free with the next call, by endpoint.
     pending_frees: RefCell<IndexMap<id::Endpoint, Vec<Handle>>>,
     idle_connections: RefCell<IndexMap<id::Endpoint, IdleConnection>>,
+    closures: Rc<Closures>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
@@ -81,6 +83,7 @@
     /// Starts the planner's timer and returns its dispatcher.
     pub fn start(
         planner: Planner,
+        closures: Rc<Closures>,
         protocol: Rc<dyn Protocol>,
         clock: Rc<dyn Clock>,
         meter: Rc<Meter>,
@@ -92,6 +95,7 @@
             next_id: Cell::new(0),
             pending_frees: RefCell::default(),
             idle_connections: RefCell::default(),
+            closures,
             protocol,
             clock,
             meter,
@@ -177,6 +181,14 @@
                 .borrow_mut()
                 .swap_remove(&endpoint)
                 .unwrap_or_default();
+            if dispatcher
+                .closures
+                .get(&endpoint, dispatcher.clock.now())
+                .is_some()
+            {
+                // It frees them by itself after a while.
+                return;
+            }
             let request = dispatcher.protocol.free_call(&endpoint, &handles);
             let sent = timeout(FREE_TIMEOUT, dispatcher.post(&endpoint, address, &request)).await;
             if !matches!(sent, Ok(Ok(CallResult::Body(_)))) {
@@ -300,6 +312,20 @@
         self.post_on(endpoint, address, connection, request).await
     }
 
+    /// Records what a stage endpoint's answer says of itself, which binds the calls of this daemon.
+    fn record_closure(&self, endpoint: &id::Endpoint, meta: &ResponseMeta) {
+        let now = self.clock.now();
+        if !self.closures.record(endpoint, meta, now) {
+            return;
+        }
+        info!(self.log, "endpoint closed"; "endpoint" => &**endpoint, "leaving" => meta.is_leaving,
+            "seconds" => meta.retry_after.map(|time| time.as_secs()));
+        let closure = self.closures.get(endpoint, now);
+        let remaining = closure.and_then(|closure| closure.remaining);
+        let until = remaining.map(|remaining| now + remaining);
+        self.planner.borrow_mut().close(endpoint, until);
+    }
+
     async fn post_on(
         &self,
         endpoint: &id::Endpoint,
@@ -312,6 +338,8 @@
             exchange::request_head(request.method, request.target, &request.fields, size, true);
         let mut response = exchange::send(connection, &head, &request.body).await?;
         let status = response.head.status;
+        let meta = self.protocol.parse_response(&response.head, "");
+        self.record_closure(endpoint, &meta);
         let body = response.body(MAX_RESPONSE_BYTES).await?;
         if let Some(connection) = response.into_connection() {
             let idle_since = self.clock.now();
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -247,6 +247,7 @@
             zone: self.node.options.zone.clone(),
             transferred_results: Vec::new(),
             release: self.release.borrow().clone(),
+            closures: self.node.closures.all(self.node.clock.now()),
         }
     }
 
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -32,6 +32,7 @@
             .node
             .protocol
             .parse_response(&response.head, &request.meta.id);
+        self.node.record_closure(&planned.grant().endpoint, &meta);
         if meta.is_refusal {
             return AttemptOutcome::NotRun {
                 verdict: Verdict::Refused,
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -33,7 +33,7 @@
             verdict,
             inputs_lost: false,
         };
-        if self.node.is_leaving(&id) {
+        if self.node.is_closed(&id) {
             return not_run(Verdict::Unknown);
         }
         let connection = match exchange::connect(address).await {
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -292,6 +292,7 @@
         for (job_id, reason) in hopeless {
             self.refuse(job_id, reason, now);
         }
+        self.refuse_closed(now);
         self.dispatch_all(now);
     }
 
@@ -415,6 +416,46 @@
         }
     }
 
+    /// Records that a stage endpoint takes nothing from this daemon until then, or in its life if it is
+    /// leaving.
+    pub fn close(&mut self, endpoint: &id::Endpoint, until: Option<Time>) {
+        self.stage_endpoints.close(endpoint, until);
+    }
+
+    /// Returns how long a request cannot be worked on, since endpoints that it needs have closed
+    /// themselves.
+    fn closed_for(&self, request: &Request, now: Time) -> Option<Duration> {
+        let job = &request.job;
+        let engines = self.engines.closed_for(job);
+        let stages = job.stages.iter().enumerate();
+        let stages = stages.filter(|(index, _)| request.queued_count(*index) > 0);
+        let closed =
+            |(_, stage): (usize, &Stage)| self.stage_endpoints.closed_for(&stage.service, now);
+        let closed = stages.filter_map(closed).chain(engines);
+        // Others start in the place of endpoints that leave.
+        let remaining = closed.map(|remaining| remaining.unwrap_or(MAX_RETRY_AFTER));
+        remaining.max()
+    }
+
+    /// Refuses requests that wait for endpoints which stay closed beyond their deadline.
+    fn refuse_closed(&mut self, now: Time) {
+        let waiting = self.requests.iter();
+        let waiting = waiting.filter(|(_, request)| !request.is_granted);
+        let closed = waiting.filter_map(|(job_id, request)| {
+            let remaining = self.closed_for(request, now)?;
+            (now + remaining > request.job.deadline).then_some((*job_id, remaining))
+        });
+        let closed: Vec<(JobId, Duration)> = closed.collect();
+        for (job_id, remaining) in closed {
+            let Some(request) = self.requests.shift_remove(&job_id) else {
+                continue;
+            };
+            self.free(request.held_results());
+            let refusal = Refusal::closed(&request.job.request, remaining);
+            self.actions.push(Action::Refuse(job_id, refusal));
+        }
+    }
+
     /// Returns why a request is not admitted, if so.
     fn check_admission(&self, request: &Request, now: Time) -> Option<Refusal> {
         if let Status::Refused(until) = self.crashes.status(&request.job.digest, now) {
@@ -425,6 +466,9 @@
             let reason = "no endpoint has the software version of its stream";
             return Some(Refusal::new(reason, MIN_RETRY_AFTER));
         }
+        if let Some(remaining) = self.closed_for(request, now) {
+            return Some(Refusal::closed(&request.job.request, remaining));
+        }
         if request.has_started {
             // Another planner has admitted it.
             return None;
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -13,6 +13,7 @@
 use crate::clock::Time;
 use crate::id;
 use crate::serve::catalog::{Catalog, Engine as EngineConfig};
+use crate::serve::closure::Closure;
 use crate::serve::health::{Health, Verdict};
 use crate::serve::registry::Endpoint;
 
@@ -159,6 +160,23 @@
         self.engines.values().any(|engine| engine.may_run(job))
     }
 
+    /// Returns how long all engines that may run a job are closed for its daemon, unless one is open; the
+    /// time is none when all of them are leaving.
+    pub fn closed_for(&self, job: &Job) -> Option<Option<Duration>> {
+        let engines = self.engines.iter();
+        let mut possible = engines.filter(|(_, engine)| engine.may_run(job)).peekable();
+        possible.peek()?;
+        let closure = |id: &id::Endpoint| {
+            let mut closures = job.closures.iter();
+            closures.find(|closure| closure.endpoint == *id)
+        };
+        let closures: Option<Vec<&Closure>> = possible.map(|(id, _)| closure(id)).collect();
+        let remaining = closures?
+            .into_iter()
+            .filter_map(|closure| closure.remaining);
+        Some(remaining.min())
+    }
+
     /// Chooses the engine of the lowest cost for a request; none when no engine has room.
     pub fn reserve(&mut self, request: &Request, now: Time) -> Option<Reservation> {
         let job = &request.job;
--- a/src/serve/plan/request.rs
+++ b/src/serve/plan/request.rs
@@ -74,7 +74,7 @@
     pub has_started: bool,
     /// The zone in which its results should be computed.
     pub preferred_zone: Option<id::Zone>,
-    /// Engines that have ended it, which are not chosen again.
+    /// Engines that have ended it, or take nothing from its daemon; they are not chosen.
     pub tried_engines: Vec<id::Endpoint>,
     /// Whether it is handed over once its running calls have ended.
     pub is_transferring: bool,
@@ -98,7 +98,11 @@
             is_granted: false,
             has_started: false,
             preferred_zone: None,
-            tried_engines: Vec::new(),
+            tried_engines: job
+                .closures
+                .iter()
+                .map(|closure| closure.endpoint.clone())
+                .collect(),
             is_transferring: false,
             submitted_at: now,
             freed_stages: vec![false; job.stages.len()],
--- a/src/serve/plan/stage_endpoint.rs
+++ b/src/serve/plan/stage_endpoint.rs
@@ -31,6 +31,8 @@
     pub call_end: Time,
     /// No call is sent before this time.
     pub blocked_until: Time,
+    /// The endpoint has said that it takes nothing until then.
+    pub closed_until: Time,
     /// Bytes of results that it holds or computes.
     pub used_bytes: u64,
     pub results: IndexMap<Handle, Allocation>,
@@ -59,6 +61,7 @@
             running_call: None,
             call_end: Time::ZERO,
             blocked_until: Time::ZERO,
+            closed_until: Time::ZERO,
             used_bytes: 0,
             results: IndexMap::new(),
             foreign_results: None,
@@ -66,6 +69,11 @@
         }
     }
 
+    /// Returns whether it may get a call, once it is idle.
+    pub fn is_usable(&self, now: Time) -> bool {
+        now >= self.closed_until && self.health.is_usable(now)
+    }
+
     /// Returns the queue indexes of the pieces for its next call. Pieces of other zones for which
     /// `should_wait` holds stay queued.
     pub fn select_pieces(
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -130,12 +130,29 @@
             self.time_to_first_byte.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
     }
 
+    /// Records that an endpoint takes nothing until then, or in its life if it is leaving.
+    pub fn close(&mut self, id: &id::Endpoint, until: Option<Time>) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            let until = until.unwrap_or(Time::MAX);
+            endpoint.closed_until = until.max(endpoint.closed_until);
+        }
+    }
+
+    /// Returns how long all endpoints of a service are closed, unless one is open; the time is none when
+    /// all of them are leaving.
+    pub fn closed_for(&self, service: &id::Pool, now: Time) -> Option<Option<Duration>> {
+        let endpoints = self.endpoints.values();
+        let endpoints = endpoints.filter(|endpoint| endpoint.service == *service);
+        let opens = endpoints.map(|endpoint| endpoint.closed_until).min()?;
+        let remaining = (opens < Time::MAX).then(|| opens.saturating_sub(now));
+        (opens > now).then_some(remaining)
+    }
+
     /// Returns how long a piece waits behind others; none when no endpoint can take it.
     pub fn queue_time(&self, service: &id::Pool, ahead: usize, now: Time) -> Option<Duration> {
         let batch = self.services.get(service)?;
-        let is_usable = |endpoint: &&StageEndpoint| {
-            endpoint.service == *service && endpoint.health.is_usable(now)
-        };
+        let is_usable =
+            |endpoint: &&StageEndpoint| endpoint.service == *service && endpoint.is_usable(now);
         let endpoints: Vec<&StageEndpoint> = self.endpoints.values().filter(is_usable).collect();
         let endpoint_count = count(endpoints.len());
         if endpoint_count == 0 {
@@ -166,9 +183,8 @@
     ) -> Option<Assignment> {
         let batch = self.services.get(service)?;
         let first = queue.first()?;
-        let is_usable = |endpoint: &&StageEndpoint| {
-            endpoint.service == *service && endpoint.health.is_usable(now)
-        };
+        let is_usable =
+            |endpoint: &&StageEndpoint| endpoint.service == *service && endpoint.is_usable(now);
         let is_idle = |endpoint: &StageEndpoint| {
             endpoint.running_call.is_none() && now >= endpoint.blocked_until
         };
@@ -222,7 +238,7 @@
             };
             endpoint.service == *service
                 && queued.preferred_zone.as_ref() == Some(&endpoint.zone)
-                && endpoint.health.is_usable(now)
+                && endpoint.is_usable(now)
                 && endpoint.health.slowness(now) < SLOW_FACTOR
                 && endpoint.used_bytes + queued.piece.bytes <= batch.capacity_bytes
                 && available_at <= now + PREFERRED_ZONE_WAIT
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -125,6 +125,7 @@
             zone: "a".into(),
             transferred_results: Vec::new(),
             release: None,
+            closures: Vec::new(),
         }
     }
 
--- a/src/serve/plan/tests/engine.rs
+++ b/src/serve/plan/tests/engine.rs
@@ -1,6 +1,7 @@
 //! Tests of which endpoint runs a request.
 
 use super::*;
+use crate::serve::closure::Closure;
 
 #[test]
 fn request_refused_by_the_engine_goes_to_another() {
@@ -161,3 +162,65 @@
         );
     }
 }
+
+/// What an endpoint says binds one daemon; the requests of others go on there.
+#[test]
+fn closed_engine_granted_to_other_daemons_only() {
+    let mut site = Site::new(&[], &[("e", "a")]);
+    let closure = |remaining| Closure {
+        endpoint: "e".into(),
+        remaining,
+    };
+    for (closures, retry_after) in [
+        (vec![], None),
+        (vec![closure(Some(ms(5_000)))], Some(ms(5_000)..=ms(6_250))),
+        (
+            vec![closure(None)],
+            Some(MAX_RETRY_AFTER..=MAX_RETRY_AFTER.mul_f64(1.25)),
+        ),
+    ] {
+        let mut job = site.job(&[], 2_000);
+        job.closures = closures;
+        site.submit(job);
+        let actions = site.actions();
+        let refused = refusals(&actions);
+        assert_eq!(grants(&actions).len(), usize::from(retry_after.is_none()));
+        assert_eq!(refused.len(), usize::from(retry_after.is_some()));
+        if let Some(expected) = retry_after {
+            assert!(
+                expected.contains(&refused[0].1.retry_after),
+                "{:?}",
+                refused[0]
+            );
+        }
+    }
+}
+
+/// Requests that wait for a stage whose endpoints stay closed are not held until their deadline.
+#[test]
+fn request_waiting_for_closed_stage_refused() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    site.submit(site.job(&[1], 5_000));
+    site.actions();
+    let waiting = site.submit(site.job(&[1], 5_000));
+    site.planner.call_ended(0, &CallOutcome::Refused, ms(10));
+    site.planner.close(&"m".into(), Some(ms(60_000)));
+    site.now = ms(20);
+    site.planner.tick(site.now);
+    let refused = refusals(&site.actions());
+    assert!(
+        refused.iter().any(|(job_id, _)| *job_id == waiting),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn closed_stage_endpoint_called_after_its_time() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    site.planner.close(&"m".into(), Some(ms(400)));
+    let job_id = site.submit(site.job(&[1], 5_000));
+    assert_eq!(refusals(&site.actions())[0].0, job_id, "all are closed");
+    site.now = ms(400);
+    site.submit(site.job(&[1], 5_000));
+    assert_eq!(calls(&site.actions()).len(), 1);
+}
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -1,12 +1,19 @@
 //! The input and output of a planner.
 
 use std::borrow::Cow;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::{CallId, JobId, MAX_RETRY_AFTER, MIN_RETRY_AFTER};
 use crate::clock::Time;
 use crate::id;
+use crate::serve::closure::Closure;
+
+/// The longest time that a client is told while endpoints are closed; others may start meanwhile.
+const MAX_CLOSED_RETRY_AFTER: Duration = Duration::from_secs(30);
+/// The share of the time for which endpoints are closed over which clients return after it.
+const CLOSED_SPREAD: f64 = 0.25;
 
 /// The name by which an endpoint identifies a result that it holds.
 pub type Handle = id::Name;
@@ -45,6 +52,8 @@
         pub transferred_results: Vec<TransferredResult>,
         /// The software version that began its stream, at which alone it may go on.
         pub release: Option<id::Release>,
+        /// Endpoints that take nothing from the daemon that serves the client.
+        pub closures: Vec<Closure>,
     }
 
     /// A result that one planner hands over to another.
@@ -252,6 +261,22 @@
         }
     }
 
+    /// Makes the refusal of a request whose endpoints are closed for a known time. Clients are spread over
+    /// a quarter of it, so that they don't return together.
+    pub fn closed(request: &str, remaining: Duration) -> Self {
+        let mut hasher = DefaultHasher::new();
+        request.hash(&mut hasher);
+        let spread = f64::from(u8::try_from(hasher.finish() % 256).unwrap_or_default()) / 255.0;
+        Self {
+            reason: "no endpoint takes requests now".into(),
+            retry_after: remaining
+                .clamp(MIN_RETRY_AFTER, MAX_CLOSED_RETRY_AFTER)
+                .mul_f64(1.0 + CLOSED_SPREAD * spread),
+            is_transferred: false,
+            transferred_results: Vec::new(),
+        }
+    }
+
     /// Makes the refusal of a planner that has ended.
     pub fn planner_gone() -> Self {
         Self {
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -65,6 +65,10 @@
         pub is_input_lost: bool,
         /// Whether it carries the endpoint's signature.
         pub is_sealed: bool,
+        /// Whether the endpoint is leaving.
+        pub is_leaving: bool,
+        /// How long the endpoint wants no requests of this daemon, after it refused one.
+        pub retry_after: Option<Duration>,
     }
 }
 
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -6,6 +6,7 @@
 use super::*;
 use crate::clock::Boot;
 use crate::generated::plan_capnp::{job as wire_job, reply, seat as wire_seat, use_};
+use crate::serve::closure::Closure;
 use crate::serve::plan::{Grant, PromptPart, Tokens, TransferredResult};
 
 /// A planner that accepts requests and never answers, like a frozen one.
@@ -52,6 +53,7 @@
         zone: "z".into(),
         transferred_results: Vec::new(),
         release: None,
+        closures: Vec::new(),
     }
 }
 
@@ -147,6 +149,26 @@
     );
 }
 
+#[test]
+fn closures_round_trip() {
+    let closure = |endpoint: &str, remaining| Closure {
+        endpoint: endpoint.into(),
+        remaining,
+    };
+    let sent = Job {
+        closures: vec![
+            closure("e", Some(Duration::from_secs(5))),
+            closure("f", None),
+        ],
+        ..job()
+    };
+    let mut message = message::Builder::new_default();
+    wire::write_job(&sent, Duration::ZERO, message.init_root());
+    let read: wire_job::Reader<'_> = message.get_root_as_reader().expect("a job");
+    let read = wire::read_job(read, Duration::ZERO).expect("a valid message");
+    assert_eq!(read.closures, sent.closures);
+}
+
 /// A daemon of an earlier version sends no release, which is none rather than an empty one.
 #[test]
 fn release_round_trip() {
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -9,6 +9,7 @@
 use crate::clock::Time;
 use crate::generated::plan_capnp as schema;
 use crate::id;
+use crate::serve::closure::Closure;
 use crate::serve::health::Verdict;
 use crate::serve::plan::{
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
@@ -57,6 +58,8 @@
     builder.set_weight(job.weight);
     builder.set_digest(&*job.digest);
     builder.set_release(job.release.as_deref().unwrap_or_default());
+    let closures = builder.reborrow().init_closures(to_u32(job.closures.len()));
+    write_closures(&job.closures, closures);
     write_transferred(
         &job.transferred_results,
         now,
@@ -83,6 +86,31 @@
     }
 }
 
+fn write_closures(
+    closures: &[Closure],
+    mut builder: capnp::struct_list::Builder<'_, schema::closure::Owned>,
+) {
+    for (index, closure) in (0..).zip(closures) {
+        let mut entry = builder.reborrow().get(index);
+        entry.set_endpoint(&*closure.endpoint);
+        entry.set_is_leaving(closure.remaining.is_none());
+        entry.set_left_nanos(nanos(closure.remaining.unwrap_or_default()));
+    }
+}
+
+fn read_closures(
+    reader: capnp::struct_list::Reader<'_, schema::closure::Owned>,
+) -> Result<Vec<Closure>> {
+    let closure = |entry: schema::closure::Reader<'_>| {
+        let remaining = Duration::from_nanos(entry.get_left_nanos());
+        Ok(Closure {
+            endpoint: read_name(entry.get_endpoint()?)?,
+            remaining: (!entry.get_is_leaving()).then_some(remaining),
+        })
+    };
+    reader.iter().map(closure).collect()
+}
+
 fn read_stage(reader: schema::need::Reader<'_>) -> Result<Stage> {
     Ok(Stage {
         service: read_name(reader.get_service()?)?,
@@ -129,6 +157,7 @@
         digest: read_name(reader.get_digest()?)?,
         transferred_results: read_transferred(reader.get_made()?, now)?,
         release: read_release(reader.get_release()?)?,
+        closures: read_closures(reader.get_closures()?)?,
     })
 }
 
