--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -36,6 +36,15 @@
   made @14 :List(Made);
   # The software version that began its stream; empty when any may run it.
   release @15 :Text;
+  # Endpoints that take nothing from the daemon that serves the client.
+  closures @16 :List(Closure);
+}
+
+struct Closure {
+  endpoint @0 :Text;
+  # It is leaving; otherwise it takes nothing for some time.
+  isLeaving @1 :Bool;
+  leftNanos @2 :UInt64;
 }
 
 # A result that an endpoint of a stage holds.
@@ -93,6 +102,8 @@
   topic @0 :Topic;
   change @1 :UInt64;
   ageNanos @2 :UInt64;
+  # How often the store had gone back to a copy; offsets of other epochs say nothing.
+  epoch @3 :UInt64;
 }
 
 # A part of a prompt that was sent to an engine.
@@ -123,7 +134,7 @@
   ping @1 () -> (leaving :Bool, marks :List(Mark));
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
-  copy @2 (topic :Topic) -> (change :UInt64, packed :Data);
+  copy @2 (topic :Topic) -> (change :UInt64, packed :Data, epoch :UInt64);
   # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached.
   recall @3 (uses :List(Use)) -> ();
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::retry::Budget;
 
 pub mod catalog;
+pub mod closure;
 pub mod connection;
 pub mod dispatcher;
 pub mod exchange;
@@ -34,11 +35,12 @@
 pub mod response;
 
 use catalog::Catalog;
+use closure::Closures;
 use dispatcher::{Dispatcher, RequestPlanner};
 use meter::Meter;
 use origin::{Origin, Origins};
 use plan::Tokens;
-use protocol::Protocol;
+use protocol::{Protocol, ResponseMeta};
 use registry::{Endpoint, Entry, Registry};
 
 /// How long a stopping daemon serves at least: the load balancer sends new connections
@@ -78,6 +80,8 @@
         ReadSucceeded,
         /// A read of the store failed.
         ReadFailed,
+        /// The store answers in this epoch; in a later one than before, it went back to a copy.
+        Epoch(id::Epoch),
     }
 }
 
@@ -103,10 +107,12 @@
     catalog: RefCell<Rc<Catalog>>,
     registry: RefCell<Registry>,
     config_as_of: Cell<Option<Time>>,
+    epoch: Cell<Option<id::Epoch>>,
     dispatchers: Vec<Rc<Dispatcher>>,
     plain_planner: Rc<dyn RequestPlanner>,
     staged_planner: Rc<dyn RequestPlanner>,
     origins: Rc<Origins>,
+    closures: Rc<Closures>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
@@ -141,6 +147,8 @@
     pub staged_planner: Rc<dyn RequestPlanner>,
     /// What began each stream.
     pub origins: Rc<Origins>,
+    /// The endpoints that take nothing from this daemon, as its dispatchers learn of them, too.
+    pub closures: Rc<Closures>,
     /// The protocol of clients and endpoints.
     pub protocol: Rc<dyn Protocol>,
     /// The clock, which a suspension of the VM does not stop.
@@ -160,10 +168,12 @@
             catalog: RefCell::default(),
             registry: RefCell::default(),
             config_as_of: Cell::new(None),
+            epoch: Cell::new(None),
             dispatchers: dependencies.dispatchers,
             plain_planner: dependencies.plain_planner,
             staged_planner: dependencies.staged_planner,
             origins: dependencies.origins,
+            closures: dependencies.closures,
             protocol: dependencies.protocol,
             clock: dependencies.clock,
             meter: dependencies.meter,
@@ -205,6 +215,21 @@
                 }
             }
             Update::ReadFailed => self.registry.borrow_mut().read_failed(now),
+            Update::Epoch(epoch) => self.enter_epoch(epoch, now),
+        }
+    }
+
+    /// Prepares for a store that lacks what was written last.
+    fn enter_epoch(&self, epoch: id::Epoch, now: Time) {
+        let previous = self.epoch.get();
+        if previous.is_some_and(|previous| epoch <= previous) {
+            return;
+        }
+        self.epoch.set(Some(epoch));
+        if let Some(previous) = previous {
+            warn!(self.log, "store went back to a copy"; "epoch" => epoch, "before" => previous);
+            self.registry.borrow_mut().log_went_back(now);
+            self.origins.log_went_back();
         }
     }
 
@@ -254,6 +279,7 @@
             release: endpoint.release.clone(),
         };
         self.origins.observe(registry.all().map(origin));
+        self.closures.observe(registry.all());
         for dispatcher in &self.dispatchers {
             dispatcher.update_planner(|planner, now| planner.sync(&registry, &catalog, now));
         }
@@ -264,8 +290,18 @@
         self.catalog.borrow().clone()
     }
 
-    fn is_leaving(&self, id: &str) -> bool {
-        self.registry.borrow().is_leaving(id)
+    /// Returns whether an endpoint must get no request, as its entry or its own answers say.
+    fn is_closed(&self, id: &str) -> bool {
+        let closure = self.closures.get(id, self.clock.now());
+        closure.is_some() || self.registry.borrow().is_leaving(id)
+    }
+
+    /// Records what an endpoint's answer says of itself.
+    fn record_closure(&self, id: &id::Endpoint, meta: &ResponseMeta) {
+        if self.closures.record(id, meta, self.clock.now()) {
+            info!(self.log, "endpoint closed"; "endpoint" => &**id, "leaving" => meta.is_leaving,
+                "seconds" => meta.retry_after.map(|time| time.as_secs()));
+        }
     }
 
     /// Returns how much time a client had spent before this request. Clients of a route have the
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -9,11 +9,12 @@
 use crate::clock::Time;
 use crate::generated::plan_capnp as schema;
 use crate::id;
+use crate::serve::closure::Closure;
 use crate::serve::health::Verdict;
 use crate::serve::plan::{
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
 };
-use crate::serve::progress::{Topic, Watermark};
+use crate::serve::progress::{Position, Topic, Watermark};
 
 fn nanos(duration: Duration) -> u64 {
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
@@ -57,6 +58,8 @@
     builder.set_weight(job.weight);
     builder.set_digest(&*job.digest);
     builder.set_release(job.release.as_deref().unwrap_or_default());
+    let closures = builder.reborrow().init_closures(to_u32(job.closures.len()));
+    write_closures(&job.closures, closures);
     write_transferred(
         &job.transferred_results,
         now,
@@ -83,6 +86,31 @@
     }
 }
 
+fn write_closures(
+    closures: &[Closure],
+    mut builder: capnp::struct_list::Builder<'_, schema::closure::Owned>,
+) {
+    for (index, closure) in (0..).zip(closures) {
+        let mut entry = builder.reborrow().get(index);
+        entry.set_endpoint(&*closure.endpoint);
+        entry.set_is_leaving(closure.remaining.is_none());
+        entry.set_left_nanos(nanos(closure.remaining.unwrap_or_default()));
+    }
+}
+
+fn read_closures(
+    reader: capnp::struct_list::Reader<'_, schema::closure::Owned>,
+) -> Result<Vec<Closure>> {
+    let closure = |entry: schema::closure::Reader<'_>| {
+        let remaining = Duration::from_nanos(entry.get_left_nanos());
+        Ok(Closure {
+            endpoint: read_name(entry.get_endpoint()?)?,
+            remaining: (!entry.get_is_leaving()).then_some(remaining),
+        })
+    };
+    reader.iter().map(closure).collect()
+}
+
 fn read_stage(reader: schema::need::Reader<'_>) -> Result<Stage> {
     Ok(Stage {
         service: read_name(reader.get_service()?)?,
@@ -129,6 +157,7 @@
         digest: read_name(reader.get_digest()?)?,
         transferred_results: read_transferred(reader.get_made()?, now)?,
         release: read_release(reader.get_release()?)?,
+        closures: read_closures(reader.get_closures()?)?,
     })
 }
 
@@ -302,13 +331,14 @@
 
 /// Writes watermarks of topics, each with its age.
 pub fn write_watermarks(
-    watermarks: &[(Topic, u64, Duration)],
+    watermarks: &[(Topic, Position, Duration)],
     mut builder: capnp::struct_list::Builder<'_, schema::mark::Owned>,
 ) {
-    for (index, (topic, offset, age)) in (0..).zip(watermarks) {
+    for (index, (topic, position, age)) in (0..).zip(watermarks) {
         let mut entry = builder.reborrow().get(index);
         entry.set_topic(write_topic(*topic));
-        entry.set_change(*offset);
+        entry.set_change(position.offset);
+        entry.set_epoch(position.epoch);
         entry.set_age_nanos(nanos(*age));
     }
 }
@@ -322,8 +352,11 @@
         let topic = read_topic(entry.get_topic()?);
         // The age was taken after the ping was sent, so the watermark is not set too late.
         let as_of = sent_at.saturating_sub(Duration::from_nanos(entry.get_age_nanos()));
-        let offset = entry.get_change();
-        Ok((topic, Watermark { offset, as_of }))
+        let position = Position {
+            epoch: entry.get_epoch(),
+            offset: entry.get_change(),
+        };
+        Ok((topic, Watermark { position, as_of }))
     };
     reader.iter().map(watermark).collect()
 }
