Keep closing endpoints in a module of its own, and log it once

Change: src/serve/plan/closing.rs holds the planner's part, and Closures writes the line. No behaviour changes.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -40,7 +40,7 @@
 use meter::Meter;
 use origin::{Origin, Origins};
 use plan::Tokens;
-use protocol::{Protocol, ResponseMeta};
+use protocol::Protocol;
 use registry::{Endpoint, Entry, Registry};
 
 /// How long a stopping daemon serves at least: the load balancer sends new connections
@@ -296,14 +296,6 @@
         closure.is_some() || self.registry.borrow().is_leaving(id)
     }
 
-    /// Records what an endpoint's answer says of itself.
-    fn record_closure(&self, id: &id::Endpoint, meta: &ResponseMeta) {
-        if self.closures.record(id, meta, self.clock.now()) {
-            info!(self.log, "endpoint closed"; "endpoint" => &**id, "leaving" => meta.is_leaving,
-                "seconds" => meta.retry_after.map(|time| time.as_secs()));
-        }
-    }
-
     /// Returns how much time a client had spent before this request. Clients of a route have the
     /// same timeout, so one with less time remaining was refused before.
     fn time_spent(&self, route: &id::Name, remaining: Option<Duration>) -> Duration {
--- a/src/serve/closure.rs
+++ b/src/serve/closure.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use slog::{Logger, info};
 
 use super::protocol::ResponseMeta;
 use super::registry::Endpoint;
@@ -30,9 +31,9 @@
 }
 
 /// The closures that one daemon was told of.
-#[derive(Default)]
 pub struct Closures {
     state: RefCell<State>,
+    log: Logger,
 }
 
 #[derive(Default)]
@@ -45,6 +46,14 @@
 }
 
 impl Closures {
+    /// Makes the closures of a daemon that has been told of none.
+    pub fn new(log: Logger) -> Self {
+        Self {
+            state: RefCell::default(),
+            log,
+        }
+    }
+
     /// Records the listed endpoints; one that has started again is not leaving any more.
     pub fn observe<'a>(&self, listed: impl Iterator<Item = &'a Endpoint>) {
         let state = &mut *self.state.borrow_mut();
@@ -73,7 +82,13 @@
             *latest = until.max(*latest);
         }
         state.closed_until.retain(|_, until| now < *until);
-        meta.is_leaving || meta.retry_after.is_some()
+        let is_closed = meta.is_leaving || meta.retry_after.is_some();
+        if is_closed {
+            info!(self.log, "endpoint closed"; "endpoint" => &**endpoint,
+                "leaving" => meta.is_leaving,
+                "seconds" => meta.retry_after.map(|time| time.as_secs()));
+        }
+        is_closed
     }
 
     /// Returns the closure of an endpoint, if it has closed itself.
--- a/src/serve/closure/tests.rs
+++ b/src/serve/closure/tests.rs
@@ -29,11 +29,15 @@
     }
 }
 
+fn closures() -> Closures {
+    Closures::new(Logger::root(slog::Discard, slog::o!()))
+}
+
 const SECOND: Duration = Duration::from_secs(1);
 
 #[test]
 fn closed_until_the_latest_end() {
-    let closures = Closures::default();
+    let closures = closures();
     assert!(!closures.record(&"e".into(), &meta(false, None), SECOND));
     assert!(closures.record(&"e".into(), &meta(false, Some(5)), SECOND));
     assert!(closures.record(&"e".into(), &meta(false, Some(2)), 2 * SECOND));
@@ -45,14 +49,14 @@
 
 #[test]
 fn closed_time_bounded() {
-    let closures = Closures::default();
+    let closures = closures();
     closures.record(&"e".into(), &meta(false, Some(u64::MAX)), SECOND);
     assert_eq!(closures.get("e", SECOND + MAX_CLOSED_TIME), None);
 }
 
 #[test]
 fn leaving_for_one_life() {
-    let closures = Closures::default();
+    let closures = closures();
     closures.observe([endpoint(7)].iter());
     closures.record(&"e".into(), &meta(true, None), SECOND);
     for listed in [vec![endpoint(7)], vec![], vec![endpoint(7)]] {
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -318,8 +318,6 @@
         if !self.closures.record(endpoint, meta, now) {
             return;
         }
-        info!(self.log, "endpoint closed"; "endpoint" => &**endpoint, "leaving" => meta.is_leaving,
-            "seconds" => meta.retry_after.map(|time| time.as_secs()));
         let closure = self.closures.get(endpoint, now);
         let remaining = closure.and_then(|closure| closure.remaining);
         let until = remaining.map(|remaining| now + remaining);
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -217,7 +217,9 @@
         info!(self.node.log, "request";
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
-            "framing" => fields.framing, "release" => self.release.borrow().as_deref(), "resumes" => fields.resumes.as_deref(), "sent" => fields.sent, "turned" => fields.not_run, "ms" => took.as_millis() as u64,
+            "framing" => fields.framing, "release" => self.release.borrow().as_deref(),
+            "resumes" => fields.resumes.as_deref(), "sent" => fields.sent,
+            "turned" => fields.not_run, "ms" => took.as_millis() as u64,
             "config" => self.node.catalog().version, "config_age_ms" => age,
             "may_have_run" => self.may_have_run.get());
     }
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -32,7 +32,9 @@
             .node
             .protocol
             .parse_response(&response.head, &request.meta.id);
-        self.node.record_closure(&planned.grant().endpoint, &meta);
+        let endpoint = &planned.grant().endpoint;
+        let now = self.node.clock.now();
+        self.node.closures.record(endpoint, &meta, now);
         if meta.is_refusal {
             return AttemptOutcome::NotRun {
                 verdict: Verdict::Refused,
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -16,6 +16,7 @@
 use crate::id;
 use crate::quarantine::table::{Event, Limit, Status, Table};
 
+mod closing;
 mod engine;
 mod forecast;
 mod outcome;
@@ -416,50 +417,6 @@
         }
     }
 
-    /// Records that a stage endpoint takes nothing from this daemon until then, or in its life if it is
-    /// leaving.
-    pub fn close(&mut self, endpoint: &id::Endpoint, until: Option<Time>) {
-        self.stage_endpoints.close(endpoint, until);
-    }
-
-    /// Returns how long a request cannot be worked on, since endpoints that it needs have closed
-    /// themselves.
-    fn closed_for(&self, request: &Request, now: Time) -> Option<Duration> {
-        let job = &request.job;
-        let engines = self.engines.closed_for(job);
-        let stages = job.stages.iter().enumerate();
-        let stages = stages.filter(|(index, _)| request.queued_count(*index) > 0);
-        let closed =
-            |(_, stage): (usize, &Stage)| self.stage_endpoints.closed_for(&stage.service, now);
-        let closed = stages.filter_map(closed).chain(engines);
-        // Others start in the place of endpoints that leave.
-        let remaining = closed.map(|remaining| remaining.unwrap_or(MAX_RETRY_AFTER));
-        remaining.max()
-    }
-
-    /// Refuses requests that wait for endpoints which stay closed beyond their deadline.
-    fn refuse_closed(&mut self, now: Time) {
-        let has_closed = self.stage_endpoints.has_closed(now);
-        let may_be_closed = |request: &Request| {
-            !request.is_granted && (has_closed || !request.job.closures.is_empty())
-        };
-        let waiting = self.requests.iter();
-        let waiting = waiting.filter(|(_, request)| may_be_closed(request));
-        let closed = waiting.filter_map(|(job_id, request)| {
-            let remaining = self.closed_for(request, now)?;
-            (now + remaining > request.job.deadline).then_some((*job_id, remaining))
-        });
-        let closed: Vec<(JobId, Duration)> = closed.collect();
-        for (job_id, remaining) in closed {
-            let Some(request) = self.requests.shift_remove(&job_id) else {
-                continue;
-            };
-            self.free(request.held_results());
-            let refusal = Refusal::closed(&request.job.request, remaining);
-            self.actions.push(Action::Refuse(job_id, refusal));
-        }
-    }
-
     /// Returns why a request is not admitted, if so.
     fn check_admission(&self, request: &Request, now: Time) -> Option<Refusal> {
         if let Status::Refused(until) = self.crashes.status(&request.job.digest, now) {
