Log what a request shares with others when its endpoint ends

Change: a line for each request whose connection broke, with its digest, its shared prompt parts and whether events had been passed on. At most one for each attempt.

--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -224,6 +224,18 @@
             "may_have_run" => self.may_have_run.get());
     }
 
+    /// Logs what the request shares with others, which may be why the endpoint ended under it.
+    fn log_crash(&self, request: &AcceptedRequest, reason: &str) {
+        let fields = self.log_fields.borrow();
+        let parts = request.meta.prompt_parts.split_last();
+        let shared = parts.map_or(&[][..], |(_, shared)| shared).iter();
+        let shared: Vec<&str> = shared.map(|part| &*part.id).collect();
+        info!(self.node.log, "endpoint ended under a request";
+            "id" => &*fields.id, "endpoint" => fields.endpoint.as_deref(), "reason" => reason,
+            "digest" => &*self.digest(request), "parts" => shared.join(","),
+            "has_begun" => self.has_begun.get());
+    }
+
     fn job(&self, request: &AcceptedRequest) -> Job {
         let pieces = |stage: usize| request.meta.piece_counts.get(stage).copied().unwrap_or(0);
         let stages = request.route.stages.iter().enumerate();
@@ -340,6 +352,9 @@
                 }
                 AttemptOutcome::Lost { verdict, reason } => {
                     planned.ended(verdict);
+                    if verdict == Verdict::Crashed {
+                        self.log_crash(request, reason);
+                    }
                     if !self.may_repeat(request) {
                         return self.final_outcome(client, reason);
                     }
