Blame prompt parts for the ends of endpoints, too

Cause: the only identity that could be blamed was the digest of a whole request. Requests with a fatal part are all new, so each began with a clean record. Besides, what a region refused was asked for in the other one, and a request that was granted or waited for its stages was not looked at again.

Change: quarantine::evidence blames the digest and each shared part of the prompt, by the endpoints that ended while the request had shown nothing. A part is refused after three, a content after two as before. What was answered for 0.3 s is cleared; what is explained by one part after it, or by one content that comes again, is not refused. serve::quarantine is the one place of a daemon that decides: both planners ask it before stages, before each grant and while requests wait, and the handler once more before it sends. The refusal is final for all regions, at once and with 503, since the request has not run. It replaces the use of quarantine::table here, whose exception for endpoints that end together excused this pattern.

Why it works: the fatal part is in every one of these requests and is never answered; sound parts beside it are answered elsewhere, or are at fewer ends.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -65,6 +65,8 @@
   address @2 :Text;
   # The version of the endpoint's software.
   release @3 :Text;
+  # The planner wants to know when its answer goes on, which clears what the request shares with others.
+  isWatched @4 :Bool;
 }
 
 struct Refusal {
@@ -74,6 +76,8 @@
   isMoved @2 :Bool;
   # What was made for the request; the other planner goes on with it.
   made @3 :List(Made);
+  # No planner will serve it.
+  isFinal @4 :Bool;
 }
 
 struct Reply {
@@ -126,6 +130,8 @@
   # With a release, the stream has begun there and goes on at no other one.
   retry @3 (again :Bool, release :Text) -> (reply :Reply);
   leave @4 () -> ();
+  # The answer still goes on some time after it began.
+  answering @5 () -> ();
 }
 
 interface Planner {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Time;
 
+pub mod evidence;
 pub mod message;
 pub mod replica;
 pub mod table;
--- /dev/null
+++ b/src/quarantine/evidence.rs
@@ -0,0 +1,284 @@
+//! Evidence of which content ends the endpoints that run it. It does no I/O and is given the time.
+//!
+//! A request is blamed as a whole and by each part of its prompt that others share, because new
+//! requests with a fatal part end endpoints as well. What several requests have in common with one
+//! that ended its endpoint is cleared as soon as an endpoint answers it and lives on. See
+//! [the design note](../../docs/design/quarantine.md).
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::clock::Time;
+use crate::id;
+
+mod verdict;
+
+/// How long an answer has to be written before it shows that its content is harmless. Endpoints end
+/// within a tenth of a second after they begin a fatal one, and a busy daemon reads events late.
+pub const PROOF_TIME: Duration = Duration::from_millis(300);
+/// How long a blame counts towards a refusal.
+pub const BLAME_RETENTION: Duration = Duration::from_secs(600);
+/// How long content is refused after the last endpoint that it ended.
+pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
+/// How long after its refusal one more endpoint is enough to refuse content again.
+pub const PAROLE_TIME: Duration = Duration::from_secs(3_600);
+/// The most subjects that are remembered.
+const MAX_SUBJECTS: usize = 4_096;
+/// The most ended endpoints that are remembered for one subject.
+const MAX_LIVES: usize = 16;
+/// The most parts of one prompt that are blamed.
+const MAX_PARTS: usize = 32;
+
+event! {
+    /// What can be blamed for the end of endpoints.
+    #[derive(Eq, Hash)]
+    pub enum Subject {
+        /// The digest of a request's content.
+        Content(id::Digest),
+        /// A prompt part that requests share.
+        Part(id::Name),
+    }
+
+    /// One life of an endpoint.
+    #[derive(Eq, Hash)]
+    pub struct Life {
+        /// The endpoint.
+        pub endpoint: id::Endpoint,
+        /// The start of its process.
+        pub born: u64,
+        /// The service that it belongs to.
+        pub service: id::Pool,
+    }
+
+    /// What one request can be blamed by.
+    pub struct Suspects {
+        /// The digest of its content.
+        pub content: id::Digest,
+        /// The parts of its prompt that other requests may share, in order.
+        pub parts: Vec<id::Name>,
+    }
+}
+
+impl Suspects {
+    /// Returns the subjects, each with its depth: 0 for the content, and for a part its distance from
+    /// the end of the prompt. The deeper a part, the more requests have it.
+    fn subjects(&self) -> impl Iterator<Item = (Subject, usize)> {
+        let content = std::iter::once((Subject::Content(self.content.clone()), 0));
+        let parts = self.parts.iter().rev().take(MAX_PARTS).zip(1..);
+        let parts = parts.map(|(part, depth)| (Subject::Part(part.clone()), depth));
+        content.chain(parts)
+    }
+}
+
+/// What is known of one subject.
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    depth: usize,
+    /// The parts of a content's prompt, which are blamed with it.
+    parts: Vec<id::Name>,
+    /// When each endpoint ended while it began an answer on the subject.
+    blames: IndexMap<Life, Time>,
+    /// Blames up to this time are void.
+    cleared_at: Option<Time>,
+    /// The end of its last refusal.
+    refused_until: Option<Time>,
+}
+
+impl Entry {
+    fn last_blame(&self) -> Option<Time> {
+        self.blames.values().copied().max()
+    }
+
+    fn is_refused(&self, now: Time) -> bool {
+        self.refused_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns when nothing of it matters any more.
+    fn expires_at(&self) -> Time {
+        let refused = self.refused_until.map(|until| until + PAROLE_TIME);
+        let blamed = self.last_blame().max(self.cleared_at);
+        let blamed = blamed.map(|at| at + BLAME_RETENTION);
+        refused.max(blamed).unwrap_or_default()
+    }
+}
+
+/// An answer that was complete before it showed that its content is harmless.
+#[derive(Debug)]
+struct ShortAnswer {
+    suspects: Suspects,
+    life: Life,
+    proven_at: Time,
+}
+
+/// The evidence that one daemon has.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    entries: IndexMap<Subject, Entry>,
+    short_answers: Vec<ShortAnswer>,
+    /// When verdicts may change; none while no blame is new.
+    next_verdict: Option<Time>,
+    /// Whether anything was refused, also if it is over.
+    has_refused: bool,
+}
+
+impl Evidence {
+    /// Returns the number of subjects.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there are no subjects.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Records that an endpoint ended while a request was running there that had shown nothing.
+    pub fn blame(&mut self, suspects: &Suspects, life: &Life, now: Time) {
+        self.blame_subjects(suspects, life, now);
+        // The fatal answer may have been so short that it was complete before the endpoint ended.
+        let is_here = |answer: &mut ShortAnswer| answer.life == *life;
+        let short: Vec<ShortAnswer> = self.short_answers.extract_if(.., is_here).collect();
+        for answer in short.iter().filter(|answer| now < answer.proven_at) {
+            self.blame_subjects(&answer.suspects, life, now);
+        }
+        self.evict(now);
+    }
+
+    fn blame_subjects(&mut self, suspects: &Suspects, life: &Life, now: Time) {
+        for (subject, depth) in suspects.subjects() {
+            let entry = self.entries.entry(subject).or_default();
+            entry.depth = depth.max(entry.depth);
+            if depth == 0 {
+                entry.parts.clone_from(&suspects.parts);
+            }
+            if entry.blames.insert(life.clone(), now).is_none() && entry.blames.len() > MAX_LIVES {
+                entry.blames.shift_remove_index(0);
+            }
+        }
+        self.expect_verdict(now + verdict::SETTLE_TIME);
+    }
+
+    /// Records an answer that began at `began` and is complete.
+    pub fn answered(&mut self, suspects: Suspects, life: Life, began: Time, now: Time) {
+        if suspects.parts.is_empty() || now >= began + PROOF_TIME {
+            return self.clear(&suspects, &life.service, now);
+        }
+        let proven_at = began + PROOF_TIME;
+        self.short_answers.push(ShortAnswer {
+            suspects,
+            life,
+            proven_at,
+        });
+    }
+
+    /// Voids the blames at one service, since one of its endpoints has been answering for a while.
+    pub fn clear(&mut self, suspects: &Suspects, service: &id::Pool, now: Time) {
+        for (subject, _) in suspects.subjects() {
+            let Some(entry) = self.entries.get_mut(&subject) else {
+                continue;
+            };
+            entry.blames.retain(|life, _| life.service != *service);
+            if entry.blames.is_empty() {
+                entry.cleared_at = Some(now);
+                entry.refused_until = None;
+                // What it explained may have another cause.
+                self.next_verdict.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Returns whether a request shares something with one under which an endpoint ended.
+    pub fn is_suspect(&self, suspects: &Suspects) -> bool {
+        let is_blamed = |(subject, _)| {
+            let entry = self.entries.get(&subject);
+            entry.is_some_and(|entry| !entry.blames.is_empty())
+        };
+        !self.entries.is_empty() && suspects.subjects().any(is_blamed)
+    }
+
+    /// Returns for how long a request is refused, if it is.
+    pub fn refusal(&self, suspects: &Suspects, now: Time) -> Option<Duration> {
+        if !self.has_refused {
+            return None;
+        }
+        let refused = suspects.subjects().filter_map(|(subject, _)| {
+            let until = self.entries.get(&subject)?.refused_until?;
+            (now < until).then(|| until.saturating_sub(now))
+        });
+        refused.max()
+    }
+
+    /// Returns whether anything may be refused.
+    pub fn has_refused(&self) -> bool {
+        self.has_refused
+    }
+
+    /// Decides what is refused; returns what was not refused before.
+    pub fn update(&mut self, now: Time) -> Vec<Subject> {
+        self.clear_short_answers(now);
+        if self.next_verdict.is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        self.next_verdict = None;
+        let newest = self.entries.values().filter_map(Entry::last_blame).max();
+        if let Some(settles_at) = newest.map(|at| at + verdict::SETTLE_TIME)
+            && settles_at > now
+        {
+            self.expect_verdict(settles_at);
+        }
+        let refused = verdict::refused(&self.entries, now);
+        for subject in &refused {
+            if let Some(entry) = self.entries.get_mut(subject) {
+                let last = entry.last_blame().unwrap_or(now);
+                entry.refused_until = Some(last + REFUSAL_TIME);
+                self.has_refused = true;
+            }
+        }
+        refused
+    }
+
+    fn expect_verdict(&mut self, at: Time) {
+        self.next_verdict = Some(self.next_verdict.map_or(at, |next| next.min(at)));
+    }
+
+    fn clear_short_answers(&mut self, now: Time) {
+        if self.short_answers.is_empty() {
+            return;
+        }
+        let is_proven = |answer: &mut ShortAnswer| now >= answer.proven_at;
+        let proven: Vec<ShortAnswer> = self.short_answers.extract_if(.., is_proven).collect();
+        for answer in proven {
+            self.clear(&answer.suspects, &answer.life.service, now);
+        }
+    }
+
+    /// Drops what has expired and, above the limit, what was blamed least.
+    fn evict(&mut self, now: Time) {
+        if self.entries.len() <= MAX_SUBJECTS {
+            return;
+        }
+        self.entries.retain(|_, entry| now < entry.expires_at());
+        while self.entries.len() > MAX_SUBJECTS {
+            let rank = |entry: &Entry| {
+                let is_refused = entry.is_refused(now);
+                (is_refused, entry.blames.len(), entry.last_blame())
+            };
+            let entries = self.entries.values().enumerate();
+            let Some((index, _)) = entries.min_by_key(|(_, entry)| rank(entry)) else {
+                return;
+            };
+            self.entries.swap_remove_index(index);
+        }
+    }
+
+    /// Returns the endpoints that ended under a subject.
+    pub fn endpoints(&self, subject: &Subject) -> IndexSet<id::Endpoint> {
+        let entry = self.entries.get(subject).into_iter();
+        let lives = entry.flat_map(|entry| entry.blames.keys());
+        lives.map(|life| life.endpoint.clone()).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/quarantine/evidence/tests.rs
@@ -0,0 +1,230 @@
+use super::*;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Long enough after a blame for it to count.
+const SETTLED: Duration = Duration::from_millis(150);
+
+fn request(content: &str, parts: &[&str]) -> Suspects {
+    Suspects {
+        content: content.into(),
+        parts: parts.iter().map(|part| (*part).into()).collect(),
+    }
+}
+
+fn life(endpoint: &str) -> Life {
+    Life {
+        endpoint: endpoint.into(),
+        born: 1,
+        service: "s".into(),
+    }
+}
+
+/// A daemon's evidence, with a clock.
+struct Daemon {
+    evidence: Evidence,
+    now: Time,
+    requests: usize,
+}
+
+impl Daemon {
+    fn new() -> Self {
+        Self {
+            evidence: Evidence::default(),
+            now: ms(1_000),
+            requests: 0,
+        }
+    }
+
+    /// Ends an endpoint under new requests with these parts.
+    fn end(&mut self, endpoint: &str, prompts: &[&[&str]]) {
+        for parts in prompts {
+            self.requests += 1;
+            let suspects = request(&format!("d{}", self.requests), parts);
+            self.evidence.blame(&suspects, &life(endpoint), self.now);
+        }
+        self.now += SETTLED;
+        self.evidence.update(self.now);
+    }
+
+    /// Answers a new request with these parts.
+    fn answer(&mut self, parts: &[&str]) {
+        let suspects = request("answered", parts);
+        let began = self.now;
+        self.now += PROOF_TIME;
+        self.evidence
+            .answered(suspects, life("other"), began, self.now);
+        self.evidence.update(self.now);
+    }
+
+    fn is_refused(&self, parts: &[&str]) -> bool {
+        let suspects = request("new", parts);
+        self.evidence.refusal(&suspects, self.now).is_some()
+    }
+}
+
+#[test]
+fn part_refused_after_three_endpoints() {
+    let mut daemon = Daemon::new();
+    daemon.end("e1", &[&["a", "bad"], &["a", "c"]]);
+    daemon.end("e2", &[&["a", "bad"], &["b", "d"]]);
+    assert!(!daemon.is_refused(&["a", "bad"]));
+    daemon.end("e3", &[&["a", "bad"]]);
+    assert!(daemon.is_refused(&["a", "bad"]));
+    assert!(daemon.is_refused(&["z", "bad"]), "whatever else it holds");
+    for sound in [["a", "c"], ["a", "x"], ["b", "d"]] {
+        assert!(!daemon.is_refused(&sound), "{sound:?}");
+    }
+}
+
+#[test]
+fn first_part_refused_though_the_next_ones_vary() {
+    let mut daemon = Daemon::new();
+    daemon.end("e1", &[&["bad", "c"]]);
+    daemon.end("e2", &[&["bad", "d"], &["a", "c"]]);
+    daemon.end("e3", &[&["bad", "x"]]);
+    daemon.end("e4", &[&["bad", "y"]]);
+    assert!(daemon.is_refused(&["bad", "z"]));
+    assert!(!daemon.is_refused(&["a", "c"]) && !daemon.is_refused(&["a", "d"]));
+}
+
+#[test]
+fn first_part_with_few_next_ones_refused_in_the_end() {
+    let mut daemon = Daemon::new();
+    for number in 0..6 {
+        let next = if number % 2 == 0 { "c" } else { "d" };
+        daemon.end(&format!("e{number}"), &[&["bad", next]]);
+    }
+    assert!(daemon.is_refused(&["bad", "c"]) && daemon.is_refused(&["bad", "d"]));
+}
+
+#[test]
+fn two_guilty_parts_after_a_sound_one() {
+    let mut daemon = Daemon::new();
+    for number in 0..5 {
+        let bad = ["bad1", "bad2"][number % 2];
+        daemon.end(&format!("e{number}"), &[&["a", bad]]);
+        assert!(!daemon.is_refused(&["a", "c"]), "after {number}");
+    }
+    daemon.end("e6", &[&["a", "bad2"]]);
+    assert!(daemon.is_refused(&["a", "bad1"]) && daemon.is_refused(&["a", "bad2"]));
+    assert!(!daemon.is_refused(&["a", "c"]));
+}
+
+#[test]
+fn part_that_is_answered_is_cleared() {
+    let mut daemon = Daemon::new();
+    daemon.end("e1", &[&["a"]]);
+    daemon.end("e2", &[&["a"]]);
+    daemon.answer(&["a"]);
+    daemon.end("e3", &[&["a"]]);
+    assert!(!daemon.is_refused(&["a"]));
+    daemon.end("e4", &[&["a"]]);
+    daemon.end("e5", &[&["a"]]);
+    assert!(daemon.is_refused(&["a"]));
+    daemon.answer(&["a"]);
+    assert!(!daemon.is_refused(&["a"]), "it was refused by mistake");
+}
+
+/// An answer may be complete before its endpoint ends of it.
+#[test]
+fn short_answer_is_no_proof_when_its_endpoint_ends() {
+    let mut daemon = Daemon::new();
+    for (endpoint, other) in [("e1", "c"), ("e2", "d"), ("e3", "x")] {
+        let began = daemon.now;
+        daemon.now += ms(20);
+        let suspects = request(&format!("short-{other}"), &["a", "bad"]);
+        let life = life(endpoint);
+        daemon.evidence.answered(suspects, life, began, daemon.now);
+        daemon.end(endpoint, &[&["a", other]]);
+    }
+    assert!(daemon.is_refused(&["z", "bad"]));
+}
+
+#[test]
+fn parts_that_only_come_together_refused_together() {
+    let mut daemon = Daemon::new();
+    for endpoint in ["e1", "e2", "e3"] {
+        daemon.end(endpoint, &[&["a", "bad"], &["b", "beside"]]);
+    }
+    assert!(daemon.is_refused(&["a", "bad"]) && daemon.is_refused(&["b", "beside"]));
+}
+
+#[test]
+fn endpoint_counts_once() {
+    let mut daemon = Daemon::new();
+    for _ in 0..5 {
+        daemon.end("e1", &[&["a"]]);
+    }
+    assert!(!daemon.is_refused(&["a"]));
+}
+
+#[test]
+fn content_refused_after_two_endpoints() {
+    let mut daemon = Daemon::new();
+    let content = request("same", &["a"]);
+    for endpoint in ["e1", "e2"] {
+        daemon.evidence.blame(&content, &life(endpoint), daemon.now);
+        daemon.now += SETTLED;
+        daemon.evidence.update(daemon.now);
+    }
+    assert!(daemon.evidence.refusal(&content, daemon.now).is_some());
+    assert!(
+        !daemon.is_refused(&["a"]),
+        "others with its part are served"
+    );
+}
+
+/// Guards against a part that is excused since each request with it was refused after two endpoints.
+#[test]
+fn part_of_requests_that_come_twice_refused() {
+    let mut daemon = Daemon::new();
+    for number in 0..4 {
+        let content = request(&format!("c{}", number / 2), &["a", "bad"]);
+        let life = life(&format!("e{number}"));
+        daemon.evidence.blame(&content, &life, daemon.now);
+        daemon.now += SETTLED;
+        daemon.evidence.update(daemon.now);
+    }
+    assert!(daemon.is_refused(&["z", "bad"]));
+}
+
+/// A request that is tried again may meet the same fatal part twice.
+#[test]
+fn content_tried_again_beside_a_guilty_part_not_refused() {
+    let mut daemon = Daemon::new();
+    let sound = request("tried-again", &["b"]);
+    for endpoint in ["e1", "e2"] {
+        daemon.evidence.blame(&sound, &life(endpoint), daemon.now);
+        daemon.end(endpoint, &[&["a", "bad"]]);
+    }
+    assert!(daemon.evidence.refusal(&sound, daemon.now).is_none());
+}
+
+#[test]
+fn refusal_ends_and_one_endpoint_renews_it() {
+    let mut daemon = Daemon::new();
+    for endpoint in ["e1", "e2", "e3"] {
+        daemon.end(endpoint, &[&["bad"]]);
+    }
+    daemon.now += REFUSAL_TIME;
+    assert!(!daemon.is_refused(&["bad"]));
+    daemon.end("e4", &[&["bad"]]);
+    assert!(daemon.is_refused(&["bad"]));
+}
+
+#[test]
+fn subjects_bounded() {
+    let mut daemon = Daemon::new();
+    for endpoint in ["e1", "e2", "e3"] {
+        daemon.end(endpoint, &[&["bad"]]);
+    }
+    for number in 0..2 * MAX_SUBJECTS {
+        let suspects = request(&format!("c{number}"), &[]);
+        daemon.evidence.blame(&suspects, &life("e9"), daemon.now);
+    }
+    assert!(daemon.evidence.len() <= MAX_SUBJECTS);
+    assert!(daemon.is_refused(&["bad"]));
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -29,6 +29,7 @@
 pub mod plan;
 pub mod progress;
 pub mod protocol;
+pub mod quarantine;
 pub mod ready;
 pub mod region;
 pub mod registry;
@@ -41,6 +42,7 @@
 use origin::{Origin, Origins};
 use plan::Tokens;
 use protocol::Protocol;
+use quarantine::Quarantine;
 use registry::{Endpoint, Entry, Registry};
 
 /// How long a stopping daemon serves at least: the load balancer sends new connections
@@ -113,6 +115,7 @@
     staged_planner: Rc<dyn RequestPlanner>,
     origins: Rc<Origins>,
     closures: Rc<Closures>,
+    quarantine: Rc<Quarantine>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
@@ -149,6 +152,8 @@
     pub origins: Rc<Origins>,
     /// The endpoints that take nothing from this daemon, as its dispatchers learn of them, too.
     pub closures: Rc<Closures>,
+    /// The content that ends endpoints, as its planners know it, too.
+    pub quarantine: Rc<Quarantine>,
     /// The protocol of clients and endpoints.
     pub protocol: Rc<dyn Protocol>,
     /// The clock, which a suspension of the VM does not stop.
@@ -174,6 +179,7 @@
             staged_planner: dependencies.staged_planner,
             origins: dependencies.origins,
             closures: dependencies.closures,
+            quarantine: dependencies.quarantine,
             protocol: dependencies.protocol,
             clock: dependencies.clock,
             meter: dependencies.meter,
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -51,6 +51,8 @@
     fn grant(&self) -> &Grant;
     /// Records that the endpoint has begun to answer; with `is_final`, the inputs may be freed.
     fn started(&self, is_final: bool);
+    /// Records that the answer still goes on some time after it began, if the grant asks for it.
+    fn answering(&self);
     /// Records how the request ended at the endpoint.
     fn ended(&self, verdict: Verdict);
     /// Gets a grant of another endpoint; with `inputs_lost`, the inputs are computed again. A stream that
@@ -400,6 +402,12 @@
             .update_planner(|planner, now| planner.started(job_id, is_final, now));
     }
 
+    fn answering(&self) {
+        let job_id = self.job_id;
+        self.dispatcher
+            .update_planner(|planner, now| planner.answering(job_id, now));
+    }
+
     fn ended(&self, verdict: Verdict) {
         let job_id = self.job_id;
         self.dispatcher
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -18,7 +18,7 @@
 use super::catalog::Route;
 use super::health::Verdict;
 use super::http::{Field, RequestHead, Sink};
-use super::plan::{Job, Stage};
+use super::plan::{Job, Refusal, Stage};
 use super::protocol::RequestMeta;
 use super::response::ResponseWriter;
 use crate::clock::Time;
@@ -224,6 +224,17 @@
             "may_have_run" => self.may_have_run.get());
     }
 
+    /// Returns the failure of a request whose content ends endpoints.
+    fn check_quarantine(&self, request: &AcceptedRequest) -> Option<Failure> {
+        let quarantine = &self.node.quarantine;
+        if !quarantine.has_refused() {
+            return None;
+        }
+        let suspects = self.job(request).suspects();
+        let remaining = quarantine.refusal(&suspects, self.node.clock.now())?;
+        Some(planner_refusal(&Refusal::quarantined(remaining)))
+    }
+
     /// Logs what the request shares with others, which may be why the endpoint ended under it.
     fn log_crash(&self, request: &AcceptedRequest, reason: &str) {
         let fields = self.log_fields.borrow();
@@ -325,6 +336,9 @@
         } else {
             &node.plain_planner
         };
+        if let Some(failure) = self.check_quarantine(request) {
+            return Outcome::Failure(failure);
+        }
         let planned = planner.plan(self.job(request)).await;
         let mut planned = match planned {
             Ok(planned) => planned,
@@ -332,6 +346,14 @@
         };
         let mut events = EventBuffer::after(request.meta.last_event_id.clone());
         loop {
+            // What was granted may have been found to end endpoints meanwhile.
+            if let Some(failure) = self.check_quarantine(request) {
+                planned.ended(Verdict::Unknown);
+                if self.may_have_run.get() {
+                    return self.final_outcome(client, "its content ends endpoints");
+                }
+                return Outcome::Failure(failure);
+            }
             let attempted = self
                 .attempt(request, &*planned, client, &mut events, has_started)
                 .await;
@@ -430,7 +452,7 @@
     }
 }
 
-fn planner_refusal(refusal: &super::plan::Refusal) -> Failure {
+fn planner_refusal(refusal: &Refusal) -> Failure {
     Failure {
         status: 503,
         retry_after: Some(refusal.retry_after),
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -9,6 +9,7 @@
     AcceptedRequest, AttemptOutcome, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES, Outcome, RequestHandler,
     lost,
 };
+use crate::quarantine::evidence::PROOF_TIME;
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
@@ -87,19 +88,27 @@
         // the last chunk can still be withheld when the stream turns out to have broken off.
         let fields = self.node.protocol.response_fields(&response.head);
         let is_resumable = request.route.kind.is_repeatable();
-        let mut is_first = true;
+        let mut began = None;
+        let mut is_proven = false;
         events.begin();
         loop {
             let (bytes, end) = match response.chunk().await {
                 Ok(Chunk::Bytes(bytes)) => (events.push(&bytes), None),
                 Ok(Chunk::End(end)) if events.is_whole(end) => (Bytes::new(), Some(end)),
-                Ok(Chunk::End(_)) | Err(_) => return stream_broke_off(),
+                Ok(Chunk::End(_)) | Err(_) => return stream_broke_off(is_proven),
             };
             if events.partial_length() > MAX_EVENT_BYTES {
                 return lost("an event of the stream is too long");
             }
-            if end.is_none() && std::mem::replace(&mut is_first, false) {
-                planned.started(!is_resumable);
+            if end.is_none() {
+                let now = self.node.clock.now();
+                let began = *began.get_or_insert_with(|| {
+                    planned.started(!is_resumable);
+                    now
+                });
+                if now >= began + PROOF_TIME && !std::mem::replace(&mut is_proven, true) {
+                    self.report_answering(planned);
+                }
             }
             if !bytes.is_empty() {
                 self.begin_stream(request, planned);
@@ -126,6 +135,13 @@
         }
     }
 
+    /// Tells the planner that the answer goes on, if it wants to know.
+    fn report_answering(&self, planned: &dyn PlannedRequest) {
+        if planned.grant().is_watched {
+            planned.answering();
+        }
+    }
+
     /// Records which software version begins the stream; it goes on at no other one.
     fn begin_stream(&self, request: &AcceptedRequest, planned: &dyn PlannedRequest) {
         if self.has_begun.replace(true) {
@@ -149,9 +165,15 @@
     }
 }
 
-fn stream_broke_off() -> AttemptOutcome {
+/// Makes the outcome of a broken stream. One that has been answered for a while did not end its endpoint.
+fn stream_broke_off(is_proven: bool) -> AttemptOutcome {
+    let verdict = if is_proven {
+        Verdict::Lost
+    } else {
+        Verdict::Crashed
+    };
     AttemptOutcome::Lost {
-        verdict: Verdict::Crashed,
+        verdict,
         reason: "the stream broke off",
     }
 }
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -5,16 +5,17 @@
 //! and the time go in, actions come out. Two planners at once do no harm, because a piece may be
 //! computed twice; they only batch less well. See [the design note](../../docs/design/fleet.md).
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use super::catalog::Catalog;
 use super::health::Verdict;
+use super::quarantine::Quarantine;
 use super::registry::{Endpoint, Registry};
 use crate::clock::Time;
 use crate::id;
-use crate::quarantine::table::{Event, Limit, Status, Table};
 
 mod closing;
 mod engine;
@@ -39,12 +40,6 @@
 /// Identifies a call to a stage endpoint.
 pub type CallId = u64;
 
-/// When content that crashes endpoints is refused. Two planners that count separately let it crash
-/// four endpoints; the operators' rule counts from three. Clients retry for about a minute.
-const CRASH_LIMIT: Limit = Limit {
-    endpoints: 2,
-    refusal: Duration::from_secs(120),
-};
 /// How often the inputs of a request may be lost before it is refused.
 const MAX_RESTARTS: u32 = 2;
 /// How often a piece may fail at endpoints before its request is refused.
@@ -69,16 +64,14 @@
     calls: IndexMap<CallId, Call>,
     next_call: CallId,
     actions: Vec<Action>,
-    /// Which content crashed endpoints.
-    crashes: Table,
+    quarantine: Rc<Quarantine>,
     is_synced: bool,
 }
 
 impl Planner {
-    /// Makes a planner for the endpoints in these availability zones.
-    pub fn new(zones: Vec<id::Zone>) -> Self {
-        let mut crashes = Table::default();
-        crashes.set_limit(CRASH_LIMIT);
+    /// Makes a planner for the endpoints in these availability zones, which refuses what its daemon's
+    /// quarantine does.
+    pub fn new(zones: Vec<id::Zone>, quarantine: Rc<Quarantine>) -> Self {
         Self {
             zones,
             requests: IndexMap::new(),
@@ -87,7 +80,7 @@
             calls: IndexMap::new(),
             next_call: 0,
             actions: Vec::new(),
-            crashes,
+            quarantine,
             is_synced: false,
         }
     }
@@ -171,6 +164,7 @@
 
     /// Admits or refuses a new request.
     pub fn submit(&mut self, job_id: JobId, job: Job, now: Time) {
+        self.quarantine.update(now);
         let mut request = Request::new(job, now);
         let transferred = request.add_transferred();
         self.stage_endpoints.add_transferred(&transferred);
@@ -203,6 +197,7 @@
         let Some(request) = self.requests.get_mut(&job_id) else {
             return;
         };
+        request.answer_began.get_or_insert(now);
         if let Some(reservation) = &mut request.reservation
             && let Some(took) = self.engines.prompt_read(reservation, now)
         {
@@ -215,6 +210,18 @@
         }
     }
 
+    /// Records that an answer still goes on some time after it began.
+    pub fn answering(&mut self, job_id: JobId, now: Time) {
+        let Some(request) = self.requests.get(&job_id) else {
+            return;
+        };
+        if request.reservation.is_some() {
+            let Job { service, .. } = &request.job;
+            self.quarantine
+                .answering(&request.job.suspects(), service, now);
+        }
+    }
+
     /// Records how the granted engine ended a request, which stays here until `remove`.
     pub fn ended(&mut self, job_id: JobId, verdict: Verdict, now: Time) {
         let Some(request) = self.requests.get_mut(&job_id) else {
@@ -224,19 +231,16 @@
             return;
         };
         self.engines.finish(&reservation, verdict, now);
-        let endpoint = (verdict == Verdict::Crashed).then(|| reservation.engine.clone());
-        if endpoint.is_some() || verdict == Verdict::Good {
-            let digest = request.job.digest.clone();
-            let at = now;
-            self.crashes.apply(
-                &Event {
-                    digest,
-                    endpoint,
-                    at,
-                },
-                now,
-            );
+        let (suspects, life) = (request.job.suspects(), reservation.life(&request.job));
+        match verdict {
+            Verdict::Crashed => self.quarantine.blame(&suspects, &life, now),
+            Verdict::Good => {
+                let began = request.answer_began.unwrap_or(now);
+                self.quarantine.answered(suspects, life, began, now);
+            }
+            Verdict::Bad | Verdict::Refused | Verdict::Lost | Verdict::Unknown => {}
         }
+        request.answer_began = None;
         request.tried_engines.push(reservation.engine);
     }
 
@@ -283,6 +287,7 @@
             }
         }
         self.stage_endpoints.expire(now);
+        self.refuse_quarantined(now);
         let hopeless: Vec<(JobId, &'static str)> = self
             .requests
             .iter()
@@ -313,6 +318,31 @@
         self.actions.push(Action::Refuse(job_id, refusal));
     }
 
+    fn refuse_with(&mut self, job_id: JobId, refusal: Refusal) {
+        if let Some(request) = self.requests.shift_remove(&job_id) {
+            self.free(request.held_results());
+            self.actions.push(Action::Refuse(job_id, refusal));
+        }
+    }
+
+    /// Refuses requests that wait for their stages although no endpoint will get them.
+    fn refuse_quarantined(&mut self, now: Time) {
+        self.quarantine.update(now);
+        if !self.quarantine.has_refused() {
+            return;
+        }
+        let waiting = self.requests.iter();
+        let waiting = waiting.filter(|(_, request)| !request.is_granted);
+        let refused = waiting.filter_map(|(job_id, request)| {
+            let remaining = self.quarantine.refusal(&request.job.suspects(), now)?;
+            Some((*job_id, remaining))
+        });
+        let refused: Vec<(JobId, Duration)> = refused.collect();
+        for (job_id, remaining) in refused {
+            self.refuse_with(job_id, Refusal::quarantined(remaining));
+        }
+    }
+
     fn free(&mut self, results: Vec<StoredResult>) {
         self.actions.extend(self.stage_endpoints.free(results));
     }
@@ -329,6 +359,11 @@
         {
             return self.transfer(job_id);
         }
+        if !request.is_granted
+            && let Some(remaining) = self.quarantine.refusal(&request.job.suspects(), now)
+        {
+            return self.refuse_with(job_id, Refusal::quarantined(remaining));
+        }
         let spent = request.release_spent_results();
         if request.reservation.is_none() && !request.is_granted && request.is_ready() {
             match self.engines.reserve(request, now) {
@@ -337,6 +372,7 @@
                         endpoint: reservation.engine.clone(),
                         address: reservation.address,
                         release: Some(reservation.release.clone()),
+                        is_watched: self.quarantine.is_suspect(&request.job.suspects()),
                         inputs: request.inputs(),
                     };
                     request.reservation = Some(reservation);
@@ -419,9 +455,8 @@
 
     /// Returns why a request is not admitted, if so.
     fn check_admission(&self, request: &Request, now: Time) -> Option<Refusal> {
-        if let Status::Refused(until) = self.crashes.status(&request.job.digest, now) {
-            let reason = "its content crashes the endpoints that run it";
-            return Some(Refusal::new(reason, until.saturating_sub(now)));
+        if let Some(remaining) = self.quarantine.refusal(&request.job.suspects(), now) {
+            return Some(Refusal::quarantined(remaining));
         }
         if request.job.release.is_some() && !self.engines.has_engine(&request.job) {
             let reason = "no endpoint has the software version of its stream";
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -12,6 +12,7 @@
 use super::{CachedPart, Job, PromptPart};
 use crate::clock::Time;
 use crate::id;
+use crate::quarantine::evidence::Life;
 use crate::serve::catalog::{Catalog, Engine as EngineConfig};
 use crate::serve::closure::Closure;
 use crate::serve::health::{Health, Verdict};
@@ -55,6 +56,8 @@
     pub release: id::Release,
     /// When the request was granted.
     pub granted_at: Time,
+    /// The start of the engine's process.
+    born: u64,
     /// Prompt tokens that the engine has to read.
     unread_tokens: u64,
     /// Tokens in the memory of the engine.
@@ -64,6 +67,17 @@
     is_started: bool,
 }
 
+impl Reservation {
+    /// Returns the life of the engine, which a job of its service shares.
+    pub fn life(&self, job: &Job) -> Life {
+        Life {
+            endpoint: self.engine.clone(),
+            born: self.born,
+            service: job.service.clone(),
+        }
+    }
+}
+
 struct Engine {
     service: id::Pool,
     zone: id::Zone,
@@ -217,6 +231,7 @@
             address: engine.address,
             release: engine.release.clone(),
             granted_at: now,
+            born: engine.born,
             unread_tokens: uncached_tokens,
             memory_tokens: tokens,
             expected: Duration::from_secs_f64(expected / 1000.0),
--- a/src/serve/plan/request.rs
+++ b/src/serve/plan/request.rs
@@ -78,6 +78,8 @@
     pub tried_engines: Vec<id::Endpoint>,
     /// Whether it is handed over once its running calls have ended.
     pub is_transferring: bool,
+    /// When the engine's answer began.
+    pub answer_began: Option<Time>,
     submitted_at: Time,
     pieces: Vec<Vec<PieceState>>,
     /// Whether the results of each stage were freed.
@@ -104,6 +106,7 @@
                 .map(|closure| closure.endpoint.clone())
                 .collect(),
             is_transferring: false,
+            answer_began: None,
             submitted_at: now,
             freed_stages: vec![false; job.stages.len()],
             pieces: states.collect(),
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -18,6 +18,11 @@
     next: JobId,
 }
 
+pub(super) fn quarantine() -> Rc<Quarantine> {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Quarantine::new(log)
+}
+
 pub(super) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -83,7 +88,7 @@
                 ms(0),
             );
         }
-        let mut planner = Planner::new(vec!["a".into(), "b".into()]);
+        let mut planner = Planner::new(vec!["a".into(), "b".into()], quarantine());
         planner.sync(&registry, &catalog, ms(0));
         Self {
             planner,
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -8,6 +8,7 @@
 use super::{CallId, JobId, MAX_RETRY_AFTER, MIN_RETRY_AFTER};
 use crate::clock::Time;
 use crate::id;
+use crate::quarantine::evidence::Suspects;
 use crate::serve::closure::Closure;
 
 /// The longest time that a client is told while endpoints are closed; others may start meanwhile.
@@ -85,6 +86,18 @@
     }
 }
 
+impl Job {
+    /// Returns what it can be blamed by when its endpoint ends.
+    pub fn suspects(&self) -> Suspects {
+        let shared = self.prompt_parts.split_last();
+        let shared = shared.map_or(&[][..], |(_, shared)| shared);
+        Suspects {
+            content: self.digest.clone(),
+            parts: shared.iter().map(|part| part.id.clone()).collect(),
+        }
+    }
+}
+
 event! {
     /// One stage of a job.
     pub struct Stage {
@@ -178,6 +191,8 @@
         pub address: SocketAddr,
         /// The version of the endpoint's software; none from a planner that does not tell.
         pub release: Option<id::Release>,
+        /// Whether the planner wants to know that the answer goes on.
+        pub is_watched: bool,
         /// The results that it is to fetch, in the order of stages and pieces.
         pub inputs: Vec<Handle>,
     }
@@ -192,6 +207,8 @@
         pub is_transferred: bool,
         /// The results that the other planner gets.
         pub transferred_results: Vec<TransferredResult>,
+        /// Whether no other region may serve it either.
+        pub is_final: bool,
     }
 }
 
@@ -245,6 +262,7 @@
             endpoint: "".into(),
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             release: None,
+            is_watched: false,
             inputs: Vec::new(),
         }
     }
@@ -258,6 +276,7 @@
             retry_after: retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
             is_transferred: false,
             transferred_results: Vec::new(),
+            is_final: false,
         }
     }
 
@@ -274,9 +293,17 @@
                 .mul_f64(1.0 + CLOSED_SPREAD * spread),
             is_transferred: false,
             transferred_results: Vec::new(),
+            is_final: false,
         }
     }
 
+    /// Makes the refusal of content that ends the endpoints that run it.
+    pub fn quarantined(remaining: Duration) -> Self {
+        let mut refusal = Self::new("its content ends the endpoints that run it", remaining);
+        refusal.is_final = true;
+        refusal
+    }
+
     /// Makes the refusal of a planner that has ended.
     pub fn planner_gone() -> Self {
         Self {
@@ -284,6 +311,7 @@
             retry_after: MIN_RETRY_AFTER,
             is_transferred: false,
             transferred_results: Vec::new(),
+            is_final: false,
         }
     }
 }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -417,6 +417,7 @@
     async fn plan(&self, job: Job) -> Result<Box<dyn PlannedRequest>, Refusal> {
         let refusal = match self.own.plan(&job).await {
             Ok(planned) => return Ok(planned),
+            Err(refusal) if refusal.is_final => return Err(refusal),
             Err(refusal) => refusal,
         };
         for other in self.others.values() {
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -165,6 +165,17 @@
         Ok(())
     }
 
+    async fn answering(
+        self: Capability<Self>,
+        _: seat::AnsweringParams,
+        _: seat::AnsweringResults,
+    ) -> capnp::Result<()> {
+        if let Some(request) = &*self.request.borrow() {
+            request.answering();
+        }
+        Ok(())
+    }
+
     async fn ended(
         self: Capability<Self>,
         params: seat::EndedParams,
--- a/src/serve/region/remote.rs
+++ b/src/serve/region/remote.rs
@@ -93,6 +93,10 @@
         send_one_way(request.send().promise);
     }
 
+    fn answering(&self) {
+        send_one_way(self.client.answering_request().send().promise);
+    }
+
     fn ended(&self, verdict: Verdict) {
         let mut request = self.client.ended_request();
         request.get().set_verdict(wire::write_verdict(verdict));
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -244,6 +244,7 @@
             entry.set_endpoint(&*grant.endpoint);
             entry.set_address(grant.address.to_string());
             entry.set_release(grant.release.as_deref().unwrap_or_default());
+            entry.set_is_watched(grant.is_watched);
             let mut inputs = entry.init_inputs(to_u32(grant.inputs.len()));
             for (index, handle) in (0..).zip(&grant.inputs) {
                 inputs.set(index, &**handle);
@@ -254,6 +255,7 @@
             entry.set_reason(&*refusal.reason);
             entry.set_wait_nanos(nanos(refusal.retry_after));
             entry.set_is_moved(refusal.is_transferred);
+            entry.set_is_final(refusal.is_final);
             let length = to_u32(refusal.transferred_results.len());
             write_transferred(&refusal.transferred_results, now, entry.init_made(length));
         }
@@ -274,6 +276,7 @@
                 endpoint: read_name(grant.get_endpoint()?)?,
                 address: read_address(grant.get_address()?)?,
                 release: read_release(grant.get_release()?)?,
+                is_watched: grant.get_is_watched(),
                 inputs: inputs.collect::<Result<_>>()?,
             }))
         }
@@ -284,6 +287,7 @@
                 retry_after: Duration::from_nanos(refusal.get_wait_nanos()),
                 is_transferred: refusal.get_is_moved(),
                 transferred_results: read_transferred(refusal.get_made()?, now)?,
+                is_final: refusal.get_is_final(),
             }))
         }
     }
