Share the evidence against content between daemons and with later ones

What callers saw: endpoints go on ending when the planner that had refused the content is replaced, and each region and each daemon that plans plain requests alone loses its own endpoints first.

Cause: blame was kept by one planner, in the memory of its process.

Change: each daemon follows the topic keyed.quarantine and writes what it finds there, one record a subject: refusals, parts under which two endpoints ended, and contents of plain requests from the first one on. What daemons read adds up, and an answer anywhere removes the record. After the store returned from a copy, and where two daemons wrote at once, those that know more write again, in turns of 0.5 to 2.5 s so that one call is enough. A daemon that connects to a planner tells it what is refused.

Why it works: whoever plans or sends next has read the topic, or is told by the daemons that connect to it, before it decides.

Calls to the store: one listing at the start, a read of 10 s at a time, and one append for what is found within 50 ms.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -122,6 +122,25 @@
   sent @1 :List(Sent);
 }
 
+# An endpoint that ended under a content.
+struct Blame {
+  endpoint @0 :Text;
+  born @1 :UInt64;
+  service @2 :Text;
+  ageNanos @3 :UInt64;
+}
+
+# Content that is refused, since endpoints ended under it.
+struct Refused {
+  union {
+    content @0 :Text;
+    part @1 :Text;
+  }
+  # The part's distance from the end of the prompt.
+  depth @2 :UInt16;
+  blames @3 :List(Blame);
+}
+
 # One planned request; it ends with `leave`, or with the connection.
 interface Seat {
   wait @0 () -> (reply :Reply);
@@ -141,6 +160,7 @@
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
   copy @2 (topic :Topic) -> (change :UInt64, packed :Data, epoch :UInt64);
-  # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached.
-  recall @3 (uses :List(Use)) -> ();
+  # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached, and
+  # what it refuses.
+  recall @3 (uses :List(Use), refused :List(Refused)) -> ();
 }
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -5,6 +5,7 @@
 //! that ended its endpoint is cleared as soon as an endpoint answers it and lives on. See
 //! [the design note](../../docs/design/quarantine.md).
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -12,6 +13,7 @@
 use crate::clock::Time;
 use crate::id;
 
+mod share;
 mod verdict;
 
 /// How long an answer has to be written before it shows that its content is harmless. Endpoints end
@@ -83,6 +85,7 @@
     cleared_at: Option<Time>,
     /// The end of its last refusal.
     refused_until: Option<Time>,
+    sharing: share::State,
 }
 
 impl Entry {
@@ -112,7 +115,7 @@
 }
 
 /// The evidence that one daemon has.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Evidence {
     entries: IndexMap<Subject, Entry>,
     short_answers: Vec<ShortAnswer>,
@@ -120,9 +123,24 @@
     next_verdict: Option<Time>,
     /// Whether anything was refused, also if it is over.
     has_refused: bool,
+    /// Spreads what daemons write when all of them know it.
+    seed: u64,
 }
 
 impl Evidence {
+    /// Makes the evidence of a daemon that knows none.
+    pub fn new(daemon: &id::Daemon) -> Self {
+        let mut hasher = DefaultHasher::new();
+        daemon.hash(&mut hasher);
+        Self {
+            entries: IndexMap::new(),
+            short_answers: Vec::new(),
+            next_verdict: None,
+            has_refused: false,
+            seed: hasher.finish(),
+        }
+    }
+
     /// Returns the number of subjects.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -182,6 +200,7 @@
             if entry.blames.is_empty() {
                 entry.cleared_at = Some(now);
                 entry.refused_until = None;
+                entry.sharing.withdraw(now);
                 // What it explained may have another cause.
                 self.next_verdict.get_or_insert(now);
             }
@@ -235,6 +254,7 @@
                 self.has_refused = true;
             }
         }
+        self.schedule_writes(now);
         refused
     }
 
@@ -280,5 +300,7 @@
     }
 }
 
+pub use share::Record;
+
 #[cfg(test)]
 mod tests;
--- a/src/quarantine/evidence/tests.rs
+++ b/src/quarantine/evidence/tests.rs
@@ -30,9 +30,9 @@
 }
 
 impl Daemon {
-    fn new() -> Self {
+    fn new(name: &str) -> Self {
         Self {
-            evidence: Evidence::default(),
+            evidence: Evidence::new(&name.into()),
             now: ms(1_000),
             requests: 0,
         }
@@ -67,7 +67,7 @@
 
 #[test]
 fn part_refused_after_three_endpoints() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     daemon.end("e1", &[&["a", "bad"], &["a", "c"]]);
     daemon.end("e2", &[&["a", "bad"], &["b", "d"]]);
     assert!(!daemon.is_refused(&["a", "bad"]));
@@ -81,7 +81,7 @@
 
 #[test]
 fn first_part_refused_though_the_next_ones_vary() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     daemon.end("e1", &[&["bad", "c"]]);
     daemon.end("e2", &[&["bad", "d"], &["a", "c"]]);
     daemon.end("e3", &[&["bad", "x"]]);
@@ -92,7 +92,7 @@
 
 #[test]
 fn first_part_with_few_next_ones_refused_in_the_end() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     for number in 0..6 {
         let next = if number % 2 == 0 { "c" } else { "d" };
         daemon.end(&format!("e{number}"), &[&["bad", next]]);
@@ -102,7 +102,7 @@
 
 #[test]
 fn two_guilty_parts_after_a_sound_one() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     for number in 0..5 {
         let bad = ["bad1", "bad2"][number % 2];
         daemon.end(&format!("e{number}"), &[&["a", bad]]);
@@ -115,7 +115,7 @@
 
 #[test]
 fn part_that_is_answered_is_cleared() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     daemon.end("e1", &[&["a"]]);
     daemon.end("e2", &[&["a"]]);
     daemon.answer(&["a"]);
@@ -131,7 +131,7 @@
 /// An answer may be complete before its endpoint ends of it.
 #[test]
 fn short_answer_is_no_proof_when_its_endpoint_ends() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     for (endpoint, other) in [("e1", "c"), ("e2", "d"), ("e3", "x")] {
         let began = daemon.now;
         daemon.now += ms(20);
@@ -145,7 +145,7 @@
 
 #[test]
 fn parts_that_only_come_together_refused_together() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     for endpoint in ["e1", "e2", "e3"] {
         daemon.end(endpoint, &[&["a", "bad"], &["b", "beside"]]);
     }
@@ -154,7 +154,7 @@
 
 #[test]
 fn endpoint_counts_once() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     for _ in 0..5 {
         daemon.end("e1", &[&["a"]]);
     }
@@ -163,7 +163,7 @@
 
 #[test]
 fn content_refused_after_two_endpoints() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     let content = request("same", &["a"]);
     for endpoint in ["e1", "e2"] {
         daemon.evidence.blame(&content, &life(endpoint), daemon.now);
@@ -180,7 +180,7 @@
 /// Guards against a part that is excused since each request with it was refused after two endpoints.
 #[test]
 fn part_of_requests_that_come_twice_refused() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     for number in 0..4 {
         let content = request(&format!("c{}", number / 2), &["a", "bad"]);
         let life = life(&format!("e{number}"));
@@ -194,7 +194,7 @@
 /// A request that is tried again may meet the same fatal part twice.
 #[test]
 fn content_tried_again_beside_a_guilty_part_not_refused() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     let sound = request("tried-again", &["b"]);
     for endpoint in ["e1", "e2"] {
         daemon.evidence.blame(&sound, &life(endpoint), daemon.now);
@@ -205,7 +205,7 @@
 
 #[test]
 fn refusal_ends_and_one_endpoint_renews_it() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     for endpoint in ["e1", "e2", "e3"] {
         daemon.end(endpoint, &[&["bad"]]);
     }
@@ -215,9 +215,81 @@
     assert!(daemon.is_refused(&["bad"]));
 }
 
+/// Passes what one daemon writes on to another; returns the number of records.
+fn pass(from: &mut Daemon, to: &mut Daemon) -> usize {
+    let records = from.evidence.unsent(64, from.now);
+    for record in &records {
+        to.evidence.learn(record, true, to.now);
+    }
+    from.evidence.set_sent(&records, from.now);
+    to.now += SETTLED;
+    to.evidence.update(to.now);
+    records.len()
+}
+
+#[test]
+fn refusal_shared_and_cleared_with_others() {
+    let (mut first, mut second) = (Daemon::new("f1"), Daemon::new("f2"));
+    // A daemon that has just started has seen less time than has passed since.
+    second.now = ms(0);
+    for endpoint in ["e1", "e2", "e3"] {
+        first.end(endpoint, &[&["bad"]]);
+    }
+    first.now += ms(60_000);
+    assert_eq!(pass(&mut first, &mut second), 1);
+    assert!(second.is_refused(&["bad"]));
+    assert_eq!(pass(&mut first, &mut second), 0, "it is written once");
+    second.answer(&["bad"]);
+    pass(&mut second, &mut first);
+    assert!(!first.is_refused(&["bad"]));
+}
+
+#[test]
+fn endpoints_of_two_regions_add_up() {
+    let (mut first, mut second) = (Daemon::new("f1"), Daemon::new("f2"));
+    first.end("e1", &[&["bad"]]);
+    assert_eq!(pass(&mut first, &mut second), 0, "one endpoint is not news");
+    first.end("e2", &[&["bad"]]);
+    assert_eq!(pass(&mut first, &mut second), 1);
+    second.end("e3", &[&["bad"]]);
+    assert!(second.is_refused(&["bad"]));
+    pass(&mut second, &mut first);
+    assert!(first.is_refused(&["bad"]));
+}
+
+/// Each daemon runs requests without a prompt alone, so no other one sees a second endpoint end.
+#[test]
+fn content_without_prompt_shared_at_once() {
+    let (mut first, mut second) = (Daemon::new("f1"), Daemon::new("f2"));
+    let content = request("same", &[]);
+    for (daemon, endpoint) in [(&mut first, "e1"), (&mut second, "e2")] {
+        daemon.evidence.blame(&content, &life(endpoint), daemon.now);
+        daemon.now += SETTLED;
+        daemon.evidence.update(daemon.now);
+    }
+    assert_eq!(pass(&mut first, &mut second), 1);
+    assert!(second.evidence.refusal(&content, second.now).is_some());
+}
+
+#[test]
+fn log_that_went_back_gets_refusals_again() {
+    let (mut first, mut second) = (Daemon::new("f1"), Daemon::new("f2"));
+    for endpoint in ["e1", "e2", "e3"] {
+        first.end(endpoint, &[&["bad"]]);
+    }
+    pass(&mut first, &mut second);
+    // The daemon that wrote it is gone; the others take turns.
+    second.evidence.log_went_back(second.now);
+    assert!(second.evidence.unsent(64, second.now).is_empty());
+    second.now += Duration::from_secs(3);
+    let mut third = Daemon::new("f3");
+    assert_eq!(pass(&mut second, &mut third), 1);
+    assert!(third.is_refused(&["bad"]));
+}
+
 #[test]
 fn subjects_bounded() {
-    let mut daemon = Daemon::new();
+    let mut daemon = Daemon::new("f");
     for endpoint in ["e1", "e2", "e3"] {
         daemon.end(endpoint, &[&["bad"]]);
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -236,6 +236,7 @@
             warn!(self.log, "store went back to a copy"; "epoch" => epoch, "before" => previous);
             self.registry.borrow_mut().log_went_back(now);
             self.origins.log_went_back();
+            self.quarantine.log_went_back(now);
         }
     }
 
@@ -291,6 +292,11 @@
         }
     }
 
+    /// Returns what is known of content that ends endpoints.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Returns the current configuration.
     pub fn catalog(&self) -> Rc<Catalog> {
         self.catalog.borrow().clone()
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -20,7 +20,7 @@
 
 pub(super) fn quarantine() -> Rc<Quarantine> {
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    Quarantine::new(log)
+    Quarantine::new(&"d".into(), log)
 }
 
 pub(super) fn ms(millis: u64) -> Duration {
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -1,29 +1,61 @@
 //! Content that ends the endpoints that run it: one place in each daemon that decides whether a request
 //! may be sent, for its planners and for what they granted before.
 //!
-//! See [the design note](../../docs/design/quarantine.md).
+//! Daemons share what they find in a log, so that neither another region nor a daemon that starts later
+//! begins with nothing. See [the design note](../../docs/design/quarantine.md).
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::{Logger, warn};
+use futures::future::LocalBoxFuture;
+use slog::{Logger, info, warn};
+use snafu::Snafu;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
-use crate::clock::Time;
+use crate::clock::{Clock, Time};
 use crate::id;
-use crate::quarantine::evidence::{Evidence, Life, Subject, Suspects};
+use crate::quarantine::evidence::{Evidence, Life, Record, Subject, Suspects};
+
+/// How long records are gathered before they are written together: calls to the log are priced.
+const FLUSH_DELAY: Duration = Duration::from_millis(50);
+/// The time between attempts to write to a log that fails.
+const FLUSH_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// The longest time for which the writer does not check what is due.
+const MAX_WRITE_WAIT: Duration = Duration::from_secs(60);
+/// The most records that are written together.
+const MAX_BATCH: usize = 64;
+
+/// Why the log could not be written.
+#[derive(Debug, Snafu)]
+#[snafu(display("{step} the log of refused content: {reason}"))]
+pub struct Error {
+    /// The step that failed.
+    pub step: &'static str,
+    /// What went wrong.
+    pub reason: String,
+}
+
+/// The log in which daemons share their evidence; it keeps the newest record of each subject.
+pub trait Log {
+    /// Writes records; one without blames removes its subject.
+    fn write<'a>(&'a self, records: &'a [Record]) -> LocalBoxFuture<'a, Result<(), Error>>;
+}
 
 /// The evidence of one daemon.
 pub struct Quarantine {
     evidence: RefCell<Evidence>,
+    has_unsent: Notify,
     logger: Logger,
 }
 
 impl Quarantine {
     /// Makes the quarantine of a daemon that knows nothing.
-    pub fn new(logger: Logger) -> Rc<Self> {
+    pub fn new(daemon: &id::Daemon, logger: Logger) -> Rc<Self> {
         Rc::new(Self {
-            evidence: RefCell::new(Evidence::default()),
+            evidence: RefCell::new(Evidence::new(daemon)),
+            has_unsent: Notify::new(),
             logger,
         })
     }
@@ -52,6 +84,9 @@
         for subject in &refused {
             self.log_refused(subject);
         }
+        if self.evidence.borrow().next_write().is_some() {
+            self.has_unsent.notify_one();
+        }
     }
 
     fn log_refused(&self, subject: &Subject) {
@@ -79,4 +114,61 @@
     pub fn is_suspect(&self, suspects: &Suspects) -> bool {
         self.evidence.borrow().is_suspect(suspects)
     }
+
+    /// Adds a record that was read from the log.
+    pub fn read(&self, record: &Record, now: Time) {
+        self.evidence.borrow_mut().learn(record, true, now);
+        self.update(now);
+    }
+
+    /// Adds what another daemon told.
+    pub fn tell(&self, records: &[Record], now: Time) {
+        for record in records {
+            self.evidence.borrow_mut().learn(record, false, now);
+        }
+        self.update(now);
+    }
+
+    /// Returns what is refused, for a daemon that may know nothing.
+    pub fn refused_records(&self, now: Time) -> Vec<Record> {
+        self.evidence.borrow().refused_records(now)
+    }
+
+    /// Records that the log went back to a copy.
+    pub fn log_went_back(&self, now: Time) {
+        self.evidence.borrow_mut().log_went_back(now);
+        self.has_unsent.notify_one();
+    }
+
+    /// Writes what this daemon finds to the log as long as the process runs.
+    pub async fn share(self: Rc<Self>, log: Rc<dyn Log>, clock: Rc<dyn Clock>) {
+        loop {
+            let next = self.evidence.borrow().next_write();
+            let now = clock.now();
+            let wait = next.map_or(MAX_WRITE_WAIT, |next| next.saturating_sub(now));
+            if !wait.is_zero() {
+                // What is due first may change meanwhile.
+                drop(timeout(wait.min(MAX_WRITE_WAIT), self.has_unsent.notified()).await);
+                if next.is_none_or(|next| clock.now() < next) {
+                    continue;
+                }
+            }
+            tokio::time::sleep(FLUSH_DELAY).await;
+            let records = self.evidence.borrow().unsent(MAX_BATCH, clock.now());
+            if records.is_empty() {
+                continue;
+            }
+            match log.write(&records).await {
+                Ok(()) => {
+                    info!(self.logger, "evidence written"; "subjects" => records.len());
+                    self.evidence.borrow_mut().set_sent(&records, clock.now());
+                }
+                Err(error) => {
+                    warn!(self.logger, "evidence not written";
+                        "subjects" => records.len(), "error" => %error);
+                    tokio::time::sleep(FLUSH_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
 }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -22,6 +22,7 @@
 use super::dispatcher::{Dispatcher, LocalPlanner, PlannedRequest, RequestPlanner};
 use super::plan::{Job, Refusal};
 use super::progress::ReadProgress;
+use super::quarantine::Quarantine;
 use crate::clock::Clock;
 use crate::generated::plan_capnp::planner;
 use crate::id;
@@ -116,6 +117,7 @@
     ranking: RefCell<Ranking>,
     connection: RefCell<Option<Rc<PlannerConnection>>>,
     sent_parts: RefCell<SentParts>,
+    quarantine: Rc<Quarantine>,
     /// Triggers a check of the connection.
     wake: Notify,
     ping_interval: Duration,
@@ -130,20 +132,23 @@
         own: Member,
         local: Rc<Dispatcher>,
         progress: Rc<ReadProgress>,
+        quarantine: Rc<Quarantine>,
         clock: Rc<dyn Clock>,
         log: Logger,
     ) -> Rc<Self> {
-        Self::start(Ranking::new(own), Some((local, progress)), clock, log)
+        let local_planner = Some((local, progress));
+        Self::start(Ranking::new(own), local_planner, quarantine, clock, log)
     }
 
     /// Starts to look for the planner of another region.
-    pub fn other(clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
-        Self::start(Ranking::default(), None, clock, log)
+    pub fn other(quarantine: Rc<Quarantine>, clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
+        Self::start(Ranking::default(), None, quarantine, clock, log)
     }
 
     fn start(
         ranking: Ranking,
         local_planner: Option<(Rc<Dispatcher>, Rc<ReadProgress>)>,
+        quarantine: Rc<Quarantine>,
         clock: Rc<dyn Clock>,
         log: Logger,
     ) -> Rc<Self> {
@@ -159,6 +164,7 @@
             ranking: RefCell::new(ranking),
             connection: RefCell::new(None),
             sent_parts: RefCell::default(),
+            quarantine,
             wake: Notify::new(),
             ping_interval,
             clock,
@@ -242,7 +248,7 @@
                 // The kernel accepts connections for a daemon that is frozen or cut off, too.
                 if self.ping(&connection).await {
                     info!(self.log, "planning at another daemon"; "daemon" => &*wanted.name);
-                    self.send_cached_parts(&connection);
+                    self.inform_planner(&connection);
                     self.connection.replace(Some(connection));
                     if let Some(local) = &self.local {
                         local.update_planner(|planner, _| planner.start_transfer());
@@ -253,15 +259,19 @@
         }
     }
 
-    /// Sends a new planner the prompt parts that this daemon has sent to engines.
-    fn send_cached_parts(&self, connection: &PlannerConnection) {
-        let parts = self.sent_parts.borrow().ages_by_endpoint(self.clock.now());
-        if parts.is_empty() {
+    /// Sends a new planner the prompt parts that this daemon has sent to engines, and what it refuses.
+    fn inform_planner(&self, connection: &PlannerConnection) {
+        let now = self.clock.now();
+        let parts = self.sent_parts.borrow().ages_by_endpoint(now);
+        let refused = self.quarantine.refused_records(now);
+        if parts.is_empty() && refused.is_empty() {
             return;
         }
         let mut request = connection.client.recall_request();
         let count = u32::try_from(parts.len()).unwrap_or_default();
         wire::write_sent_parts(&parts, request.get().init_uses(count));
+        let count = u32::try_from(refused.len()).unwrap_or_default();
+        wire::write_refused(&refused, request.get().init_refused(count));
         let sent = request.send().promise;
         // A failure only costs work, and the next ping detects it.
         spawn_local(async move { drop(sent.await) });
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -112,9 +112,13 @@
         params: planner::RecallParams,
         _: planner::RecallResults,
     ) -> capnp::Result<()> {
-        let parts = wire::read_sent_parts(params.get()?.get_uses()?, self.clock.now())?;
+        let params = params.get()?;
+        let now = self.clock.now();
+        let parts = wire::read_sent_parts(params.get_uses()?, now)?;
         self.dispatcher
             .update_planner(|planner, _| planner.record_cached(&parts));
+        let refused = wire::read_refused(params.get_refused()?)?;
+        self.node.quarantine().tell(&refused, now);
         Ok(())
     }
 }
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -9,6 +9,7 @@
 use crate::clock::Time;
 use crate::generated::plan_capnp as schema;
 use crate::id;
+use crate::quarantine::evidence::{Life, Record, Subject};
 use crate::serve::closure::Closure;
 use crate::serve::health::Verdict;
 use crate::serve::plan::{
@@ -232,6 +233,59 @@
     Ok(cached_parts)
 }
 
+/// Writes what is refused, since endpoints ended under it.
+pub fn write_refused(
+    records: &[Record],
+    mut builder: capnp::struct_list::Builder<'_, schema::refused::Owned>,
+) {
+    for (index, record) in (0..).zip(records) {
+        let mut entry = builder.reborrow().get(index);
+        match &record.subject {
+            Subject::Content(digest) => entry.set_content(&**digest),
+            Subject::Part(part) => entry.set_part(&**part),
+        }
+        entry.set_depth(to_u16(record.depth));
+        let mut blames = entry.init_blames(to_u32(record.blames.len()));
+        for (index, (life, age)) in (0..).zip(&record.blames) {
+            let mut blame = blames.reborrow().get(index);
+            blame.set_endpoint(&*life.endpoint);
+            blame.set_born(life.born);
+            blame.set_service(&*life.service);
+            blame.set_age_nanos(nanos(*age));
+        }
+    }
+}
+
+fn read_blame(reader: schema::blame::Reader<'_>) -> Result<(Life, Duration)> {
+    let life = Life {
+        endpoint: read_name(reader.get_endpoint()?)?,
+        born: reader.get_born(),
+        service: read_name(reader.get_service()?)?,
+    };
+    Ok((life, Duration::from_nanos(reader.get_age_nanos())))
+}
+
+/// Reads what is refused.
+pub fn read_refused(
+    reader: capnp::struct_list::Reader<'_, schema::refused::Owned>,
+) -> Result<Vec<Record>> {
+    use schema::refused::Which;
+    let record = |entry: schema::refused::Reader<'_>| {
+        let subject = match entry.which()? {
+            Which::Content(digest) => Subject::Content(read_name(digest?)?),
+            Which::Part(part) => Subject::Part(read_name(part?)?),
+        };
+        let blames = entry.get_blames()?.iter().map(read_blame);
+        Ok(Record {
+            subject,
+            depth: entry.get_depth().into(),
+            blames: blames.collect::<Result<_>>()?,
+            is_refused: true,
+        })
+    };
+    reader.iter().map(record).collect()
+}
+
 /// Writes the grant or refusal of a request.
 pub fn write_reply(
     reply: &std::result::Result<Grant, Refusal>,
