--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -233,11 +233,11 @@
         self.has_refused
     }
 
-    /// Decides what is refused; returns what was not refused before.
-    pub fn update(&mut self, now: Time) -> Vec<Subject> {
+    /// Decides what is refused, if anything has changed; returns what was not refused before.
+    pub fn update(&mut self, now: Time) -> Option<Vec<Subject>> {
         self.clear_short_answers(now);
         if self.next_verdict.is_none_or(|at| now < at) {
-            return Vec::new();
+            return None;
         }
         self.next_verdict = None;
         let newest = self.entries.values().filter_map(Entry::last_blame).max();
@@ -255,7 +255,7 @@
             }
         }
         self.schedule_writes(now);
-        refused
+        Some(refused)
     }
 
     fn expect_verdict(&mut self, at: Time) {
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -4,7 +4,7 @@
 //! begun to run it. A request that may have run is only sent again if its route allows it.
 
 use std::borrow::Cow;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,6 +64,7 @@
     release: RefCell<Option<id::Release>>,
     /// Whether an event of a stream was passed on.
     has_begun: Cell<bool>,
+    digest: OnceCell<id::Digest>,
     log_fields: RefCell<LogFields>,
 }
 
@@ -157,6 +158,7 @@
             may_have_run: Cell::new(false),
             release: RefCell::default(),
             has_begun: Cell::new(false),
+            digest: OnceCell::new(),
             log_fields: RefCell::default(),
         }
     }
@@ -278,6 +280,10 @@
 
     /// Returns a digest of the request without its id, equal when a client sends it again.
     fn digest(&self, request: &AcceptedRequest) -> id::Digest {
+        self.digest.get_or_init(|| self.hash(request)).clone()
+    }
+
+    fn hash(&self, request: &AcceptedRequest) -> id::Digest {
         let mut digest = Sha256::new();
         let workspace = request.workspace.as_deref().unwrap_or_default();
         for part in [&self.head.method, &self.head.target, workspace] {
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -80,13 +80,13 @@
 
     /// Decides what is refused; has it written to the log.
     pub fn update(&self, now: Time) {
-        let refused = self.evidence.borrow_mut().update(now);
+        let Some(refused) = self.evidence.borrow_mut().update(now) else {
+            return;
+        };
         for subject in &refused {
             self.log_refused(subject);
         }
-        if self.evidence.borrow().next_write().is_some() {
-            self.has_unsent.notify_one();
-        }
+        self.has_unsent.notify_one();
     }
 
     fn log_refused(&self, subject: &Subject) {
@@ -119,6 +119,7 @@
     pub fn read(&self, record: &Record, now: Time) {
         self.evidence.borrow_mut().learn(record, true, now);
         self.update(now);
+        self.has_unsent.notify_one();
     }
 
     /// Adds what another daemon told.
@@ -140,6 +141,15 @@
         self.has_unsent.notify_one();
     }
 
+    /// Returns what has to be written now, as if the log had it.
+    #[cfg(test)]
+    pub fn take_unsent(&self, now: Time) -> Vec<Record> {
+        let mut evidence = self.evidence.borrow_mut();
+        let records = evidence.unsent(MAX_BATCH, now);
+        evidence.set_sent(&records, now);
+        records
+    }
+
     /// Writes what this daemon finds to the log as long as the process runs.
     pub async fn share(self: Rc<Self>, log: Rc<dyn Log>, clock: Rc<dyn Clock>) {
         loop {
