--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -76,6 +76,8 @@
     resumes: Option<id::Name>,
     /// How the endpoint delimited the body of its last response.
     framing: Option<&'static str>,
+    /// The limit that the endpoint named in its last response, in requests a second.
+    limit: Option<f64>,
     sent: u32,
     not_run: u32,
     is_logged: bool,
@@ -219,7 +221,7 @@
         info!(self.node.log, "request";
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
-            "framing" => fields.framing, "release" => self.release.borrow().as_deref(),
+            "framing" => fields.framing, "limit" => fields.limit, "release" => self.release.borrow().as_deref(),
             "resumes" => fields.resumes.as_deref(), "sent" => fields.sent,
             "turned" => fields.not_run, "ms" => took.as_millis() as u64,
             "config" => self.node.catalog().version, "config_age_ms" => age,
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -33,6 +33,7 @@
             .node
             .protocol
             .parse_response(&response.head, &request.meta.id);
+        self.log_fields.borrow_mut().limit = meta.limit;
         let endpoint = &planned.grant().endpoint;
         let now = self.node.clock.now();
         self.node.closures.record(endpoint, &meta, now);
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -69,6 +69,8 @@
         pub is_leaving: bool,
         /// How long the endpoint wants no requests of this daemon, after it refused one.
         pub retry_after: Option<Duration>,
+        /// How many requests a second the endpoint takes from all daemons together.
+        pub limit: Option<f64>,
     }
 }
 
