Keep the limits that endpoints name for all daemons together

What callers saw: nothing at once; an endpoint in need that had named a limit of 1 request a second got 12 and 13 in 4 s (LIMIT), as much as endpoints without one.

Cause: Server-Limit was not read, and no place counted what an endpoint gets from all daemons: each daemon plans requests without stages alone.

Eight tests failed with 61 to 161 requests where 8 to 17 are allowed.

Change: daemons report what answers name to the planner of the region, which grants endpoints with a limit from a bucket that begins empty. Requests that a daemon plans alone go to that planner while an endpoint of their service has a limit. What is above it goes elsewhere; where all endpoints have a limit, admission counts what they leave, for engines and for stages, and refuses the rest at once. Results at limited endpoints expire.

Why it works: every way to an endpoint passes the planner that counts, and who plans next is told the limits before it gets a request.

Result: nine of ten limit tests pass. limit_kept_while_planners_change keeps the limit, but serves 178 of 201: the daemon of a region without endpoints of its own finds the next planner late. Seven unit tests of the planner and five of the bucket are new; 122 of serve pass.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -67,6 +67,8 @@
   release @3 :Text;
   # The planner wants to know when its answer goes on, which clears what the request shares with others.
   isWatched @4 :Bool;
+  # The endpoint's limit as the planner knows it, in requests a second; negative when there is none.
+  limit @5 :Float64 = -1;
 }
 
 struct Refusal {
@@ -142,6 +144,14 @@
   blames @3 :List(Blame);
 }
 
+# What an endpoint has named last: how many requests a second it takes from all daemons together.
+struct Limit {
+  endpoint @0 :Text;
+  # Negative when it named none.
+  limit @1 :Float64;
+  ageNanos @2 :UInt64;
+}
+
 # One planned request; it ends with `leave`, or with the connection.
 interface Seat {
   wait @0 () -> (reply :Reply);
@@ -152,6 +162,8 @@
   leave @4 () -> ();
   # The answer still goes on some time after it began.
   answering @5 () -> ();
+  # The endpoint's answer names this limit; negative when it names none.
+  limited @6 (limit :Float64) -> ();
 }
 
 interface Planner {
@@ -161,7 +173,7 @@
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
   copy @2 (topic :Topic) -> (change :UInt64, packed :Data, epoch :UInt64);
-  # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached, and
-  # what it refuses.
-  recall @3 (uses :List(Use), refused :List(Refused)) -> ();
+  # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached, what
+  # it refuses, and the limits that endpoints have named.
+  recall @3 (uses :List(Use), refused :List(Refused), limits :List(Limit)) -> ();
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -30,6 +30,7 @@
 pub mod progress;
 pub mod protocol;
 pub mod quarantine;
+pub mod rate;
 pub mod ready;
 pub mod region;
 pub mod registry;
@@ -43,6 +44,7 @@
 use plan::Tokens;
 use protocol::Protocol;
 use quarantine::Quarantine;
+use rate::Limits;
 use registry::{Endpoint, Entry, Registry};
 
 /// How long a stopping daemon serves at least: the load balancer sends new connections
@@ -103,6 +105,25 @@
     pub retry_budget_cap: f64,
 }
 
+/// What a daemon has learned of content and of endpoints, shared by its planners and what uses them.
+#[derive(Clone)]
+pub struct Knowledge {
+    /// The content that ends endpoints.
+    pub quarantine: Rc<Quarantine>,
+    /// The limits that endpoints have named.
+    pub limits: Rc<Limits>,
+}
+
+impl Knowledge {
+    /// Makes the knowledge of a daemon that has just started.
+    pub fn new(daemon: &id::Daemon, log: &Logger) -> Self {
+        Self {
+            quarantine: Quarantine::new(daemon, log.clone()),
+            limits: Rc::new(Limits::new(log.clone())),
+        }
+    }
+}
+
 /// The state of one daemon that serves clients.
 pub struct Node {
     options: Options,
@@ -115,7 +136,7 @@
     staged_planner: Rc<dyn RequestPlanner>,
     origins: Rc<Origins>,
     closures: Rc<Closures>,
-    quarantine: Rc<Quarantine>,
+    knowledge: Knowledge,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
@@ -152,8 +173,8 @@
     pub origins: Rc<Origins>,
     /// The endpoints that take nothing from this daemon, as its dispatchers learn of them, too.
     pub closures: Rc<Closures>,
-    /// The content that ends endpoints, as its planners know it, too.
-    pub quarantine: Rc<Quarantine>,
+    /// What its planners know, too.
+    pub knowledge: Knowledge,
     /// The protocol of clients and endpoints.
     pub protocol: Rc<dyn Protocol>,
     /// The clock, which a suspension of the VM does not stop.
@@ -179,7 +200,7 @@
             staged_planner: dependencies.staged_planner,
             origins: dependencies.origins,
             closures: dependencies.closures,
-            quarantine: dependencies.quarantine,
+            knowledge: dependencies.knowledge,
             protocol: dependencies.protocol,
             clock: dependencies.clock,
             meter: dependencies.meter,
@@ -236,7 +257,7 @@
             warn!(self.log, "store went back to a copy"; "epoch" => epoch, "before" => previous);
             self.registry.borrow_mut().log_went_back(now);
             self.origins.log_went_back();
-            self.quarantine.log_went_back(now);
+            self.knowledge.quarantine.log_went_back(now);
         }
     }
 
@@ -287,6 +308,7 @@
         };
         self.origins.observe(registry.all().map(origin));
         self.closures.observe(registry.all());
+        self.knowledge.limits.observe(registry.all());
         for dispatcher in &self.dispatchers {
             dispatcher.update_planner(|planner, now| planner.sync(&registry, &catalog, now));
         }
@@ -294,7 +316,12 @@
 
     /// Returns what is known of content that ends endpoints.
     pub fn quarantine(&self) -> &Quarantine {
-        &self.quarantine
+        &self.knowledge.quarantine
+    }
+
+    /// Returns the limits that endpoints have named.
+    pub fn limits(&self) -> &Limits {
+        &self.knowledge.limits
     }
 
     /// Returns the current configuration.
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -20,6 +20,7 @@
     Action, CallId, CallOutcome, Grant, Handle, Job, JobId, PieceRequest, Planner, Refusal,
 };
 use super::protocol::{HttpRequest, Protocol, ResponseMeta};
+use super::rate::{Limits, Rate};
 use crate::clock::{Clock, Time};
 use crate::id;
 
@@ -53,6 +54,8 @@
     fn started(&self, is_final: bool);
     /// Records that the answer still goes on some time after it began, if the grant asks for it.
     fn answering(&self);
+    /// Records that the endpoint's answer names another limit than the grant does, or none.
+    fn limited(&self, limit: Option<Rate>);
     /// Records how the request ended at the endpoint.
     fn ended(&self, verdict: Verdict);
     /// Gets a grant of another endpoint; with `inputs_lost`, the inputs are computed again. A stream that
@@ -75,6 +78,7 @@
     pending_frees: RefCell<IndexMap<id::Endpoint, Vec<Handle>>>,
     idle_connections: RefCell<IndexMap<id::Endpoint, IdleConnection>>,
     closures: Rc<Closures>,
+    limits: Rc<Limits>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
@@ -86,6 +90,7 @@
     pub fn start(
         planner: Planner,
         closures: Rc<Closures>,
+        limits: Rc<Limits>,
         protocol: Rc<dyn Protocol>,
         clock: Rc<dyn Clock>,
         meter: Rc<Meter>,
@@ -98,6 +103,7 @@
             pending_frees: RefCell::default(),
             idle_connections: RefCell::default(),
             closures,
+            limits,
             protocol,
             clock,
             meter,
@@ -183,11 +189,8 @@
                 .borrow_mut()
                 .swap_remove(&endpoint)
                 .unwrap_or_default();
-            if dispatcher
-                .closures
-                .get(&endpoint, dispatcher.clock.now())
-                .is_some()
-            {
+            let closure = dispatcher.closures.get(&endpoint, dispatcher.clock.now());
+            if closure.is_some() || dispatcher.limits.get(&endpoint).is_some() {
                 // It frees them by itself after a while.
                 return;
             }
@@ -315,8 +318,9 @@
     }
 
     /// Records what a stage endpoint's answer says of itself, which binds the calls of this daemon.
-    fn record_closure(&self, endpoint: &id::Endpoint, meta: &ResponseMeta) {
+    fn record_state(&self, endpoint: &id::Endpoint, meta: &ResponseMeta) {
         let now = self.clock.now();
+        self.limits.record(endpoint, meta.limit, now);
         if !self.closures.record(endpoint, meta, now) {
             return;
         }
@@ -339,7 +343,7 @@
         let mut response = exchange::send(connection, &head, &request.body).await?;
         let status = response.head.status;
         let meta = self.protocol.parse_response(&response.head, "");
-        self.record_closure(endpoint, &meta);
+        self.record_state(endpoint, &meta);
         let body = response.body(MAX_RESPONSE_BYTES).await?;
         if let Some(connection) = response.into_connection() {
             let idle_since = self.clock.now();
@@ -402,6 +406,12 @@
             .update_planner(|planner, now| planner.started(job_id, is_final, now));
     }
 
+    fn limited(&self, limit: Option<Rate>) {
+        let now = self.dispatcher.clock.now();
+        let endpoint = &self.grant.endpoint;
+        self.dispatcher.limits.record(endpoint, limit, now);
+    }
+
     fn answering(&self) {
         let job_id = self.job_id;
         self.dispatcher
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -230,7 +230,7 @@
 
     /// Returns the failure of a request whose content ends endpoints.
     fn check_quarantine(&self, request: &AcceptedRequest) -> Option<Failure> {
-        let quarantine = &self.node.quarantine;
+        let quarantine = self.node.quarantine();
         if !quarantine.has_refused() {
             return None;
         }
@@ -339,7 +339,9 @@
     ) -> Outcome {
         let node = &self.node;
         node.earn_retry(&request.service);
-        let planner = if request.is_staged {
+        // The planner of the region counts for all daemons.
+        let is_counted = node.limits().covers(&request.service);
+        let mut planner = if request.is_staged || is_counted {
             &node.staged_planner
         } else {
             &node.plain_planner
@@ -347,7 +349,18 @@
         if let Some(failure) = self.check_quarantine(request) {
             return Outcome::Failure(failure);
         }
-        let planned = planner.plan(self.job(request)).await;
+        let mut planned = planner.plan(self.job(request)).await;
+        if !request.is_staged
+            && planned.as_ref().is_err_and(|refusal| !refusal.is_final)
+            && is_counted
+        {
+            // Endpoints without a limit need no planner.
+            let alone = node.plain_planner.plan(self.job(request)).await;
+            if alone.is_ok() {
+                planner = &node.plain_planner;
+                planned = alone;
+            }
+        }
         let mut planned = match planned {
             Ok(planned) => planned,
             Err(refusal) => return Outcome::Failure(planner_refusal(&refusal)),
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -37,6 +37,13 @@
         let endpoint = &planned.grant().endpoint;
         let now = self.node.clock.now();
         self.node.closures.record(endpoint, &meta, now);
+        // Bytes that are no answer of the endpoint do not end its limit.
+        if meta.limit.is_some() || meta.is_sealed || meta.is_refusal {
+            self.node.limits().record(endpoint, meta.limit, now);
+            if meta.limit != planned.grant().limit {
+                planned.limited(meta.limit);
+            }
+        }
         if meta.is_refusal {
             return AttemptOutcome::NotRun {
                 verdict: Verdict::Refused,
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -10,6 +10,7 @@
 
 use indexmap::IndexMap;
 
+use super::Knowledge;
 use super::catalog::Catalog;
 use super::health::Verdict;
 use super::quarantine::Quarantine;
@@ -72,13 +73,14 @@
 
 impl Planner {
     /// Makes a planner for the endpoints in these availability zones, which refuses what its daemon's
-    /// quarantine does.
-    pub fn new(zones: Vec<id::Zone>, quarantine: Rc<Quarantine>) -> Self {
+    /// quarantine does and keeps the limits that it knows.
+    pub fn new(zones: Vec<id::Zone>, knowledge: Knowledge) -> Self {
+        let Knowledge { quarantine, limits } = knowledge;
         Self {
             zones,
             requests: IndexMap::new(),
-            stage_endpoints: StageEndpoints::default(),
-            engines: Engines::default(),
+            stage_endpoints: StageEndpoints::new(limits.clone()),
+            engines: Engines::new(limits),
             calls: IndexMap::new(),
             next_call: 0,
             actions: Vec::new(),
@@ -87,6 +89,14 @@
         }
     }
 
+    /// Makes a planner of one daemon alone. It leaves endpoints with a limit to planners of regions, which
+    /// count for all daemons.
+    pub fn alone(zones: Vec<id::Zone>, knowledge: Knowledge) -> Self {
+        let mut planner = Self::new(zones, knowledge);
+        planner.engines.leave_limited();
+        planner
+    }
+
     /// Updates the endpoints and the configuration of their services.
     pub fn sync(&mut self, registry: &Registry, catalog: &Catalog, now: Time) {
         let here = |endpoint: &&Endpoint| self.zones.contains(&endpoint.zone);
@@ -370,13 +380,16 @@
         })
     }
 
-    /// Grants requests that waited for others with the same parts.
+    /// Grants requests that waited for others with the same parts, or for a limit.
     fn advance_held(&mut self, now: Time) {
         let is_waiting = |request: &Request| !request.is_granted && request.is_ready();
         let held = self.requests.iter();
         let held = held.filter(|(_, request)| is_waiting(request));
-        let held: Vec<JobId> = held.map(|(job_id, _)| *job_id).collect();
-        for job_id in held {
+        let mut held: Vec<(u8, Time, JobId)> = held
+            .map(|(job_id, Request { job, .. })| (job.priority, job.target, *job_id))
+            .collect();
+        held.sort_unstable();
+        for (_, _, job_id) in held {
             self.advance(job_id, now);
         }
     }
@@ -411,6 +424,10 @@
             return;
         };
         let Some(reservation) = self.engines.reserve(request, now) else {
+            if self.engines.is_limited(&request.job) {
+                // It is granted when a limit allows it, or refused when that is too late.
+                return;
+            }
             return self.refuse(job_id, "no endpoint has room", now);
         };
         request.is_watched = self.quarantine.is_suspect(&request.job.suspects());
@@ -419,6 +436,7 @@
             address: reservation.address,
             release: Some(reservation.release.clone()),
             is_watched: request.is_watched,
+            limit: self.engines.limit(&reservation.engine),
             inputs: request.inputs(),
         };
         request.reservation = Some(reservation);
@@ -428,6 +446,7 @@
 
     /// Starts calls at all idle endpoints for which pieces are queued.
     fn dispatch_all(&mut self, now: Time) {
+        self.stage_endpoints.update_limits(now);
         let queue = forecast::queue(&self.requests, &self.stage_endpoints, now);
         for (service, pieces) in queue {
             self.dispatch(&service, pieces, now);
@@ -494,6 +513,17 @@
         }
     }
 
+    /// Returns how long a request would wait for the limits of its engines, if that is too long.
+    fn limit_wait(&self, request: &Request, now: Time) -> Option<Duration> {
+        let job = &request.job;
+        let rate = self.engines.total_limit(job)?;
+        let is_ahead = |other: &&Request| !other.is_granted && other.job.service == job.service;
+        let ahead = self.requests.values().filter(is_ahead).count();
+        let wait = Duration::from_secs_f64((ahead + 1) as f64 / rate);
+        let left = job.deadline.saturating_sub(now);
+        (wait > job.target_latency.min(left)).then_some(wait)
+    }
+
     /// Returns why a request is not admitted, if so.
     fn check_admission(&self, request: &Request, now: Time) -> Option<Refusal> {
         if let Some(remaining) = self.quarantine.refusal(&request.job.suspects(), now) {
@@ -506,6 +536,9 @@
         if let Some(remaining) = self.closed_for(request, now) {
             return Some(Refusal::closed(&request.job.request, remaining));
         }
+        if let Some(wait) = self.limit_wait(request, now) {
+            return Some(Refusal::new("its endpoints have limited their rate", wait));
+        }
         if request.has_started {
             // Another planner has admitted it.
             return None;
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -4,6 +4,7 @@
 //! load is what this planner has granted and not yet seen ended.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -16,6 +17,7 @@
 use crate::serve::catalog::{Catalog, Engine as EngineConfig};
 use crate::serve::closure::Closure;
 use crate::serve::health::{Health, Verdict};
+use crate::serve::rate::{Bucket, Limits, Rate};
 use crate::serve::registry::Endpoint;
 
 /// Prompt tokens that an engine is assumed to read in a millisecond; the slower of the users' engines
@@ -33,6 +35,8 @@
 const PREFERRED_ENGINE_BONUS_MS: f64 = 20.0;
 /// The cost of an engine whose requests all fail.
 const FAILURE_COST_MS: f64 = 600.0;
+/// The bonus of an engine that may have no limit any more, which only its next answer tells.
+const ASK_BONUS_MS: f64 = 100.0;
 /// The time to the first byte without reading the prompt.
 const BASE_LATENCY_MS: f64 = 60.0;
 /// How long a prompt part is expected to stay in an engine's cache.
@@ -89,14 +93,19 @@
     unread_tokens: u64,
     memory_tokens: u64,
     blocked_until: Time,
+    /// When its limit allows the next request.
+    limited_until: Time,
     health: Health,
+    bucket: Bucket,
     /// When each prompt part was last used.
     cached_parts: IndexMap<id::Name, Time>,
 }
 
 /// All endpoints that run requests.
-#[derive(Default)]
 pub struct Engines {
+    limits: Rc<Limits>,
+    /// Whether engines with a limit are left to other planners.
+    leaves_limited: bool,
     services: IndexMap<id::Pool, EngineConfig>,
     engines: IndexMap<id::Endpoint, Engine>,
     /// The moving average of times to the first byte, as a multiple of the expected ones.
@@ -106,6 +115,52 @@
 }
 
 impl Engines {
+    /// Makes a list without engines.
+    pub fn new(limits: Rc<Limits>) -> Self {
+        Self {
+            limits,
+            leaves_limited: false,
+            services: IndexMap::new(),
+            engines: IndexMap::new(),
+            latency_ratio: None,
+            early_cached: Vec::new(),
+        }
+    }
+
+    /// Leaves engines with a limit to other planners.
+    pub fn leave_limited(&mut self) {
+        self.leaves_limited = true;
+    }
+
+    /// Returns the limits that the daemon knows.
+    #[cfg(test)]
+    pub fn limits_of_daemon(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Returns the limit of an engine.
+    pub fn limit(&self, engine: &id::Endpoint) -> Option<Rate> {
+        self.limits.get(engine)
+    }
+
+    fn limits<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = Option<Rate>> + 'a {
+        let engines = self.engines.iter();
+        let engines = engines.filter(|(_, engine)| engine.may_run(job));
+        engines.map(|(id, _)| self.limits.get(id))
+    }
+
+    /// Returns whether an engine that may run a job will take it when its limit allows it.
+    pub fn is_limited(&self, job: &Job) -> bool {
+        !self.leaves_limited && self.limits(job).any(|limit| limit.is_some())
+    }
+
+    /// Returns the sum of the limits of the engines that may run a job; none when one has no limit.
+    pub fn total_limit(&self, job: &Job) -> Option<Rate> {
+        let limits: Option<Vec<Rate>> = self.limits(job).collect();
+        let limits = limits.filter(|limits| !limits.is_empty())?;
+        Some(limits.into_iter().sum())
+    }
+
     /// Updates the engines and their configuration.
     pub fn sync(&mut self, endpoints: &[&Endpoint], catalog: &Catalog) {
         let engines = catalog.services.iter();
@@ -194,6 +249,14 @@
     /// Chooses the engine of the lowest cost for a request; none when no engine has room.
     pub fn reserve(&mut self, request: &Request, now: Time) -> Option<Reservation> {
         let job = &request.job;
+        for (id, engine) in &mut self.engines {
+            let limit = self.limits.get(id);
+            engine.limited_until = if limit.is_some() && self.leaves_limited {
+                Time::MAX
+            } else {
+                now + engine.bucket.wait(limit, now)
+            };
+        }
         let config = self.services.get(&job.service);
         let tokens = job.tokens.prompt + job.tokens.output;
         let fits = |engine: &Engine| {
@@ -201,6 +264,7 @@
             let memory_limit = config.map_or(u64::MAX, |config| config.memory_tokens);
             engine.may_run(job)
                 && now >= engine.blocked_until
+                && now >= engine.limited_until
                 && engine.running < slots.max(1)
                 && (engine.running == 0 || engine.memory_tokens + tokens <= memory_limit)
         };
@@ -216,11 +280,19 @@
         let costs = fitting
             .into_iter()
             .filter(|(_, engine)| !has_usable || engine.health.is_usable(now));
-        let costs = costs.map(|(id, engine)| (id.clone(), engine.cost(id, request, now)));
+        let costs = costs.map(|(id, engine)| {
+            let asked = if self.limits.is_unsure(id, now) {
+                ASK_BONUS_MS
+            } else {
+                0.0
+            };
+            (id.clone(), engine.cost(id, request, now) - asked)
+        });
         let (id, _) = costs.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
         let engine = self.engines.get_mut(&id)?;
         let uncached_tokens = engine.uncached_tokens(&job.prompt_parts, now);
         engine.running += 1;
+        engine.bucket.take();
         engine.unread_tokens += uncached_tokens;
         engine.memory_tokens += tokens;
         engine.health.call_started(now);
@@ -302,7 +374,9 @@
             unread_tokens: 0,
             memory_tokens: 0,
             blocked_until: Time::ZERO,
+            limited_until: Time::ZERO,
             health: Health::default(),
+            bucket: Bucket::default(),
             cached_parts: IndexMap::new(),
         }
     }
--- a/src/serve/plan/stage_endpoint.rs
+++ b/src/serve/plan/stage_endpoint.rs
@@ -12,6 +12,7 @@
 use crate::id;
 use crate::serve::catalog;
 use crate::serve::health::Health;
+use crate::serve::rate::Bucket;
 use crate::serve::registry::Endpoint;
 
 /// An endpoint that takes this multiple of the expected time gets only pieces with enough slack.
@@ -33,6 +34,9 @@
     pub blocked_until: Time,
     /// The endpoint has said that it takes nothing until then.
     pub closed_until: Time,
+    /// When its limit allows the next call.
+    pub limited_until: Time,
+    pub bucket: Bucket,
     /// Bytes of results that it holds or computes.
     pub used_bytes: u64,
     pub results: IndexMap<Handle, Allocation>,
@@ -62,6 +66,8 @@
             call_end: Time::ZERO,
             blocked_until: Time::ZERO,
             closed_until: Time::ZERO,
+            limited_until: Time::ZERO,
+            bucket: Bucket::default(),
             used_bytes: 0,
             results: IndexMap::new(),
             foreign_results: None,
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -1,5 +1,6 @@
 //! The endpoints of stage services: which one gets the next call, and which results it holds.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -12,6 +13,7 @@
 use crate::id;
 use crate::serve::catalog::{self, Catalog};
 use crate::serve::health::Verdict;
+use crate::serve::rate::Limits;
 use crate::serve::registry::Endpoint;
 
 /// A call is overdue after this multiple of its expected time, and its pieces are queued again. Piece
@@ -61,22 +63,31 @@
 
 /// All endpoints of stage services.
 pub struct StageEndpoints {
+    limits: Rc<Limits>,
     services: IndexMap<id::Pool, catalog::Batch>,
     endpoints: IndexMap<id::Endpoint, StageEndpoint>,
     time_to_first_byte: Duration,
 }
 
-impl Default for StageEndpoints {
-    fn default() -> Self {
+impl StageEndpoints {
+    /// Makes a list without endpoints.
+    pub fn new(limits: Rc<Limits>) -> Self {
         Self {
+            limits,
             services: IndexMap::new(),
             endpoints: IndexMap::new(),
             time_to_first_byte: INITIAL_TIME_TO_FIRST_BYTE,
         }
     }
-}
 
-impl StageEndpoints {
+    /// Updates from when on the limits of endpoints allow a call.
+    pub fn update_limits(&mut self, now: Time) {
+        for (id, endpoint) in &mut self.endpoints {
+            let wait = endpoint.bucket.wait(self.limits.get(id), now);
+            endpoint.limited_until = now + wait;
+        }
+    }
+
     /// Updates the endpoints and their configuration.
     pub fn sync(&mut self, endpoints: &[&Endpoint], catalog: &Catalog) {
         let batches = catalog.services.iter();
@@ -164,13 +175,22 @@
         if endpoint_count == 0 {
             return None;
         }
-        let speed: f64 = endpoints
-            .iter()
-            .map(|endpoint| 1.0 / endpoint.health.slowness(now))
-            .sum();
-        let left = |endpoint: &&StageEndpoint| match endpoint.running_call {
-            Some(_) => endpoint.call_end.saturating_sub(now),
-            None => Duration::ZERO,
+        let full_call = batch.call_time + batch.piece_time * count(batch.max_pieces);
+        let speed = |(id, endpoint): (&id::Endpoint, &StageEndpoint)| {
+            let limit = self.limits.get(id).unwrap_or(f64::MAX);
+            // At its limit an endpoint is idle between calls.
+            let busy = (limit * full_call.as_secs_f64()).min(1.0);
+            busy / endpoint.health.slowness(now)
+        };
+        let usable = self.endpoints.iter();
+        let usable = usable.filter(|(_, endpoint)| is_usable(endpoint));
+        let speed: f64 = usable.map(speed).sum();
+        let left = |endpoint: &&StageEndpoint| {
+            let running = match endpoint.running_call {
+                Some(_) => endpoint.call_end.saturating_sub(now),
+                None => Duration::ZERO,
+            };
+            running.max(endpoint.limited_until.saturating_sub(now))
         };
         let soonest = endpoints.iter().map(left).min().unwrap_or_default();
         let mean = endpoints.iter().map(left).sum::<Duration>() / endpoint_count;
@@ -192,7 +212,9 @@
         let is_usable =
             |endpoint: &&StageEndpoint| endpoint.service == *service && endpoint.is_usable(now);
         let is_idle = |endpoint: &StageEndpoint| {
-            endpoint.running_call.is_none() && now >= endpoint.blocked_until
+            endpoint.running_call.is_none()
+                && now >= endpoint.blocked_until
+                && now >= endpoint.limited_until
         };
         let usable = self.endpoints.values().filter(is_usable);
         let has_fast = usable
@@ -200,8 +222,14 @@
             .any(|endpoint| endpoint.health.slowness(now) < SLOW_FACTOR);
         let mut endpoints: Vec<(&id::Endpoint, &StageEndpoint)> = self.endpoints.iter().collect();
         endpoints.retain(|(_, endpoint)| is_usable(endpoint) && is_idle(endpoint));
-        endpoints.sort_by(|(_, a), (_, b)| {
-            let key = |endpoint: &StageEndpoint| {
+        endpoints.sort_by(|a, b| {
+            let key = |(id, endpoint): &(&id::Endpoint, &StageEndpoint)| {
+                // Only an answer tells that a limit has ended.
+                let asked = if self.limits.is_unsure(id, now) {
+                    0.5
+                } else {
+                    0.0
+                };
                 let preferred = first.preferred_zone.as_ref().unwrap_or(&endpoint.zone);
                 let zone_cost = if endpoint.zone == *preferred {
                     0.0
@@ -209,6 +237,7 @@
                     0.1
                 };
                 endpoint.health.slowness(now) + endpoint.health.failure_rate(now) + zone_cost
+                    - asked
             };
             key(a).total_cmp(&key(b))
         });
@@ -240,7 +269,7 @@
             let available_at = if endpoint.running_call.is_some() {
                 endpoint.call_end.max(now)
             } else {
-                endpoint.blocked_until
+                endpoint.blocked_until.max(endpoint.limited_until)
             };
             endpoint.service == *service
                 && queued.preferred_zone.as_ref() == Some(&endpoint.zone)
@@ -266,6 +295,9 @@
         let base_time = batch.call_time + batch.piece_time * count(pieces.len());
         let expected = base_time.mul_f64(endpoint.health.slowness(now).max(1.0));
         endpoint.running_call = Some(call_id);
+        endpoint.bucket.take();
+        let limit = self.limits.get(&assignment.endpoint);
+        endpoint.limited_until = now + endpoint.bucket.wait(limit, now);
         endpoint.call_end = now + expected;
         endpoint.health.call_started(now);
         endpoint.used_bytes += pieces.iter().map(|piece| piece.bytes).sum::<u64>();
@@ -407,6 +439,10 @@
             let Some(endpoint) = endpoint else {
                 continue;
             };
+            if self.limits.get(&result.endpoint).is_some() {
+                // Calls are scarce, and results expire by themselves.
+                continue;
+            }
             if let Some(allocation) = endpoint.results.swap_remove(&result.handle) {
                 endpoint.used_bytes = endpoint.used_bytes.saturating_sub(allocation.bytes);
                 by_endpoint
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -7,6 +7,7 @@
 
 mod crash;
 mod engine;
+mod limit;
 mod load;
 mod transfer;
 
@@ -19,9 +20,8 @@
     next: JobId,
 }
 
-pub(super) fn quarantine() -> Rc<Quarantine> {
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    Quarantine::new(&"d".into(), log)
+pub(super) fn knowledge() -> Knowledge {
+    Knowledge::new(&"d".into(), &slog::Logger::root(slog::Discard, slog::o!()))
 }
 
 pub(super) fn ms(millis: u64) -> Duration {
@@ -89,7 +89,7 @@
                 ms(0),
             );
         }
-        let mut planner = Planner::new(vec!["a".into(), "b".into()], quarantine());
+        let mut planner = Planner::new(vec!["a".into(), "b".into()], knowledge());
         planner.sync(&registry, &catalog, ms(0));
         Self {
             planner,
--- a/src/serve/plan/tests/crash.rs
+++ b/src/serve/plan/tests/crash.rs
@@ -386,7 +386,7 @@
         self.running.clear();
         self.reports.clear();
         for site in &mut self.sites {
-            site.planner = Planner::new(vec!["a".into(), "b".into()], quarantine());
+            site.planner = Planner::new(vec!["a".into(), "b".into()], knowledge());
             site.planner.sync(&site.registry, &site.catalog, now);
             for (written_at, record) in self.log.values() {
                 let mut record = record.clone();
--- a/src/serve/plan/tests/transfer.rs
+++ b/src/serve/plan/tests/transfer.rs
@@ -175,7 +175,7 @@
 
 #[test]
 fn prompts_reported_before_the_engines_are_known() {
-    let mut planner = Planner::new(vec!["a".into()], quarantine());
+    let mut planner = Planner::new(vec!["a".into()], knowledge());
     planner.record_cached(&[CachedPart {
         endpoint: "f".into(),
         part: "shared".into(),
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -10,6 +10,7 @@
 use crate::id;
 use crate::quarantine::evidence::Suspects;
 use crate::serve::closure::Closure;
+use crate::serve::rate::Rate;
 
 /// The longest time that a client is told while endpoints are closed; others may start meanwhile.
 const MAX_CLOSED_RETRY_AFTER: Duration = Duration::from_secs(30);
@@ -183,7 +184,6 @@
 
 event! {
     /// The engine for a request, and the inputs that it needs.
-    #[derive(Eq)]
     pub struct Grant {
         /// The endpoint that is to run the request.
         pub endpoint: id::Endpoint,
@@ -193,6 +193,8 @@
         pub release: Option<id::Release>,
         /// Whether the planner wants to know that the answer goes on.
         pub is_watched: bool,
+        /// The limit of the endpoint as the planner knows it, in requests a second.
+        pub limit: Option<Rate>,
         /// The results that it is to fetch, in the order of stages and pieces.
         pub inputs: Vec<Handle>,
     }
@@ -263,6 +265,7 @@
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             release: None,
             is_watched: false,
+            limit: None,
             inputs: Vec::new(),
         }
     }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -19,10 +19,10 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout;
 
+use super::Knowledge;
 use super::dispatcher::{Dispatcher, LocalPlanner, PlannedRequest, RequestPlanner};
 use super::plan::{Job, Refusal};
 use super::progress::ReadProgress;
-use super::quarantine::Quarantine;
 use crate::clock::Clock;
 use crate::generated::plan_capnp::planner;
 use crate::id;
@@ -117,7 +117,7 @@
     ranking: RefCell<Ranking>,
     connection: RefCell<Option<Rc<PlannerConnection>>>,
     sent_parts: RefCell<SentParts>,
-    quarantine: Rc<Quarantine>,
+    knowledge: Knowledge,
     /// Triggers a check of the connection.
     wake: Notify,
     ping_interval: Duration,
@@ -132,23 +132,23 @@
         own: Member,
         local: Rc<Dispatcher>,
         progress: Rc<ReadProgress>,
-        quarantine: Rc<Quarantine>,
+        knowledge: Knowledge,
         clock: Rc<dyn Clock>,
         log: Logger,
     ) -> Rc<Self> {
         let local_planner = Some((local, progress));
-        Self::start(Ranking::new(own), local_planner, quarantine, clock, log)
+        Self::start(Ranking::new(own), local_planner, knowledge, clock, log)
     }
 
     /// Starts to look for the planner of another region.
-    pub fn other(quarantine: Rc<Quarantine>, clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
-        Self::start(Ranking::default(), None, quarantine, clock, log)
+    pub fn other(knowledge: Knowledge, clock: Rc<dyn Clock>, log: Logger) -> Rc<Self> {
+        Self::start(Ranking::default(), None, knowledge, clock, log)
     }
 
     fn start(
         ranking: Ranking,
         local_planner: Option<(Rc<Dispatcher>, Rc<ReadProgress>)>,
-        quarantine: Rc<Quarantine>,
+        knowledge: Knowledge,
         clock: Rc<dyn Clock>,
         log: Logger,
     ) -> Rc<Self> {
@@ -164,7 +164,7 @@
             ranking: RefCell::new(ranking),
             connection: RefCell::new(None),
             sent_parts: RefCell::default(),
-            quarantine,
+            knowledge,
             wake: Notify::new(),
             ping_interval,
             clock,
@@ -259,12 +259,14 @@
         }
     }
 
-    /// Sends a new planner the prompt parts that this daemon has sent to engines, and what it refuses.
+    /// Sends a new planner the prompt parts that this daemon has sent to engines, what it refuses, and the
+    /// limits of endpoints.
     fn inform_planner(&self, connection: &PlannerConnection) {
         let now = self.clock.now();
         let parts = self.sent_parts.borrow().ages_by_endpoint(now);
-        let refused = self.quarantine.refused_records(now);
-        if parts.is_empty() && refused.is_empty() {
+        let refused = self.knowledge.quarantine.refused_records(now);
+        let limits = self.knowledge.limits.reports(now);
+        if parts.is_empty() && refused.is_empty() && limits.is_empty() {
             return;
         }
         let mut request = connection.client.recall_request();
@@ -272,6 +274,8 @@
         wire::write_sent_parts(&parts, request.get().init_uses(count));
         let count = u32::try_from(refused.len()).unwrap_or_default();
         wire::write_refused(&refused, request.get().init_refused(count));
+        let count = u32::try_from(limits.len()).unwrap_or_default();
+        wire::write_limits(&limits, request.get().init_limits(count));
         let sent = request.send().promise;
         // A failure only costs work, and the next ping detects it.
         spawn_local(async move { drop(sent.await) });
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -119,6 +119,8 @@
             .update_planner(|planner, _| planner.record_cached(&parts));
         let refused = wire::read_refused(params.get_refused()?)?;
         self.node.quarantine().tell(&refused, now);
+        let limits = wire::read_limits(params.get_limits()?)?;
+        self.node.limits().tell(&limits, now);
         Ok(())
     }
 }
@@ -169,6 +171,18 @@
         Ok(())
     }
 
+    async fn limited(
+        self: Capability<Self>,
+        params: seat::LimitedParams,
+        _: seat::LimitedResults,
+    ) -> capnp::Result<()> {
+        let limit = wire::read_limit(params.get()?.get_limit());
+        if let Some(request) = &*self.request.borrow() {
+            request.limited(limit);
+        }
+        Ok(())
+    }
+
     async fn answering(
         self: Capability<Self>,
         _: seat::AnsweringParams,
--- a/src/serve/region/remote.rs
+++ b/src/serve/region/remote.rs
@@ -13,6 +13,7 @@
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::health::Verdict;
 use crate::serve::plan::{Grant, Job, Refusal};
+use crate::serve::rate::Rate;
 
 /// A request at another daemon's planner, which removes it when this is dropped.
 pub struct RemoteRequest {
@@ -93,6 +94,12 @@
         send_one_way(request.send().promise);
     }
 
+    fn limited(&self, limit: Option<Rate>) {
+        let mut request = self.client.limited_request();
+        request.get().set_limit(wire::write_limit(limit));
+        send_one_way(request.send().promise);
+    }
+
     fn answering(&self) {
         send_one_way(self.client.answering_request().send().promise);
     }
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -305,8 +305,8 @@
     local.block_on(&runtime.expect("a runtime"), async {
         let remaining = Rc::new(Cell::new(MAX_LOST_PLANNERS + 1));
         let log = Logger::root(slog::Discard, slog::o!());
-        let quarantine = Quarantine::new(&"f".into(), log.clone());
-        let region = Region::other(quarantine, Rc::new(Boot::new()), log);
+        let knowledge = Knowledge::new(&"f".into(), &log);
+        let region = Region::other(knowledge, Rc::new(Boot::new()), log);
         let client = capnp_rpc::new_client(Leaving(remaining.clone()));
         let connection =
             PlannerConnection::new(connection().member.clone(), client, spawn_local(async {}));
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -16,6 +16,7 @@
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
 };
 use crate::serve::progress::{Position, Topic, Watermark};
+use crate::serve::rate::{Rate, Report};
 
 fn nanos(duration: Duration) -> u64 {
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
@@ -233,6 +234,43 @@
     Ok(cached_parts)
 }
 
+/// Converts a limit to the schema's, where a negative one is none.
+pub fn write_limit(limit: Option<Rate>) -> f64 {
+    limit.unwrap_or(-1.0)
+}
+
+/// Converts a limit from the schema's.
+pub fn read_limit(limit: f64) -> Option<Rate> {
+    (limit >= 0.0).then_some(limit)
+}
+
+/// Writes the limits that a daemon has heard of.
+pub fn write_limits(
+    reports: &[Report],
+    mut builder: capnp::struct_list::Builder<'_, schema::limit::Owned>,
+) {
+    for (index, report) in (0..).zip(reports) {
+        let mut entry = builder.reborrow().get(index);
+        entry.set_endpoint(&*report.endpoint);
+        entry.set_limit(write_limit(report.limit));
+        entry.set_age_nanos(nanos(report.age));
+    }
+}
+
+/// Reads the limits that a daemon has heard of.
+pub fn read_limits(
+    reader: capnp::struct_list::Reader<'_, schema::limit::Owned>,
+) -> Result<Vec<Report>> {
+    let report = |entry: schema::limit::Reader<'_>| {
+        Ok(Report {
+            endpoint: read_name(entry.get_endpoint()?)?,
+            limit: read_limit(entry.get_limit()),
+            age: Duration::from_nanos(entry.get_age_nanos()),
+        })
+    };
+    reader.iter().map(report).collect()
+}
+
 /// Writes what is refused, since endpoints ended under it.
 pub fn write_refused(
     records: &[Record],
@@ -299,6 +337,7 @@
             entry.set_address(grant.address.to_string());
             entry.set_release(grant.release.as_deref().unwrap_or_default());
             entry.set_is_watched(grant.is_watched);
+            entry.set_limit(write_limit(grant.limit));
             let mut inputs = entry.init_inputs(to_u32(grant.inputs.len()));
             for (index, handle) in (0..).zip(&grant.inputs) {
                 inputs.set(index, &**handle);
@@ -331,6 +370,7 @@
                 address: read_address(grant.get_address()?)?,
                 release: read_release(grant.get_release()?)?,
                 is_watched: grant.get_is_watched(),
+                limit: read_limit(grant.get_limit()),
                 inputs: inputs.collect::<Result<_>>()?,
             }))
         }
