Look for the next planner at once when one is lost

What callers saw: nothing yet; found by limit_kept_while_planners_change. Clients of a daemon whose region has no endpoint for their service got 503 for 0.5 to 1.4 s after the planner of the other region was killed.

Cause: after a planner was lost the next one was tried only with the next ping, 0.5 s later in another region; daemons that were lost before stay registered and rank first again, so each cost another 0.5 s.

Change: a planner that is recorded as unreachable wakes the loop that keeps the connection.

--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -331,6 +331,8 @@
         info!(self.log, "planner lost"; "daemon" => &*member.name, "reason" => reason);
         let now = self.clock.now();
         self.ranking.borrow_mut().set_unreachable(member, now);
+        // Requests wait for the next one, and daemons that were lost stay registered.
+        self.wake.notify_one();
     }
 
     async fn plan(&self, job: &Job) -> Result<Box<dyn PlannedRequest>, Refusal> {
