Add failing tests: bytes that are no answer and never end

A unit test adds an event byte by byte.

Interim responses are read until the client's deadline (1.9 s), trailers without a bound, and an event takes 1.5 s; one in chunks of a byte stalls the whole daemon for longer than the test's 30 s, since each chunk scans the event from its start.

--- a/src/serve/handler/event/tests.rs
+++ b/src/serve/handler/event/tests.rs
@@ -98,3 +98,16 @@
     assert_eq!(events.push(b"id: 2\n\n"), "id: 2\n\n");
     assert!(events.is_whole(End::Closed));
 }
+
+/// Guards against work that grows with the square of an event that never ends.
+#[test]
+fn event_without_end_scanned_once() {
+    let began = std::time::Instant::now();
+    let mut events = EventBuffer::after(None);
+    for _ in 0..200_000 {
+        assert!(events.push(b"y").is_empty());
+    }
+    assert!(events.push(b"\r\n\r\n").is_empty() && events.is_invalid());
+    let took = began.elapsed();
+    assert!(took < std::time::Duration::from_secs(2), "{took:?}");
+}
