Scan an event of a stream for its end only once

What callers saw: nothing yet; found by event_without_end_scanned_once. An endpoint that sends an event without an end in small chunks stalls the daemon with all its clients.

Cause: each chunk searched the buffered event from its start, so that the work grows with the square of its length, up to 1 MiB.

Change: the buffer remembers how far it has searched.

--- a/src/serve/handler/event.rs
+++ b/src/serve/handler/event.rs
@@ -15,6 +15,8 @@
 #[derive(Default)]
 pub struct EventBuffer {
     partial: BytesMut,
+    /// The bytes of the incomplete event that were scanned for its end.
+    scanned: usize,
     last_id: Option<String>,
     /// Whether the current endpoint has sent a complete event.
     has_events: bool,
@@ -22,11 +24,13 @@
     is_invalid: bool,
 }
 
-/// Returns the size of the first event, if it is complete.
-fn first_event_size(bytes: &[u8]) -> Option<usize> {
+/// Returns the size of the first event, if it is complete; it does not end within the first `scanned` bytes.
+fn first_event_size(bytes: &[u8], scanned: usize) -> Option<usize> {
     let size = |end: &&[u8]| {
-        let at = bytes.windows(end.len()).position(|window| window == *end);
-        at.map(|at| at + end.len())
+        let from = scanned.saturating_sub(end.len() - 1);
+        let mut windows = bytes[from..].windows(end.len());
+        let at = windows.position(|window| window == *end);
+        at.map(|at| from + at + end.len())
     };
     EVENT_ENDS.iter().filter_map(size).min()
 }
@@ -60,6 +64,7 @@
     /// Begins the stream of another endpoint; an incomplete event of the previous one is dropped.
     pub fn begin(&mut self) {
         self.partial.clear();
+        self.scanned = 0;
         self.has_events = false;
         self.is_invalid = false;
     }
@@ -69,8 +74,9 @@
         self.partial.extend_from_slice(bytes);
         let mut passed = 0;
         while !self.is_invalid
-            && let Some(size) = first_event_size(&self.partial[passed..])
+            && let Some(size) = first_event_size(&self.partial[passed..], self.scanned)
         {
+            self.scanned = 0;
             let event = &self.partial[passed..passed + size];
             let lines = event.split(|byte| *byte == b'\n');
             let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
@@ -89,7 +95,9 @@
             self.has_events = true;
             passed += size;
         }
-        self.partial.split_to(passed).freeze()
+        let events = self.partial.split_to(passed).freeze();
+        self.scanned = self.partial.len();
+        events
     }
 
     /// Returns whether the endpoint has sent bytes that belong to another response, or events that
