Count interim responses towards the longest head

What callers saw: nothing yet; found by endless_bytes_end_with_the_connection. A daemon read interim responses, one after the other, until its client's deadline, and the client got 504 then.

Cause: the limit held for each head, and any number of interim ones may come.

--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -138,13 +138,15 @@
 
     /// Reads the head of a response.
     pub async fn response_head(&mut self) -> Result<ResponseHead> {
+        // Interim responses count towards the limit, since any number of them may come.
+        let mut limit = MAX_RESPONSE_HEAD_BYTES;
         loop {
-            if let Some((head, size)) = head::parse_response(&self.buffer, MAX_RESPONSE_HEAD_BYTES)?
-            {
+            if let Some((head, size)) = head::parse_response(&self.buffer, limit)? {
                 drop(self.buffer.split_to(size));
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                limit = limit.saturating_sub(size);
                 continue;
             }
             self.fill_more().await?;
