Bound the trailer fields of a chunked body

What callers saw: nothing yet; found by endless_bytes_end_with_the_connection. A daemon read trailer fields without end, while its client waited.

Cause: each line was bounded, their number was not.

Change: all trailer fields together take 16 KiB at most; they are dropped anyway.

--- a/src/serve/http/body.rs
+++ b/src/serve/http/body.rs
@@ -6,6 +6,8 @@
 
 /// The longest line with a chunk's size or a trailer field.
 const MAX_LINE_BYTES: usize = 4 * 1024;
+/// The most bytes of all trailer fields together, which are dropped.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 /// The most hexadecimal digits of a chunk's size, which is thus below 4 GiB.
 const MAX_SIZE_DIGITS: usize = 8;
 
@@ -31,8 +33,8 @@
         Data(u64),
         /// The CR LF after a chunk's bytes.
         Gap,
-        /// The fields after the last chunk.
-        Trailer,
+        /// The fields after the last chunk, of which so many bytes were read.
+        Trailer(usize),
     }
 }
 
@@ -175,7 +177,7 @@
                     return Ok(None);
                 };
                 Ok(Some(ChunkStep::Next(match parse_chunk_size(&line)? {
-                    0 => Self::Trailer,
+                    0 => Self::Trailer(0),
                     size => Self::Data(size),
                 })))
             }
@@ -194,13 +196,20 @@
                 Ok(Some(ChunkStep::Next(Self::Size)))
             }
             Self::Gap => malformed("a chunk is longer than its size"),
-            Self::Trailer => Ok(take_line(buffer)?.map(|line| {
-                if line.is_empty() {
+            Self::Trailer(size) => {
+                let Some(line) = take_line(buffer)? else {
+                    return Ok(None);
+                };
+                let size = size + line.len();
+                if size > MAX_TRAILER_BYTES {
+                    return malformed("the trailer is too long");
+                }
+                Ok(Some(if line.is_empty() {
                     ChunkStep::End
                 } else {
-                    ChunkStep::Next(Self::Trailer)
-                }
-            })),
+                    ChunkStep::Next(Self::Trailer(size))
+                }))
+            }
         }
     }
 }
