Give an endless event up at 256 KiB

What callers saw: nothing yet. All streams of an endpoint may have an event without an end, and each was buffered up to 1 MiB: with 128 streams that is more than the memory of a VM.

Change: the limit is 256 KiB; the users' longest event has 270 bytes.

--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -33,8 +33,9 @@
 
 /// The longest response that is not streamed; it is buffered until it is complete.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-/// The longest event of a stream; an event is buffered until it is complete.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// The longest event of a stream. An event is buffered until it is complete, and all streams of an endpoint may
+/// have one without an end, on a VM of 160 MB.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// The number of attempts that did not run a request after which the request fails.
 const MAX_NOT_RUN: u32 = 5;
 /// The `Retry-After` of failures for which the planner gave none.
