Do not hold requests for a limited engine that they have tried

What callers saw: nothing yet; found by reading the diff. A request that all engines had ended, one of them with a limit, waited for that limit until it was too late, instead of being refused at once.

Cause: a planner held a request when any engine that may run it has a limit, also one that is not chosen for it any more.

Change: only engines that the request has not tried count. What holds or refuses requests for content and limits has a module of its own, plan::hold, and closing uses its refusal.

--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -21,6 +21,7 @@
 mod closing;
 mod engine;
 mod forecast;
+mod hold;
 mod outcome;
 mod request;
 mod stage_endpoint;
@@ -41,8 +42,6 @@
 /// Identifies a call to a stage endpoint.
 pub type CallId = u64;
 
-/// The most requests with a part that may end engines which run at once and have not shown that it does not.
-const MAX_TRIALS: usize = 2;
 /// How often the inputs of a request may be lost before it is refused.
 const MAX_RESTARTS: u32 = 2;
 /// How often a piece may fail at endpoints before its request is refused.
@@ -334,66 +333,10 @@
         self.actions.push(Action::Refuse(job_id, refusal));
     }
 
-    fn refuse_with(&mut self, job_id: JobId, refusal: Refusal) {
-        if let Some(request) = self.requests.shift_remove(&job_id) {
-            self.free(request.held_results());
-            self.actions.push(Action::Refuse(job_id, refusal));
-        }
-    }
-
-    /// Refuses requests that wait for their stages although no endpoint will get them.
-    fn refuse_quarantined(&mut self, now: Time) {
-        self.quarantine.update(now);
-        if !self.quarantine.has_refused() {
-            return;
-        }
-        let waiting = self.requests.iter();
-        let waiting = waiting.filter(|(_, request)| !request.is_granted);
-        let refused = waiting.filter_map(|(job_id, request)| {
-            let remaining = self.quarantine.refusal(&request.job.suspects(), now)?;
-            Some((*job_id, remaining))
-        });
-        let refused: Vec<(JobId, Duration)> = refused.collect();
-        for (job_id, remaining) in refused {
-            self.refuse_with(job_id, Refusal::quarantined(remaining));
-        }
-    }
-
     fn free(&mut self, results: Vec<StoredResult>) {
         self.actions.extend(self.stage_endpoints.free(results));
     }
 
-    /// Returns whether a request has to wait until others have shown whether a part that they share ends
-    /// engines: few of them run at once, so that they do not take all engines along meanwhile.
-    fn is_held(&self, job_id: JobId, now: Time) -> bool {
-        let Some(request) = self.requests.get(&job_id) else {
-            return false;
-        };
-        let trials = self.quarantine.trials(&request.job.suspects());
-        trials.iter().any(|part| {
-            let on_trial = self.requests.values().filter(|other| other.is_trial(now));
-            let has_part = |other: &&Request| {
-                let mut parts = other.job.prompt_parts.iter();
-                parts.any(|other| other.id == *part)
-            };
-            on_trial.filter(has_part).count() >= MAX_TRIALS
-        })
-    }
-
-    /// Grants requests that waited for others with the same parts, or for a limit.
-    fn advance_held(&mut self, now: Time) {
-        let is_waiting = |request: &Request| !request.is_granted && request.is_ready();
-        let held = self.requests.iter();
-        let held = held.filter(|(_, request)| is_waiting(request));
-        let mut held: Vec<(u8, Time, JobId)> = held
-            .map(|(job_id, Request { job, .. })| (job.priority, job.target, *job_id))
-            .collect();
-        held.sort_unstable();
-        for (_, _, job_id) in held {
-            self.advance(job_id, now);
-        }
-    }
-
     /// Grants a request whose stages are all done, or hands over one that is being transferred.
     fn advance(&mut self, job_id: JobId, now: Time) {
         let Some(request) = self.requests.get_mut(&job_id) else {
@@ -424,7 +367,7 @@
             return;
         };
         let Some(reservation) = self.engines.reserve(request, now) else {
-            if self.engines.is_limited(&request.job) {
+            if self.engines.is_limited(request) {
                 // It is granted when a limit allows it, or refused when that is too late.
                 return;
             }
@@ -513,17 +456,6 @@
         }
     }
 
-    /// Returns how long a request would wait for the limits of its engines, if that is too long.
-    fn limit_wait(&self, request: &Request, now: Time) -> Option<Duration> {
-        let job = &request.job;
-        let rate = self.engines.total_limit(job)?;
-        let is_ahead = |other: &&Request| !other.is_granted && other.job.service == job.service;
-        let ahead = self.requests.values().filter(is_ahead).count();
-        let wait = Duration::from_secs_f64((ahead + 1) as f64 / rate);
-        let left = job.deadline.saturating_sub(now);
-        (wait > job.target_latency.min(left)).then_some(wait)
-    }
-
     /// Returns why a request is not admitted, if so.
     fn check_admission(&self, request: &Request, now: Time) -> Option<Refusal> {
         if let Some(remaining) = self.quarantine.refusal(&request.job.suspects(), now) {
--- a/src/serve/plan/closing.rs
+++ b/src/serve/plan/closing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::request::Request;
-use super::{Action, JobId, MAX_RETRY_AFTER, Planner, Refusal, Stage};
+use super::{JobId, MAX_RETRY_AFTER, Planner, Refusal, Stage};
 use crate::clock::Time;
 use crate::id;
 
@@ -44,12 +44,11 @@
         });
         let closed: Vec<(JobId, Duration)> = closed.collect();
         for (job_id, remaining) in closed {
-            let Some(request) = self.requests.shift_remove(&job_id) else {
+            let Some(request) = self.requests.get(&job_id) else {
                 continue;
             };
-            self.free(request.held_results());
             let refusal = Refusal::closed(&request.job.request, remaining);
-            self.actions.push(Action::Refuse(job_id, refusal));
+            self.refuse_with(job_id, refusal);
         }
     }
 }
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -149,9 +149,14 @@
         engines.map(|(id, _)| self.limits.get(id))
     }
 
-    /// Returns whether an engine that may run a job will take it when its limit allows it.
-    pub fn is_limited(&self, job: &Job) -> bool {
-        !self.leaves_limited && self.limits(job).any(|limit| limit.is_some())
+    /// Returns whether an engine that has not ended a request yet takes it when its limit allows that.
+    pub fn is_limited(&self, request: &Request) -> bool {
+        let is_limited = |(id, engine): (&id::Endpoint, &Engine)| {
+            engine.may_run(&request.job)
+                && !request.tried_engines.contains(id)
+                && self.limits.get(id).is_some()
+        };
+        !self.leaves_limited && self.engines.iter().any(is_limited)
     }
 
     /// Returns the sum of the limits of the engines that may run a job; none when one has no limit.
