Remove expired evidence from the log

What callers saw: nothing. Each endpoint that ends under plain requests writes a record for each of their contents, and the log keeps the newest record of each key for ever.

Cause: a record was removed only when its content was answered, or when a daemon that started read one of more than 70 minutes.

Change: daemons drop what matters no more, ten minutes after the last blame or an hour after a refusal, and one of them removes its record.

--- a/src/quarantine/evidence/share.rs
+++ b/src/quarantine/evidence/share.rs
@@ -169,6 +169,24 @@
         self.evict(now);
     }
 
+    /// Drops what matters no more; has its record removed.
+    pub fn expire(&mut self, now: Time) {
+        let expired = self.entries.iter();
+        let expired = expired.filter(|(_, entry)| now >= entry.expires_at());
+        let expired: Vec<Subject> = expired.map(|(subject, _)| subject.clone()).collect();
+        for subject in expired {
+            let turn = self.turn(&subject);
+            match self.entries.get_mut(&subject) {
+                Some(entry) if entry.sharing.logged.is_some() => {
+                    entry.blames.clear();
+                    entry.refused_until = None;
+                    entry.sharing.due.get_or_insert(now + turn);
+                }
+                _ => drop(self.entries.swap_remove(&subject)),
+            }
+        }
+    }
+
     /// Records that the log went back to a copy, which may lack the last records.
     pub fn log_went_back(&mut self, now: Time) {
         let turns: Vec<Duration> = self.entries.keys().map(|key| self.turn(key)).collect();
--- a/src/quarantine/evidence/tests.rs
+++ b/src/quarantine/evidence/tests.rs
@@ -338,6 +338,29 @@
     assert!(third.is_refused(&["bad"]));
 }
 
+/// Guards against records that stay in the log for ever.
+#[test]
+fn expired_evidence_removed_from_the_log() {
+    let (mut first, mut second) = (Daemon::new("f1"), Daemon::new("f2"));
+    let content = request("same", &[]);
+    first.evidence.blame(&content, &life("e1"), true, first.now);
+    first.now += SETTLED;
+    first.evidence.update(first.now);
+    assert_eq!(pass(&mut first, &mut second), 1);
+    for daemon in [&mut first, &mut second] {
+        daemon.now += BLAME_RETENTION;
+        daemon.evidence.expire(daemon.now);
+        daemon.now += Duration::from_secs(3);
+    }
+    assert_eq!(pass(&mut second, &mut first), 1, "one of them removes it");
+    assert_eq!(pass(&mut first, &mut second), 0);
+    for daemon in [&mut first, &mut second] {
+        daemon.now += BLAME_RETENTION;
+        daemon.evidence.expire(daemon.now);
+        assert!(daemon.evidence.is_empty());
+    }
+}
+
 #[test]
 fn subjects_bounded() {
     let mut daemon = Daemon::new("f");
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -159,8 +159,9 @@
     /// Writes what this daemon finds to the log as long as the process runs.
     pub async fn share(self: Rc<Self>, log: Rc<dyn Log>, clock: Rc<dyn Clock>) {
         loop {
-            let next = self.evidence.borrow().next_write();
             let now = clock.now();
+            self.evidence.borrow_mut().expire(now);
+            let next = self.evidence.borrow().next_write();
             let wait = next.map_or(MAX_WRITE_WAIT, |next| next.saturating_sub(now));
             if !wait.is_zero() {
                 // What is due first may change meanwhile.
