Keep the record of a refusal until its parole is over

What callers saw: nothing; found by reading the diff. Content that was refused is refused again after one more endpoint, for an hour; but a daemon that started in that time removed the record for all.

Cause: blames older than ten minutes are not taken over, and an entry without any counted as cleared.

Change: an entry on parole is not void.

--- a/src/quarantine/evidence/share.rs
+++ b/src/quarantine/evidence/share.rs
@@ -79,7 +79,11 @@
         if self.is_refused(now) {
             return !self.sharing.is_refusal_logged;
         }
-        self.blames.is_empty() || self.blames.keys().any(|life| !logged.contains(life))
+        let is_on_parole = self
+            .refused_until
+            .is_some_and(|until| now < until + PAROLE_TIME);
+        let is_void = self.blames.is_empty() && !is_on_parole;
+        is_void || self.blames.keys().any(|life| !logged.contains(life))
     }
 }
 
--- a/src/quarantine/evidence/tests.rs
+++ b/src/quarantine/evidence/tests.rs
@@ -338,6 +338,25 @@
     assert!(third.is_refused(&["bad"]));
 }
 
+/// Guards against a daemon that starts after a refusal and removes its record, which others still need.
+#[test]
+fn record_of_refusal_that_is_over_kept_for_its_parole() {
+    let (mut first, mut second) = (Daemon::new("f1"), Daemon::new("f2"));
+    for endpoint in ["e1", "e2", "e3"] {
+        first.end(endpoint, &[&["bad"]]);
+    }
+    let mut records = first.evidence.unsent(64, first.now);
+    for (_, age) in records.iter_mut().flat_map(|record| &mut record.blames) {
+        *age += REFUSAL_TIME;
+    }
+    second.evidence.learn(&records[0], true, second.now);
+    second.now += Duration::from_secs(3);
+    assert!(second.evidence.unsent(64, second.now).is_empty());
+    assert!(!second.is_refused(&["bad"]));
+    second.end("e4", &[&["bad"]]);
+    assert!(second.is_refused(&["bad"]));
+}
+
 /// Guards against records that stay in the log for ever.
 #[test]
 fn expired_evidence_removed_from_the_log() {
