Blame a request when its endpoint ends within the answer

Callers of a small service found no endpoint: a request that ends each endpoint went on ending new ones, all of them every few seconds.

Cause: a plain answer that broke off counted as a lost connection, which says nothing about the request; only streams, and connections closed before the answer, were taken for an end.

Change: a plain answer that breaks off has the verdict that streams have.

The blame was missing, not its sharing: the same loop with the connection closed before the answer passed before.

--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -65,7 +65,12 @@
         let body = match response.body(MAX_RESPONSE_BYTES).await {
             Ok(Some(body)) => body,
             Ok(None) => return lost("the answer is too long"),
-            Err(_) => return lost("the answer broke off"),
+            Err(_) => {
+                return AttemptOutcome::Lost {
+                    verdict: Verdict::Crashed,
+                    reason: "the answer broke off",
+                };
+            }
         };
         let outcome = Outcome::Response(
             status,
