Blame a content when its endpoint ends without closing connections

Callers of a small service found no endpoint: a request went on ending new ones if they ended in silence, as a VM does that loses its power.

Cause: a request without an answer was given up on, and nothing was remembered of it; silence alone cannot be told from a cut or a slow endpoint.

Change: a daemon remembers requests that got no answer, and blames their contents when the endpoint's entry is gone or shows a later start. Not so for an endpoint that announced its leaving, or that answered what it cannot have begun before the request. Three such ends are needed, and prompt parts are not blamed. The first one is written to the log, as for requests that each daemon plans alone.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -14,6 +14,7 @@
 use crate::id;
 
 mod share;
+mod silence;
 mod verdict;
 
 /// How long an answer has to be written before it shows that its content is harmless. Endpoints end
@@ -91,6 +92,8 @@
     parts: Vec<id::Name>,
     /// The endpoints that ended under the subject.
     blames: IndexMap<Life, Blame>,
+    /// Whether endpoints ended in silence under it, which is weaker evidence.
+    is_silent: bool,
     /// Blames up to this time are void.
     cleared_at: Option<Time>,
     /// The end of its last refusal.
@@ -129,6 +132,7 @@
 pub struct Evidence {
     entries: IndexMap<Subject, Entry>,
     short_answers: Vec<ShortAnswer>,
+    unanswered: Vec<Unanswered>,
     /// When verdicts may change; none while no blame is new.
     next_verdict: Option<Time>,
     /// Whether anything was refused, also if it is over.
@@ -145,6 +149,7 @@
         Self {
             entries: IndexMap::new(),
             short_answers: Vec::new(),
+            unanswered: Vec::new(),
             next_verdict: None,
             has_refused: false,
             seed: hasher.finish(),
@@ -216,6 +221,7 @@
             entry.blames.retain(|life, _| life.service != *service);
             if entry.blames.is_empty() {
                 entry.cleared_at = Some(now);
+                entry.is_silent = false;
                 entry.refused_until = None;
                 entry.sharing.withdraw(now);
                 // What it explained may have another cause.
@@ -331,6 +337,8 @@
 }
 
 pub use share::Record;
+pub use silence::Listing;
+use silence::Unanswered;
 
 #[cfg(test)]
 mod tests;
--- a/src/quarantine/evidence/share.rs
+++ b/src/quarantine/evidence/share.rs
@@ -27,6 +27,8 @@
         pub blames: Vec<(Life, Duration)>,
         /// Whether it is refused.
         pub is_refused: bool,
+        /// Whether endpoints ended in silence under it.
+        pub is_silent: bool,
     }
 }
 
@@ -56,14 +58,15 @@
             depth: self.depth,
             blames: blames.collect(),
             is_refused: self.is_refused(now),
+            is_silent: self.is_silent,
         }
     }
 
     /// Returns whether other daemons need to know: requests without a prompt are run by each daemon
-    /// alone, so the first blame counts.
+    /// alone, and silence is noticed by the daemon that waits, so the first blame counts.
     fn is_shareable(&self, now: Time) -> bool {
         let is_planned_alone = self.depth == 0 && self.parts.is_empty();
-        let enough = if is_planned_alone {
+        let enough = if is_planned_alone || self.is_silent {
             1
         } else {
             MIN_SHARED_BLAMES
@@ -134,6 +137,7 @@
         let turn = self.turn(&record.subject);
         let entry = self.entries.entry(record.subject.clone()).or_default();
         entry.depth = entry.depth.max(record.depth);
+        entry.is_silent |= record.is_silent;
         let cleared_at = entry.cleared_at;
         // The time of this process may be less than the age of a blame.
         let recent = record.blames.iter();
--- a/src/quarantine/evidence/verdict.rs
+++ b/src/quarantine/evidence/verdict.rs
@@ -144,7 +144,7 @@
     }
 
     /// Returns whether a content is guilty. A request that is tried again may lose two endpoints to
-    /// another one; then a third has to tell them apart.
+    /// another one; then a third has to tell them apart, as it has to where endpoints ended in silence.
     fn is_content_guilty(&self, subject: &Subject, entry: &Entry, explained: &Lives) -> bool {
         let lives: Lives = self.lives[subject].difference(explained).cloned().collect();
         let is_foreign = |other: &Subject| match other {
@@ -154,7 +154,7 @@
         let mut others = self.lives.iter().filter(|(other, _)| is_foreign(other));
         let is_shared =
             lives.len() == CONTENT_LIMIT && others.any(|(_, other)| lives.is_subset(other));
-        lives.len() >= CONTENT_LIMIT + usize::from(is_shared)
+        lives.len() >= CONTENT_LIMIT + usize::from(is_shared || entry.is_silent)
     }
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -240,6 +240,8 @@
                     info!(self.log, "endpoints expired"; "endpoints" => ?expired);
                     self.sync();
                 }
+                let registry = self.registry.borrow();
+                self.knowledge.quarantine.observe(&registry, now);
             }
             Update::ReadFailed => self.registry.borrow_mut().read_failed(now),
             Update::Epoch(epoch) => self.enter_epoch(epoch, now),
@@ -309,6 +311,8 @@
         self.origins.observe(registry.all().map(origin));
         self.closures.observe(registry.all());
         self.knowledge.limits.observe(registry.all());
+        let now = self.clock.now();
+        self.knowledge.quarantine.observe(&registry, now);
         for dispatcher in &self.dispatchers {
             dispatcher.update_planner(|planner, now| planner.sync(&registry, &catalog, now));
         }
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -18,11 +18,12 @@
 use super::catalog::Route;
 use super::health::Verdict;
 use super::http::{Field, RequestHead, Sink};
-use super::plan::{Job, Refusal, Stage};
+use super::plan::{self, Job, Refusal, Stage};
 use super::protocol::RequestMeta;
 use super::response::ResponseWriter;
 use crate::clock::Time;
 use crate::id;
+use crate::quarantine::evidence::{Life, Suspects};
 
 mod answer;
 mod attempt;
@@ -65,6 +66,8 @@
     release: RefCell<Option<id::Release>>,
     /// Whether an event of a stream was passed on.
     has_begun: Cell<bool>,
+    /// What its endpoint is blamed for if it ends without an answer.
+    unanswered: RefCell<Option<Unanswered>>,
     digest: OnceCell<id::Digest>,
     log_fields: RefCell<LogFields>,
 }
@@ -84,6 +87,13 @@
     is_logged: bool,
 }
 
+/// A request at an endpoint that has not answered it.
+struct Unanswered {
+    suspects: Suspects,
+    life: Life,
+    sent_at: Time,
+}
+
 /// A request that passed the checks.
 struct AcceptedRequest {
     route: Route,
@@ -161,6 +171,7 @@
             may_have_run: Cell::new(false),
             release: RefCell::default(),
             has_begun: Cell::new(false),
+            unanswered: RefCell::default(),
             digest: OnceCell::new(),
             log_fields: RefCell::default(),
         }
@@ -235,7 +246,7 @@
         if !quarantine.has_refused() {
             return None;
         }
-        let suspects = self.job(request).suspects();
+        let suspects = self.suspects(request);
         let remaining = quarantine.refusal(&suspects, self.node.clock.now())?;
         Some(planner_refusal(&Refusal::quarantined(remaining)))
     }
@@ -252,6 +263,23 @@
             "has_begun" => self.has_begun.get());
     }
 
+    fn suspects(&self, request: &AcceptedRequest) -> Suspects {
+        plan::suspects(&self.digest(request), &request.meta.prompt_parts)
+    }
+
+    /// Has the request blamed if the endpoint that has not answered it turns out to have ended.
+    fn record_unanswered(&self) {
+        if let Some(unanswered) = self.unanswered.take() {
+            let Unanswered {
+                suspects,
+                life,
+                sent_at,
+            } = unanswered;
+            let quarantine = self.node.quarantine();
+            quarantine.unanswered(&suspects, life, sent_at);
+        }
+    }
+
     fn job(&self, request: &AcceptedRequest) -> Job {
         let pieces = |stage: usize| request.meta.piece_counts.get(stage).copied().unwrap_or(0);
         let stages = request.route.stages.iter().enumerate();
@@ -458,6 +486,7 @@
 
 impl Drop for RequestHandler {
     fn drop(&mut self) {
+        self.record_unanswered();
         self.node
             .active_requests
             .set(self.node.active_requests.get().saturating_sub(1));
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -120,6 +120,7 @@
                     now
                 });
                 if now >= began + PROOF_TIME && !std::mem::replace(&mut is_proven, true) {
+                    self.unanswered.take();
                     self.report_answering(planned);
                 }
             }
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -8,8 +8,11 @@
 
 use super::event::EventBuffer;
 use super::{
-    ANSWER_TIMEOUT_SHARE, AcceptedRequest, AttemptOutcome, MIN_ANSWER_TIMEOUT, RequestHandler, lost,
+    ANSWER_TIMEOUT_SHARE, AcceptedRequest, AttemptOutcome, MIN_ANSWER_TIMEOUT, RequestHandler,
+    Unanswered, lost,
 };
+use crate::id;
+use crate::quarantine::evidence::Life;
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
@@ -49,6 +52,8 @@
         let (method, target) = (&self.head.method, &self.head.target);
         let head = exchange::request_head(method, target, &fields, self.body.len(), false);
         let sending = exchange::send(connection, &head, &self.body);
+        self.unanswered
+            .replace(Some(self.unanswered_at(request, &id)));
         self.may_have_run.set(true);
         self.log_fields.borrow_mut().sent += 1;
         self.outlives_client
@@ -57,8 +62,9 @@
             Some(answer_timeout) => timeout(answer_timeout, sending).await,
             None => Ok(sending.await),
         };
-        match received {
+        let outcome = match received {
             Ok(Ok(mut response)) => {
+                self.node.quarantine().heard(&id, self.node.clock.now());
                 if self.head.is_head() {
                     response.expect_no_body();
                 }
@@ -73,7 +79,25 @@
                     reason: "the connection to the endpoint was lost",
                 }
             }
-            Err(_) => lost("the endpoint did not answer in time"),
+            Err(_) => {
+                self.record_unanswered();
+                lost("the endpoint did not answer in time")
+            }
+        };
+        self.unanswered.take();
+        outcome
+    }
+
+    fn unanswered_at(&self, request: &AcceptedRequest, id: &id::Endpoint) -> Unanswered {
+        let registry = self.node.registry.borrow();
+        Unanswered {
+            suspects: self.suspects(request),
+            life: Life {
+                endpoint: id.clone(),
+                born: registry.get(id).map_or(0, |endpoint| endpoint.born),
+                service: request.service.clone(),
+            },
+            sent_at: self.node.clock.now(),
         }
     }
 
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -30,7 +30,7 @@
 
 pub use types::{
     Action, CachedPart, CallOutcome, Grant, Handle, Input, Job, PieceOutcome, PieceRequest,
-    PromptPart, Refusal, Stage, Tokens, TransferredResult,
+    PromptPart, Refusal, Stage, Tokens, TransferredResult, suspects,
 };
 
 use engine::Engines;
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -90,12 +90,17 @@
 impl Job {
     /// Returns what it can be blamed by when its endpoint ends.
     pub fn suspects(&self) -> Suspects {
-        let shared = self.prompt_parts.split_last();
-        let shared = shared.map_or(&[][..], |(_, shared)| shared);
-        Suspects {
-            content: self.digest.clone(),
-            parts: shared.iter().map(|part| part.id.clone()).collect(),
-        }
+        suspects(&self.digest, &self.prompt_parts)
+    }
+}
+
+/// Returns what a request can be blamed by; the last part of its prompt is its own.
+pub fn suspects(content: &id::Digest, prompt_parts: &[PromptPart]) -> Suspects {
+    let shared = prompt_parts.split_last();
+    let shared = shared.map_or(&[][..], |(_, shared)| shared);
+    Suspects {
+        content: content.clone(),
+        parts: shared.iter().map(|part| part.id.clone()).collect(),
     }
 }
 
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -14,9 +14,10 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use super::registry::Registry;
 use crate::clock::{Clock, Time};
 use crate::id;
-use crate::quarantine::evidence::{Evidence, Life, Record, Subject, Suspects};
+use crate::quarantine::evidence::{Evidence, Life, Listing, Record, Subject, Suspects};
 
 /// How long records are gathered before they are written together: calls to the log are priced.
 const FLUSH_DELAY: Duration = Duration::from_millis(50);
@@ -79,6 +80,33 @@
         }
     }
 
+    /// Records a request that was given up on before its endpoint answered it.
+    pub fn unanswered(&self, suspects: &Suspects, life: Life, sent_at: Time) {
+        let mut evidence = self.evidence.borrow_mut();
+        evidence.unanswered(suspects, life, sent_at);
+    }
+
+    /// Records that an endpoint has answered something.
+    pub fn heard(&self, endpoint: &id::Endpoint, now: Time) {
+        self.evidence.borrow_mut().heard(endpoint, now);
+    }
+
+    /// Blames requests that endpoints had not answered when they ended, as the list of endpoints shows.
+    pub fn observe(&self, registry: &Registry, now: Time) {
+        let listing = |life: &Life| match registry.get(&life.endpoint) {
+            Some(endpoint) if endpoint.born > life.born => Listing::Ended,
+            Some(endpoint) if endpoint.draining => Listing::Leaving,
+            Some(_) => Listing::Present,
+            None => Listing::Ended,
+        };
+        let ended = self.evidence.borrow_mut().observe(listing, now);
+        for (digest, endpoint) in ended {
+            info!(self.logger, "endpoint ended in silence under a request";
+                "endpoint" => &*endpoint, "digest" => &*digest);
+        }
+        self.update(now);
+    }
+
     /// Decides what is refused; has it written to the log.
     pub fn update(&self, now: Time) {
         let Some(refused) = self.evidence.borrow_mut().update(now) else {
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -319,6 +319,7 @@
             depth: entry.get_depth().into(),
             blames: blames.collect::<Result<_>>()?,
             is_refused: true,
+            is_silent: false,
         })
     };
     reader.iter().map(record).collect()
--- a/src/serve/registry.rs
+++ b/src/serve/registry.rs
@@ -197,6 +197,11 @@
         expired
     }
 
+    /// Returns an endpoint, also one that is draining.
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.endpoints.get(id).map(|known| &known.endpoint)
+    }
+
     /// Returns whether an endpoint is draining or was removed.
     pub fn is_leaving(&self, id: &str) -> bool {
         let known = self.endpoints.get(id);
