Reach endpoints over other VMs when the own link is at fault

Callers of VMs cut off from all endpoints got 503 for nearly everything (0 of 131 first attempts), and where a planner was cut, callers of its region lost all requests with stages (28 of 74).

Cause: a VM had one way to an endpoint, its own, for requests and for the stage calls that its planner makes for all.

Change: a connection that fails is passed on by another daemon, which copies bytes and connects by itself or not at all. The daemon that has the request keeps it, so attempts, deadline, key, retry budget and verdicts are as before. A carrier that reaches other endpoints but not this one tells that the endpoint is at fault; if no carrier can tell, the daemon tries four endpoints to find out about its own link. A link that is down is probed until three more probes succeed than fail. A daemon that reaches nothing for two seconds is not ready, and refuses at once. Requests go to the address that the daemon itself lists for the granted endpoint.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -16,14 +16,17 @@
 use crate::id;
 use crate::retry::Budget;
 
+pub mod carrier;
 pub mod catalog;
 pub mod closure;
 pub mod connection;
+pub mod dialer;
 pub mod dispatcher;
 pub mod exchange;
 pub mod handler;
 pub mod health;
 pub mod http;
+pub mod link;
 pub mod meter;
 pub mod origin;
 pub mod plan;
@@ -35,9 +38,11 @@
 pub mod region;
 pub mod registry;
 pub mod response;
+pub mod tunnel;
 
 use catalog::Catalog;
 use closure::Closures;
+use dialer::Dialer;
 use dispatcher::{Dispatcher, RequestPlanner};
 use meter::Meter;
 use origin::{Origin, Origins};
@@ -137,6 +142,7 @@
     origins: Rc<Origins>,
     closures: Rc<Closures>,
     knowledge: Knowledge,
+    dialer: Rc<Dialer>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
@@ -175,6 +181,8 @@
     pub closures: Rc<Closures>,
     /// What its planners know, too.
     pub knowledge: Knowledge,
+    /// Connects to endpoints, for its dispatchers, too.
+    pub dialer: Rc<Dialer>,
     /// The protocol of clients and endpoints.
     pub protocol: Rc<dyn Protocol>,
     /// The clock, which a suspension of the VM does not stop.
@@ -201,6 +209,7 @@
             origins: dependencies.origins,
             closures: dependencies.closures,
             knowledge: dependencies.knowledge,
+            dialer: dependencies.dialer,
             protocol: dependencies.protocol,
             clock: dependencies.clock,
             meter: dependencies.meter,
@@ -310,6 +319,7 @@
         };
         self.origins.observe(registry.all().map(origin));
         self.closures.observe(registry.all());
+        self.dialer.observe(registry.all());
         self.knowledge.limits.observe(registry.all());
         let now = self.clock.now();
         self.knowledge.quarantine.observe(&registry, now);
@@ -328,6 +338,11 @@
         &self.knowledge.limits
     }
 
+    /// Returns what connects to endpoints.
+    pub fn dialer(&self) -> &Dialer {
+        &self.dialer
+    }
+
     /// Returns the current configuration.
     pub fn catalog(&self) -> Rc<Catalog> {
         self.catalog.borrow().clone()
@@ -397,6 +412,7 @@
             .is_some_and(|age| age <= self.options.max_ready_age);
         is_fresh
             && self.leaving_since.get().is_none()
+            && !self.dialer.is_isolated()
             && self.registry.borrow().available().next().is_some()
     }
 
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -8,11 +8,13 @@
 use futures::future::LocalBoxFuture;
 use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, debug, info, warn};
+use snafu::Snafu;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::closure::Closures;
+use super::dialer::{self, Dialer, Target};
 use super::exchange::{self, Connection};
 use super::health::Verdict;
 use super::meter::Meter;
@@ -79,23 +81,44 @@
     idle_connections: RefCell<IndexMap<id::Endpoint, IdleConnection>>,
     closures: Rc<Closures>,
     limits: Rc<Limits>,
+    dialer: Rc<Dialer>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
     log: Logger,
 }
 
+/// What a dispatcher is built from, besides its planner.
+#[derive(Clone)]
+pub struct Dependencies {
+    /// The endpoints that take nothing from this daemon.
+    pub closures: Rc<Closures>,
+    /// The limits that endpoints have named.
+    pub limits: Rc<Limits>,
+    /// Connects to endpoints.
+    pub dialer: Rc<Dialer>,
+    /// The protocol of endpoints.
+    pub protocol: Rc<dyn Protocol>,
+    /// The clock, which a suspension of the VM does not stop.
+    pub clock: Rc<dyn Clock>,
+    /// The metrics.
+    pub meter: Rc<Meter>,
+    /// The logger.
+    pub log: Logger,
+}
+
 impl Dispatcher {
     /// Starts the planner's timer and returns its dispatcher.
-    pub fn start(
-        planner: Planner,
-        closures: Rc<Closures>,
-        limits: Rc<Limits>,
-        protocol: Rc<dyn Protocol>,
-        clock: Rc<dyn Clock>,
-        meter: Rc<Meter>,
-        log: Logger,
-    ) -> Rc<Self> {
+    pub fn start(planner: Planner, dependencies: Dependencies) -> Rc<Self> {
+        let Dependencies {
+            closures,
+            limits,
+            dialer,
+            protocol,
+            clock,
+            meter,
+            log,
+        } = dependencies;
         let dispatcher = Rc::new(Self {
             planner: RefCell::new(planner),
             grant_senders: RefCell::default(),
@@ -104,6 +127,7 @@
             idle_connections: RefCell::default(),
             closures,
             limits,
+            dialer,
             protocol,
             clock,
             meter,
@@ -284,6 +308,17 @@
     ids.join(",")
 }
 
+/// Why there is no response to a call.
+#[derive(Debug, Snafu)]
+enum CallError {
+    /// The endpoint was not reached.
+    #[snafu(transparent)]
+    Connect { source: dialer::Error },
+    /// The connection was lost.
+    #[snafu(transparent)]
+    Exchange { source: exchange::Error },
+}
+
 /// An endpoint's response to a call.
 enum CallResult {
     /// The body of a successful response.
@@ -299,13 +334,14 @@
         endpoint: &id::Endpoint,
         address: SocketAddr,
         request: &HttpRequest,
-    ) -> Result<CallResult, exchange::Error> {
+    ) -> Result<CallResult, CallError> {
         let idle = self.idle_connections.borrow_mut().swap_remove(endpoint);
         let now = self.clock.now();
         let is_usable = |idle: &IdleConnection| {
             idle.address == address && now < idle.idle_since + MAX_IDLE_TIME
         };
-        if let Some(mut idle) = idle.filter(is_usable)
+        let is_direct = self.dialer.is_direct(endpoint);
+        if let Some(mut idle) = idle.filter(|idle| is_direct && is_usable(idle))
             && idle.connection.is_reusable()
             && let Ok(result) = self
                 .post_on(endpoint, address, idle.connection, request)
@@ -313,7 +349,11 @@
         {
             return Ok(result);
         }
-        let connection = exchange::connect(address).await?;
+        let target = Target {
+            endpoint: endpoint.clone(),
+            address,
+        };
+        let connection = self.dialer.connect(&target).await?;
         self.post_on(endpoint, address, connection, request).await
     }
 
@@ -336,7 +376,7 @@
         address: SocketAddr,
         connection: Connection,
         request: &HttpRequest,
-    ) -> Result<CallResult, exchange::Error> {
+    ) -> Result<CallResult, CallError> {
         let size = request.body.len();
         let head =
             exchange::request_head(request.method, request.target, &request.fields, size, true);
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -15,7 +15,7 @@
 use super::http::{self, Chunk, Field, Framing, ResponseHead, Sink, Source};
 
 /// How long the first connection attempt may take: several round trips between regions.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The most connection attempts; the SYN packet of one may be lost.
 const MAX_CONNECT_ATTEMPTS: u32 = 3;
 /// Shorter bodies are sent in one write with their head.
@@ -32,6 +32,8 @@
     NotSent {
         /// The endpoint.
         peer: SocketAddr,
+        /// Whether there was no answer at all.
+        is_silent: bool,
         /// What went wrong.
         reason: String,
     },
@@ -47,38 +49,90 @@
     },
 }
 
+impl Error {
+    /// Returns whether there was no answer at all, not even a refusal.
+    pub fn is_silent(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent {
+                is_silent: true,
+                ..
+            }
+        )
+    }
+}
+
 /// A connection to an endpoint without a request.
 pub struct Connection {
     source: Source,
     sink: Sink,
     peer: SocketAddr,
+    /// Whether another VM passes it on.
+    is_detour: bool,
 }
 
 impl Connection {
+    /// Makes the connection that another VM passes on to an endpoint.
+    pub fn detour(source: Source, sink: Sink, peer: SocketAddr) -> Self {
+        Self {
+            source,
+            sink,
+            peer,
+            is_detour: true,
+        }
+    }
+
+    fn direct(stream: TcpStream, peer: SocketAddr) -> Self {
+        set_socket_options(&stream);
+        let (source, sink) = http::split(stream);
+        Self {
+            source,
+            sink,
+            peer,
+            is_detour: false,
+        }
+    }
+
+    /// Returns whether another VM passes it on.
+    pub fn is_detour(&self) -> bool {
+        self.is_detour
+    }
+
+    /// Returns both halves.
+    pub fn into_halves(self) -> (Source, Sink) {
+        (self.source, self.sink)
+    }
+
     /// Returns whether the connection is open and has no unexpected bytes.
     pub fn is_reusable(&mut self) -> bool {
         self.source.is_reusable()
     }
 }
 
-/// Connects to an endpoint; retries when the SYN packet may have been lost.
+/// Connects to a peer; retries when the SYN packet may have been lost.
 pub async fn connect(peer: SocketAddr) -> Result<Connection, Error> {
-    let mut reason = String::new();
-    for attempt in 1..=MAX_CONNECT_ATTEMPTS {
-        match timeout(CONNECT_TIMEOUT * attempt, TcpStream::connect(peer)).await {
-            Ok(Ok(stream)) => {
-                set_socket_options(&stream);
-                let (source, sink) = http::split(stream);
-                return Ok(Connection { source, sink, peer });
-            }
-            Ok(Err(error)) => {
-                reason = error.to_string();
-                break;
-            }
-            Err(_) => "no answer".clone_into(&mut reason),
+    let mut result = connect_once(peer, CONNECT_TIMEOUT).await;
+    for attempt in 2..=MAX_CONNECT_ATTEMPTS {
+        if !result.as_ref().is_err_and(Error::is_silent) {
+            break;
         }
+        result = connect_once(peer, CONNECT_TIMEOUT * attempt).await;
+    }
+    result
+}
+
+/// Connects to a peer that answers within some time.
+pub async fn connect_once(peer: SocketAddr, time: Duration) -> Result<Connection, Error> {
+    let not_sent = |is_silent, reason: String| Error::NotSent {
+        peer,
+        is_silent,
+        reason,
+    };
+    match timeout(time, TcpStream::connect(peer)).await {
+        Ok(Ok(stream)) => Ok(Connection::direct(stream, peer)),
+        Ok(Err(error)) => Err(not_sent(false, error.to_string())),
+        Err(_) => Err(not_sent(true, "no answer".to_owned())),
     }
-    Err(Error::NotSent { peer, reason })
 }
 
 /// Sets socket options: no delay, and a timeout for silent peers.
@@ -134,6 +188,11 @@
         self.framing = Framing::End;
     }
 
+    /// Returns whether another VM passes it on.
+    pub fn is_detour(&self) -> bool {
+        self.connection.is_detour
+    }
+
     /// Returns whether nothing of the body is left to read.
     pub fn is_read(&self) -> bool {
         self.framing == Framing::End
@@ -150,6 +209,8 @@
     /// Returns the connection if the response was read completely and it can carry another request.
     pub fn into_connection(mut self) -> Option<Connection> {
         let is_over = self.is_request_sent && self.head.keep_alive && self.framing == Framing::End;
+        // Another VM sees only the first answer, and another one may be better next time.
+        let is_over = is_over && !self.connection.is_detour;
         (is_over && self.connection.is_reusable()).then_some(self.connection)
     }
 
@@ -164,7 +225,9 @@
 
 /// Sends a request and reads the head of its response.
 pub async fn send(mut connection: Connection, head: &[u8], body: &[u8]) -> Result<Response, Error> {
-    let Connection { source, sink, peer } = &mut connection;
+    let Connection {
+        source, sink, peer, ..
+    } = &mut connection;
     let peer = *peer;
     let lost = |step| move |source| Error::Lost { step, peer, source };
     let writing = async {
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -82,6 +82,8 @@
     framing: Option<&'static str>,
     /// The limit that the endpoint named in its last response, in requests a second.
     limit: Option<f64>,
+    /// Whether another VM passed the last attempt on.
+    is_detour: bool,
     sent: u32,
     not_run: u32,
     is_logged: bool,
@@ -234,7 +236,7 @@
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
             "framing" => fields.framing, "limit" => fields.limit, "release" => self.release.borrow().as_deref(),
-            "resumes" => fields.resumes.as_deref(), "sent" => fields.sent,
+            "resumes" => fields.resumes.as_deref(), "sent" => fields.sent, "detour" => fields.is_detour,
             "turned" => fields.not_run, "ms" => took.as_millis() as u64,
             "config" => self.node.catalog().version, "config_age_ms" => age,
             "may_have_run" => self.may_have_run.get());
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to run a request at the granted endpoint.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use slog::info;
@@ -13,6 +14,7 @@
 };
 use crate::id;
 use crate::quarantine::evidence::Life;
+use crate::serve::dialer::{self, Target};
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
@@ -31,7 +33,6 @@
     ) -> AttemptOutcome {
         let id = planned.grant().endpoint.clone();
         self.log_fields.borrow_mut().endpoint = Some(id.clone());
-        let address = planned.grant().address;
         let not_run = |verdict| AttemptOutcome::NotRun {
             verdict,
             inputs_lost: false,
@@ -39,14 +40,27 @@
         if self.node.is_closed(&id) {
             return not_run(Verdict::Unknown);
         }
-        let connection = match exchange::connect(address).await {
+        let target = Target {
+            endpoint: id.clone(),
+            address: self.address(planned),
+        };
+        let connection = match self.node.dialer.connect(&target).await {
             Ok(connection) => connection,
             Err(error) => {
                 info!(self.node.log, "endpoint not reached";
                     "id" => &*request.meta.id, "endpoint" => &*id, "error" => %error);
-                return not_run(Verdict::Lost);
+                return match error {
+                    dialer::Error::Unreached { .. } => not_run(Verdict::Lost),
+                    dialer::Error::Closed { .. } => not_run(Verdict::Unknown),
+                    dialer::Error::Isolated { .. } => {
+                        planned.ended(Verdict::Unknown);
+                        let reason = "no endpoint can be reached";
+                        AttemptOutcome::Done(self.final_outcome(client, reason))
+                    }
+                };
             }
         };
+        self.log_fields.borrow_mut().is_detour = connection.is_detour();
         let meta = self.forward_meta(request, planned, events);
         let fields = self.node.protocol.forward_fields(&self.head, &meta);
         let (method, target) = (&self.head.method, &self.head.target);
@@ -88,6 +102,15 @@
         outcome
     }
 
+    /// Returns where the granted endpoint listens, as this daemon lists it; one that is new may be known to the
+    /// planner only.
+    fn address(&self, planned: &dyn PlannedRequest) -> SocketAddr {
+        let grant = planned.grant();
+        let registry = self.node.registry.borrow();
+        let listed = registry.get(&grant.endpoint);
+        listed.map_or(grant.address, |endpoint| endpoint.address)
+    }
+
     fn unanswered_at(&self, request: &AcceptedRequest, id: &id::Endpoint) -> Unanswered {
         let registry = self.node.registry.borrow();
         Unanswered {
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -77,6 +77,18 @@
     (Source { socket, buffer }, sink)
 }
 
+/// Parses the head of a response at the start of some bytes, behind interim ones; returns none while it is
+/// incomplete.
+pub fn parse_response_head(mut bytes: &[u8]) -> Result<Option<ResponseHead>> {
+    while let Some((head, size)) = head::parse_response(bytes, MAX_RESPONSE_HEAD_BYTES)? {
+        if head.status >= 200 {
+            return Ok(Some(head));
+        }
+        bytes = &bytes[size..];
+    }
+    Ok(None)
+}
+
 /// Sends all of the bytes.
 pub async fn send(sink: &mut Sink, bytes: &[u8]) -> Result<()> {
     let sent = sink.write_all(bytes).await;
@@ -109,6 +121,14 @@
         read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Reads some bytes, whatever they are; none when the peer has closed.
+    pub async fn bytes(&mut self) -> Result<Bytes> {
+        if self.buffer.is_empty() {
+            self.fill().await?;
+        }
+        Ok(self.buffer.split().freeze())
+    }
+
     /// Waits for the first byte of a message; returns false if the peer closed instead.
     pub async fn wait_message(&mut self) -> Result<bool> {
         Ok(self.has_read_ahead() || self.fill().await? > 0)
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use super::Knowledge;
+use super::dialer::Dialer;
 use super::dispatcher::{Dispatcher, LocalPlanner, PlannedRequest, RequestPlanner};
 use super::plan::{Job, Refusal};
 use super::progress::ReadProgress;
@@ -398,6 +399,7 @@
     own: Rc<Region>,
     others: IndexMap<id::Region, Rc<Region>>,
     name: id::Region,
+    dialer: Rc<Dialer>,
 }
 
 impl Regions {
@@ -406,12 +408,24 @@
         name: id::Region,
         own: Rc<Region>,
         others: IndexMap<id::Region, Rc<Region>>,
+        dialer: Rc<Dialer>,
     ) -> Rc<Self> {
-        Rc::new(Self { own, others, name })
+        Rc::new(Self {
+            own,
+            others,
+            name,
+            dialer,
+        })
     }
 
     /// Records a daemon that has registered or changed, or removes one that has left for good.
     pub fn apply_member(&self, name: &id::Daemon, member: Option<(id::Region, Member)>) {
+        if !self.own.ranking.borrow().is_own(name) {
+            let carrier = member
+                .as_ref()
+                .and_then(|(region, member)| member.carrier(region));
+            self.dialer.apply_carrier(name, carrier);
+        }
         let member_region = member.as_ref().map(|(region, _)| region.clone());
         let member = member.map(|(_, member)| member);
         let all = std::iter::once((&self.name, &self.own)).chain(&self.others);
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Time;
 use crate::id;
+use crate::serve::carrier::Carrier;
 
 /// How long an unreachable daemon is skipped the first time. All requests are planned again when
 /// the planner changes, so a daemon that is lost repeatedly is skipped longer each time.
@@ -25,6 +26,8 @@
         pub name: id::Daemon,
         /// Where it listens for other daemons.
         pub address: SocketAddr,
+        /// Where it listens for connections to pass on to endpoints; none if it passes none on.
+        pub tunnel_address: Option<SocketAddr>,
         /// When its process started, in milliseconds since the Unix epoch.
         pub born: u64,
         /// Its CPU quota, in thousandths of a core; the largest one ranks first.
@@ -32,6 +35,18 @@
     }
 }
 
+impl Member {
+    /// Returns it as one that passes connections on, if it does.
+    pub fn carrier(&self, region: &id::Region) -> Option<Carrier> {
+        Some(Carrier {
+            name: self.name.clone(),
+            address: self.tunnel_address?,
+            region: region.clone(),
+            cpu_millicores: self.cpu_millicores,
+        })
+    }
+}
+
 /// The daemons of a region, with those that were unreachable or are about to stop.
 #[derive(Default)]
 pub struct Ranking {
--- a/src/serve/region/rank/tests.rs
+++ b/src/serve/region/rank/tests.rs
@@ -10,6 +10,7 @@
     Member {
         name: name.into(),
         address: SocketAddr::from(([10, 0, 0, 1], 7740)),
+        tunnel_address: None,
         born,
         cpu_millicores,
     }
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -61,6 +61,7 @@
     let member = Member {
         name: "n".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        tunnel_address: None,
         born: 1,
         cpu_millicores: 1,
     };
--- /dev/null
+++ b/src/serve/tunnel.rs
@@ -0,0 +1,289 @@
+//! Connections to endpoints that one daemon passes on for another, whose own link is at fault.
+//!
+//! The request is HTTP's CONNECT with the id of an endpoint. A daemon passes on to endpoints that it lists and
+//! reaches by itself, never by way of a third one, and obeys what endpoints have told it. See
+//! [the design note](../../docs/design/links.md).
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use slog::{debug, info};
+use snafu::{ResultExt, Snafu};
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::carrier::Carrier;
+use super::dialer::Target;
+use super::exchange::{self, CONNECT_TIMEOUT, Connection};
+use super::http::{self, ResponseHead, Sink, Source};
+use super::response::empty_response;
+use super::{Node, protocol};
+use crate::id;
+
+/// How long a daemon that passes connections on may take: it tries the endpoint, and checks its own link.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long a new connection may take to tell which endpoint it is for.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest request to pass a connection on.
+const MAX_HEAD_BYTES: usize = 1024;
+/// The most connections that are passed on at once; each takes two descriptors and some buffers.
+const MAX_TUNNELS: usize = 512;
+/// How long an endpoint may be silent when this VM has lost its link.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+const METHOD: &str = "CONNECT";
+/// The connection is passed on.
+const OPENED: u16 = 200;
+/// The endpoint takes nothing from this daemon, or it is not the one that was meant.
+const CLOSED: u16 = 403;
+/// The endpoint is not reached, others are.
+const UNREACHED: u16 = 502;
+/// This daemon passes nothing on now.
+const UNAVAILABLE: u16 = 503;
+
+/// Why a connection was not passed on; nothing was sent to the endpoint.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// The other daemon was not reached.
+    #[snafu(display("connecting to {daemon}: {source}"))]
+    Connect {
+        /// The other daemon.
+        daemon: id::Daemon,
+        /// What went wrong.
+        source: exchange::Error,
+    },
+    /// The other daemon did not answer.
+    #[snafu(display("asking {daemon}: {source}"))]
+    Ask {
+        /// The other daemon.
+        daemon: id::Daemon,
+        /// What went wrong.
+        source: http::Error,
+    },
+    /// The other daemon did not answer in time.
+    #[snafu(display("{daemon} does not answer"))]
+    TimedOut {
+        /// The other daemon.
+        daemon: id::Daemon,
+    },
+    /// The other daemon reaches endpoints, but not this one.
+    #[snafu(display("{daemon} does not reach {endpoint}"))]
+    Unreached {
+        /// The other daemon.
+        daemon: id::Daemon,
+        /// The endpoint.
+        endpoint: id::Endpoint,
+    },
+    /// The endpoint takes nothing from the other daemon.
+    #[snafu(display("{endpoint} is closed for {daemon}"))]
+    Closed {
+        /// The other daemon.
+        daemon: id::Daemon,
+        /// The endpoint.
+        endpoint: id::Endpoint,
+    },
+    /// The other daemon passes nothing on now.
+    #[snafu(display("{daemon} refuses with status {status}"))]
+    Refused {
+        /// The other daemon.
+        daemon: id::Daemon,
+        /// Its answer.
+        status: u16,
+    },
+}
+
+/// Has another daemon pass a connection on.
+///
+/// # Errors
+///
+/// Fails when it does not; nothing was sent to the endpoint then.
+pub async fn open(carrier: &Carrier, target: &Target) -> Result<Connection, Error> {
+    let daemon = carrier.name.clone();
+    let opened = timeout(OPEN_TIMEOUT, request(carrier, target)).await;
+    opened.unwrap_or(Err(Error::TimedOut { daemon }))
+}
+
+async fn request(carrier: &Carrier, target: &Target) -> Result<Connection, Error> {
+    let (daemon, endpoint) = (&*carrier.name, &*target.endpoint);
+    let connection = exchange::connect_once(carrier.address, OPEN_TIMEOUT).await;
+    let (mut source, mut sink) = connection.context(ConnectSnafu { daemon })?.into_halves();
+    let head = format!("{METHOD} {endpoint} HTTP/1.1\r\nHost: {endpoint}\r\n\r\n");
+    let sent = http::send(&mut sink, head.as_bytes()).await;
+    sent.context(AskSnafu { daemon })?;
+    let head = source.response_head().await;
+    match head.context(AskSnafu { daemon })?.status {
+        OPENED => Ok(Connection::detour(source, sink, target.address)),
+        UNREACHED => UnreachedSnafu { daemon, endpoint }.fail(),
+        CLOSED => ClosedSnafu { daemon, endpoint }.fail(),
+        status => RefusedSnafu { daemon, status }.fail(),
+    }
+}
+
+/// Passes connections on as long as the process runs.
+pub async fn listen(listener: TcpListener, node: Rc<Node>) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(spawn_local(serve(stream, node.clone(), open.clone()))),
+            Err(error) => {
+                info!(node.log, "connection of another daemon not accepted"; "error" => %error);
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, node: Rc<Node>, open: Rc<Cell<usize>>) {
+    exchange::set_socket_options(&stream);
+    let (mut source, mut sink) = http::split(stream);
+    let head = timeout(REQUEST_TIMEOUT, source.request_head(MAX_HEAD_BYTES)).await;
+    let Ok(Ok(head)) = head else {
+        return;
+    };
+    let endpoint = id::Endpoint::from(head.target.as_str());
+    let dialed = if head.method == METHOD && open.get() < MAX_TUNNELS {
+        dial(&node, &endpoint).await
+    } else {
+        Err(UNAVAILABLE)
+    };
+    let status = dialed.as_ref().err().copied().unwrap_or(OPENED);
+    debug!(node.log, "connection passed on";
+        "endpoint" => &*endpoint, "status" => status, "open" => open.get());
+    // The answer has no body and no length: what follows is the endpoint's.
+    let answer = match status {
+        OPENED => b"HTTP/1.1 200 OK\r\n\r\n".to_vec(),
+        status => empty_response(status, &[], None, false),
+    };
+    let sent = http::send(&mut sink, &answer).await;
+    if let (Ok(connection), Ok(())) = (dialed, sent) {
+        open.set(open.get() + 1);
+        pass_on(&node, &endpoint, (source, sink), connection).await;
+        open.set(open.get() - 1);
+    }
+}
+
+/// Connects to an endpoint for another daemon; returns the status of its refusal otherwise.
+async fn dial(node: &Node, endpoint: &id::Endpoint) -> Result<Connection, u16> {
+    if node.leaving_since().is_some() || node.dialer.is_down() {
+        return Err(UNAVAILABLE);
+    }
+    let address = node
+        .registry
+        .borrow()
+        .get(endpoint)
+        .map(|known| known.address);
+    if node.is_closed(endpoint) {
+        return Err(CLOSED);
+    }
+    let Some(address) = address else {
+        return Err(UNAVAILABLE);
+    };
+    let target = Target {
+        endpoint: endpoint.clone(),
+        address,
+    };
+    let began = node.clock.now();
+    if let Ok(connection) = node.dialer.dial(&target, CONNECT_TIMEOUT).await {
+        return Ok(connection);
+    }
+    match node.dialer.check(began).await {
+        true => Err(UNREACHED),
+        false => Err(UNAVAILABLE),
+    }
+}
+
+/// Passes bytes on in both directions until one of them ends. The daemon's end is the endpoint's client
+/// leaving, so both end with it.
+async fn pass_on(
+    node: &Node,
+    endpoint: &id::Endpoint,
+    daemon: (Source, Sink),
+    connection: Connection,
+) {
+    let (mut from_daemon, mut to_daemon) = daemon;
+    let (mut from_endpoint, mut to_endpoint) = connection.into_halves();
+    let requests = async {
+        while let Ok(bytes) = from_daemon.bytes().await {
+            if bytes.is_empty() || http::send(&mut to_endpoint, &bytes).await.is_err() {
+                return;
+            }
+        }
+    };
+    let answers = pass_answers_on(node, endpoint, &mut from_endpoint, &mut to_daemon);
+    let is_complete = tokio::select! {
+        biased;
+        is_complete = answers => is_complete,
+        () = requests => false,
+    };
+    if is_complete {
+        drop(to_daemon.shutdown().await);
+    } else {
+        // A reset, so that what was passed on does not look complete.
+        for half in [&to_daemon, &to_endpoint] {
+            let socket: &TcpStream = half.as_ref();
+            drop(SockRef::from(socket).set_linger(Some(Duration::ZERO)));
+        }
+    }
+}
+
+/// Passes answers on; returns whether the endpoint has closed the connection.
+async fn pass_answers_on(
+    node: &Node,
+    endpoint: &id::Endpoint,
+    from_endpoint: &mut Source,
+    to_daemon: &mut Sink,
+) -> bool {
+    let mut start = Start::default();
+    loop {
+        let bytes = match timeout(SILENCE_TIMEOUT, from_endpoint.bytes()).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(_)) => return false,
+            Err(_) if node.dialer.is_down() => return false,
+            Err(_) => continue,
+        };
+        if let Some(head) = start.push(&bytes) {
+            // It binds this VM, too.
+            let meta: protocol::ResponseMeta = node.protocol.parse_response(&head, "");
+            let now = node.clock.now();
+            node.closures.record(endpoint, &meta, now);
+        }
+        if bytes.is_empty() {
+            return true;
+        }
+        if http::send(to_daemon, &bytes).await.is_err() {
+            return false;
+        }
+    }
+}
+
+/// The first bytes of an answer, until its head is complete.
+#[derive(Default)]
+struct Start {
+    bytes: BytesMut,
+    is_over: bool,
+}
+
+impl Start {
+    /// Adds bytes; returns the head once it is complete.
+    fn push(&mut self, bytes: &[u8]) -> Option<ResponseHead> {
+        if self.is_over {
+            return None;
+        }
+        self.bytes.extend_from_slice(bytes);
+        match http::parse_response_head(&self.bytes) {
+            Ok(None) if self.bytes.len() <= http::MAX_RESPONSE_HEAD_BYTES => None,
+            parsed => {
+                self.is_over = true;
+                self.bytes = BytesMut::new();
+                parsed.ok().flatten()
+            }
+        }
+    }
+}
