Blame content only for endpoints that have ended

Callers of all daemons were refused sound prompts for ten minutes: three VMs had lost their links, and a part that their broken streams shared was taken for the cause.

Cause: a connection that broke counted as the end of its endpoint, whoever was at fault; health and quarantine believed each daemon's word.

Change: before a daemon reports a lost connection it tries the endpoint again, itself and over another daemon. An endpoint that takes connections has not ended, so nothing is blamed; one that only other VMs reach is not ejected either, for requests and stage calls. Where no VM can tell, the content waits for the end of the entry, as for ends in silence.

--- a/src/serve/dialer.rs
+++ b/src/serve/dialer.rs
@@ -28,6 +28,10 @@
 const MAX_CARRIERS: usize = 4;
 /// The endpoints that are tried to find out whether the own link is at fault.
 const CHECKED_ENDPOINTS: usize = 4;
+/// How long after its connections an endpoint that ends stops listening.
+pub const CLOSE_TIME: Duration = Duration::from_millis(30);
+/// How long what was found of an endpoint holds: all its connections break at once.
+const FINDING_VALIDITY: Duration = Duration::from_millis(200);
 /// How often a link that is down is probed. Each probe costs an endpoint a connection.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// How long after the VM reached an endpoint last, itself or over another VM, it counts as isolated.
@@ -63,6 +67,13 @@
     },
 }
 
+impl Error {
+    /// Returns whether the endpoint is not at fault.
+    pub fn is_own_fault(&self) -> bool {
+        !matches!(self, Self::Unreached { .. })
+    }
+}
+
 /// An endpoint to connect to.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -82,7 +93,21 @@
     Unavailable,
 }
 
+/// Why a connection to an endpoint was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// The endpoint takes connections of this VM.
+    Alive,
+    /// It takes those of other VMs only: the own link is at fault.
+    Cut,
+    /// It takes none.
+    Ended,
+    /// No VM that could tell reaches any endpoint.
+    Unknown,
+}
+
 type Check = Shared<LocalBoxFuture<'static, bool>>;
+type Examination = Shared<LocalBoxFuture<'static, Finding>>;
 
 /// Connects to endpoints for one daemon.
 pub struct Dialer {
@@ -90,6 +115,7 @@
     carriers: RefCell<Carriers>,
     endpoints: RefCell<IndexMap<id::Endpoint, SocketAddr>>,
     check: RefCell<Option<(Time, Check)>>,
+    examinations: RefCell<IndexMap<id::Endpoint, (Time, Examination)>>,
     /// When an endpoint was reached last, directly or over another VM.
     reached_at: Cell<Time>,
     clock: Rc<dyn Clock>,
@@ -104,6 +130,7 @@
             carriers: RefCell::new(Carriers::new(region)),
             endpoints: RefCell::default(),
             check: RefCell::default(),
+            examinations: RefCell::default(),
             reached_at: Cell::new(clock.now()),
             clock,
             log,
@@ -285,6 +312,41 @@
         is_up
     }
 
+    /// Finds out why a connection to an endpoint was lost, some time after that.
+    pub async fn examine(self: &Rc<Self>, target: &Target, delay: Duration) -> Finding {
+        let now = self.clock.now();
+        let examination = {
+            let mut known = self.examinations.borrow_mut();
+            known.retain(|_, (began, _)| now < *began + FINDING_VALIDITY);
+            let begin = || {
+                let (dialer, target) = (self.clone(), target.clone());
+                let examination = async move { dialer.find_fault(&target, delay).await };
+                (now, examination.boxed_local().shared())
+            };
+            let entry = known.entry(target.endpoint.clone());
+            entry.or_insert_with(begin).1.clone()
+        };
+        examination.await
+    }
+
+    async fn find_fault(self: &Rc<Self>, target: &Target, delay: Duration) -> Finding {
+        tokio::time::sleep(delay).await;
+        let began = self.clock.now();
+        let is_direct = self.is_direct(&target.endpoint);
+        if is_direct && self.dial(target, CONNECT_TIMEOUT).await.is_ok() {
+            return Finding::Alive;
+        }
+        let finding = match self.detour(target).await {
+            Detour::Connected(_) | Detour::Closed(_) => Finding::Cut,
+            Detour::Unreached => Finding::Ended,
+            Detour::Unavailable if self.check(began).await => Finding::Ended,
+            Detour::Unavailable => Finding::Unknown,
+        };
+        info!(self.log, "connection examined";
+            "endpoint" => &*target.endpoint, "finding" => ?finding);
+        finding
+    }
+
     fn choose_endpoints(&self, count: usize) -> Vec<Target> {
         let endpoints = self.endpoints.borrow();
         let target = |(endpoint, address): (&id::Endpoint, &SocketAddr)| Target {
@@ -305,3 +367,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use super::closure::Closures;
-use super::dialer::{self, Dialer, Target};
+use super::dialer::{self, CLOSE_TIME, Dialer, Finding, Target};
 use super::exchange::{self, Connection};
 use super::health::Verdict;
 use super::meter::Meter;
@@ -253,9 +253,15 @@
             Ok(Ok(CallResult::Refused)) => CallOutcome::Refused,
             Ok(Err(error)) => {
                 warn!(self.log, "stage call failed"; "endpoint" => &*endpoint, "error" => %error);
-                CallOutcome::Lost
+                match error {
+                    CallError::Connect { source } if source.is_own_fault() => CallOutcome::Cut,
+                    CallError::Connect { .. } => CallOutcome::Lost,
+                    CallError::Exchange { .. } => {
+                        self.examine(&endpoint, address, CLOSE_TIME).await
+                    }
+                }
             }
-            Err(_) => CallOutcome::Lost,
+            Err(_) => self.examine(&endpoint, address, Duration::ZERO).await,
         };
         let took = self.clock.now().saturating_sub(started_at);
         self.meter.count(outcome.name());
@@ -266,6 +272,23 @@
         self.update_planner(|planner, now| planner.call_ended(call_id, &outcome, now));
     }
 
+    /// Finds out whether the endpoint is at fault for a lost call.
+    async fn examine(
+        &self,
+        endpoint: &id::Endpoint,
+        address: SocketAddr,
+        delay: Duration,
+    ) -> CallOutcome {
+        let target = Target {
+            endpoint: endpoint.clone(),
+            address,
+        };
+        match self.dialer.examine(&target, delay).await {
+            Finding::Alive | Finding::Ended => CallOutcome::Lost,
+            Finding::Cut | Finding::Unknown => CallOutcome::Cut,
+        }
+    }
+
     fn expect_grant(&self, job_id: JobId) -> oneshot::Receiver<Result<Grant, Refusal>> {
         let (sender, grant_receiver) = oneshot::channel();
         self.grant_senders.borrow_mut().insert(job_id, sender);
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -425,6 +425,7 @@
                     (inputs_lost, "the endpoint did not run the request")
                 }
                 AttemptOutcome::Lost { verdict, reason } => {
+                    let verdict = self.examine(request, &*planned, verdict).await;
                     planned.ended(verdict);
                     if matches!(verdict, Verdict::Crashed | Verdict::Dropped) {
                         self.log_crash(request, reason);
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -14,7 +14,7 @@
 };
 use crate::id;
 use crate::quarantine::evidence::Life;
-use crate::serve::dialer::{self, Target};
+use crate::serve::dialer::{self, CLOSE_TIME, Finding, Target};
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
@@ -102,6 +102,40 @@
         outcome
     }
 
+    /// Finds out whether the endpoint is at fault for a lost connection; returns what is known of it. What
+    /// nobody can tell now, its entry in the list of endpoints will.
+    pub(super) async fn examine(
+        &self,
+        request: &AcceptedRequest,
+        planned: &dyn PlannedRequest,
+        verdict: Verdict,
+    ) -> Verdict {
+        let target = Target {
+            endpoint: planned.grant().endpoint.clone(),
+            address: self.address(planned),
+        };
+        let is_broken = matches!(verdict, Verdict::Crashed | Verdict::Dropped);
+        let delay = if is_broken {
+            CLOSE_TIME
+        } else {
+            Duration::ZERO
+        };
+        if is_broken {
+            let unanswered = self.unanswered_at(request, &target.endpoint);
+            self.unanswered.replace(Some(unanswered));
+        }
+        let finding = self.node.dialer.examine(&target, delay).await;
+        if finding == Finding::Unknown {
+            self.record_unanswered();
+        }
+        self.unanswered.take();
+        match finding {
+            Finding::Ended => verdict,
+            Finding::Alive => Verdict::Lost,
+            Finding::Cut | Finding::Unknown => Verdict::Unknown,
+        }
+    }
+
     /// Returns where the granted endpoint listens, as this daemon lists it; one that is new may be known to the
     /// planner only.
     fn address(&self, planned: &dyn PlannedRequest) -> SocketAddr {
--- a/src/serve/plan/outcome.rs
+++ b/src/serve/plan/outcome.rs
@@ -19,7 +19,7 @@
         for (index, piece) in call.pieces.iter().enumerate() {
             let outcome = match call_outcome {
                 CallOutcome::Answered(outcomes) => outcomes.get(index),
-                CallOutcome::Refused | CallOutcome::Lost => None,
+                CallOutcome::Refused | CallOutcome::Lost | CallOutcome::Cut => None,
             };
             self.apply_outcome(piece, outcome, &call, now);
             if job_ids.last() != Some(&piece.job_id) {
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -361,6 +361,11 @@
                 endpoint.health.call_ended(Verdict::Lost, now);
                 endpoint.release_pieces(&call.pieces);
             }
+            CallOutcome::Cut => {
+                endpoint.health.call_ended(Verdict::Unknown, now);
+                endpoint.blocked_until = now + REFUSED_PAUSE;
+                endpoint.release_pieces(&call.pieces);
+            }
         }
     }
 
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -184,6 +184,8 @@
         Refused,
         /// The connection was lost, the call timed out, or the answer was invalid.
         Lost,
+        /// The link of the calling VM was lost, which says nothing of the endpoint.
+        Cut,
     }
 }
 
@@ -258,6 +260,7 @@
             Self::Answered(_) => "stage.answered",
             Self::Refused => "stage.refused",
             Self::Lost => "stage.lost",
+            Self::Cut => "stage.cut",
         }
     }
 }
