Count for all daemons what brittle endpoints get

Callers of a service whose endpoints are brittle would lose all of them: each daemon sends little, together they send more than an endpoint holds, it falls over, and its load brings the others down.

Cause: a bound on the sum over daemons that nobody counted, as for the limits that endpoints name.

Change: daemons remember which endpoints say that they are brittle, and leave their requests to the planner of the region. It grants no more than the slots, has the rest wait, and pauses for half a second after a request that was turned away.

--- a/src/serve/closure/tests.rs
+++ b/src/serve/closure/tests.rs
@@ -13,6 +13,7 @@
         is_leaving,
         retry_after: retry_after.map(Duration::from_secs),
         limit: None,
+        is_brittle: false,
     }
 }
 
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -384,6 +384,7 @@
     fn record_state(&self, endpoint: &id::Endpoint, meta: &ResponseMeta) {
         let now = self.clock.now();
         self.limits.record(endpoint, meta.limit, now);
+        self.limits.record_brittle(endpoint, meta.is_brittle);
         if !self.closures.record(endpoint, meta, now) {
             return;
         }
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -40,6 +40,7 @@
         // Bytes that are no answer of the endpoint do not end its limit.
         if meta.limit.is_some() || meta.is_sealed || meta.is_refusal {
             self.node.limits().record(endpoint, meta.limit, now);
+            self.node.limits().record_brittle(endpoint, meta.is_brittle);
             if meta.limit != planned.grant().limit {
                 planned.limited(meta.limit);
             }
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -48,6 +48,8 @@
 const MIN_SHARED_TOKENS: u64 = 1_000;
 /// How long an engine that rejected a request gets no other one.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+/// The same for an engine that falls over when it rejects several in a second.
+const BRITTLE_PAUSE: Duration = Duration::from_millis(500);
 
 /// The share of an engine that a request takes.
 #[derive(Clone, Debug)]
@@ -149,12 +151,13 @@
         engines.map(|(id, _)| self.limits.get(id))
     }
 
-    /// Returns whether an engine that has not ended a request yet takes it when its limit allows that.
+    /// Returns whether an engine that has not ended a request yet takes it when its limit allows that, or when
+    /// it has room: where all daemons' requests are counted they wait here rather than at the engine.
     pub fn is_limited(&self, request: &Request) -> bool {
         let is_limited = |(id, engine): (&id::Endpoint, &Engine)| {
             engine.may_run(&request.job)
                 && !request.tried_engines.contains(id)
-                && self.limits.get(id).is_some()
+                && self.limits.is_counted(id)
         };
         !self.leaves_limited && self.engines.iter().any(is_limited)
     }
@@ -256,7 +259,7 @@
         let job = &request.job;
         for (id, engine) in &mut self.engines {
             let limit = self.limits.get(id);
-            engine.limited_until = if limit.is_some() && self.leaves_limited {
+            engine.limited_until = if self.leaves_limited && self.limits.is_counted(id) {
                 Time::MAX
             } else {
                 now + engine.bucket.wait(limit, now)
@@ -341,6 +344,9 @@
         if let Some(engine) = self.engines.get_mut(&reservation.engine) {
             engine.health.call_ended(verdict, now);
             match verdict {
+                Verdict::Refused if self.limits.is_brittle(&reservation.engine) => {
+                    engine.blocked_until = now + BRITTLE_PAUSE;
+                }
                 Verdict::Refused => engine.blocked_until = now + REFUSED_PAUSE,
                 Verdict::Lost | Verdict::Crashed | Verdict::Dropped => {
                     engine.cached_parts.clear();
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -71,6 +71,8 @@
         pub retry_after: Option<Duration>,
         /// How many requests a second the endpoint takes from all daemons together.
         pub limit: Option<f64>,
+        /// Whether it falls over when it has to turn many requests away.
+        pub is_brittle: bool,
     }
 }
 
--- a/src/serve/rate.rs
+++ b/src/serve/rate.rs
@@ -1,5 +1,5 @@
 //! Limits that endpoints name in their answers: how many requests a second they take from all daemons
-//! together.
+//! together, or that they fall over when all daemons together send more than they hold.
 //!
 //! The planner of a region alone grants its endpoints, so it counts for all daemons; they report what
 //! answers name. See [the design note](../../docs/design/fleet.md).
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, info};
 
 use super::registry::Endpoint;
@@ -55,6 +55,8 @@
 #[derive(Default)]
 struct State {
     known: IndexMap<id::Endpoint, Known>,
+    /// The endpoints that fall over when they have to turn many requests away.
+    brittle: IndexSet<id::Endpoint>,
     listed: IndexMap<id::Endpoint, Listed>,
 }
 
@@ -84,11 +86,39 @@
             .map(|endpoint| (endpoint.id.clone(), listed(endpoint)))
             .collect();
         let before = std::mem::replace(&mut state.listed, listed);
-        state.known.retain(|id, _| {
+        let lives_on = |id: &id::Endpoint| {
             let born = |listed: &IndexMap<id::Endpoint, Listed>| Some(listed.get(id)?.born);
             let now = born(&state.listed);
             now.is_some() && born(&before).is_none_or(|before| Some(before) == now)
-        });
+        };
+        state.known.retain(|id, _| lives_on(id));
+        state.brittle.retain(lives_on);
+    }
+
+    /// Records whether an answer of an endpoint says that it is brittle.
+    pub fn record_brittle(&self, endpoint: &id::Endpoint, is_brittle: bool) {
+        let brittle = &mut self.state.borrow_mut().brittle;
+        let is_change = if is_brittle {
+            brittle.insert(endpoint.clone())
+        } else {
+            brittle.swap_remove(endpoint)
+        };
+        if is_change {
+            info!(self.log, "endpoint brittle"; "endpoint" => &**endpoint, "brittle" => is_brittle);
+        }
+        if brittle.len() > MAX_LIMITS {
+            brittle.shift_remove_index(0);
+        }
+    }
+
+    /// Returns whether an endpoint falls over when it has to turn many requests away.
+    pub fn is_brittle(&self, endpoint: &str) -> bool {
+        self.state.borrow().brittle.contains(endpoint)
+    }
+
+    /// Returns whether one planner has to count what an endpoint gets from all daemons.
+    pub fn is_counted(&self, endpoint: &str) -> bool {
+        self.is_brittle(endpoint) || self.get(endpoint).is_some()
     }
 
     /// Records what an answer of an endpoint names.
@@ -139,13 +169,14 @@
         limited.is_some_and(|known| now >= known.heard_at + ASK_INTERVAL)
     }
 
-    /// Returns whether an endpoint of a service has a limit, so that one planner has to count for all
-    /// daemons.
+    /// Returns whether an endpoint of a service has a limit or is brittle, so that one planner has to count
+    /// for all daemons.
     pub fn covers(&self, service: &id::Pool) -> bool {
         let state = self.state.borrow();
         let limited = state.known.iter();
-        let mut limited = limited.filter(|(_, known)| known.limit.is_some());
-        limited.any(|(id, _)| {
+        let limited = limited.filter(|(_, known)| known.limit.is_some());
+        let mut counted = limited.map(|(id, _)| id).chain(&state.brittle);
+        counted.any(|id| {
             let listed = state.listed.get(id);
             listed.is_some_and(|listed| listed.service == *service)
         })
