Go on with resumable streams at other endpoints when the link hangs

Callers whose stream was under way when the links of their VM hung waited until they gave up, although the route lets another endpoint go on.

Cause: a stream is waited for as long as its connection is open, and nothing shows on a hung one.

Change: where the link is down, a resumable stream that has been silent for 0.7 s goes on elsewhere, within its attempts and its retry budget.

The 19 tests of VMs that are cut pass.

--- a/src/serve/dialer.rs
+++ b/src/serve/dialer.rs
@@ -190,7 +190,14 @@
         }
         let detour = self.detour(target).await;
         match (detour, failure) {
-            (Detour::Connected(connection), _) => Ok(connection),
+            (Detour::Connected(connection), failure) => {
+                if failure.is_some() {
+                    // Whether other endpoints are reached matters for streams under way.
+                    let dialer = self.clone();
+                    spawn_local(async move { dialer.check(began).await });
+                }
+                Ok(connection)
+            }
             (Detour::Closed(carrier), _) => ClosedSnafu {
                 endpoint: &*target.endpoint,
                 peer: target.address,
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -1,8 +1,11 @@
 //! Passes an endpoint's response on to the client.
 
 use std::cell::Cell;
+use std::time::Duration;
 
 use bytes::Bytes;
+use slog::info;
+use tokio::time::timeout;
 
 use super::event::EventBuffer;
 use super::{
@@ -17,6 +20,10 @@
 use crate::serve::origin::Origin;
 use crate::serve::response::ResponseWriter;
 
+/// How long an endpoint may be silent within a stream while this VM reaches no endpoint. Old connections may live
+/// on then, and pauses of half a second between events are usual.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
+
 impl RequestHandler {
     /// Handles a response whose head has been read.
     pub(super) async fn handle_response(
@@ -106,7 +113,13 @@
         let mut is_proven = false;
         events.begin();
         loop {
-            let (bytes, end) = match response.chunk().await {
+            let Some(chunk) = self.next_chunk(request, planned, &mut response).await else {
+                return AttemptOutcome::Lost {
+                    verdict: Verdict::Unknown,
+                    reason: "the link to the endpoint was lost",
+                };
+            };
+            let (bytes, end) = match chunk {
                 Ok(Chunk::Bytes(bytes)) => (events.push(&bytes), None),
                 Ok(Chunk::End(end)) if events.is_whole(end) => (Bytes::new(), Some(end)),
                 Ok(Chunk::End(_)) | Err(_) => return stream_broke_off(is_proven),
@@ -150,6 +163,27 @@
         }
     }
 
+    /// Reads the next bytes of a stream; returns none when another endpoint should go on with it, since this VM
+    /// does not reach the endpoint any more.
+    async fn next_chunk(
+        &self,
+        request: &AcceptedRequest,
+        planned: &dyn PlannedRequest,
+        response: &mut exchange::Response,
+    ) -> Option<Result<Chunk, exchange::Error>> {
+        loop {
+            if let Ok(chunk) = timeout(SILENCE_TIMEOUT, response.chunk()).await {
+                return Some(chunk);
+            }
+            let is_reached = response.is_detour() || !self.node.dialer.is_down();
+            if !is_reached && self.may_repeat(request) {
+                info!(self.node.log, "stream silent";
+                    "id" => &*request.meta.id, "endpoint" => &*planned.grant().endpoint);
+                return None;
+            }
+        }
+    }
+
     /// Tells the planner that the answer goes on, if it wants to know.
     fn report_answering(&self, planned: &dyn PlannedRequest) {
         if planned.grant().is_watched {
