--- a/src/serve.rs
+++ b/src/serve.rs
@@ -338,11 +338,6 @@
         &self.knowledge.limits
     }
 
-    /// Returns what connects to endpoints.
-    pub fn dialer(&self) -> &Dialer {
-        &self.dialer
-    }
-
     /// Returns the current configuration.
     pub fn catalog(&self) -> Rc<Catalog> {
         self.catalog.borrow().clone()
