Join the small chunks of a body before they are passed on

Cause: an endpoint that sends an event without end in chunks of one byte makes the daemon go through a timer, a buffer and a scan for each byte, a quarter of a million times before the event's limit is reached. That is processor time on which all other requests of the VM wait.

Change: Framing::decode joins the chunks that are complete in its buffer. Sizes of chunks are consumed only when they are valid, so that a malformed one fails the next call, after the bytes before it were passed on, as before.

--- a/src/serve/http/body.rs
+++ b/src/serve/http/body.rs
@@ -8,6 +8,8 @@
 const MAX_LINE_BYTES: usize = 4 * 1024;
 /// The most bytes of all trailer fields together, which are dropped.
 const MAX_TRAILER_BYTES: usize = 16 * 1024;
+/// The length of the CR LF after a line.
+const LINE_END_BYTES: usize = 2;
 /// The most hexadecimal digits of a chunk's size, which is thus below 4 GiB.
 const MAX_SIZE_DIGITS: usize = 8;
 
@@ -61,8 +63,8 @@
     Err(Error::Malformed { reason })
 }
 
-/// Takes a line without its CR LF; none when it is incomplete.
-fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>> {
+/// Returns the length of the first line without its CR LF; none when it is incomplete.
+fn line_length(buffer: &[u8]) -> Result<Option<usize>> {
     let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
         return if buffer.len() > MAX_LINE_BYTES {
             malformed("a line of a chunked body is too long")
@@ -73,9 +75,7 @@
     if end == 0 || buffer[end - 1] != b'\r' {
         return malformed("a line of a chunked body does not end with CR LF");
     }
-    let mut line = buffer.split_to(end + 1).freeze();
-    line.truncate(end - 1);
-    Ok(Some(line))
+    Ok(Some(end - 1))
 }
 
 fn parse_chunk_size(line: &[u8]) -> Result<u64> {
@@ -139,9 +139,17 @@
         }
     }
 
-    /// Decodes bytes from the buffer; none when more have to be read.
+    /// Decodes bytes from the buffer; none when more have to be read. Small chunks are joined, since
+    /// a peer may send a long body in chunks of one byte. A malformed chunk after them fails the next
+    /// call.
     pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Chunk>> {
+        let mut joined = BytesMut::new();
         loop {
+            let joins =
+                matches!(self, Self::Chunked(state) if !matches!(state, ChunkState::Trailer(_)));
+            if !joins && !joined.is_empty() {
+                return Ok(Some(Chunk::Bytes(joined.freeze())));
+            }
             match self {
                 Self::End => return Ok(Some(Chunk::End(End::Framed))),
                 Self::Close if buffer.is_empty() => return Ok(None),
@@ -152,11 +160,18 @@
                     *self = Self::of_length(*remaining - bytes.len() as u64);
                     return Ok(Some(Chunk::Bytes(bytes)));
                 }
-                Self::Chunked(chunk) => match chunk.decode(buffer)? {
-                    Some(ChunkStep::Bytes(bytes)) => return Ok(Some(Chunk::Bytes(bytes))),
-                    Some(ChunkStep::Next(next)) => *chunk = next,
-                    Some(ChunkStep::End) => *self = Self::End,
-                    None => return Ok(None),
+                Self::Chunked(chunk) => match chunk.decode(buffer) {
+                    Ok(Some(ChunkStep::Bytes(bytes))) if joined.is_empty() && buffer.is_empty() => {
+                        return Ok(Some(Chunk::Bytes(bytes)));
+                    }
+                    Ok(Some(ChunkStep::Bytes(bytes))) => joined.extend_from_slice(&bytes),
+                    Ok(Some(ChunkStep::Next(next))) => *chunk = next,
+                    Ok(Some(ChunkStep::End)) => *self = Self::End,
+                    Ok(None) | Err(_) if !joined.is_empty() => {
+                        return Ok(Some(Chunk::Bytes(joined.freeze())));
+                    }
+                    Ok(None) => return Ok(None),
+                    Err(error) => return Err(error),
                 },
             }
         }
@@ -173,10 +188,12 @@
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<ChunkStep>> {
         match *self {
             Self::Size => {
-                let Some(line) = take_line(buffer)? else {
+                let Some(length) = line_length(buffer)? else {
                     return Ok(None);
                 };
-                Ok(Some(ChunkStep::Next(match parse_chunk_size(&line)? {
+                let size = parse_chunk_size(&buffer[..length])?;
+                buffer.advance(length + LINE_END_BYTES);
+                Ok(Some(ChunkStep::Next(match size {
                     0 => Self::Trailer(0),
                     size => Self::Data(size),
                 })))
@@ -190,21 +207,22 @@
                 };
                 Ok(Some(ChunkStep::Bytes(bytes)))
             }
-            Self::Gap if buffer.len() < 2 => Ok(None),
+            Self::Gap if buffer.len() < LINE_END_BYTES => Ok(None),
             Self::Gap if buffer.starts_with(b"\r\n") => {
-                buffer.advance(2);
+                buffer.advance(LINE_END_BYTES);
                 Ok(Some(ChunkStep::Next(Self::Size)))
             }
             Self::Gap => malformed("a chunk is longer than its size"),
             Self::Trailer(size) => {
-                let Some(line) = take_line(buffer)? else {
+                let Some(length) = line_length(buffer)? else {
                     return Ok(None);
                 };
-                let size = size + line.len();
+                let size = size + length;
                 if size > MAX_TRAILER_BYTES {
                     return malformed("the trailer is too long");
                 }
-                Ok(Some(if line.is_empty() {
+                buffer.advance(length + LINE_END_BYTES);
+                Ok(Some(if length == 0 {
                     ChunkStep::End
                 } else {
                     ChunkStep::Next(Self::Trailer(size))
--- a/src/serve/http/tests.rs
+++ b/src/serve/http/tests.rs
@@ -163,6 +163,25 @@
     }
 }
 
+/// Guards against work for each byte of a body that a peer sends in chunks of one byte.
+#[test]
+fn chunks_of_one_byte_joined() {
+    let mut framing = Framing::chunked();
+    let body = format!("{}g\r\n", "1\r\ny\r\n".repeat(1_000));
+    let mut buffer = BytesMut::from(body.as_bytes());
+    let Ok(Some(Chunk::Bytes(bytes))) = framing.decode(&mut buffer) else {
+        panic!("the chunks are complete");
+    };
+    assert_eq!(bytes, "y".repeat(1_000));
+    for _ in 0..2 {
+        let failed = framing.decode(&mut buffer).map(|_| ());
+        assert!(
+            is_malformed(&failed),
+            "the next call fails, and each after it"
+        );
+    }
+}
+
 #[test]
 fn length_leaves_the_next_message() {
     let mut framing = Framing::of_length(3);
