Free the results of begun streams where room is scarce

Cause: results of streams that may be resumed stayed at the stage endpoints until the streams ended, 0.6 to 0.9 s after their engines had fetched them. Besides, an endpoint without room for a piece was taken to be filled by unknown results, computed from what the planner knew at the end of the call, after results had been freed: 18 MB on average in bursts, 5 in truth, and it got no large piece for 0.7 s.

Change: where more than half of the room is taken, results of begun streams are freed; a stream that breaks off has them computed again, which is no restart of its own. Unknown results are computed from the begin of the call. The line of a request says how long it was planned and when its first byte was sent.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod control;
 pub mod daemon;
 pub mod demo;
+pub mod emulator;
 pub mod endpoint;
 pub mod entry;
 pub mod exchange;
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -84,6 +84,10 @@
     limit: Option<f64>,
     /// Whether another VM passed the last attempt on.
     is_detour: bool,
+    /// How long the request waited for its stages and a first endpoint.
+    planned: Option<Duration>,
+    /// How long it took to the first byte for the client.
+    first_byte: Option<Duration>,
     sent: u32,
     not_run: u32,
     is_logged: bool,
@@ -222,7 +226,7 @@
     fn log(&self, status: u16, reason: &str) {
         let mut fields = self.log_fields.borrow_mut();
         fields.is_logged = true;
-        let took = self.node.clock.now().saturating_sub(self.arrived_at);
+        let took = self.age();
         let kind = match status {
             0 => "request.broken",
             200..=299 => "request.answered",
@@ -232,16 +236,23 @@
         self.node.meter.count(kind);
         self.node.meter.time("request", took);
         let age = self.node.config_age().map(|age| age.as_millis() as u64);
+        let millis = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
         info!(self.node.log, "request";
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
             "framing" => fields.framing, "limit" => fields.limit, "release" => self.release.borrow().as_deref(),
             "resumes" => fields.resumes.as_deref(), "sent" => fields.sent, "detour" => fields.is_detour,
             "turned" => fields.not_run, "ms" => took.as_millis() as u64,
+            "planned_ms" => millis(fields.planned), "first_ms" => millis(fields.first_byte),
             "config" => self.node.catalog().version, "config_age_ms" => age,
             "may_have_run" => self.may_have_run.get());
     }
 
+    /// Returns how long ago the request arrived.
+    fn age(&self) -> Duration {
+        self.node.clock.now().saturating_sub(self.arrived_at)
+    }
+
     /// Returns the failure of a request whose content ends endpoints.
     fn check_quarantine(&self, request: &AcceptedRequest) -> Option<Failure> {
         let quarantine = self.node.quarantine();
@@ -396,6 +407,7 @@
             Ok(planned) => planned,
             Err(refusal) => return Outcome::Failure(planner_refusal(&refusal)),
         };
+        self.log_fields.borrow_mut().planned = Some(self.age());
         let mut events = EventBuffer::after(request.meta.last_event_id.clone());
         loop {
             // What was granted may have been found to end endpoints meanwhile.
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -143,6 +143,7 @@
             }
             let sent = if !client.has_started() && (end.is_some() || !bytes.is_empty()) {
                 has_started.set(true);
+                self.log_fields.borrow_mut().first_byte = Some(self.age());
                 client.start(response.head.status, &fields, &bytes).await
             } else if bytes.is_empty() {
                 Ok(())
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -218,6 +218,8 @@
             let held = request.release_results();
             self.free(held);
             self.dispatch_all(now);
+        } else if self.reclaim_room() {
+            self.dispatch_all(now);
         }
     }
 
@@ -272,8 +274,8 @@
         };
         request.job.release = release.or(request.job.release.take());
         request.is_granted = false;
-        if inputs_lost {
-            request.restarts += 1;
+        if inputs_lost || request.has_freed_inputs() {
+            request.restarts += u32::from(inputs_lost);
             if request.restarts > MAX_RESTARTS {
                 return self.refuse(job_id, "its inputs were lost too often", now);
             }
@@ -387,8 +389,31 @@
         self.actions.push(Action::Grant(job_id, grant));
     }
 
+    /// Frees the results of requests whose answers have begun at endpoints that run out of room: their
+    /// engines have fetched them, and only a stream that breaks off needs them again. Returns whether
+    /// there were any.
+    fn reclaim_room(&mut self) -> bool {
+        if !self.stage_endpoints.is_room_scarce() {
+            return false;
+        }
+        let endpoints = &self.stage_endpoints;
+        let begun = self.requests.values_mut();
+        let begun = begun.filter(|request| request.answer_began.is_some());
+        let spare: Vec<StoredResult> = begun
+            .filter(|request| {
+                let mut results = request.final_results();
+                results.any(|result| endpoints.is_room_scarce_at(&result.endpoint))
+            })
+            .flat_map(Request::release_results)
+            .collect();
+        let has_spare = !spare.is_empty();
+        self.free(spare);
+        has_spare
+    }
+
     /// Starts calls at all idle endpoints for which pieces are queued.
     fn dispatch_all(&mut self, now: Time) {
+        self.reclaim_room();
         self.stage_endpoints.update_limits(now);
         let queue = forecast::queue(&self.requests, &self.stage_endpoints, now);
         for (service, pieces) in queue {
--- a/src/serve/plan/request.rs
+++ b/src/serve/plan/request.rs
@@ -303,6 +303,14 @@
             .collect()
     }
 
+    /// Returns whether results that an engine would need were freed.
+    pub fn has_freed_inputs(&self) -> bool {
+        let mut freed = self.freed_stages.iter().enumerate();
+        freed.any(|(stage, is_freed)| {
+            *is_freed && self.is_final_stage(stage) && !self.pieces[stage].is_empty()
+        })
+    }
+
     /// Marks all results as freed; returns them.
     pub fn release_results(&mut self) -> Vec<StoredResult> {
         let held = self.held_results();
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -41,6 +41,9 @@
 /// The weight of a new sample in the moving average of the time to the first byte.
 const SMOOTHING: f64 = 0.1;
 
+/// The share of its room above which an endpoint's results of begun answers are freed.
+const SCARCE_ROOM_SHARE: f64 = 0.5;
+
 /// A call that has not ended yet.
 pub struct Call {
     pub endpoint: id::Endpoint,
@@ -49,6 +52,8 @@
     /// Whether it took too long, so that its pieces were queued again.
     pub is_overdue: bool,
     started_at: Time,
+    /// Bytes that were known to be held at the endpoint when it began, with its own results.
+    used_bytes: u64,
     /// Its duration at normal speed.
     expected: Duration,
 }
@@ -314,6 +319,7 @@
             pieces,
             is_overdue: false,
             started_at: now,
+            used_bytes: endpoint.used_bytes,
             expected: base_time,
         };
         Some((call, action))
@@ -346,8 +352,13 @@
                 for (piece, outcome) in call.pieces.iter().zip(outcomes) {
                     endpoint.record_outcome(piece, outcome, expires_at);
                 }
-                if outcomes.contains(&PieceOutcome::NoRoom) {
-                    let bytes = capacity.saturating_sub(endpoint.used_bytes);
+                let without_room = call.pieces.iter().zip(outcomes);
+                let without_room =
+                    without_room.filter(|(_, outcome)| **outcome == PieceOutcome::NoRoom);
+                let missing_bytes: u64 = without_room.map(|(piece, _)| piece.bytes).sum();
+                if missing_bytes > 0 {
+                    let known = call.used_bytes.saturating_sub(missing_bytes);
+                    let bytes = capacity.saturating_sub(known);
                     let expires_at = now + FOREIGN_RESULT_TIME;
                     endpoint.foreign_results = Some(Allocation { bytes, expires_at });
                 }
@@ -436,6 +447,25 @@
         }
     }
 
+    /// Returns whether some endpoint runs out of room for results.
+    pub fn is_room_scarce(&self) -> bool {
+        let mut endpoints = self.endpoints.values();
+        endpoints.any(|endpoint| self.is_scarce(endpoint))
+    }
+
+    /// Returns whether an endpoint runs out of room for results.
+    pub fn is_room_scarce_at(&self, id: &id::Endpoint) -> bool {
+        let endpoint = self.endpoints.get(id);
+        endpoint.is_some_and(|endpoint| self.is_scarce(endpoint))
+    }
+
+    fn is_scarce(&self, endpoint: &StageEndpoint) -> bool {
+        let batch = self.services.get(&endpoint.service);
+        batch.is_some_and(|batch| {
+            endpoint.used_bytes as f64 > batch.capacity_bytes as f64 * SCARCE_ROOM_SHARE
+        })
+    }
+
     /// Frees results, and returns the actions that tell their endpoints.
     pub fn free(&mut self, results: Vec<StoredResult>) -> Vec<Action> {
         let mut by_endpoint: IndexMap<id::Endpoint, Vec<Handle>> = IndexMap::new();
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod limit;
 mod load;
+mod replay;
 mod transfer;
 
 /// A small region: one zone or two, endpoints of one stage service, and engines.
@@ -363,6 +364,60 @@
     assert_eq!(calls(&site.actions()).len(), 1);
 }
 
+/// Guards against an endpoint that gets no large piece for a while because results were freed during a call
+/// for whose last piece it had no room: they were taken for results of others.
+#[test]
+fn endpoint_without_room_used_after_its_results_were_freed() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let first: Vec<JobId> = (0..2)
+        .map(|_| site.submit(site.job(&[10], 4_000)))
+        .collect();
+    for (call, at) in [(0, 280), (1, 560)] {
+        site.now = ms(at);
+        site.answer(call, 10);
+    }
+    site.submit(site.job(&[1], 4_000));
+    assert_eq!(calls(&site.actions()).len(), 3, "21 results of 3 MB fit");
+    for job_id in first {
+        site.planner.started(job_id, true, ms(600));
+    }
+    let outcome = CallOutcome::Answered(vec![PieceOutcome::NoRoom]);
+    site.now = ms(720);
+    site.planner.call_ended(2, &outcome, site.now);
+    assert_eq!(calls(&site.actions()).len(), 1, "the results are gone");
+}
+
+/// Guards against results of streams that take the room of other requests until the streams end.
+#[test]
+fn results_of_begun_streams_freed_when_room_is_scarce() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let few = site.submit(site.job(&[2], 4_000));
+    site.answer(0, 2);
+    site.planner.started(few, false, ms(100));
+    assert!(freed(&site.actions()).is_empty(), "there is room");
+    site.submit(site.job(&[9], 4_000));
+    site.answer(1, 9);
+    assert_eq!(freed(&site.actions()).len(), 2, "33 of 64 MB are taken");
+}
+
+/// Guards against engines that are asked to fetch results which were freed.
+#[test]
+fn broken_stream_gets_freed_results_computed_again() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a"), ("f", "a")]);
+    let job_id = site.submit(site.job(&[11], 4_000));
+    for call in 0..2 {
+        let pieces = calls(&site.actions())[0].2.len();
+        site.answer(call, pieces);
+    }
+    site.planner.started(job_id, false, ms(300));
+    site.planner.ended(job_id, Verdict::Lost, ms(400));
+    site.planner
+        .retry(job_id, false, Some("v1".into()), ms(400));
+    let actions = site.actions();
+    assert!(grants(&actions[2..]).is_empty(), "{actions:?}");
+    assert_eq!(calls(&actions).last().expect("a call").2.len(), 10);
+}
+
 #[test]
 fn restarted_endpoint_holds_no_results() {
     let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
