Learn how fast engines read, fetch kept prompts, and keep each prompt in one region

Cause: the time to the first byte was one figure for all requests (an average), engines were taken to read 32 tokens a millisecond (62 and 92 elsewhere), and a prompt counted as unread until its last token. So short queries were expected to take as long as drafts of 50,000 tokens, waits at engines were overstated, and idle engines read again what a busy neighbour kept. A request whose prompt no engine can read within its target was refused for that as soon as it was seen.

Change: the speed of each service's engines is learned from the answers of requests that found no other prompt; the wait at an engine is the time of the prompts that it has not read. An engine fetches a shared part from one of the same software version that has read it, where that is faster; a part that was not read after all is forgotten. A request with long shared parts is planned in the region to which a weighted rendezvous hash sends its last shared part, and in its own one if that refuses or its planner is lost. A request that cannot meet its target gets a quarter more than its least time. The grant has a new field for the source; daemons of the last release ignore it, and from their planners it is empty.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -69,6 +69,8 @@
   isWatched @4 :Bool;
   # The endpoint's limit as the planner knows it, in requests a second; negative when there is none.
   limit @5 :Float64 = -1;
+  # The engine that keeps the beginning of the prompt, which the endpoint fetches; empty when it reads it.
+  fetchFrom @6 :Text;
 }
 
 struct Refusal {
--- a/src/emulator/engine.rs
+++ b/src/emulator/engine.rs
@@ -13,6 +13,8 @@
     pub struct Speed {
         /// Prompt tokens that it reads in a millisecond.
         pub read_tokens_per_ms: f64,
+        /// Prompt tokens that it fetches from another engine in a millisecond.
+        pub fetch_tokens_per_ms: f64,
         /// The time to the first event besides reading the prompt.
         pub base: Duration,
         /// The time between two events of a stream.
@@ -53,12 +55,16 @@
         kept.map(|part| part.tokens).sum()
     }
 
-    /// Runs a request behind those that it has begun to read.
-    pub fn run(&mut self, parts: &[PromptPart], events: u32, now: Time) -> Run {
+    /// Runs a request behind those that it has begun to read. It fetches the beginning of the prompt as
+    /// far as another engine keeps it: that many tokens.
+    pub fn run(&mut self, parts: &[PromptPart], fetchable: u64, events: u32, now: Time) -> Run {
         let prompt: u64 = parts.iter().map(|part| part.tokens).sum();
-        let unread = prompt - self.kept_tokens(parts);
-        let reading = unread as f64 / self.speed.read_tokens_per_ms;
-        self.read_until = self.read_until.max(now) + Duration::from_secs_f64(reading / 1000.0);
+        let kept = self.kept_tokens(parts);
+        let fetched = fetchable.saturating_sub(kept);
+        let unread = prompt - kept - fetched;
+        let millis = unread as f64 / self.speed.read_tokens_per_ms
+            + fetched as f64 / self.speed.fetch_tokens_per_ms;
+        self.read_until = self.read_until.max(now) + Duration::from_secs_f64(millis / 1000.0);
         self.kept.extend(parts.iter().map(|part| part.id.clone()));
         let first_event = self.read_until + self.speed.base;
         Run {
--- a/src/emulator/replay.rs
+++ b/src/emulator/replay.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -54,6 +55,8 @@
         pub unused: usize,
         /// Tokens of shared parts that one engine read although another one kept them.
         pub reread_tokens: u64,
+        /// Tokens of all shared parts.
+        pub shared_tokens: u64,
     }
 }
 
@@ -76,6 +79,7 @@
     planner: Planner,
     classes: &'a [Class],
     engines: IndexMap<id::Endpoint, Engine>,
+    addresses: IndexMap<SocketAddr, id::Endpoint>,
     stage_endpoints: IndexMap<id::Endpoint, StageEndpoint>,
     events: BinaryHeap<Reverse<(Time, Event)>>,
     calls: IndexMap<CallId, Vec<PieceOutcome>>,
@@ -98,12 +102,14 @@
         planner.sync(registry, catalog, Time::ZERO);
         let mut engines = IndexMap::new();
         let mut stage_endpoints = IndexMap::new();
+        let mut addresses = IndexMap::new();
         for endpoint in registry.available() {
             let service = catalog.services.get(&endpoint.service);
             if let Some(batch) = service.and_then(|service| service.batch.clone()) {
                 let model = StageEndpoint::new(&endpoint.id, batch);
                 stage_endpoints.insert(endpoint.id.clone(), model);
             } else {
+                addresses.insert(endpoint.address, endpoint.id.clone());
                 engines.insert(endpoint.id.clone(), Engine::new(speed.clone()));
             }
         }
@@ -111,6 +117,7 @@
             planner,
             classes,
             engines,
+            addresses,
             stage_endpoints,
             events: BinaryHeap::new(),
             calls: IndexMap::new(),
@@ -277,12 +284,16 @@
                     .map_or(&[][..], |(_, parts)| parts);
                 let most_kept = self.engines.values();
                 let most_kept = most_kept.map(|engine| engine.kept_tokens(shared)).max();
+                let source = grant.fetch_from.and_then(|from| self.addresses.get(&from));
+                let source = source.and_then(|source| self.engines.get(source));
+                let fetchable = source.map_or(0, |source| source.kept_tokens(&arrival.parts));
                 let Some(engine) = self.engines.get_mut(&grant.endpoint) else {
                     return;
                 };
-                let own_kept = engine.kept_tokens(shared);
-                self.report.reread_tokens += most_kept.unwrap_or(0) - own_kept;
-                let run = engine.run(&arrival.parts, arrival.events, self.now);
+                let unread = most_kept.unwrap_or(0) - engine.kept_tokens(shared).max(fetchable);
+                self.report.reread_tokens += unread;
+                self.report.shared_tokens += shared.iter().map(|part| part.tokens).sum::<u64>();
+                let run = engine.run(&arrival.parts, fetchable, arrival.events, self.now);
                 let began = Event::Began(job_id);
                 self.events.push(Reverse((run.first_event, began)));
                 self.events.push(Reverse((run.end, Event::Ended(job_id))));
--- a/src/serve/catalog.rs
+++ b/src/serve/catalog.rs
@@ -121,6 +121,19 @@
         pub slots: u32,
         /// Tokens that its memory holds.
         pub memory_tokens: u64,
+        /// The memory of one token, in bytes; 0 when engines fetch nothing from each other.
+        pub token_bytes: u64,
+        /// The rate of the link between engines, in bits a second.
+        pub link_rate: u64,
+    }
+}
+
+impl Engine {
+    /// Returns how long the memory of one token takes from one engine to another, if that is possible.
+    pub fn token_transfer_time(&self) -> Option<Duration> {
+        let is_possible = self.token_bytes > 0 && self.link_rate > 0;
+        let seconds = self.token_bytes as f64 * 8.0 / self.link_rate as f64;
+        is_possible.then(|| Duration::from_secs_f64(seconds))
     }
 }
 
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -5,6 +5,7 @@
 
 use std::borrow::Cow;
 use std::cell::{Cell, OnceCell, RefCell};
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -78,6 +79,8 @@
     route: Option<id::Name>,
     endpoint: Option<id::Endpoint>,
     resumes: Option<id::Name>,
+    /// The engine from which the last endpoint was to fetch the beginning of the prompt.
+    fetch_from: Option<SocketAddr>,
     /// How the endpoint delimited the body of its last response.
     framing: Option<&'static str>,
     /// The limit that the endpoint named in its last response, in requests a second.
@@ -240,6 +243,7 @@
         info!(self.node.log, "request";
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
+            "fetch_from" => fields.fetch_from.map(|source| source.to_string()),
             "framing" => fields.framing, "limit" => fields.limit, "release" => self.release.borrow().as_deref(),
             "resumes" => fields.resumes.as_deref(), "sent" => fields.sent, "detour" => fields.is_detour,
             "turned" => fields.not_run, "ms" => took.as_millis() as u64,
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -62,6 +62,7 @@
         };
         self.log_fields.borrow_mut().is_detour = connection.is_detour();
         let meta = self.forward_meta(request, planned, events);
+        self.log_fields.borrow_mut().fetch_from = meta.fetch_from;
         let fields = self.node.protocol.forward_fields(&self.head, &meta);
         let (method, target) = (&self.head.method, &self.head.target);
         let head = exchange::request_head(method, target, &fields, self.body.len(), false);
@@ -170,6 +171,7 @@
             workspace: request.workspace.clone(),
             priority: request.is_staged.then_some(request.priority),
             inputs: planned.grant().inputs.clone(),
+            fetch_from: planned.grant().fetch_from,
             last_event_id: events.last_id().map(str::to_owned),
         }
     }
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -182,6 +182,10 @@
         request.preferred_zone = request
             .preferred_zone
             .or_else(|| self.engines.cached_zone(&request.job, now));
+        request.set_engine_time(
+            self.engines.least_time(&request.job, now),
+            &self.stage_endpoints,
+        );
         if let Some(refusal) = self.check_admission(&request, now) {
             self.actions.push(Action::Refuse(job_id, refusal));
             return;
@@ -197,7 +201,7 @@
             return;
         };
         if let Some(reservation) = &request.reservation {
-            self.engines.release(reservation);
+            self.engines.release(reservation, &request.job, now);
         }
         self.free(request.held_results());
         self.dispatch_all(now);
@@ -210,9 +214,10 @@
         };
         request.answer_began.get_or_insert(now);
         if let Some(reservation) = &mut request.reservation
-            && let Some(took) = self.engines.prompt_read(reservation, now)
+            && let Some(took) = self.engines.prompt_read(reservation, &request.job, now)
         {
-            self.stage_endpoints.record_time_to_first_byte(took);
+            let wait = took.saturating_sub(request.engine_time);
+            self.stage_endpoints.record_engine_wait(wait);
         }
         if is_final {
             let held = request.release_results();
@@ -244,7 +249,8 @@
         let Some(reservation) = request.reservation.take() else {
             return;
         };
-        self.engines.finish(&reservation, verdict, now);
+        self.engines
+            .finish(&reservation, &request.job, verdict, now);
         let (suspects, life) = (request.job.suspects(), reservation.life(&request.job));
         match verdict {
             Verdict::Crashed => self.quarantine.blame(&suspects, &life, true, now),
@@ -381,6 +387,7 @@
             address: reservation.address,
             release: Some(reservation.release.clone()),
             is_watched: request.is_watched,
+            fetch_from: reservation.fetch_from,
             limit: self.engines.limit(&reservation.engine),
             inputs: request.inputs(),
         };
@@ -501,10 +508,7 @@
             return None;
         }
         let forecast = forecast::forecast(request, &self.requests, &self.stage_endpoints, now)?;
-        let limit = request
-            .job
-            .target_latency
-            .mul_f64(1.0 + ADMISSION_TOLERANCE);
+        let limit = request.span().mul_f64(1.0 + ADMISSION_TOLERANCE);
         let left = request.job.deadline.saturating_sub(now);
         if forecast.total <= limit.min(left) {
             return None;
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -20,9 +20,14 @@
 use crate::serve::rate::{Bucket, Limits, Rate};
 use crate::serve::registry::Endpoint;
 
-/// Prompt tokens that an engine is assumed to read in a millisecond; the slower of the users' engines
-/// reads 32.
-const READ_TOKENS_PER_MS: f64 = 32.0;
+mod cache;
+mod read_queue;
+mod speed;
+
+use cache::Cache;
+use read_queue::ReadQueue;
+use speed::Speed;
+
 /// The cost of one more running request for the others.
 const RUNNING_COST_MS: f64 = 1.0;
 /// The cost of results from another availability zone. The users price a gigabyte at 40 and a
@@ -30,19 +35,22 @@
 /// price is taken as 150 ms.
 const CROSS_ZONE_COST_MS_PER_MB: f64 = 6.0;
 /// The cost of a prompt token that is read again, besides its time; see above.
-const REREAD_COST_MS_PER_TOKEN: f64 = 0.03;
+const REREAD_COST_MS_PER_TOKEN: f64 = 0.1;
 /// The bonus of the preferred engine of a prompt.
 const PREFERRED_ENGINE_BONUS_MS: f64 = 20.0;
 /// The cost of an engine whose requests all fail.
 const FAILURE_COST_MS: f64 = 600.0;
 /// The bonus of an engine that may have no limit any more, which only its next answer tells.
 const ASK_BONUS_MS: f64 = 100.0;
-/// The time to the first byte without reading the prompt.
-const BASE_LATENCY_MS: f64 = 60.0;
-/// How long a prompt part is expected to stay in an engine's cache.
-const CACHE_LIFETIME: Duration = Duration::from_secs(30);
-/// Cached parts of one engine above which expired ones are removed.
-const MAX_CACHED_PARTS: usize = 2_000;
+/// The cost of a prompt token that is fetched from another engine, besides its time; it is billed at about
+/// a quarter of one that is read again.
+const FETCH_COST_MS_PER_TOKEN: f64 = 0.007;
+/// The time of a fetch without its tokens.
+const FETCH_SETUP: Duration = Duration::from_millis(5);
+/// The least number of tokens that are fetched.
+const MIN_FETCHED_TOKENS: u64 = 500;
+/// How much longer a fetch from another availability zone takes.
+const OTHER_ZONE_FETCH_FACTOR: f64 = 2.0;
 /// The least number of shared tokens for which results are computed in the zone of the engine that
 /// has them cached.
 const MIN_SHARED_TOKENS: u64 = 1_000;
@@ -64,8 +72,14 @@
     pub granted_at: Time,
     /// The start of the engine's process.
     born: u64,
+    /// The engine that it fetches the beginning of the prompt from.
+    pub fetch_from: Option<SocketAddr>,
     /// Prompt tokens that the engine has to read.
     unread_tokens: u64,
+    /// How long the engine reads and fetches the prompt.
+    read_time: Duration,
+    /// Whether the engine had no other prompt to read.
+    is_alone: bool,
     /// Tokens in the memory of the engine.
     memory_tokens: u64,
     /// The expected time to the first byte.
@@ -73,6 +87,25 @@
     is_started: bool,
 }
 
+/// How an engine would get the prompt of a request.
+struct Reading {
+    /// Tokens that it has to read.
+    unread_tokens: u64,
+    /// Tokens that it fetches, and from where.
+    fetch: Option<(u64, SocketAddr)>,
+    /// How long both take.
+    time: Duration,
+}
+
+/// An engine from which others can fetch the beginning of a prompt.
+struct Source {
+    engine: id::Endpoint,
+    address: SocketAddr,
+    zone: id::Zone,
+    release: id::Release,
+    tokens: u64,
+}
+
 impl Reservation {
     /// Returns the life of the engine, which a job of its service shares.
     pub fn life(&self, job: &Job) -> Life {
@@ -92,15 +125,14 @@
     born: u64,
     slots: u32,
     running: u32,
-    unread_tokens: u64,
+    reading: ReadQueue,
     memory_tokens: u64,
     blocked_until: Time,
     /// When its limit allows the next request.
     limited_until: Time,
     health: Health,
     bucket: Bucket,
-    /// When each prompt part was last used.
-    cached_parts: IndexMap<id::Name, Time>,
+    cache: Cache,
 }
 
 /// All endpoints that run requests.
@@ -110,6 +142,7 @@
     leaves_limited: bool,
     services: IndexMap<id::Pool, EngineConfig>,
     engines: IndexMap<id::Endpoint, Engine>,
+    speeds: IndexMap<id::Pool, Speed>,
     /// The moving average of times to the first byte, as a multiple of the expected ones.
     latency_ratio: Option<f64>,
     /// Cached parts that were reported before any engine was known.
@@ -124,6 +157,7 @@
             leaves_limited: false,
             services: IndexMap::new(),
             engines: IndexMap::new(),
+            speeds: IndexMap::new(),
             latency_ratio: None,
             early_cached: Vec::new(),
         }
@@ -209,11 +243,7 @@
         for cached in parts {
             // An engine that is not known has left.
             if let Some(engine) = self.engines.get_mut(&cached.endpoint) {
-                let last_used = engine
-                    .cached_parts
-                    .entry(cached.part.clone())
-                    .or_insert(cached.sent_at);
-                *last_used = cached.sent_at.max(*last_used);
+                engine.cache.add(&cached.part, cached.sent_at);
             }
         }
     }
@@ -232,6 +262,97 @@
         is_cached.then(|| best.zone.clone())
     }
 
+    fn speed(&self, service: &id::Pool) -> Speed {
+        self.speeds.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns the least time from a grant to the first byte: that of an engine that keeps most of the
+    /// prompt and reads nothing else.
+    pub fn least_time(&self, job: &Job, now: Time) -> Duration {
+        let speed = self.speed(&job.service);
+        let engines = self.engines.values();
+        let engines = engines.filter(|engine| engine.may_run(job));
+        let unread = engines.map(|engine| engine.uncached_tokens(&job.prompt_parts, now));
+        speed.base() + speed.read_time(unread.min().unwrap_or(0))
+    }
+
+    /// Returns the engines that keep most of the beginning of a prompt: the best one of each zone and
+    /// software version, since versions may keep other weights.
+    fn sources(&self, job: &Job, now: Time) -> Vec<Source> {
+        let mut best: IndexMap<(&id::Zone, &id::Release), Source> = IndexMap::new();
+        let of_service = |(_, engine): &(&id::Endpoint, &Engine)| {
+            engine.service == job.service && engine.health.is_usable(now)
+        };
+        for (id, engine) in self.engines.iter().filter(of_service) {
+            let tokens = engine.cache.read_tokens(&job.prompt_parts, now);
+            if tokens < MIN_FETCHED_TOKENS {
+                continue;
+            }
+            let place = (&engine.zone, &engine.release);
+            if best.get(&place).is_none_or(|best| best.tokens < tokens) {
+                let source = Source {
+                    engine: id.clone(),
+                    address: engine.address,
+                    zone: engine.zone.clone(),
+                    release: engine.release.clone(),
+                    tokens,
+                };
+                best.insert(place, source);
+            }
+        }
+        best.into_values().collect()
+    }
+
+    /// Returns how an engine would get a prompt: it fetches what others keep if that is faster than
+    /// reading it.
+    fn reading(
+        &self,
+        id: &id::Endpoint,
+        engine: &Engine,
+        job: &Job,
+        sources: &[Source],
+        now: Time,
+    ) -> Reading {
+        let parts = &job.prompt_parts;
+        let speed = self.speed(&job.service);
+        let prompt: u64 = parts.iter().map(|part| part.tokens).sum();
+        let kept = engine.cache.tokens(parts, now);
+        let read = Reading {
+            unread_tokens: prompt - kept,
+            fetch: None,
+            time: speed.read_time(prompt - kept),
+        };
+        let Some(token_time) = self
+            .services
+            .get(&job.service)
+            .and_then(EngineConfig::token_transfer_time)
+        else {
+            return read;
+        };
+        let usable = sources.iter().filter(|source| {
+            source.engine != *id
+                && source.release == engine.release
+                && source.tokens >= kept + MIN_FETCHED_TOKENS
+        });
+        let fetches = usable.map(|source| {
+            let fetched = source.tokens - kept;
+            let factor = if source.zone == engine.zone {
+                1.0
+            } else {
+                OTHER_ZONE_FETCH_FACTOR
+            };
+            let unread_tokens = prompt - source.tokens;
+            let fetch_time = token_time.mul_f64(fetched as f64 * factor);
+            Reading {
+                unread_tokens,
+                fetch: Some((fetched, source.address)),
+                time: FETCH_SETUP + fetch_time + speed.read_time(unread_tokens),
+            }
+        });
+        let best = fetches.min_by_key(|reading| reading.time);
+        best.filter(|best| best.time < read.time).unwrap_or(read)
+    }
+
     /// Returns whether an engine may run a job, whether or not it has room.
     pub fn has_engine(&self, job: &Job) -> bool {
         self.engines.values().any(|engine| engine.may_run(job))
@@ -285,42 +406,53 @@
         let has_usable = fitting
             .iter()
             .any(|(_, engine)| engine.health.is_usable(now));
-        let costs = fitting
+        let candidates = fitting
             .into_iter()
             .filter(|(_, engine)| !has_usable || engine.health.is_usable(now));
-        let costs = costs.map(|(id, engine)| {
+        let sources = self.sources(job, now);
+        let base = self.speed(&job.service).base();
+        let costs = candidates.map(|(id, engine)| {
             let asked = if self.limits.is_unsure(id, now) {
                 ASK_BONUS_MS
             } else {
                 0.0
             };
-            (id.clone(), engine.cost(id, request, now) - asked)
+            let reading = self.reading(id, engine, job, &sources, now);
+            let cost = engine.cost(id, request, &reading, base, now) - asked;
+            (id.clone(), reading, cost)
         });
-        let (id, _) = costs.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        let (id, reading, _) = costs.min_by(|(.., a), (.., b)| a.total_cmp(b))?;
         let engine = self.engines.get_mut(&id)?;
-        let uncached_tokens = engine.uncached_tokens(&job.prompt_parts, now);
         engine.running += 1;
         engine.bucket.take();
-        engine.unread_tokens += uncached_tokens;
+        let is_alone = engine.reading.is_empty();
+        engine.reading.push(reading.time, now);
         engine.memory_tokens += tokens;
         engine.health.call_started(now);
-        engine.record_parts(&job.prompt_parts, now);
-        let expected = BASE_LATENCY_MS + engine.unread_tokens as f64 / READ_TOKENS_PER_MS;
+        engine.cache.begin(&job.prompt_parts, now);
         Some(Reservation {
             engine: id,
             address: engine.address,
             release: engine.release.clone(),
             granted_at: now,
             born: engine.born,
-            unread_tokens: uncached_tokens,
+            fetch_from: reading.fetch.map(|(_, address)| address),
+            unread_tokens: reading.unread_tokens,
+            read_time: reading.time,
+            is_alone,
             memory_tokens: tokens,
-            expected: Duration::from_secs_f64(expected / 1000.0),
+            expected: base + engine.reading.wait(now),
             is_started: false,
         })
     }
 
-    /// Records that the engine has read the prompt; returns how long that took, once.
-    pub fn prompt_read(&mut self, reservation: &mut Reservation, now: Time) -> Option<Duration> {
+    /// Records that the engine has read the prompt of a job; returns how long that took, once.
+    pub fn prompt_read(
+        &mut self,
+        reservation: &mut Reservation,
+        job: &Job,
+        now: Time,
+    ) -> Option<Duration> {
         if std::mem::replace(&mut reservation.is_started, true) {
             return None;
         }
@@ -329,18 +461,21 @@
         let mean = self.latency_ratio.get_or_insert(ratio);
         *mean += 0.1 * (ratio - *mean);
         let ratio = ratio / mean.max(0.1);
+        if reservation.is_alone && reservation.fetch_from.is_none() {
+            let speed = self.speeds.entry(job.service.clone()).or_default();
+            speed.record(reservation.unread_tokens, duration);
+        }
         if let Some(engine) = self.engines.get_mut(&reservation.engine) {
-            engine.unread_tokens = engine
-                .unread_tokens
-                .saturating_sub(reservation.unread_tokens);
+            engine.cache.finish(&job.prompt_parts);
             engine.health.record_duration(ratio, now);
+            engine.reading.remove(reservation.read_time, now);
         }
         Some(duration)
     }
 
     /// Records how the engine ended a request.
-    pub fn finish(&mut self, reservation: &Reservation, verdict: Verdict, now: Time) {
-        self.release(reservation);
+    pub fn finish(&mut self, reservation: &Reservation, job: &Job, verdict: Verdict, now: Time) {
+        self.release(reservation, job, now);
         if let Some(engine) = self.engines.get_mut(&reservation.engine) {
             engine.health.call_ended(verdict, now);
             match verdict {
@@ -349,7 +484,7 @@
                 }
                 Verdict::Refused => engine.blocked_until = now + REFUSED_PAUSE,
                 Verdict::Lost | Verdict::Crashed | Verdict::Dropped => {
-                    engine.cached_parts.clear();
+                    engine.cache.clear();
                 }
                 Verdict::Good | Verdict::Bad | Verdict::Unknown => {}
             }
@@ -357,16 +492,15 @@
     }
 
     /// Releases the share of a request at its engine.
-    pub fn release(&mut self, reservation: &Reservation) {
+    pub fn release(&mut self, reservation: &Reservation, job: &Job, now: Time) {
         if let Some(engine) = self.engines.get_mut(&reservation.engine) {
             engine.running = engine.running.saturating_sub(1);
             engine.memory_tokens = engine
                 .memory_tokens
                 .saturating_sub(reservation.memory_tokens);
             if !reservation.is_started {
-                engine.unread_tokens = engine
-                    .unread_tokens
-                    .saturating_sub(reservation.unread_tokens);
+                engine.cache.cancel(&job.prompt_parts);
+                engine.reading.remove(reservation.read_time, now);
             }
         }
     }
@@ -382,13 +516,13 @@
             born: endpoint.born,
             slots: endpoint.slots,
             running: 0,
-            unread_tokens: 0,
+            reading: ReadQueue::default(),
             memory_tokens: 0,
             blocked_until: Time::ZERO,
             limited_until: Time::ZERO,
             health: Health::default(),
             bucket: Bucket::default(),
-            cached_parts: IndexMap::new(),
+            cache: Cache::default(),
         }
     }
 
@@ -399,46 +533,39 @@
         self.service == job.service && job.release.as_ref().is_none_or(is_same)
     }
 
-    fn is_cached(&self, part: &PromptPart, now: Time) -> bool {
-        let last_used = self.cached_parts.get(&part.id);
-        last_used.is_some_and(|last_used| now.saturating_sub(*last_used) < CACHE_LIFETIME)
-    }
-
-    /// Returns the prompt tokens that it would have to read: those from the first uncached part on.
+    /// Returns the prompt tokens that it does not keep: those from the first missing part on.
     fn uncached_tokens(&self, parts: &[PromptPart], now: Time) -> u64 {
-        let missing = parts.iter().skip_while(|part| self.is_cached(part, now));
-        missing.map(|part| part.tokens).sum()
-    }
-
-    fn record_parts(&mut self, parts: &[PromptPart], now: Time) {
-        for part in parts {
-            self.cached_parts.insert(part.id.clone(), now);
-        }
-        if self.cached_parts.len() > MAX_CACHED_PARTS {
-            self.cached_parts
-                .retain(|_, last_used| now.saturating_sub(*last_used) < CACHE_LIFETIME);
-        }
+        let prompt: u64 = parts.iter().map(|part| part.tokens).sum();
+        prompt - self.cache.tokens(parts, now)
     }
 
     /// Returns the cost of running a request here, in milliseconds.
-    fn cost(&self, id: &id::Endpoint, request: &Request, now: Time) -> f64 {
+    fn cost(
+        &self,
+        id: &id::Endpoint,
+        request: &Request,
+        reading: &Reading,
+        base: Duration,
+        now: Time,
+    ) -> f64 {
         let parts = &request.job.prompt_parts;
-        let uncached_tokens = self.uncached_tokens(parts, now) as f64;
         let remote = request
             .final_results()
             .filter(|result| result.zone != self.zone);
         let remote = remote.map(|result| result.bytes).sum::<u64>() as f64 / 1e6;
         let shared = parts.split_last().and_then(|(_, shared)| shared.last());
         let preference = shared.map_or(0.0, |part| hash_fraction(&part.id, id));
-        let read_time = (self.unread_tokens as f64 + uncached_tokens) / READ_TOKENS_PER_MS;
-        let latency = (BASE_LATENCY_MS + read_time) * self.health.slowness(now);
+        let wait = self.reading.wait(now);
+        let latency = (base + wait + reading.time).as_secs_f64() * 1000.0;
+        let fetched_tokens = reading.fetch.map_or(0, |(tokens, _)| tokens);
         let zone_cost = if self.zone == request.job.zone {
             0.0
         } else {
             1.0
         };
-        latency
-            + uncached_tokens * REREAD_COST_MS_PER_TOKEN
+        latency * self.health.slowness(now)
+            + reading.unread_tokens as f64 * REREAD_COST_MS_PER_TOKEN
+            + fetched_tokens as f64 * FETCH_COST_MS_PER_TOKEN
             + f64::from(self.running) * RUNNING_COST_MS
             + remote * CROSS_ZONE_COST_MS_PER_MB
             + self.health.failure_rate(now) * FAILURE_COST_MS
--- a/src/serve/plan/forecast.rs
+++ b/src/serve/plan/forecast.rs
@@ -66,7 +66,7 @@
     now: Time,
 ) -> (QueueKey, Duration) {
     let remaining = request.critical_path(stage, endpoints);
-    let latest_start = request.job.target.saturating_sub(remaining);
+    let latest_start = request.target().saturating_sub(remaining);
     let is_late = latest_start < now;
     let mut at = latest_start
         + PRIORITY_DELAY * u32::from(request.job.priority)
@@ -141,7 +141,7 @@
         ends.push(begin + queued + own);
     }
     let last = ends.iter().max().copied()?;
-    let total = last + endpoints.time_to_first_byte();
+    let total = last + new.time_to_first_byte(endpoints);
     Some(Forecast { total, wait })
 }
 
--- a/src/serve/plan/request.rs
+++ b/src/serve/plan/request.rs
@@ -17,6 +17,9 @@
 /// read a long prompt and begin the answer.
 const TRIAL_TIME: Duration = Duration::from_millis(1_500);
 
+/// The time for a request that cannot meet its target, as a multiple of the least possible time.
+const UNREACHABLE_TARGET_FACTOR: f64 = 1.25;
+
 token! {
     /// Identifies a piece of a job.
     pub struct PieceIndex {
@@ -86,6 +89,10 @@
     pub answer_began: Option<Time>,
     /// Whether the planner waits to hear that the answer goes on.
     pub is_watched: bool,
+    /// The least time from its grant to the first byte of its answer.
+    pub engine_time: Duration,
+    /// The least time from its submission to the first byte of its answer.
+    least_time: Duration,
     submitted_at: Time,
     pieces: Vec<Vec<PieceState>>,
     /// Whether the results of each stage were freed.
@@ -114,6 +121,8 @@
             is_transferring: false,
             answer_began: None,
             is_watched: false,
+            engine_time: Duration::ZERO,
+            least_time: Duration::ZERO,
             submitted_at: now,
             freed_stages: vec![false; job.stages.len()],
             pieces: states.collect(),
@@ -121,6 +130,35 @@
         }
     }
 
+    /// Sets the least time from its grant to the first byte of its answer.
+    pub fn set_engine_time(&mut self, engine_time: Duration, endpoints: &StageEndpoints) {
+        self.engine_time = engine_time;
+        let ready = (0..self.pieces.len()).filter(|stage| self.is_stage_ready(*stage));
+        let paths = ready.map(|stage| self.critical_path(stage, endpoints));
+        self.least_time = paths.max().unwrap_or(engine_time);
+    }
+
+    /// Returns the expected time from its grant to the first byte of its answer.
+    pub fn time_to_first_byte(&self, endpoints: &StageEndpoints) -> Duration {
+        self.engine_time + endpoints.engine_wait()
+    }
+
+    /// Returns the time within which it should be answered: its target latency, or more for one with so
+    /// long a prompt that no engine could meet it.
+    pub fn span(&self) -> Duration {
+        let target_latency = self.job.target_latency;
+        if self.least_time <= target_latency {
+            return target_latency;
+        }
+        self.least_time.mul_f64(UNREACHABLE_TARGET_FACTOR)
+    }
+
+    /// Returns when it should be answered.
+    pub fn target(&self) -> Time {
+        let added = self.span().saturating_sub(self.job.target_latency);
+        self.job.target + added
+    }
+
     /// Adds the results of another planner, and returns the valid ones.
     pub fn add_transferred(&mut self) -> Vec<TransferredResult> {
         let transferred = std::mem::take(&mut self.job.transferred_results);
@@ -352,7 +390,9 @@
         let after = self
             .dependents(stage)
             .map(|next| self.critical_path(next, endpoints));
-        own + after.max().unwrap_or(endpoints.time_to_first_byte())
+        own + after
+            .max()
+            .unwrap_or_else(|| self.time_to_first_byte(endpoints))
     }
 
     /// Returns why the request should be refused, if it should.
@@ -373,7 +413,7 @@
         } else {
             1.0 + ADMISSION_TOLERANCE
         };
-        let is_late = now + least > self.submitted_at + self.job.target_latency.mul_f64(factor);
+        let is_late = now + least > self.submitted_at + self.span().mul_f64(factor);
         is_late.then_some("it would be answered too late")
     }
 }
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -36,9 +36,9 @@
 const PREFERRED_ZONE_SLACK: Duration = Duration::from_millis(400);
 /// Consecutive overdue calls after which an endpoint is considered down.
 const MAX_OVERDUE_CALLS: u32 = 2;
-/// The expected time from a grant to the first byte of the answer until one is measured.
-const INITIAL_TIME_TO_FIRST_BYTE: Duration = Duration::from_millis(200);
-/// The weight of a new sample in the moving average of the time to the first byte.
+/// How long requests are expected to wait for other prompts at engines until that is measured.
+const INITIAL_ENGINE_WAIT: Duration = Duration::from_millis(50);
+/// The weight of a new sample in the moving average of that wait.
 const SMOOTHING: f64 = 0.1;
 
 /// The share of its room above which an endpoint's results of begun answers are freed.
@@ -71,7 +71,7 @@
     limits: Rc<Limits>,
     services: IndexMap<id::Pool, catalog::Batch>,
     endpoints: IndexMap<id::Endpoint, StageEndpoint>,
-    time_to_first_byte: Duration,
+    engine_wait: Duration,
 }
 
 impl StageEndpoints {
@@ -81,7 +81,7 @@
             limits,
             services: IndexMap::new(),
             endpoints: IndexMap::new(),
-            time_to_first_byte: INITIAL_TIME_TO_FIRST_BYTE,
+            engine_wait: INITIAL_ENGINE_WAIT,
         }
     }
 
@@ -135,15 +135,14 @@
         piece_time.unwrap_or_default() * count(pieces)
     }
 
-    /// Returns the expected time from a grant to the first byte of the answer.
-    pub fn time_to_first_byte(&self) -> Duration {
-        self.time_to_first_byte
+    /// Returns how long requests wait for other prompts at their engines.
+    pub fn engine_wait(&self) -> Duration {
+        self.engine_wait
     }
 
-    /// Records a measured time to the first byte.
-    pub fn record_time_to_first_byte(&mut self, took: Duration) {
-        self.time_to_first_byte =
-            self.time_to_first_byte.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
+    /// Records how long a request waited for other prompts at its engine.
+    pub fn record_engine_wait(&mut self, wait: Duration) {
+        self.engine_wait = self.engine_wait.mul_f64(1.0 - SMOOTHING) + wait.mul_f64(SMOOTHING);
     }
 
     /// Records that an endpoint takes nothing until then, or in its life if it is leaving.
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -33,7 +33,7 @@
     Endpoint {
         id: id.into(),
         service: service.into(),
-        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        address: SocketAddr::from(([10, 0, 0, id.as_bytes()[0]], 80)),
         zone: zone.into(),
         release: "v1".into(),
         slots: 128,
@@ -69,6 +69,8 @@
             engine: Some(catalog::Engine {
                 slots: 128,
                 memory_tokens: 500_000,
+                token_bytes: 0,
+                link_rate: 0,
             }),
             ..catalog::Service::default()
         };
@@ -154,6 +156,20 @@
         });
     }
 
+    /// Makes engines fetch the memory of tokens from each other.
+    fn set_transfer_rate(&mut self, token_bytes: u64, link_rate: u64) {
+        let model = self.catalog.services.get_mut("model");
+        let engine = model.and_then(|model| model.engine.as_mut());
+        let engine = engine.expect("an engine");
+        engine.token_bytes = token_bytes;
+        engine.link_rate = link_rate;
+        self.planner.sync(&self.registry, &self.catalog, self.now);
+    }
+
+    fn address(&self, id: &id::Endpoint) -> SocketAddr {
+        self.registry.get(id).expect("listed").address
+    }
+
     /// Makes an endpoint have another version of its software.
     fn set_release(&mut self, id: &str, service: &str, release: &str) {
         self.change(Endpoint {
--- a/src/serve/plan/tests/engine.rs
+++ b/src/serve/plan/tests/engine.rs
@@ -61,6 +61,83 @@
     );
 }
 
+/// Makes a site whose engine e has read a long part; returns the job of another request with that part.
+fn site_with_kept_part() -> (Site, Job) {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a")]);
+    site.set_transfer_rate(163_840, 260_000_000_000);
+    let part = |id: &str, tokens| PromptPart {
+        id: id.into(),
+        tokens,
+    };
+    let mut job = site.job(&[], 2_000);
+    job.prompt_parts = vec![part("long", 20_000), part("own", 100)];
+    let first = site.submit(job.clone());
+    site.now = ms(300);
+    site.planner.started(first, true, site.now);
+    site.planner.ended(first, Verdict::Good, site.now);
+    site.planner.remove(first, site.now);
+    site.actions();
+    job.prompt_parts[1] = part("other", 100);
+    (site, job)
+}
+
+/// Makes the engine that gets a request busy with another long prompt; returns the engine.
+fn occupy(site: &mut Site, job: &Job) -> id::Endpoint {
+    let mut busy = job.clone();
+    busy.prompt_parts[1].tokens = 60_000;
+    busy.prompt_parts[1].id = "busy".into();
+    site.submit(busy);
+    grants(&site.actions())[0].1.endpoint.clone()
+}
+
+/// Load pattern: a part comes again while the engine that keeps it reads a long prompt.
+#[test]
+fn part_kept_by_a_busy_engine_fetched() {
+    let (mut site, job) = site_with_kept_part();
+    let busy = occupy(&mut site, &job);
+    site.submit(job);
+    let grant = grants(&site.actions())[0].1.clone();
+    assert_ne!(grant.endpoint, busy);
+    assert_eq!(grant.fetch_from, Some(site.address(&busy)));
+}
+
+/// Guards against the memory of one software version that goes on under another one.
+#[test]
+fn part_of_another_release_not_fetched() {
+    let (mut site, job) = site_with_kept_part();
+    let busy = occupy(&mut site, &job);
+    let other = if *busy == *"e" { "f" } else { "e" };
+    site.set_release(other, "model", "v2");
+    site.submit(job);
+    assert_eq!(grants(&site.actions())[0].1.fetch_from, None);
+}
+
+/// Guards against fetches from an engine that has not read the part yet, and would make others wait.
+#[test]
+fn part_being_read_not_fetched() {
+    let (mut site, mut job) = site_with_kept_part();
+    job.prompt_parts[0].id = "new".into();
+    let busy = occupy(&mut site, &job);
+    site.submit(job);
+    let grant = grants(&site.actions())[0].1.clone();
+    assert!(grant.fetch_from.is_none(), "{busy}: {grant:?}");
+}
+
+/// A prompt that no engine reads within its target is not refused for that: others have to wait as well.
+#[test]
+fn prompt_too_long_for_its_target_served() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let mut job = site.job(&[1], 900);
+    job.prompt_parts = vec![PromptPart {
+        id: "own".into(),
+        tokens: 150_000,
+    }];
+    site.submit(job);
+    site.planner.tick(ms(20));
+    let actions = site.actions();
+    assert_eq!((calls(&actions).len(), refusals(&actions).len()), (1, 0));
+}
+
 #[test]
 fn requests_spread_over_engines() {
     let mut site = Site::new(&[], &[("e", "a"), ("f", "a"), ("g", "a")]);
--- a/src/serve/plan/tests/replay.rs
+++ b/src/serve/plan/tests/replay.rs
@@ -104,7 +104,13 @@
 fn replay(waves: &[Wave], seed: u64) -> Report {
     let mut registry = Registry::default();
     let mut add = |id: String, service: &str, zone: &str| {
-        registry.apply(Entry::Present(endpoint(&id, service, zone)), ms(0));
+        let port = 8_000 + registry.all().count() as u16;
+        let address = ([10, 0, 0, 1], port).into();
+        let endpoint = Endpoint {
+            address,
+            ..endpoint(&id, service, zone)
+        };
+        registry.apply(Entry::Present(endpoint), ms(0));
     };
     for zone in ["a", "b"] {
         add(format!("quality-{zone}"), "quality", zone);
@@ -124,6 +130,8 @@
     let engine = catalog::Engine {
         slots: 64,
         memory_tokens: 632_435,
+        token_bytes: 163_840,
+        link_rate: 260_000_000_000,
     };
     let model = catalog::Service {
         engine: Some(engine),
@@ -140,6 +148,7 @@
     }
     let speed = Speed {
         read_tokens_per_ms: 61.8,
+        fetch_tokens_per_ms: 198.0,
         base: ms(20),
         event: ms(25),
     };
@@ -149,19 +158,35 @@
     Replay::new(planner, &registry, &catalog, &speed, &classes).play(&load, &"model".into())
 }
 
+fn assert_served(report: &Report, seed: u64) {
+    for (name, tally) in &report.classes {
+        let is_served = tally.on_time * 100 >= tally.asked * 98;
+        assert!(is_served, "seed {seed}, {name}: {report:?}");
+    }
+}
+
 /// Load pattern: a burst of drafts whose streams may be resumed. Their results filled the room of the stage
 /// endpoints until the streams ended, so that other requests waited or were refused.
 #[test]
 fn results_of_begun_streams_leave_room() {
-    for (burst, factor, seed) in SEEDS
-        .map(|seed| (DRAFT, 2.2, seed))
-        .into_iter()
-        .chain([(REVIEW, 2.5, 5)])
-    {
-        let report = replay(&day(burst, factor), seed);
-        for (name, tally) in &report.classes {
-            let is_served = tally.on_time * 100 >= tally.asked * 98;
-            assert!(is_served, "seed {seed}, {name}: {report:?}");
-        }
+    for seed in SEEDS {
+        assert_served(&replay(&day(DRAFT, 2.2), seed), seed);
+    }
+}
+
+/// Load pattern: a burst of the most urgent class, with three stages in a row.
+#[test]
+fn burst_of_reviews_leaves_room_for_queries() {
+    assert_served(&replay(&day(REVIEW, 2.5), 5), 5);
+}
+
+/// Load pattern: long shared parts that come again while the engine that keeps them reads others. A busy
+/// engine was left for an idle one, which read them again.
+#[test]
+fn shared_parts_fetched_rather_than_read_again() {
+    for seed in SEEDS {
+        let report = replay(&day(DRAFT, 2.2), seed);
+        let is_kept = report.reread_tokens * 100 <= report.shared_tokens;
+        assert!(is_kept, "seed {seed}: {report:?}");
     }
 }
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -202,6 +202,8 @@
         pub is_watched: bool,
         /// The limit of the endpoint as the planner knows it, in requests a second.
         pub limit: Option<Rate>,
+        /// The engine from which it is to fetch the beginning of the prompt.
+        pub fetch_from: Option<SocketAddr>,
         /// The results that it is to fetch, in the order of stages and pieces.
         pub inputs: Vec<Handle>,
     }
@@ -274,6 +276,7 @@
             release: None,
             is_watched: false,
             limit: None,
+            fetch_from: None,
             inputs: Vec::new(),
         }
     }
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -1,5 +1,6 @@
 //! The protocol of clients and endpoints: HTTP fields and bodies, and the types that they map to.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -49,6 +50,8 @@
         pub priority: Option<u8>,
         /// The results that it has to fetch.
         pub inputs: Vec<Handle>,
+        /// The engine from which it fetches the beginning of the prompt.
+        pub fetch_from: Option<SocketAddr>,
         /// The last event that was delivered, when it continues a stream.
         pub last_event_id: Option<String>,
     }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -29,6 +29,7 @@
 use crate::id;
 use crate::peer::stream::{self, ByteCount, Coding};
 
+mod home;
 mod host;
 mod rank;
 mod record;
@@ -36,6 +37,7 @@
 mod sent_parts;
 mod wire;
 
+pub use home::Homes;
 pub use host::listen;
 pub use rank::{Member, Ranking};
 use sent_parts::SentParts;
@@ -340,7 +342,13 @@
         let mut job = Cow::Borrowed(job);
         let mut last = Refusal::planner_gone();
         let (mut lost, mut transfers) = (0, 0);
-        while lost < MAX_LOST_PLANNERS && transfers < MAX_TRANSFERS {
+        // A request for another region is better served by its own one than by the next planner there.
+        let max_lost = if self.local.is_some() {
+            MAX_LOST_PLANNERS
+        } else {
+            1
+        };
+        while lost < max_lost && transfers < MAX_TRANSFERS {
             if self.local.is_none() && self.connection.borrow().is_none() {
                 break;
             }
@@ -371,6 +379,9 @@
                 Err(error) => {
                     info!(self.log, "planner lost a request"; "error" => %error);
                     lost += 1;
+                    if lost == max_lost {
+                        break;
+                    }
                 }
             }
             // Meanwhile maintain_connection finds another planner.
@@ -393,12 +404,13 @@
     }
 }
 
-/// Plans requests in this daemon's region, and refused ones in another region: then only the
-/// request itself crosses the link between regions, and none of its results.
+/// Plans requests in the region that keeps their prompt, or else in this daemon's, and refused ones in
+/// another region: only the request itself crosses the link between regions, and none of its results.
 pub struct Regions {
     own: Rc<Region>,
     others: IndexMap<id::Region, Rc<Region>>,
     name: id::Region,
+    homes: Homes,
     dialer: Rc<Dialer>,
 }
 
@@ -408,12 +420,14 @@
         name: id::Region,
         own: Rc<Region>,
         others: IndexMap<id::Region, Rc<Region>>,
+        homes: Homes,
         dialer: Rc<Dialer>,
     ) -> Rc<Self> {
         Rc::new(Self {
             own,
             others,
             name,
+            homes,
             dialer,
         })
     }
@@ -445,12 +459,21 @@
     }
 
     async fn plan(&self, job: Job) -> Result<Box<dyn PlannedRequest>, Refusal> {
+        let home = self.homes.region(&job.prompt_parts);
+        if let Some(home) = home.and_then(|home| self.others.get(home)) {
+            match home.plan(&job).await {
+                Ok(planned) => return Ok(planned),
+                Err(refusal) if refusal.is_final => return Err(refusal),
+                Err(_) => {}
+            }
+        }
         let refusal = match self.own.plan(&job).await {
             Ok(planned) => return Ok(planned),
             Err(refusal) if refusal.is_final => return Err(refusal),
             Err(refusal) => refusal,
         };
-        for other in self.others.values() {
+        let others = self.others.iter();
+        for (_, other) in others.filter(|(name, _)| home != Some(*name)) {
             if let Ok(planned) = other.plan(&job).await {
                 return Ok(planned);
             }
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -172,7 +172,7 @@
 
 /// A daemon of an earlier version sends no release, which is none rather than an empty one.
 #[test]
-fn release_round_trip() {
+fn release_and_source_round_trip() {
     for release in [None, Some(id::Release::from("v1.1"))] {
         let mut message = message::Builder::new_default();
         let sent = Job {
@@ -185,13 +185,14 @@
         assert_eq!(read.release, release);
         let grant = Grant {
             release: release.clone(),
+            fetch_from: release.is_some().then(|| ([10, 0, 0, 2], 80).into()),
             ..Grant::default()
         };
         let mut message = message::Builder::new_default();
-        wire::write_reply(&Ok(grant), Duration::ZERO, message.init_root());
+        wire::write_reply(&Ok(grant.clone()), Duration::ZERO, message.init_root());
         let read: reply::Reader<'_> = message.get_root_as_reader().expect("a reply");
         let read = wire::read_reply(read, Duration::ZERO).expect("a valid message");
-        assert_eq!(read.expect("a grant").release, release);
+        assert_eq!(read, Ok(grant));
     }
 }
 
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -40,6 +40,14 @@
     parsed.map_err(|_| capnp::Error::failed("invalid address".into()))
 }
 
+/// Reads an address; an empty one is none.
+fn read_optional_address(text: capnp::text::Reader<'_>) -> Result<Option<SocketAddr>> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    read_address(text).map(Some)
+}
+
 /// Reads a software version; an empty one is none, as daemons of earlier versions send.
 pub fn read_release(text: capnp::text::Reader<'_>) -> Result<Option<id::Release>> {
     Ok(Some(read_name(text)?).filter(|release| !release.is_empty()))
@@ -339,6 +347,9 @@
             entry.set_release(grant.release.as_deref().unwrap_or_default());
             entry.set_is_watched(grant.is_watched);
             entry.set_limit(write_limit(grant.limit));
+            if let Some(source) = grant.fetch_from {
+                entry.set_fetch_from(source.to_string());
+            }
             let mut inputs = entry.init_inputs(to_u32(grant.inputs.len()));
             for (index, handle) in (0..).zip(&grant.inputs) {
                 inputs.set(index, &**handle);
@@ -372,6 +383,7 @@
                 release: read_release(grant.get_release()?)?,
                 is_watched: grant.get_is_watched(),
                 limit: read_limit(grant.get_limit()),
+                fetch_from: read_optional_address(grant.get_fetch_from()?)?,
                 inputs: inputs.collect::<Result<_>>()?,
             }))
         }
