Read news of the store from the region's planner

Cause: each daemon followed the topics of endpoints, daemons and evidence for itself.

Change: the planner's watermarks cover these topics, and it passes on the newest record of each key from a position on. Where it does not know them (another epoch, an earlier release, a planner that has just begun or cannot read), a daemon reads the store itself, as before. The marks of the new topics come in a list of their own, since daemons of the last release drop a list with a topic that they don't know.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -104,6 +104,8 @@
 enum Topic {
   catalog @0;
   endpoints @1;
+  daemons @2;
+  evidence @3;
 }
 
 # How far the planner has followed a topic of the store.
@@ -115,6 +117,13 @@
   epoch @3 :UInt64;
 }
 
+# One record of a topic with keys.
+struct Record {
+  key @0 :Text;
+  value @1 :Data;
+  isRemoved @2 :Bool;
+}
+
 # A part of a prompt that was sent to an engine.
 struct Sent {
   part @0 :Text;
@@ -171,11 +180,15 @@
 interface Planner {
   place @0 (job :Job) -> (seat :Seat);
   # Says that the daemon is alive, whether it is about to stop, and what it knows of the store.
-  ping @1 () -> (leaving :Bool, marks :List(Mark));
+  # `moreMarks` are those of topics that daemons of earlier versions don't know.
+  ping @1 () -> (leaving :Bool, marks :List(Mark), moreMarks :List(Mark));
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
   copy @2 (topic :Topic) -> (change :UInt64, packed :Data, epoch :UInt64);
   # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached, what
   # it refuses, and the limits that endpoints have named.
   recall @3 (uses :List(Use), refused :List(Refused), limits :List(Limit)) -> ();
+  # Returns the newest record of each key that was written to a topic from an offset on, and the offset
+  # after them; not known when the caller has to read the store.
+  news @4 (topic :Topic, from :UInt64, epoch :UInt64) -> (isKnown :Bool, records :List(Record), next :UInt64);
 }
--- a/src/serve/progress.rs
+++ b/src/serve/progress.rs
@@ -17,6 +17,10 @@
 use crate::clock::Time;
 use crate::id;
 
+mod news;
+
+pub use news::{News, Record, Update};
+
 /// The longest record that is passed on; more than the store accepts in one call.
 const MAX_RECORD_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -32,6 +36,10 @@
         Catalog,
         /// The endpoints.
         Endpoints,
+        /// The daemons.
+        Daemons,
+        /// The evidence of content that ends endpoints.
+        Evidence,
     }
 
     /// A position in a topic. A later epoch is ahead of an earlier one, whose records it may lack.
@@ -101,6 +109,7 @@
     own: RefCell<IndexMap<Topic, Watermark>>,
     planner: RefCell<IndexMap<Topic, Watermark>>,
     records: RefCell<IndexMap<Topic, CachedRecord>>,
+    news: RefCell<IndexMap<Topic, News>>,
 }
 
 impl ReadProgress {
@@ -128,6 +137,26 @@
             .collect()
     }
 
+    /// Records that a topic was listed up to a position.
+    pub fn listed(&self, topic: Topic, next: Position) {
+        self.news.borrow_mut().entry(topic).or_default().reset(next);
+    }
+
+    /// Records what was read next of a topic.
+    pub fn add_news(&self, topic: Topic, records: &[Record], next: Position) {
+        let mut news = self.news.borrow_mut();
+        news.entry(topic).or_default().add(records, next);
+    }
+
+    /// Returns what a daemon needs that has read a topic up to a position; none when it has to read the
+    /// store, or when this daemon does not read it.
+    pub fn news(&self, topic: Topic, position: Position) -> Option<Update> {
+        if !self.own.borrow().contains_key(&topic) {
+            return None;
+        }
+        self.news.borrow().get(&topic)?.since(position)
+    }
+
     /// Stores the newest record of a topic, as read from the store.
     pub fn cache_record(&self, topic: Topic, record: Bytes) {
         self.records
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -292,11 +292,13 @@
         let reason = match timeout(PING_TIMEOUT, ping).await {
             Ok(Ok(answer)) => match answer.get() {
                 Ok(answer) => {
-                    let watermarks = answer.get_marks();
-                    let watermarks = watermarks
-                        .and_then(|watermarks| wire::read_watermarks(watermarks, sent_at));
+                    let lists = [answer.get_marks(), answer.get_more_marks()];
+                    let watermarks = lists.into_iter().map(|list| {
+                        list.and_then(|watermarks| wire::read_watermarks(watermarks, sent_at))
+                    });
+                    let watermarks: capnp::Result<Vec<_>> = watermarks.collect();
                     if let (Some(progress), Ok(watermarks)) = (&self.progress, watermarks) {
-                        progress.set_planner_watermarks(watermarks);
+                        progress.set_planner_watermarks(watermarks.into_iter().flatten());
                     }
                     if answer.get_leaving() {
                         let now = self.clock.now();
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -16,7 +16,7 @@
 use crate::serve::Node;
 use crate::serve::dispatcher::{Dispatcher, LocalRequest, PlannedRequest};
 use crate::serve::plan::{Grant, Job, Refusal};
-use crate::serve::progress::ReadProgress;
+use crate::serve::progress::{Position, ReadProgress};
 
 /// How long a new connection may take to announce its coding.
 const CODING_TIMEOUT: Duration = Duration::from_secs(1);
@@ -85,8 +85,34 @@
         let watermarks = self.progress.watermark_ages(self.clock.now());
         let mut answer = results.get();
         answer.set_leaving(self.node.leaving_since().is_some());
-        let count = u32::try_from(watermarks.len()).unwrap_or_default();
-        wire::write_watermarks(&watermarks, answer.init_marks(count));
+        let (known, new): (Vec<_>, Vec<_>) = watermarks
+            .into_iter()
+            .partition(|(topic, ..)| wire::is_known_to_all(*topic));
+        let count = u32::try_from(known.len()).unwrap_or_default();
+        wire::write_watermarks(&known, answer.reborrow().init_marks(count));
+        let count = u32::try_from(new.len()).unwrap_or_default();
+        wire::write_watermarks(&new, answer.init_more_marks(count));
+        Ok(())
+    }
+
+    async fn news(
+        self: Capability<Self>,
+        params: planner::NewsParams,
+        mut results: planner::NewsResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let position = Position {
+            epoch: params.get_epoch(),
+            offset: params.get_from(),
+        };
+        let topic = wire::read_topic(params.get_topic()?);
+        if let Some(update) = self.progress.news(topic, position) {
+            let mut answer = results.get();
+            answer.set_is_known(true);
+            answer.set_next(update.next.offset);
+            let count = u32::try_from(update.records.len()).unwrap_or_default();
+            wire::write_records(&update.records, answer.init_records(count));
+        }
         Ok(())
     }
 
--- a/src/serve/region/record.rs
+++ b/src/serve/region/record.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::{Region, Regions, wire};
-use crate::serve::progress::{CompressedRecord, Position, Topic};
+use crate::serve::progress::{CompressedRecord, Position, Topic, Update};
 
 /// How long fetching a record from the planner may take; a small VM with a tenth of a core and
 /// 10 Mbit/s takes half of it to read the largest one.
@@ -50,7 +50,38 @@
     }
 }
 
+impl Region {
+    /// Fetches what was written to a topic since a position from the planner; none when no other daemon
+    /// plans, or when that does not know.
+    async fn fetch_news(&self, topic: Topic, from: Position) -> Option<Update> {
+        let connection = self.connection.borrow().clone()?;
+        let mut request = connection.client.news_request();
+        request.get().set_topic(wire::write_topic(topic));
+        request.get().set_from(from.offset);
+        request.get().set_epoch(from.epoch);
+        let answer = timeout(
+            FETCH_TIMEOUT,
+            connection.wait_response(request.send().promise),
+        );
+        // Planners of earlier versions know no news, and the store is read then.
+        let answer = answer.await.ok()?.ok()?;
+        let answer = answer.get().ok().filter(|answer| answer.get_is_known())?;
+        let next = Position {
+            epoch: from.epoch,
+            offset: answer.get_next(),
+        };
+        let records = wire::read_records(answer.get_records().ok()?).ok()?;
+        Some(Update { records, next })
+    }
+}
+
 impl Regions {
+    /// Fetches what was written to a topic since a position from this region's planner, if that is another
+    /// daemon and knows it.
+    pub async fn fetch_news(&self, topic: Topic, from: Position) -> Option<Update> {
+        self.own.fetch_news(topic, from).await
+    }
+
     /// Fetches a topic's newest record from this region's planner, if that is another daemon.
     pub async fn fetch_record(&self, topic: Topic) -> Option<CompressedRecord> {
         self.own.fetch_record(topic).await
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -9,13 +9,13 @@
 use crate::clock::Time;
 use crate::generated::plan_capnp as schema;
 use crate::id;
-use crate::quarantine::evidence::{Life, Record, Subject};
+use crate::quarantine::evidence::{self, Life, Subject};
 use crate::serve::closure::Closure;
 use crate::serve::health::Verdict;
 use crate::serve::plan::{
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
 };
-use crate::serve::progress::{Position, Topic, Watermark};
+use crate::serve::progress::{Position, Record, Topic, Watermark};
 use crate::serve::rate::{Rate, Report};
 
 fn nanos(duration: Duration) -> u64 {
@@ -281,7 +281,7 @@
 
 /// Writes what is refused, since endpoints ended under it.
 pub fn write_refused(
-    records: &[Record],
+    records: &[evidence::Record],
     mut builder: capnp::struct_list::Builder<'_, schema::refused::Owned>,
 ) {
     for (index, record) in (0..).zip(records) {
@@ -314,7 +314,7 @@
 /// Reads what is refused.
 pub fn read_refused(
     reader: capnp::struct_list::Reader<'_, schema::refused::Owned>,
-) -> Result<Vec<Record>> {
+) -> Result<Vec<evidence::Record>> {
     use schema::refused::Which;
     let record = |entry: schema::refused::Reader<'_>| {
         let subject = match entry.which()? {
@@ -322,7 +322,7 @@
             Which::Part(part) => Subject::Part(read_name(part?)?),
         };
         let blames = entry.get_blames()?.iter().map(read_blame);
-        Ok(Record {
+        Ok(evidence::Record {
             subject,
             depth: entry.get_depth().into(),
             blames: blames.collect::<Result<_>>()?,
@@ -431,6 +431,8 @@
     match topic {
         Topic::Catalog => schema::Topic::Catalog,
         Topic::Endpoints => schema::Topic::Endpoints,
+        Topic::Daemons => schema::Topic::Daemons,
+        Topic::Evidence => schema::Topic::Evidence,
     }
 }
 
@@ -439,9 +441,45 @@
     match topic {
         schema::Topic::Catalog => Topic::Catalog,
         schema::Topic::Endpoints => Topic::Endpoints,
+        schema::Topic::Daemons => Topic::Daemons,
+        schema::Topic::Evidence => Topic::Evidence,
+    }
+}
+
+/// Returns whether daemons of earlier versions know a topic; they drop a list with another one.
+pub fn is_known_to_all(topic: Topic) -> bool {
+    matches!(topic, Topic::Catalog | Topic::Endpoints)
+}
+
+/// Writes records of a topic with keys.
+pub fn write_records(
+    records: &[Record],
+    mut builder: capnp::struct_list::Builder<'_, schema::record::Owned>,
+) {
+    for (index, record) in (0..).zip(records) {
+        let mut entry = builder.reborrow().get(index);
+        entry.set_key(&*record.key);
+        match &record.value {
+            Some(value) => entry.set_value(value),
+            None => entry.set_is_removed(true),
+        }
     }
 }
 
+/// Reads records of a topic with keys.
+pub fn read_records(
+    reader: capnp::struct_list::Reader<'_, schema::record::Owned>,
+) -> Result<Vec<Record>> {
+    let record = |entry: schema::record::Reader<'_>| {
+        let value = entry.get_value()?.to_vec().into();
+        Ok(Record {
+            key: read_name(entry.get_key()?)?,
+            value: (!entry.get_is_removed()).then_some(value),
+        })
+    };
+    reader.iter().map(record).collect()
+}
+
 /// Writes watermarks of topics, each with its age.
 pub fn write_watermarks(
     watermarks: &[(Topic, Position, Duration)],
