--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -24,6 +24,7 @@
 mod hold;
 mod outcome;
 mod request;
+mod room;
 mod stage_endpoint;
 mod stage_endpoints;
 mod types;
@@ -396,28 +397,6 @@
         self.actions.push(Action::Grant(job_id, grant));
     }
 
-    /// Frees the results of requests whose answers have begun at endpoints that run out of room: their
-    /// engines have fetched them, and only a stream that breaks off needs them again. Returns whether
-    /// there were any.
-    fn reclaim_room(&mut self) -> bool {
-        if !self.stage_endpoints.is_room_scarce() {
-            return false;
-        }
-        let endpoints = &self.stage_endpoints;
-        let begun = self.requests.values_mut();
-        let begun = begun.filter(|request| request.answer_began.is_some());
-        let spare: Vec<StoredResult> = begun
-            .filter(|request| {
-                let mut results = request.final_results();
-                results.any(|result| endpoints.is_room_scarce_at(&result.endpoint))
-            })
-            .flat_map(Request::release_results)
-            .collect();
-        let has_spare = !spare.is_empty();
-        self.free(spare);
-        has_spare
-    }
-
     /// Starts calls at all idle endpoints for which pieces are queued.
     fn dispatch_all(&mut self, now: Time) {
         self.reclaim_room();
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -21,20 +21,22 @@
 use crate::serve::registry::Endpoint;
 
 mod cache;
+mod fetch;
 mod read_queue;
 mod speed;
 
 use cache::Cache;
+use fetch::Reading;
 use read_queue::ReadQueue;
 use speed::Speed;
 
 /// The cost of one more running request for the others.
 const RUNNING_COST_MS: f64 = 1.0;
-/// The cost of results from another availability zone. The users price a gigabyte at 40 and a
-/// thousand tokens that are read again at 0.2, where a request on time is worth about 3; one unit of
-/// price is taken as 150 ms.
+/// The cost of results from another availability zone. The users price a gigabyte at 40, where a request
+/// on time is worth about 3; one unit of price is taken as 150 ms.
 const CROSS_ZONE_COST_MS_PER_MB: f64 = 6.0;
-/// The cost of a prompt token that is read again, besides its time; see above.
+/// The cost of a prompt token that is read again, besides its time: it outweighs a wait of 100 ms for a
+/// thousand tokens, since prompts that come later have to wait for them, too.
 const REREAD_COST_MS_PER_TOKEN: f64 = 0.1;
 /// The bonus of the preferred engine of a prompt.
 const PREFERRED_ENGINE_BONUS_MS: f64 = 20.0;
@@ -45,12 +47,6 @@
 /// The cost of a prompt token that is fetched from another engine, besides its time; it is billed at about
 /// a quarter of one that is read again.
 const FETCH_COST_MS_PER_TOKEN: f64 = 0.007;
-/// The time of a fetch without its tokens.
-const FETCH_SETUP: Duration = Duration::from_millis(5);
-/// The least number of tokens that are fetched.
-const MIN_FETCHED_TOKENS: u64 = 500;
-/// How much longer a fetch from another availability zone takes.
-const OTHER_ZONE_FETCH_FACTOR: f64 = 2.0;
 /// The least number of shared tokens for which results are computed in the zone of the engine that
 /// has them cached.
 const MIN_SHARED_TOKENS: u64 = 1_000;
@@ -87,25 +83,6 @@
     is_started: bool,
 }
 
-/// How an engine would get the prompt of a request.
-struct Reading {
-    /// Tokens that it has to read.
-    unread_tokens: u64,
-    /// Tokens that it fetches, and from where.
-    fetch: Option<(u64, SocketAddr)>,
-    /// How long both take.
-    time: Duration,
-}
-
-/// An engine from which others can fetch the beginning of a prompt.
-struct Source {
-    engine: id::Endpoint,
-    address: SocketAddr,
-    zone: id::Zone,
-    release: id::Release,
-    tokens: u64,
-}
-
 impl Reservation {
     /// Returns the life of the engine, which a job of its service shares.
     pub fn life(&self, job: &Job) -> Life {
@@ -276,83 +253,6 @@
         speed.base() + speed.read_time(unread.min().unwrap_or(0))
     }
 
-    /// Returns the engines that keep most of the beginning of a prompt: the best one of each zone and
-    /// software version, since versions may keep other weights.
-    fn sources(&self, job: &Job, now: Time) -> Vec<Source> {
-        let mut best: IndexMap<(&id::Zone, &id::Release), Source> = IndexMap::new();
-        let of_service = |(_, engine): &(&id::Endpoint, &Engine)| {
-            engine.service == job.service && engine.health.is_usable(now)
-        };
-        for (id, engine) in self.engines.iter().filter(of_service) {
-            let tokens = engine.cache.read_tokens(&job.prompt_parts, now);
-            if tokens < MIN_FETCHED_TOKENS {
-                continue;
-            }
-            let place = (&engine.zone, &engine.release);
-            if best.get(&place).is_none_or(|best| best.tokens < tokens) {
-                let source = Source {
-                    engine: id.clone(),
-                    address: engine.address,
-                    zone: engine.zone.clone(),
-                    release: engine.release.clone(),
-                    tokens,
-                };
-                best.insert(place, source);
-            }
-        }
-        best.into_values().collect()
-    }
-
-    /// Returns how an engine would get a prompt: it fetches what others keep if that is faster than
-    /// reading it.
-    fn reading(
-        &self,
-        id: &id::Endpoint,
-        engine: &Engine,
-        job: &Job,
-        sources: &[Source],
-        now: Time,
-    ) -> Reading {
-        let parts = &job.prompt_parts;
-        let speed = self.speed(&job.service);
-        let prompt: u64 = parts.iter().map(|part| part.tokens).sum();
-        let kept = engine.cache.tokens(parts, now);
-        let read = Reading {
-            unread_tokens: prompt - kept,
-            fetch: None,
-            time: speed.read_time(prompt - kept),
-        };
-        let Some(token_time) = self
-            .services
-            .get(&job.service)
-            .and_then(EngineConfig::token_transfer_time)
-        else {
-            return read;
-        };
-        let usable = sources.iter().filter(|source| {
-            source.engine != *id
-                && source.release == engine.release
-                && source.tokens >= kept + MIN_FETCHED_TOKENS
-        });
-        let fetches = usable.map(|source| {
-            let fetched = source.tokens - kept;
-            let factor = if source.zone == engine.zone {
-                1.0
-            } else {
-                OTHER_ZONE_FETCH_FACTOR
-            };
-            let unread_tokens = prompt - source.tokens;
-            let fetch_time = token_time.mul_f64(fetched as f64 * factor);
-            Reading {
-                unread_tokens,
-                fetch: Some((fetched, source.address)),
-                time: FETCH_SETUP + fetch_time + speed.read_time(unread_tokens),
-            }
-        });
-        let best = fetches.min_by_key(|reading| reading.time);
-        best.filter(|best| best.time < read.time).unwrap_or(read)
-    }
-
     /// Returns whether an engine may run a job, whether or not it has room.
     pub fn has_engine(&self, job: &Job) -> bool {
         self.engines.values().any(|engine| engine.may_run(job))
