Decode regions of routes, cold starts of endpoints and bounds on them

Cause: the configuration's `allowed_regions`, `cold_start_s` and `cold_per_s`, the remaining cold time in endpoints' entries, and the bounds on requests to cold endpoints are skipped on decoding, so nothing inside can act on them.

Change: routes and workspaces carry the regions in which they may be served, services how their endpoints start, and an endpoint's entry how long it is still cold. Nothing uses them yet; where a deployment sets none, they are empty.

--- a/src/serve/catalog.rs
+++ b/src/serve/catalog.rs
@@ -76,6 +76,8 @@
         pub stages: Vec<Stage>,
         /// Whether requests need no API key.
         pub is_public: bool,
+        /// The regions in which its requests may be served, cached and stored; all when there are none.
+        pub allowed_regions: Vec<id::Region>,
     }
 }
 
@@ -111,6 +113,18 @@
         pub engine: Option<Engine>,
         /// How pieces are computed, for services of stages.
         pub batch: Option<Batch>,
+        /// What its endpoints bear while they are cold, for services whose endpoints start cold.
+        pub cold_start: Option<ColdStart>,
+    }
+}
+
+event! {
+    /// How endpoints of a service start.
+    pub struct ColdStart {
+        /// How long an endpoint is cold after its start.
+        pub duration: Duration,
+        /// The requests a second that a cold endpoint bears, from all daemons together.
+        pub rate: f64,
     }
 }
 
@@ -160,6 +174,9 @@
         pub name: id::Workspace,
         /// Its priority, which overrides that of the route.
         pub priority: Option<u8>,
+        /// The regions in which its requests may be served, as well as those of the route; all when there
+        /// are none.
+        pub allowed_regions: Vec<id::Region>,
     }
 }
 
--- a/src/serve/catalog/tests.rs
+++ b/src/serve/catalog/tests.rs
@@ -19,6 +19,7 @@
         max_attempts: 1,
         stages: Vec::new(),
         is_public: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -29,6 +30,7 @@
         workspaces: Some(vec![Workspace {
             name: "w".into(),
             priority: None,
+            allowed_regions: Vec::new(),
         }]),
         keys: IndexMap::from([("k".to_owned(), 0)]),
         ..Catalog::default()
--- a/src/serve/closure/tests.rs
+++ b/src/serve/closure/tests.rs
@@ -26,6 +26,7 @@
         release: "v1".into(),
         slots: 1,
         draining: false,
+        cold_remaining: Duration::ZERO,
         born,
         seq: 1,
     }
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -38,6 +38,7 @@
         release: "v1".into(),
         slots: 128,
         draining: false,
+        cold_remaining: Duration::ZERO,
         born: 1,
         seq: 0,
     }
--- a/src/serve/rate/tests.rs
+++ b/src/serve/rate/tests.rs
@@ -19,6 +19,7 @@
         release: "v1".into(),
         slots: 4,
         draining: false,
+        cold_remaining: Duration::ZERO,
         born,
         seq: 0,
     }
--- a/src/serve/registry.rs
+++ b/src/serve/registry.rs
@@ -37,6 +37,8 @@
         pub slots: u32,
         /// Whether it is draining.
         pub draining: bool,
+        /// How long it is still cold, as of the time at which it wrote the entry; zero when it is warm.
+        pub cold_remaining: Duration,
         /// When it started, in milliseconds since the Unix epoch; a restart changes it.
         pub born: u64,
         /// The sequence number of this entry since the start.
--- a/src/serve/registry/tests.rs
+++ b/src/serve/registry/tests.rs
@@ -15,6 +15,7 @@
         release: "v1".into(),
         slots: 1,
         draining: false,
+        cold_remaining: Duration::ZERO,
         born,
         seq,
     }
