Keep requests in the regions that their route and workspace allow

Cause: routes and workspaces carry allowed_regions and nothing acts on them. Plain requests were planned over all zones, prompts went to a region by a hash, what one region refused was planned in another, and carriers of any region passed bodies on.

Change: serve::residency answers whether a request may be in a region or zone. The job carries it, also to the planner of another daemon; Regions, both planners, fetches of prompt parts, carriers and calls of stages ask it. The daemon of the client checks the granted endpoint's zone against the configuration in force before it connects and before it sends, plans anew when a region is taken away meanwhile, and refuses at once where no region may serve.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -38,6 +38,8 @@
   release @15 :Text;
   # Endpoints that take nothing from the daemon that serves the client.
   closures @16 :List(Closure);
+  # The regions in which it may be; empty when it may be in all.
+  allowedRegions @17 :List(Text);
 }
 
 struct Closure {
--- a/src/emulator/replay.rs
+++ b/src/emulator/replay.rs
@@ -18,6 +18,7 @@
     Action, CallId, CallOutcome, Handle, Input, Job, JobId, PieceOutcome, Planner, Tokens,
 };
 use crate::serve::registry::Registry;
+use crate::serve::residency::Residency;
 
 /// How often the planner looks for requests that cannot be answered in time.
 const TICK: Duration = Duration::from_millis(20);
@@ -189,6 +190,7 @@
             transferred_results: Vec::new(),
             release: None,
             closures: Vec::new(),
+            residency: Residency::default(),
         };
         let job_id = index as JobId;
         self.tally(arrival.class).asked += 1;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -37,6 +37,7 @@
 pub mod ready;
 pub mod region;
 pub mod registry;
+pub mod residency;
 pub mod response;
 pub mod tunnel;
 
@@ -51,6 +52,7 @@
 use quarantine::Quarantine;
 use rate::Limits;
 use registry::{Endpoint, Entry, Registry};
+use residency::{Places, Residency};
 
 /// How long a stopping daemon serves at least: the load balancer sends new connections
 /// elsewhere after two failed checks a second apart, and idle ones are closed after that.
@@ -99,6 +101,8 @@
 pub struct Options {
     /// The availability zone of the daemon.
     pub zone: id::Zone,
+    /// The region of each availability zone.
+    pub places: Places,
     /// The configuration's age up to which API keys are accepted; a revocation may be missing
     /// later.
     pub max_key_age: Duration,
@@ -152,6 +156,7 @@
     final_response: Notify,
     started: Time,
     config_confirmed: Notify,
+    reconfigured: Notify,
     retry_budgets: RefCell<IndexMap<id::Pool, Budget>>,
     route_stats: RefCell<IndexMap<id::Name, RouteStats>>,
 }
@@ -219,6 +224,7 @@
             final_response: Notify::new(),
             started,
             config_confirmed: Notify::new(),
+            reconfigured: Notify::new(),
             retry_budgets: RefCell::default(),
             route_stats: RefCell::default(),
         })
@@ -294,8 +300,14 @@
         info!(self.log, "configuration";
             "version" => catalog.version, "before" => previous_version,
             "routes" => catalog.routes.len());
+        for region in residency::unknown_regions(&catalog, &self.options.places) {
+            warn!(self.log, "region of the configuration unknown";
+                "region" => &**region, "version" => catalog.version);
+            self.meter.count("config.unknown_region");
+        }
         *self.catalog.borrow_mut() = Rc::new(catalog);
         self.sync();
+        self.reconfigured.notify_waiters();
     }
 
     /// Waits for the first configuration, while the daemon starts.
@@ -349,6 +361,14 @@
         closure.is_some() || self.registry.borrow().is_leaving(id)
     }
 
+    /// Returns whether an endpoint may get a request, by the region that it lists.
+    fn is_allowed(&self, residency: &Residency, id: &str) -> bool {
+        let registry = self.registry.borrow();
+        let listed = registry.get(id);
+        !residency.is_limited()
+            || listed.is_some_and(|endpoint| residency.allows_zone(&endpoint.zone))
+    }
+
     /// Returns how much time a client had spent before this request. Clients of a route have the
     /// same timeout, so one with less time remaining was refused before.
     fn time_spent(&self, route: &id::Name, remaining: Option<Duration>) -> Duration {
--- a/src/serve/carrier.rs
+++ b/src/serve/carrier.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use rand::RngExt;
 
+use super::residency::Residency;
 use crate::clock::Time;
 use crate::id;
 
@@ -77,11 +78,21 @@
         }
     }
 
-    /// Chooses a daemon that was not asked yet, in proportion to its CPU quota.
-    pub fn choose(&self, asked: &[id::Daemon], now: Time) -> Option<Carrier> {
+    /// Chooses a daemon that was not asked yet, in proportion to its CPU quota, in a region in which the request
+    /// may be: it reads what it passes on. This daemon's region is only the client's while the load balancer
+    /// has daemons there, so it doesn't count by itself.
+    pub fn choose(
+        &self,
+        asked: &[id::Daemon],
+        residency: &Residency,
+        now: Time,
+    ) -> Option<Carrier> {
         let known = self.known.values();
-        let open = known
-            .filter(|known| now >= known.blocked_until && !asked.contains(&known.carrier.name));
+        let open = known.filter(|known| {
+            now >= known.blocked_until
+                && !asked.contains(&known.carrier.name)
+                && residency.allows(&known.carrier.region)
+        });
         let (near, far): (Vec<&Known>, Vec<&Known>) =
             open.partition(|known| known.carrier.region == self.region);
         let candidates = if near.is_empty() { far } else { near };
--- a/src/serve/carrier/tests.rs
+++ b/src/serve/carrier/tests.rs
@@ -17,6 +17,10 @@
     carriers
 }
 
+fn everywhere() -> Residency {
+    Residency::default()
+}
+
 fn now() -> Time {
     Time::from_secs(10)
 }
@@ -24,7 +28,11 @@
 #[test]
 fn choose_spreads_by_cpu_quota() {
     let carriers = carriers(&[carrier("f1", "r", 100), carrier("f2", "r", 300)]);
-    let chosen = |_| carriers.choose(&[], now()).expect("a carrier");
+    let chosen = |_| {
+        carriers
+            .choose(&[], &everywhere(), now())
+            .expect("a carrier")
+    };
     let first = (0..4_000).map(chosen);
     let first = first.filter(|carrier| &*carrier.name == "f1").count();
     assert!((800..1_200).contains(&first), "{first}");
@@ -34,7 +42,9 @@
 fn choose_own_region_before_others() {
     let mut carriers = carriers(&[carrier("f1", "r", 100), carrier("f2", "q", 100)]);
     let name = |carriers: &Carriers, asked: &[id::Daemon]| {
-        carriers.choose(asked, now()).map(|carrier| carrier.name)
+        carriers
+            .choose(asked, &everywhere(), now())
+            .map(|carrier| carrier.name)
     };
     assert_eq!(name(&carriers, &[]).as_deref(), Some("f1"));
     assert_eq!(name(&carriers, &["f1".into()]).as_deref(), Some("f2"));
@@ -53,16 +63,16 @@
         let until = now() + Duration::from_millis(millis);
         assert!(
             carriers
-                .choose(&[], until - Duration::from_millis(1))
+                .choose(&[], &everywhere(), until - Duration::from_millis(1))
                 .is_none()
         );
-        assert!(carriers.choose(&[], until).is_some());
+        assert!(carriers.choose(&[], &everywhere(), until).is_some());
     }
     carriers.succeeded(&name);
     carriers.failed(&name, now());
     assert!(
         carriers
-            .choose(&[], now() + Duration::from_millis(500))
+            .choose(&[], &everywhere(), now() + Duration::from_millis(500))
             .is_some()
     );
 }
@@ -74,7 +84,18 @@
     let mut restarted = carrier("f1", "r", 100);
     restarted.address = SocketAddr::from(([127, 0, 0, 1], 2));
     carriers.apply(&"f1".into(), Some(restarted));
-    assert!(carriers.choose(&[], now()).is_some());
+    assert!(carriers.choose(&[], &everywhere(), now()).is_some());
     carriers.apply(&"f1".into(), None);
-    assert!(carriers.choose(&[], now()).is_none());
+    assert!(carriers.choose(&[], &everywhere(), now()).is_none());
+}
+
+/// Guards against a body that goes through a VM of a region where it may not be, also when no other VM is left.
+#[test]
+fn choose_none_in_region_that_is_not_allowed() {
+    let carriers = carriers(&[carrier("f1", "r", 100), carrier("f2", "q", 100)]);
+    let places = [("a".into(), "r".into()), ("b".into(), "q".into())].into();
+    let in_q = Residency::new(&places, &["q".into()], &[]);
+    let chosen = carriers.choose(&[], &in_q, now());
+    assert_eq!(chosen.map(|carrier| carrier.name).as_deref(), Some("f2"));
+    assert_eq!(carriers.choose(&["f2".into()], &in_q, now()), None);
 }
--- a/src/serve/dialer.rs
+++ b/src/serve/dialer.rs
@@ -20,6 +20,7 @@
 use super::exchange::{self, CONNECT_TIMEOUT, Connection};
 use super::link::Link;
 use super::registry::Endpoint;
+use super::residency::Residency;
 use super::tunnel;
 use crate::clock::{Clock, Time};
 use crate::id;
@@ -81,6 +82,8 @@
     pub endpoint: id::Endpoint,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The regions in which what is sent to it may be.
+    pub residency: Residency,
 }
 
 /// How an attempt to connect by way of other VMs ended.
@@ -250,7 +253,8 @@
     async fn detour(&self, target: &Target) -> Detour {
         let mut asked = Vec::new();
         while asked.len() < MAX_CARRIERS {
-            let carrier = self.carriers.borrow().choose(&asked, self.clock.now());
+            let (residency, now) = (&target.residency, self.clock.now());
+            let carrier = self.carriers.borrow().choose(&asked, residency, now);
             let Some(carrier) = carrier else {
                 break;
             };
@@ -359,6 +363,7 @@
         let target = |(endpoint, address): (&id::Endpoint, &SocketAddr)| Target {
             endpoint: endpoint.clone(),
             address: *address,
+            residency: Residency::default(),
         };
         let chosen = endpoints.iter().sample(&mut rand::rng(), count);
         chosen.into_iter().map(target).collect()
--- a/src/serve/dialer/tests.rs
+++ b/src/serve/dialer/tests.rs
@@ -60,6 +60,7 @@
     let target = Target {
         endpoint: "e1".into(),
         address: start_endpoint(endpoint).await,
+        residency: Residency::default(),
     };
     let second = start_endpoint(second).await;
     *dialer.endpoints.borrow_mut() = [("e1".into(), target.address), ("e2".into(), second)].into();
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -23,6 +23,7 @@
 };
 use super::protocol::{HttpRequest, Protocol, ResponseMeta};
 use super::rate::{Limits, Rate};
+use super::residency::Residency;
 use crate::clock::{Clock, Time};
 use crate::id;
 
@@ -219,7 +220,13 @@
                 return;
             }
             let request = dispatcher.protocol.free_call(&endpoint, &handles);
-            let sent = timeout(FREE_TIMEOUT, dispatcher.post(&endpoint, address, &request)).await;
+            let target = Target {
+                endpoint: endpoint.clone(),
+                address,
+                // Names of results say nothing.
+                residency: Residency::default(),
+            };
+            let sent = timeout(FREE_TIMEOUT, dispatcher.post(&target, &request)).await;
             if !matches!(sent, Ok(Ok(CallResult::Body(_)))) {
                 debug!(dispatcher.log, "results not freed";
                     "endpoint" => &*endpoint, "results" => handles.len());
@@ -244,7 +251,13 @@
     ) {
         let request = self.protocol.stage_call(&endpoint, &pieces);
         let started_at = self.clock.now();
-        let result = timeout(call_timeout, self.post(&endpoint, address, &request)).await;
+        let residencies = pieces.iter().map(|piece| &piece.residency);
+        let target = Target {
+            endpoint: endpoint.clone(),
+            address,
+            residency: residencies.fold(Residency::default(), Residency::and),
+        };
+        let result = timeout(call_timeout, self.post(&target, &request)).await;
         let outcome = match result {
             Ok(Ok(CallResult::Body(body))) => {
                 let outcomes = self.protocol.parse_outcomes(&body, pieces.len());
@@ -282,6 +295,7 @@
         let target = Target {
             endpoint: endpoint.clone(),
             address,
+            residency: Residency::default(),
         };
         match self.dialer.examine(&target, delay).await {
             Finding::Alive | Finding::Ended => CallOutcome::Lost,
@@ -352,12 +366,8 @@
 
 impl Dispatcher {
     /// Makes a call that may be repeated: on an idle connection, and on a new one if that fails.
-    async fn post(
-        &self,
-        endpoint: &id::Endpoint,
-        address: SocketAddr,
-        request: &HttpRequest,
-    ) -> Result<CallResult, CallError> {
+    async fn post(&self, target: &Target, request: &HttpRequest) -> Result<CallResult, CallError> {
+        let (endpoint, address) = (&target.endpoint, target.address);
         let idle = self.idle_connections.borrow_mut().swap_remove(endpoint);
         let now = self.clock.now();
         let is_usable = |idle: &IdleConnection| {
@@ -372,11 +382,7 @@
         {
             return Ok(result);
         }
-        let target = Target {
-            endpoint: endpoint.clone(),
-            address,
-        };
-        let connection = self.dialer.connect(&target).await?;
+        let connection = self.dialer.connect(target).await?;
         self.post_on(endpoint, address, connection, request).await
     }
 
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -16,11 +16,12 @@
 use tokio::time::timeout;
 
 use super::Node;
-use super::catalog::Route;
+use super::catalog::{Route, Workspace};
 use super::health::Verdict;
 use super::http::{Field, RequestHead, Sink};
 use super::plan::{self, Job, Refusal, Stage};
 use super::protocol::RequestMeta;
+use super::residency::Residency;
 use super::response::ResponseWriter;
 use crate::clock::Time;
 use crate::id;
@@ -30,6 +31,7 @@
 mod attempt;
 mod check;
 mod event;
+mod place;
 
 use event::EventBuffer;
 
@@ -70,6 +72,8 @@
     /// What its endpoint is blamed for if it ends without an answer.
     unanswered: RefCell<Option<Unanswered>>,
     digest: OnceCell<id::Digest>,
+    /// The regions for which it was planned last.
+    planned_for: RefCell<Residency>,
     log_fields: RefCell<LogFields>,
 }
 
@@ -109,6 +113,10 @@
     meta: RequestMeta,
     service: id::Pool,
     workspace: Option<id::Workspace>,
+    /// The workspace of its API key, also on a route that needs none.
+    owner: Option<Workspace>,
+    /// The regions in which it may be, as of a version of the configuration.
+    residency: RefCell<Option<(u64, Residency)>>,
     priority: u8,
     target_time: Time,
     deadline: Time,
@@ -182,6 +190,7 @@
             has_begun: Cell::new(false),
             unanswered: RefCell::default(),
             digest: OnceCell::new(),
+            planned_for: RefCell::default(),
             log_fields: RefCell::default(),
         }
     }
@@ -323,6 +332,7 @@
             transferred_results: Vec::new(),
             release: self.release.borrow().clone(),
             closures: self.node.closures.all(self.node.clock.now()),
+            residency: self.residency(request),
         }
     }
 
@@ -395,13 +405,13 @@
         if let Some(failure) = self.check_quarantine(request) {
             return Outcome::Failure(failure);
         }
-        let mut planned = planner.plan(self.job(request)).await;
+        let mut planned = self.plan(request, planner, Vec::new()).await;
         if !request.is_staged
             && planned.as_ref().is_err_and(|refusal| !refusal.is_final)
             && is_counted
         {
             // Endpoints without a limit need no planner.
-            let alone = node.plain_planner.plan(self.job(request)).await;
+            let alone = self.plan(request, &node.plain_planner, Vec::new()).await;
             if alone.is_ok() {
                 planner = &node.plain_planner;
                 planned = alone;
@@ -467,18 +477,24 @@
             if !node.spend_retry(&request.service) {
                 return self.final_outcome(client, reason);
             }
-            let retried = match planned.retry(inputs_lost, release).await {
-                Ok(()) => Ok(planned),
+            let retried = tokio::select! {
+                biased;
+                () = self.moved(request) => None,
+                retried = planned.retry(inputs_lost, release) => Some(retried),
+            };
+            let retried = match retried {
+                Some(Ok(())) => Ok(planned),
+                // It may no longer be where it was planned: none of its results may go on.
+                None => {
+                    drop(planned);
+                    self.plan(request, planner, Vec::new()).await
+                }
                 // The planner is stopping: another one continues with the results.
-                Err(refusal) if refusal.is_transferred => {
-                    let transferred_results = refusal.transferred_results;
-                    let job = Job {
-                        transferred_results,
-                        ..self.job(request)
-                    };
-                    planner.plan(job).await
+                Some(Err(refusal)) if refusal.is_transferred => {
+                    self.plan(request, planner, refusal.transferred_results)
+                        .await
                 }
-                Err(refusal) => Err(refusal),
+                Some(Err(refusal)) => Err(refusal),
             };
             planned = match retried {
                 Ok(planned) => planned,
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -19,6 +19,7 @@
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
 use crate::serve::protocol::ForwardMeta;
+use crate::serve::residency::Residency;
 use crate::serve::response::ResponseWriter;
 
 impl RequestHandler {
@@ -40,9 +41,15 @@
         if self.node.is_closed(&id) {
             return not_run(Verdict::Unknown);
         }
+        let residency = self.residency(request);
+        if !self.node.is_allowed(&residency, &id) {
+            self.log_withheld(&id);
+            return not_run(Verdict::Unknown);
+        }
         let target = Target {
             endpoint: id.clone(),
             address: self.address(planned),
+            residency: residency.clone(),
         };
         let connection = match self.node.dialer.connect(&target).await {
             Ok(connection) => connection,
@@ -60,6 +67,10 @@
                 };
             }
         };
+        if !self.residency(request).covers(&residency) {
+            self.log_withheld(&id);
+            return not_run(Verdict::Unknown);
+        }
         self.log_fields.borrow_mut().is_detour = connection.is_detour();
         let meta = self.forward_meta(request, planned, events);
         self.log_fields.borrow_mut().fetch_from = meta.fetch_from;
@@ -114,6 +125,8 @@
         let target = Target {
             endpoint: planned.grant().endpoint.clone(),
             address: self.address(planned),
+            // Nothing of the request is sent.
+            residency: Residency::default(),
         };
         let is_broken = matches!(verdict, Verdict::Crashed | Verdict::Dropped);
         let delay = if is_broken {
@@ -171,7 +184,7 @@
             workspace: request.workspace.clone(),
             priority: request.is_staged.then_some(request.priority),
             inputs: planned.grant().inputs.clone(),
-            fetch_from: planned.grant().fetch_from,
+            fetch_from: self.fetch_source(request, planned),
             last_event_id: events.last_id().map(str::to_owned),
         }
     }
--- a/src/serve/handler/check.rs
+++ b/src/serve/handler/check.rs
@@ -1,5 +1,6 @@
 //! Decides whether a request is served, for which workspace, and by when.
 
+use std::cell::RefCell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::{AcceptedRequest, DEFAULT_TIMEOUT, Failure, RequestHandler, failure};
@@ -98,8 +99,11 @@
         if self.node.is_closed_for(is_staged) {
             return Err(failure(503, "the daemon is stopping"));
         }
+        let key = meta.api_key.as_deref();
         Ok(AcceptedRequest {
             is_staged,
+            owner: key.and_then(|key| catalog.workspace(key)).cloned(),
+            residency: RefCell::default(),
             target_time: self.arrived_at + route.target_latency.saturating_sub(spent),
             deadline: self.arrived_at + timeout,
             route,
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -176,6 +176,11 @@
 
     /// Admits or refuses a new request.
     pub fn submit(&mut self, job_id: JobId, job: Job, now: Time) {
+        let mut zones = self.zones.iter();
+        if !zones.any(|zone| job.residency.allows_zone(zone)) {
+            let refusal = Refusal::new("it may not be in this region", MAX_RETRY_AFTER);
+            return self.actions.push(Action::Refuse(job_id, refusal));
+        }
         self.quarantine.update(now);
         let mut request = Request::new(job, now);
         let transferred = request.add_transferred();
@@ -464,6 +469,7 @@
             piece,
             remaining: request.job.deadline.saturating_sub(now),
             source,
+            residency: request.job.residency.clone(),
         }
     }
 
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -426,11 +426,13 @@
         }
     }
 
-    /// Returns whether it is of the job's service and, for a stream that goes on, of the software version
-    /// that began it.
+    /// Returns whether it is of the job's service, in a region in which the job may be and, for a stream that
+    /// goes on, of the software version that began it.
     fn may_run(&self, job: &Job) -> bool {
         let is_same = |release: &id::Release| *release == self.release;
-        self.service == job.service && job.release.as_ref().is_none_or(is_same)
+        self.service == job.service
+            && job.release.as_ref().is_none_or(is_same)
+            && job.residency.allows_zone(&self.zone)
     }
 
     /// Returns the prompt tokens that it does not keep: those from the first missing part on.
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::serve::catalog;
+use crate::serve::residency::Residency;
 
 mod crash;
 mod engine;
@@ -136,6 +137,7 @@
             transferred_results: Vec::new(),
             release: None,
             closures: Vec::new(),
+            residency: Residency::default(),
         }
     }
 
--- a/src/serve/plan/tests/engine.rs
+++ b/src/serve/plan/tests/engine.rs
@@ -63,7 +63,12 @@
 
 /// Makes a site whose engine e has read a long part; returns the job of another request with that part.
 fn site_with_kept_part() -> (Site, Job) {
-    let mut site = Site::new(&[], &[("e", "a"), ("f", "a")]);
+    site_with_kept_part_in("a")
+}
+
+/// Makes such a site with the engine f in a zone.
+fn site_with_kept_part_in(zone: &str) -> (Site, Job) {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", zone)]);
     site.set_transfer_rate(163_840, 260_000_000_000);
     let part = |id: &str, tokens| PromptPart {
         id: id.into(),
@@ -112,6 +117,40 @@
     assert_eq!(grants(&site.actions())[0].1.fetch_from, None);
 }
 
+fn residency(region: &str) -> Residency {
+    let places = [("a".into(), "r".into()), ("b".into(), "q".into())].into();
+    Residency::new(&places, &[region.into()], &[])
+}
+
+/// Guards against a prompt that is fetched from a region where it may not be, and an engine there.
+#[test]
+fn part_kept_in_region_that_is_not_allowed_not_fetched() {
+    for is_limited in [false, true] {
+        let (mut site, mut job) = site_with_kept_part_in("b");
+        let keeper = occupy(&mut site, &job);
+        let other = if *keeper == *"e" { "q" } else { "r" };
+        if is_limited {
+            job.residency = residency(other);
+        }
+        site.submit(job);
+        let grant = grants(&site.actions())[0].1.clone();
+        assert_ne!(grant.endpoint, keeper);
+        assert_eq!(grant.fetch_from.is_none(), is_limited);
+    }
+}
+
+/// Guards against a planner that works on a request which may not be in its region.
+#[test]
+fn request_that_may_not_be_here_refused() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    let mut job = site.job(&[1], 2_000);
+    job.residency = residency("p");
+    site.submit(job);
+    let actions = site.actions();
+    assert_eq!(refusals(&actions).len(), 1);
+    assert!(calls(&actions).is_empty());
+}
+
 /// Guards against fetches from an engine that has not read the part yet, and would make others wait.
 #[test]
 fn part_being_read_not_fetched() {
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -11,6 +11,7 @@
 use crate::quarantine::evidence::Suspects;
 use crate::serve::closure::Closure;
 use crate::serve::rate::Rate;
+use crate::serve::residency::Residency;
 
 /// The longest time that a client is told while endpoints are closed; others may start meanwhile.
 const MAX_CLOSED_RETRY_AFTER: Duration = Duration::from_secs(30);
@@ -56,6 +57,9 @@
         pub release: Option<id::Release>,
         /// Endpoints that take nothing from the daemon that serves the client.
         pub closures: Vec<Closure>,
+        /// The regions in which it may be; a planner of another daemon, which plans for one region, is not
+        /// told.
+        pub residency: Residency,
     }
 
     /// A result that one planner hands over to another.
@@ -152,6 +156,8 @@
         pub remaining: Duration,
         /// What it is computed from.
         pub source: Input,
+        /// The regions in which the request may be.
+        pub residency: Residency,
     }
 
     /// What a piece is computed from.
@@ -318,6 +324,14 @@
         refusal
     }
 
+    /// Makes the refusal of a request that no region may serve, which only a new configuration or new
+    /// endpoints change.
+    pub fn misplaced(reason: String) -> Self {
+        let mut refusal = Self::new(reason, MAX_RETRY_AFTER);
+        refusal.is_final = true;
+        refusal
+    }
+
     /// Makes the refusal of a planner that has ended.
     pub fn planner_gone() -> Self {
         Self {
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -340,18 +340,16 @@
         self.wake.notify_one();
     }
 
-    async fn plan(&self, job: &Job) -> Result<Box<dyn PlannedRequest>, Refusal> {
+    /// Plans a request here. One that may be `only_here` waits while the planner of another region is found.
+    async fn plan(&self, job: &Job, only_here: bool) -> Result<Box<dyn PlannedRequest>, Refusal> {
         let mut job = Cow::Borrowed(job);
         let mut last = Refusal::planner_gone();
         let (mut lost, mut transfers) = (0, 0);
         // A request for another region is better served by its own one than by the next planner there.
-        let max_lost = if self.local.is_some() {
-            MAX_LOST_PLANNERS
-        } else {
-            1
-        };
+        let is_patient = self.local.is_some() || only_here;
+        let max_lost = if is_patient { MAX_LOST_PLANNERS } else { 1 };
         while lost < max_lost && transfers < MAX_TRANSFERS {
-            if self.local.is_none() && self.connection.borrow().is_none() {
+            if !is_patient && self.connection.borrow().is_none() {
                 break;
             }
             let connection = self.wait_connection().await;
@@ -360,7 +358,10 @@
                     remote::RemoteRequest::plan(connection.clone(), &job, &self.clock).await
                 }
                 (None, Some(local)) => Ok(LocalPlanner(local.clone()).plan((*job).clone()).await),
-                (None, None) => break,
+                (None, None) => {
+                    lost += 1;
+                    continue;
+                }
             };
             match planned {
                 Ok(Err(refusal)) if refusal.is_transferred => {
@@ -461,26 +462,33 @@
     }
 
     async fn plan(&self, job: Job) -> Result<Box<dyn PlannedRequest>, Refusal> {
-        let home = self.homes.region(&job.prompt_parts);
+        let home = self.homes.region(&job.prompt_parts, &job.residency);
+        let is_own_allowed = job.residency.allows(&self.name);
+        let mut last = None;
         if let Some(home) = home.and_then(|home| self.others.get(home)) {
-            match home.plan(&job).await {
+            match home.plan(&job, !is_own_allowed).await {
                 Ok(planned) => return Ok(planned),
                 Err(refusal) if refusal.is_final => return Err(refusal),
-                Err(_) => {}
+                Err(refusal) => last = Some(refusal),
             }
         }
-        let refusal = match self.own.plan(&job).await {
-            Ok(planned) => return Ok(planned),
-            Err(refusal) if refusal.is_final => return Err(refusal),
-            Err(refusal) => refusal,
-        };
-        let others = self.others.iter();
-        for (_, other) in others.filter(|(name, _)| home != Some(*name)) {
-            if let Ok(planned) = other.plan(&job).await {
-                return Ok(planned);
+        if is_own_allowed {
+            match self.own.plan(&job, false).await {
+                Ok(planned) => return Ok(planned),
+                Err(refusal) if refusal.is_final => return Err(refusal),
+                Err(refusal) => last = Some(refusal),
+            }
+        }
+        let is_open =
+            |name: &id::Region| home.is_none_or(|home| home != name) && job.residency.allows(name);
+        for (_, other) in self.others.iter().filter(|(name, _)| is_open(name)) {
+            match other.plan(&job, !is_own_allowed).await {
+                Ok(planned) => return Ok(planned),
+                Err(refusal) => drop(last.get_or_insert(refusal)),
             }
         }
-        Err(refusal)
+        let nowhere = || Refusal::misplaced("no region may plan it".to_owned());
+        Err(last.unwrap_or_else(nowhere))
     }
 }
 
--- a/src/serve/region/home.rs
+++ b/src/serve/region/home.rs
@@ -8,6 +8,7 @@
 
 use crate::id;
 use crate::serve::plan::PromptPart;
+use crate::serve::residency::Residency;
 
 /// The least number of shared tokens for which a request goes to another region.
 const MIN_SHARED_TOKENS: u64 = 1_000;
@@ -27,9 +28,9 @@
         Self { zone_counts }
     }
 
-    /// Returns the region that keeps a prompt, the same in all daemons; none when its shared parts are
-    /// short.
-    pub fn region(&self, parts: &[PromptPart]) -> Option<&id::Region> {
+    /// Returns the region that keeps a prompt, one of those in which it may be and the same in all daemons; none
+    /// when its shared parts are short.
+    pub fn region(&self, parts: &[PromptPart], residency: &Residency) -> Option<&id::Region> {
         let (_, shared) = parts.split_last()?;
         let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
         let subject = shared.last().filter(|_| tokens >= MIN_SHARED_TOKENS)?;
@@ -40,7 +41,8 @@
             let fraction = ((hasher.finish() >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
             -f64::from(zones) / fraction.ln()
         };
-        let scores = self.zone_counts.iter();
+        let allowed = self.zone_counts.iter();
+        let scores = allowed.filter(|(region, _)| residency.allows(region));
         let scores = scores.map(|(region, zones)| (region, score(region, *zones)));
         let best = scores.max_by(|(_, a), (_, b)| a.total_cmp(b));
         best.map(|(region, _)| region)
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -17,6 +17,7 @@
 use crate::serve::dispatcher::{Dispatcher, LocalRequest, PlannedRequest};
 use crate::serve::plan::{Grant, Job, Refusal};
 use crate::serve::progress::{Position, ReadProgress};
+use crate::serve::residency::Residency;
 
 /// How long a new connection may take to announce its coding.
 const CODING_TIMEOUT: Duration = Duration::from_secs(1);
@@ -66,7 +67,10 @@
         params: planner::PlaceParams,
         mut results: planner::PlaceResults,
     ) -> capnp::Result<()> {
-        let job = wire::read_job(params.get()?.get_job()?, self.clock.now())?;
+        let sent = params.get()?.get_job()?;
+        let mut job = wire::read_job(sent, self.clock.now())?;
+        let allowed = wire::read_allowed_regions(sent)?;
+        job.residency = Residency::new(&self.node.options.places, &allowed, &[]);
         let request = HostedRequest {
             dispatcher: self.dispatcher.clone(),
             job: RefCell::new(Some(job)),
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -8,6 +8,7 @@
 use crate::generated::plan_capnp::{job as wire_job, reply, seat as wire_seat, use_};
 use crate::serve::closure::Closure;
 use crate::serve::plan::{Grant, PromptPart, Tokens, TransferredResult};
+use crate::serve::residency::Residency;
 
 /// A planner that accepts requests and never answers, like a frozen one.
 struct Frozen;
@@ -54,6 +55,7 @@
         transferred_results: Vec::new(),
         release: None,
         closures: Vec::new(),
+        residency: Residency::default(),
     }
 }
 
@@ -170,6 +172,23 @@
     assert_eq!(read.closures, sent.closures);
 }
 
+/// Guards against a planner that is not told where a request may be; none are sent where it may be everywhere.
+#[test]
+fn allowed_regions_round_trip() {
+    let places = [("a".into(), "r".into()), ("b".into(), "q".into())].into();
+    for allowed in [&[][..], &["q".into()]] {
+        let sent = Job {
+            residency: Residency::new(&places, allowed, &[]),
+            ..job()
+        };
+        let mut message = message::Builder::new_default();
+        wire::write_job(&sent, Duration::ZERO, message.init_root());
+        let read: wire_job::Reader<'_> = message.get_root_as_reader().expect("a job");
+        let read = wire::read_allowed_regions(read).expect("a valid message");
+        assert_eq!(Residency::new(&places, &read, &[]), sent.residency);
+    }
+}
+
 /// A daemon of an earlier version sends no release, which is none rather than an empty one.
 #[test]
 fn release_and_source_round_trip() {
@@ -313,7 +332,7 @@
         let connection =
             PlannerConnection::new(connection().member.clone(), client, spawn_local(async {}));
         region.connection.replace(Some(connection));
-        let planned = region.plan(&job()).await;
+        let planned = region.plan(&job(), false).await;
         assert_eq!(remaining.get(), 0);
         assert_eq!(&*planned.expect("a grant").grant().endpoint, "e");
     });
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -17,6 +17,7 @@
 };
 use crate::serve::progress::{Position, Record, Topic, Watermark};
 use crate::serve::rate::{Rate, Report};
+use crate::serve::residency::Residency;
 
 fn nanos(duration: Duration) -> u64 {
     u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
@@ -88,6 +89,13 @@
             after.set(index, to_u16(*stage));
         }
     }
+    let regions: Vec<&id::Region> = job.residency.regions().collect();
+    let mut allowed = builder
+        .reborrow()
+        .init_allowed_regions(to_u32(regions.len()));
+    for (index, region) in (0..).zip(regions) {
+        allowed.set(index, &**region);
+    }
     let mut parts = builder.init_parts(to_u32(job.prompt_parts.len()));
     for (index, part) in (0..).zip(&job.prompt_parts) {
         let mut entry = parts.reborrow().get(index);
@@ -96,6 +104,12 @@
     }
 }
 
+/// Reads the regions in which a job may be; daemons of earlier versions send none, which is all.
+pub fn read_allowed_regions(reader: schema::job::Reader<'_>) -> Result<Vec<id::Region>> {
+    let regions = reader.get_allowed_regions()?.iter();
+    regions.map(|region| read_name(region?)).collect()
+}
+
 fn write_closures(
     closures: &[Closure],
     mut builder: capnp::struct_list::Builder<'_, schema::closure::Owned>,
@@ -168,6 +182,8 @@
         transferred_results: read_transferred(reader.get_made()?, now)?,
         release: read_release(reader.get_release()?)?,
         closures: read_closures(reader.get_closures()?)?,
+        // Only the host knows the zones of regions.
+        residency: Residency::default(),
     })
 }
 
--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -21,6 +21,7 @@
 use super::dialer::Target;
 use super::exchange::{self, CONNECT_TIMEOUT, Connection};
 use super::http::{self, ResponseHead, Sink, Source};
+use super::residency::Residency;
 use super::response::empty_response;
 use super::{Node, protocol};
 use crate::id;
@@ -188,6 +189,8 @@
     let target = Target {
         endpoint: endpoint.clone(),
         address,
+        // This daemon passes it on by itself.
+        residency: Residency::default(),
     };
     let began = node.clock.now();
     if let Ok(connection) = node.dialer.dial(&target, CONNECT_TIMEOUT).await {
