Wait for the next planner of an only allowed region

Cause: the connection to the planner of another region is pinged every 500 ms. A request that may be planned in that region only tried the same lost connection three times within 210 ms and was refused, though the next planner there would have answered.

Change: such a request has the connection checked and waits for another one, as for a planner that hands its requests over. Tests for this, for a cut planner's calls, and for a request that waits for another endpoint as its regions change.

--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -385,6 +385,11 @@
                     if lost == max_lost {
                         break;
                     }
+                    if only_here {
+                        // The planner of another region is pinged too rarely to notice by itself.
+                        self.wait_next_planner(connection).await;
+                        continue;
+                    }
                 }
             }
             // Meanwhile maintain_connection finds another planner.
