Correct what a job says of its regions, and test unknown ones

Cause: the comment on a job's residency dates from before it crossed the wire; nothing tested which regions of a configuration are unknown.

Change: the comment, and a unit test.

--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -57,8 +57,7 @@
         pub release: Option<id::Release>,
         /// Endpoints that take nothing from the daemon that serves the client.
         pub closures: Vec<Closure>,
-        /// The regions in which it may be; a planner of another daemon, which plans for one region, is not
-        /// told.
+        /// The regions in which it may be.
         pub residency: Residency,
     }
 
--- a/src/serve/residency/tests.rs
+++ b/src/serve/residency/tests.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::*;
+use crate::serve::catalog::Workspace;
 
 fn places() -> Places {
     let place = |(zone, region): (&str, &str)| (zone.into(), region.into());
@@ -92,3 +93,21 @@
     }
     assert!(residency(one, &[]).covers(&residency(one, &[])));
 }
+
+#[test]
+fn unknown_regions_named_once() {
+    let workspace = |regions: &[&str]| Workspace {
+        name: "w".into(),
+        priority: None,
+        allowed_regions: regions.iter().map(|region| (*region).into()).collect(),
+    };
+    let catalog = Catalog {
+        workspaces: Some(vec![workspace(&["q", "p"]), workspace(&["p"])]),
+        ..Catalog::default()
+    };
+    let unknown = unknown_regions(&catalog, &places());
+    assert_eq!(
+        unknown.into_iter().collect::<Vec<_>>(),
+        [&id::Region::from("p")]
+    );
+}
