Send nothing to the endpoints of evacuated zones

Cause: operators empty an availability zone by a record in the store, and nothing inside can act on one.

Change: a state machine folds records and lists into the evacuated zones. Planners begin nothing in them and refuse at once what has endpoints nowhere else; what runs there goes on and counts, and results there may be fetched but are not freed by calls. A daemon does not follow a grant for such an endpoint, looks again once it has connected, and passes no connection on to one. Checks of a VM's link prefer endpoints of other zones. Nothing feeds it yet.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -22,6 +22,7 @@
 pub mod connection;
 pub mod dialer;
 pub mod dispatcher;
+pub mod evacuation;
 pub mod exchange;
 pub mod handler;
 pub mod health;
@@ -44,6 +45,7 @@
 use closure::Closures;
 use dialer::Dialer;
 use dispatcher::{Dispatcher, RequestPlanner};
+use evacuation::Evacuation;
 use meter::Meter;
 use origin::{Origin, Origins};
 use plan::Tokens;
@@ -91,6 +93,10 @@
         ReadFailed,
         /// The store answers in this epoch; in a later one than before, it went back to a copy.
         Epoch(id::Epoch),
+        /// The full list of zones that operators evacuate.
+        Evacuated(Vec<id::Zone>),
+        /// Operators evacuate a zone, or take it back.
+        Evacuation(evacuation::Change),
     }
 }
 
@@ -99,6 +105,8 @@
 pub struct Options {
     /// The availability zone of the daemon.
     pub zone: id::Zone,
+    /// The availability zones of the platform.
+    pub zones: IndexSet<id::Zone>,
     /// The configuration's age up to which API keys are accepted; a revocation may be missing
     /// later.
     pub max_key_age: Duration,
@@ -198,9 +206,9 @@
     pub fn new(dependencies: Dependencies) -> Rc<Self> {
         let started = dependencies.clock.now();
         Rc::new(Self {
-            options: dependencies.options,
             catalog: RefCell::default(),
-            registry: RefCell::default(),
+            registry: RefCell::new(Registry::new(dependencies.options.zones.clone())),
+            options: dependencies.options,
             config_as_of: Cell::new(None),
             epoch: Cell::new(None),
             dispatchers: dependencies.dispatchers,
@@ -241,6 +249,7 @@
                     .map_or(as_of, |previous| previous.max(as_of));
                 self.config_as_of.set(Some(latest));
                 self.config_confirmed.notify_waiters();
+                self.update_evacuation(Evacuation::expire);
             }
             Update::ReadSucceeded => {
                 self.registry.borrow_mut().read_succeeded(now);
@@ -254,6 +263,12 @@
             }
             Update::ReadFailed => self.registry.borrow_mut().read_failed(now),
             Update::Epoch(epoch) => self.enter_epoch(epoch, now),
+            Update::Evacuated(zones) => {
+                self.update_evacuation(|evacuation, now| evacuation.replace(zones, now));
+            }
+            Update::Evacuation(change) => {
+                self.update_evacuation(|evacuation, now| evacuation.apply(change, now));
+            }
         }
     }
 
@@ -319,7 +334,7 @@
         };
         self.origins.observe(registry.all().map(origin));
         self.closures.observe(registry.all());
-        self.dialer.observe(registry.all());
+        self.dialer.observe(registry.targets());
         self.knowledge.limits.observe(registry.all());
         let now = self.clock.now();
         self.knowledge.quarantine.observe(&registry, now);
@@ -343,10 +358,10 @@
         self.catalog.borrow().clone()
     }
 
-    /// Returns whether an endpoint must get no request, as its entry or its own answers say.
+    /// Returns whether an endpoint must get no request, as its entry, its own answers or operators say.
     fn is_closed(&self, id: &str) -> bool {
         let closure = self.closures.get(id, self.clock.now());
-        closure.is_some() || self.registry.borrow().is_leaving(id)
+        closure.is_some() || self.registry.borrow().is_leaving(id) || self.is_evacuated(id)
     }
 
     /// Returns how much time a client had spent before this request. Clients of a route have the
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -214,7 +214,8 @@
                 .swap_remove(&endpoint)
                 .unwrap_or_default();
             let closure = dispatcher.closures.get(&endpoint, dispatcher.clock.now());
-            if closure.is_some() || dispatcher.limits.get(&endpoint).is_some() {
+            let is_evacuated = dispatcher.planner.borrow().is_evacuated(&endpoint);
+            if is_evacuated || closure.is_some() || dispatcher.limits.get(&endpoint).is_some() {
                 // It frees them by itself after a while.
                 return;
             }
@@ -377,6 +378,10 @@
             address,
         };
         let connection = self.dialer.connect(&target).await?;
+        if self.planner.borrow().is_evacuated(endpoint) {
+            // The first try, or connecting, took longer than the operators' record.
+            return Ok(CallResult::Refused);
+        }
         self.post_on(endpoint, address, connection, request).await
     }
 
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -60,6 +60,10 @@
                 };
             }
         };
+        if self.node.is_evacuated(&id) {
+            // Connecting over other VMs may take seconds.
+            return not_run(Verdict::Unknown);
+        }
         self.log_fields.borrow_mut().is_detour = connection.is_detour();
         let meta = self.forward_meta(request, planned, events);
         self.log_fields.borrow_mut().fetch_from = meta.fetch_from;
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::Knowledge;
 use super::catalog::Catalog;
@@ -19,6 +19,7 @@
 use crate::id;
 
 mod closing;
+mod emptied;
 mod engine;
 mod forecast;
 mod hold;
@@ -64,6 +65,8 @@
     requests: IndexMap<JobId, Request>,
     stage_endpoints: StageEndpoints,
     engines: Engines,
+    /// The services whose endpoints are all in evacuated zones.
+    emptied: IndexSet<id::Pool>,
     calls: IndexMap<CallId, Call>,
     next_call: CallId,
     actions: Vec<Action>,
@@ -81,6 +84,7 @@
             requests: IndexMap::new(),
             stage_endpoints: StageEndpoints::new(limits.clone()),
             engines: Engines::new(limits),
+            emptied: IndexSet::new(),
             calls: IndexMap::new(),
             next_call: 0,
             actions: Vec::new(),
@@ -104,6 +108,7 @@
         self.is_synced = catalog.version > 0 && registry.available().next().is_some();
         self.stage_endpoints.sync(&endpoints, catalog);
         self.engines.sync(&endpoints, catalog);
+        self.evacuate(&endpoints, registry.evacuation());
         self.dispatch_all(now);
     }
 
@@ -322,6 +327,7 @@
             self.refuse(job_id, reason, now);
         }
         self.refuse_closed(now);
+        self.refuse_emptied();
         self.advance_held(now);
         self.dispatch_all(now);
     }
@@ -472,6 +478,9 @@
         if let Some(remaining) = self.quarantine.refusal(&request.job.suspects(), now) {
             return Some(Refusal::quarantined(remaining));
         }
+        if self.needs_emptied(request) {
+            return Some(Refusal::emptied());
+        }
         if request.job.release.is_some() && !self.engines.has_engine(&request.job) {
             let reason = "no endpoint has the software version of its stream";
             return Some(Refusal::new(reason, MIN_RETRY_AFTER));
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -16,6 +16,7 @@
 use crate::quarantine::evidence::Life;
 use crate::serve::catalog::{Catalog, Engine as EngineConfig};
 use crate::serve::closure::Closure;
+use crate::serve::evacuation::Evacuation;
 use crate::serve::health::{Health, Verdict};
 use crate::serve::rate::{Bucket, Limits, Rate};
 use crate::serve::registry::Endpoint;
@@ -105,6 +106,8 @@
     reading: ReadQueue,
     memory_tokens: u64,
     blocked_until: Time,
+    /// Its zone is evacuated.
+    is_evacuated: bool,
     /// When its limit allows the next request.
     limited_until: Time,
     health: Health,
@@ -232,7 +235,7 @@
         let candidates = self
             .engines
             .values()
-            .filter(|engine| engine.service == job.service);
+            .filter(|engine| !engine.is_evacuated && engine.service == job.service);
         let uncached = |engine: &&Engine| engine.uncached_tokens(&job.prompt_parts, now);
         let best = candidates.min_by_key(uncached)?;
         let is_cached = shared_tokens >= MIN_SHARED_TOKENS && uncached(&best) <= own.tokens;
@@ -258,6 +261,13 @@
         self.engines.values().any(|engine| engine.may_run(job))
     }
 
+    /// Records which zones are evacuated. What runs there ends there, and counts until then.
+    pub fn evacuate(&mut self, evacuation: &Evacuation) {
+        for engine in self.engines.values_mut() {
+            engine.is_evacuated = evacuation.covers(&engine.zone);
+        }
+    }
+
     /// Returns how long all engines that may run a job are closed for its daemon, unless one is open; the
     /// time is none when all of them are leaving.
     pub fn closed_for(&self, job: &Job) -> Option<Option<Duration>> {
@@ -419,6 +429,7 @@
             reading: ReadQueue::default(),
             memory_tokens: 0,
             blocked_until: Time::ZERO,
+            is_evacuated: false,
             limited_until: Time::ZERO,
             health: Health::default(),
             bucket: Bucket::default(),
@@ -426,11 +437,13 @@
         }
     }
 
-    /// Returns whether it is of the job's service and, for a stream that goes on, of the software version
-    /// that began it.
+    /// Returns whether it is in use, of the job's service and, for a stream that goes on, of the software
+    /// version that began it.
     fn may_run(&self, job: &Job) -> bool {
         let is_same = |release: &id::Release| *release == self.release;
-        self.service == job.service && job.release.as_ref().is_none_or(is_same)
+        !self.is_evacuated
+            && self.service == job.service
+            && job.release.as_ref().is_none_or(is_same)
     }
 
     /// Returns the prompt tokens that it does not keep: those from the first missing part on.
--- a/src/serve/plan/engine/fetch.rs
+++ b/src/serve/plan/engine/fetch.rs
@@ -41,7 +41,7 @@
     pub(super) fn sources(&self, job: &Job, now: Time) -> Vec<Source> {
         let mut best: IndexMap<(&id::Zone, &id::Release), Source> = IndexMap::new();
         let of_service = |(_, engine): &(&id::Endpoint, &Engine)| {
-            engine.service == job.service && engine.health.is_usable(now)
+            engine.service == job.service && !engine.is_evacuated && engine.health.is_usable(now)
         };
         for (id, engine) in self.engines.iter().filter(of_service) {
             let tokens = engine.cache.read_tokens(&job.prompt_parts, now);
--- a/src/serve/plan/stage_endpoint.rs
+++ b/src/serve/plan/stage_endpoint.rs
@@ -34,6 +34,8 @@
     pub blocked_until: Time,
     /// The endpoint has said that it takes nothing until then.
     pub closed_until: Time,
+    /// Its zone is evacuated.
+    pub is_evacuated: bool,
     /// When its limit allows the next call.
     pub limited_until: Time,
     pub bucket: Bucket,
@@ -66,6 +68,7 @@
             call_end: Time::ZERO,
             blocked_until: Time::ZERO,
             closed_until: Time::ZERO,
+            is_evacuated: false,
             limited_until: Time::ZERO,
             bucket: Bucket::default(),
             used_bytes: 0,
@@ -77,7 +80,7 @@
 
     /// Returns whether it may get a call, once it is idle.
     pub fn is_usable(&self, now: Time) -> bool {
-        now >= self.closed_until && self.health.is_usable(now)
+        !self.is_evacuated && now >= self.closed_until && self.health.is_usable(now)
     }
 
     /// Returns the queue indexes of the pieces for its next call. Pieces of other zones for which
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -12,6 +12,7 @@
 use crate::clock::Time;
 use crate::id;
 use crate::serve::catalog::{self, Catalog};
+use crate::serve::evacuation::Evacuation;
 use crate::serve::health::Verdict;
 use crate::serve::rate::Limits;
 use crate::serve::registry::Endpoint;
@@ -118,6 +119,19 @@
         }
     }
 
+    /// Records which zones are evacuated.
+    pub fn evacuate(&mut self, evacuation: &Evacuation) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.is_evacuated = evacuation.covers(&endpoint.zone);
+        }
+    }
+
+    /// Returns whether an endpoint is in an evacuated zone.
+    pub fn is_evacuated(&self, id: &id::Endpoint) -> bool {
+        let endpoint = self.endpoints.get(id);
+        endpoint.is_some_and(|endpoint| endpoint.is_evacuated)
+    }
+
     /// Returns the least time that a service needs for some pieces.
     pub fn min_time(&self, service: &id::Pool, pieces: usize) -> Duration {
         let Some(batch) = self.services.get(service) else {
@@ -460,6 +474,8 @@
 
     fn is_scarce(&self, endpoint: &StageEndpoint) -> bool {
         let batch = self.services.get(&endpoint.service);
+        // Results in an evacuated zone can't be freed.
+        let batch = batch.filter(|_| !endpoint.is_evacuated);
         batch.is_some_and(|batch| {
             endpoint.used_bytes as f64 > batch.capacity_bytes as f64 * SCARCE_ROOM_SHARE
         })
@@ -473,8 +489,8 @@
             let Some(endpoint) = endpoint else {
                 continue;
             };
-            if self.limits.get(&result.endpoint).is_some() {
-                // Calls are scarce, and results expire by themselves.
+            if endpoint.is_evacuated || self.limits.get(&result.endpoint).is_some() {
+                // Calls are scarce or not allowed, and results expire by themselves.
                 continue;
             }
             if let Some(allocation) = endpoint.results.swap_remove(&result.handle) {
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -294,6 +294,11 @@
         }
     }
 
+    /// Makes the refusal of a request all of whose endpoints of some service are in evacuated zones.
+    pub fn emptied() -> Self {
+        Self::new("its endpoints are in evacuated zones", MAX_RETRY_AFTER)
+    }
+
     /// Makes the refusal of a request whose endpoints are closed for a known time. Clients are spread over
     /// a quarter of it, so that they don't return together.
     pub fn closed(request: &str, remaining: Duration) -> Self {
--- a/src/serve/registry.rs
+++ b/src/serve/registry.rs
@@ -6,8 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
+use super::evacuation::Evacuation;
 use crate::clock::Time;
 use crate::id;
 
@@ -94,6 +95,7 @@
 #[derive(Default)]
 pub struct Registry {
     endpoints: IndexMap<id::Endpoint, KnownEndpoint>,
+    evacuation: Evacuation,
     last_read: Option<Time>,
     /// Until this time missing entries are kept, since they may have expired in an outage.
     grace_until: Time,
@@ -102,6 +104,35 @@
 }
 
 impl Registry {
+    /// Makes the registry of a platform of these availability zones, without endpoints.
+    pub fn new(zones: IndexSet<id::Zone>) -> Self {
+        Self {
+            evacuation: Evacuation::new(zones),
+            ..Self::default()
+        }
+    }
+
+    /// Returns which zones are evacuated.
+    pub fn evacuation(&self) -> &Evacuation {
+        &self.evacuation
+    }
+
+    /// Returns which zones are evacuated, to change that.
+    pub fn evacuation_mut(&mut self) -> &mut Evacuation {
+        &mut self.evacuation
+    }
+
+    /// Returns whether an endpoint is in an evacuated zone.
+    pub fn is_evacuated(&self, id: &str) -> bool {
+        let endpoint = self.get(id);
+        endpoint.is_some_and(|endpoint| self.evacuation.covers(&endpoint.zone))
+    }
+
+    /// Returns when a zone that is in use was taken back, if this daemon saw it evacuated.
+    pub fn taken_back_at(&self, zone: &id::Zone) -> Option<Time> {
+        self.evacuation.taken_back_at(zone)
+    }
+
     /// Records a successful read of the store; a long gap since the last one was an outage.
     pub fn read_succeeded(&mut self, now: Time) {
         let gap = self.last_read.map(|last| now.saturating_sub(last));
@@ -119,6 +150,7 @@
     /// Records that the store went back to a copy: entries that it lacks may be written again.
     pub fn log_went_back(&mut self, now: Time) {
         self.grace_until = self.grace_until.max(now + RETURN_GRACE);
+        self.evacuation.log_went_back(now);
     }
 
     /// Applies a change of an entry; returns whether it changes what is known.
@@ -177,7 +209,7 @@
 
     /// Applies a full listing; endpoints that it lacks are removed.
     pub fn replace(&mut self, entries: Vec<Endpoint>, now: Time) {
-        let listed: indexmap::IndexSet<id::Endpoint> =
+        let listed: IndexSet<id::Endpoint> =
             entries.iter().map(|endpoint| endpoint.id.clone()).collect();
         let ids: Vec<id::Endpoint> = self.endpoints.keys().cloned().collect();
         for id in ids.into_iter().filter(|id| !listed.contains(id)) {
@@ -217,7 +249,15 @@
         self.endpoints.values().map(|known| &known.endpoint)
     }
 
-    /// Returns all endpoints that take requests.
+    /// Returns the endpoints that tell whether a VM's link works: those in use, or all if there are none.
+    pub fn targets(&self) -> impl Iterator<Item = &Endpoint> {
+        let is_used = |endpoint: &Endpoint| !self.evacuation.covers(&endpoint.zone);
+        let has_used = self.all().any(is_used);
+        self.all()
+            .filter(move |endpoint| !has_used || is_used(endpoint))
+    }
+
+    /// Returns all endpoints that are not draining, also those in evacuated zones.
     pub fn available(&self) -> impl Iterator<Item = &Endpoint> {
         self.all().filter(|endpoint| !endpoint.draining)
     }
