Follow operators' records of evacuated zones in all daemons

Cause: the follower of the operators' topic applies the configuration and skips all other keys, and a daemon that takes the planner's copy never sees them.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -184,7 +184,9 @@
   ping @1 () -> (leaving :Bool, marks :List(Mark), moreMarks :List(Mark));
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
-  copy @2 (topic :Topic) -> (change :UInt64, packed :Data, epoch :UInt64);
+  # With the configuration it names the zones that operators evacuate; daemons of earlier versions don't
+  # know them.
+  copy @2 (topic :Topic) -> (change :UInt64, packed :Data, epoch :UInt64, evacuated :List(Text), knowsEvacuated :Bool);
   # Tells a daemon that begins to plan what the caller has sent to engines, which have it cached, what
   # it refuses, and the limits that endpoints have named.
   recall @3 (uses :List(Use), refused :List(Refused), limits :List(Limit)) -> ();
--- a/src/serve/progress.rs
+++ b/src/serve/progress.rs
@@ -67,6 +67,8 @@
         pub position: Position,
         /// The compressed record.
         pub packed: Bytes,
+        /// With the configuration, the zones that operators evacuate; none from a daemon that does not know.
+        pub evacuated: Option<Vec<id::Zone>>,
     }
 }
 
@@ -194,7 +196,11 @@
                 packed
             }
         };
-        Ok(Some(CompressedRecord { position, packed }))
+        Ok(Some(CompressedRecord {
+            position,
+            packed,
+            evacuated: None,
+        }))
     }
 
     /// Returns the planner's watermark of a topic, unless it is too old.
--- a/src/serve/progress/tests.rs
+++ b/src/serve/progress/tests.rs
@@ -105,6 +105,7 @@
     let compressed = CompressedRecord {
         position: position(1),
         packed: Bytes::from_static(&[0xff; 20]),
+        evacuated: None,
     };
     assert!(compressed.unpack().is_err());
 }
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -16,7 +16,7 @@
 use crate::serve::Node;
 use crate::serve::dispatcher::{Dispatcher, LocalRequest, PlannedRequest};
 use crate::serve::plan::{Grant, Job, Refusal};
-use crate::serve::progress::{Position, ReadProgress};
+use crate::serve::progress::{Position, ReadProgress, Topic};
 
 /// How long a new connection may take to announce its coding.
 const CODING_TIMEOUT: Duration = Duration::from_secs(1);
@@ -129,6 +129,12 @@
             answer.set_change(record.position.offset);
             answer.set_epoch(record.position.epoch);
             answer.set_packed(&record.packed);
+            if topic == Topic::Catalog {
+                answer.set_knows_evacuated(true);
+                wire::write_zones(&self.node.evacuated_zones(), |count| {
+                    answer.init_evacuated(count)
+                });
+            }
         }
         Ok(())
     }
--- a/src/serve/region/record.rs
+++ b/src/serve/region/record.rs
@@ -34,7 +34,13 @@
                     epoch: answer.get_epoch(),
                     offset: answer.get_change(),
                 };
-                Ok(CompressedRecord { position, packed })
+                let is_known = answer.get_knows_evacuated();
+                let evacuated = is_known.then(|| wire::read_zones(answer.get_evacuated()?));
+                Ok(CompressedRecord {
+                    position,
+                    packed,
+                    evacuated: evacuated.transpose()?,
+                })
             }),
             Ok(Err(error)) => Err(error),
             Err(_) => Err(capnp::Error::failed("no answer".into())),
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -446,6 +446,22 @@
     }
 }
 
+/// Writes the names of zones into a list that is made for their number.
+pub fn write_zones<'a>(
+    zones: &[id::Zone],
+    init: impl FnOnce(u32) -> capnp::text_list::Builder<'a>,
+) {
+    let mut builder = init(to_u32(zones.len()));
+    for (index, zone) in (0..).zip(zones) {
+        builder.set(index, &**zone);
+    }
+}
+
+/// Reads the names of zones.
+pub fn read_zones(reader: capnp::text_list::Reader<'_>) -> Result<Vec<id::Zone>> {
+    reader.iter().map(|zone| read_name(zone?)).collect()
+}
+
 /// Returns whether daemons of earlier versions know a topic; they drop a list with another one.
 pub fn is_known_to_all(topic: Topic) -> bool {
     matches!(topic, Topic::Catalog | Topic::Endpoints)
