Don't take a stale planner for a fresh one just after the start

Cause: a daemon's clock begins with it, so the watermark of a planner that had last read the store before that was moved to the daemon's start, and looked fresh for 1.4 s. A daemon that started beside a planner that is cut off from the store took its old copy, and sent requests into a zone evacuated since.

Change: watermarks that are too old are dropped as they are read, by their age.

--- a/src/serve/progress.rs
+++ b/src/serve/progress.rs
@@ -27,7 +27,7 @@
 /// The age up to which the planner's watermark replaces a read of the store. The planner's reads
 /// wait for a second; a planner that is silently cut off from the store delays changes by this
 /// much, of the 2.5 s within which they have to be in force.
-const MAX_WATERMARK_AGE: Duration = Duration::from_millis(1_400);
+pub const MAX_WATERMARK_AGE: Duration = Duration::from_millis(1_400);
 
 token! {
     /// A topic of the store that daemons follow.
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -15,7 +15,7 @@
 use crate::serve::plan::{
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
 };
-use crate::serve::progress::{Position, Record, Topic, Watermark};
+use crate::serve::progress::{MAX_WATERMARK_AGE, Position, Record, Topic, Watermark};
 use crate::serve::rate::{Rate, Report};
 
 fn nanos(duration: Duration) -> u64 {
@@ -510,7 +510,8 @@
     }
 }
 
-/// Reads the watermarks of a daemon that was pinged at `sent_at`.
+/// Reads the watermarks of a daemon that was pinged at `sent_at`, but for those that are too old: this
+/// daemon may have started later than their time, which its clock cannot express.
 pub fn read_watermarks(
     reader: capnp::struct_list::Reader<'_, schema::mark::Owned>,
     sent_at: Time,
@@ -525,5 +526,8 @@
         };
         Ok((topic, Watermark { position, as_of }))
     };
-    reader.iter().map(watermark).collect()
+    let is_fresh = |entry: &schema::mark::Reader<'_>| {
+        Duration::from_nanos(entry.get_age_nanos()) <= MAX_WATERMARK_AGE
+    };
+    reader.iter().filter(is_fresh).map(watermark).collect()
 }
