--- a/src/serve.rs
+++ b/src/serve.rs
@@ -22,6 +22,7 @@
 pub mod connection;
 pub mod dialer;
 pub mod dispatcher;
+pub mod evacuation;
 pub mod exchange;
 pub mod handler;
 pub mod health;
@@ -45,6 +46,7 @@
 use closure::Closures;
 use dialer::Dialer;
 use dispatcher::{Dispatcher, RequestPlanner};
+use evacuation::Evacuation;
 use meter::Meter;
 use origin::{Origin, Origins};
 use plan::Tokens;
@@ -93,6 +95,10 @@
         ReadFailed,
         /// The store answers in this epoch; in a later one than before, it went back to a copy.
         Epoch(id::Epoch),
+        /// The full list of zones that operators evacuate.
+        Evacuated(Vec<id::Zone>),
+        /// Operators evacuate a zone, or take it back.
+        Evacuation(evacuation::Change),
     }
 }
 
@@ -202,10 +208,11 @@
     /// Makes a node without a configuration or endpoints.
     pub fn new(dependencies: Dependencies) -> Rc<Self> {
         let started = dependencies.clock.now();
+        let zones = dependencies.options.places.keys().cloned().collect();
         Rc::new(Self {
-            options: dependencies.options,
             catalog: RefCell::default(),
-            registry: RefCell::default(),
+            registry: RefCell::new(Registry::new(zones)),
+            options: dependencies.options,
             config_as_of: Cell::new(None),
             epoch: Cell::new(None),
             dispatchers: dependencies.dispatchers,
@@ -247,6 +254,7 @@
                     .map_or(as_of, |previous| previous.max(as_of));
                 self.config_as_of.set(Some(latest));
                 self.config_confirmed.notify_waiters();
+                self.update_evacuation(Evacuation::expire);
             }
             Update::ReadSucceeded => {
                 self.registry.borrow_mut().read_succeeded(now);
@@ -260,6 +268,12 @@
             }
             Update::ReadFailed => self.registry.borrow_mut().read_failed(now),
             Update::Epoch(epoch) => self.enter_epoch(epoch, now),
+            Update::Evacuated(zones) => {
+                self.update_evacuation(|evacuation, now| evacuation.replace(zones, now));
+            }
+            Update::Evacuation(change) => {
+                self.update_evacuation(|evacuation, now| evacuation.apply(change, now));
+            }
         }
     }
 
@@ -331,7 +345,7 @@
         };
         self.origins.observe(registry.all().map(origin));
         self.closures.observe(registry.all());
-        self.dialer.observe(registry.all());
+        self.dialer.observe(registry.targets());
         self.knowledge.limits.observe(registry.all());
         let now = self.clock.now();
         self.knowledge.quarantine.observe(&registry, now);
@@ -355,10 +369,10 @@
         self.catalog.borrow().clone()
     }
 
-    /// Returns whether an endpoint must get no request, as its entry or its own answers say.
+    /// Returns whether an endpoint must get no request, as its entry, its own answers or operators say.
     fn is_closed(&self, id: &str) -> bool {
         let closure = self.closures.get(id, self.clock.now());
-        closure.is_some() || self.registry.borrow().is_leaving(id)
+        closure.is_some() || self.registry.borrow().is_leaving(id) || self.is_evacuated(id)
     }
 
     /// Returns whether an endpoint may get a request, by the region that it lists.
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -67,6 +67,10 @@
                 };
             }
         };
+        if self.node.is_evacuated(&id) {
+            // Connecting over other VMs may take seconds.
+            return not_run(Verdict::Unknown);
+        }
         if !self.residency(request).covers(&residency) {
             self.log_withheld(&id);
             return not_run(Verdict::Unknown);
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::Knowledge;
 use super::catalog::Catalog;
@@ -19,6 +19,7 @@
 use crate::id;
 
 mod closing;
+mod emptied;
 mod engine;
 mod forecast;
 mod hold;
@@ -65,6 +66,8 @@
     requests: IndexMap<JobId, Request>,
     stage_endpoints: StageEndpoints,
     engines: Engines,
+    /// The services whose endpoints are all in evacuated zones.
+    emptied: IndexSet<id::Pool>,
     calls: IndexMap<CallId, Call>,
     next_call: CallId,
     actions: Vec<Action>,
@@ -82,6 +85,7 @@
             requests: IndexMap::new(),
             stage_endpoints: StageEndpoints::new(limits.clone()),
             engines: Engines::new(limits),
+            emptied: IndexSet::new(),
             calls: IndexMap::new(),
             next_call: 0,
             actions: Vec::new(),
@@ -108,6 +112,7 @@
         for request in self.requests.values_mut() {
             request.invalidate_outline();
         }
+        self.evacuate(&endpoints, registry.evacuation());
         self.dispatch_all(now);
     }
 
@@ -331,6 +336,7 @@
             self.refuse(job_id, reason, now);
         }
         self.refuse_closed(now);
+        self.refuse_emptied();
         self.advance_held(now);
         self.dispatch_all(now);
     }
@@ -487,6 +493,9 @@
         if let Some(remaining) = self.quarantine.refusal(&request.job.suspects(), now) {
             return Some(Refusal::quarantined(remaining));
         }
+        if self.needs_emptied(request) {
+            return Some(Refusal::emptied());
+        }
         if request.job.release.is_some() && !self.engines.has_engine(&request.job) {
             let reason = "no endpoint has the software version of its stream";
             return Some(Refusal::new(reason, MIN_RETRY_AFTER));
--- a/src/serve/plan/engine/fetch.rs
+++ b/src/serve/plan/engine/fetch.rs
@@ -42,6 +42,7 @@
         let mut best: IndexMap<(&id::Zone, &id::Release), Source> = IndexMap::new();
         let of_service = |(_, engine): &(&id::Endpoint, &Engine)| {
             engine.service == job.service
+                && !engine.is_evacuated
                 && job.residency.allows_zone(&engine.zone)
                 && engine.health.is_usable(now)
         };
--- a/src/serve/progress.rs
+++ b/src/serve/progress.rs
@@ -27,7 +27,7 @@
 /// The age up to which the planner's watermark replaces a read of the store. The planner's reads
 /// wait for a second; a planner that is silently cut off from the store delays changes by this
 /// much, of the 2.5 s within which they have to be in force.
-const MAX_WATERMARK_AGE: Duration = Duration::from_millis(1_400);
+pub const MAX_WATERMARK_AGE: Duration = Duration::from_millis(1_400);
 
 token! {
     /// A topic of the store that daemons follow.
@@ -67,6 +67,8 @@
         pub position: Position,
         /// The compressed record.
         pub packed: Bytes,
+        /// With the configuration, the zones that operators evacuate; none from a daemon that does not know.
+        pub evacuated: Option<Vec<id::Zone>>,
     }
 }
 
@@ -194,7 +196,11 @@
                 packed
             }
         };
-        Ok(Some(CompressedRecord { position, packed }))
+        Ok(Some(CompressedRecord {
+            position,
+            packed,
+            evacuated: None,
+        }))
     }
 
     /// Returns the planner's watermark of a topic, unless it is too old.
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -15,7 +15,7 @@
 use crate::serve::plan::{
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
 };
-use crate::serve::progress::{Position, Record, Topic, Watermark};
+use crate::serve::progress::{MAX_WATERMARK_AGE, Position, Record, Topic, Watermark};
 use crate::serve::rate::{Rate, Report};
 use crate::serve::residency::Residency;
 
@@ -462,6 +462,22 @@
     }
 }
 
+/// Writes the names of zones into a list that is made for their number.
+pub fn write_zones<'a>(
+    zones: &[id::Zone],
+    init: impl FnOnce(u32) -> capnp::text_list::Builder<'a>,
+) {
+    let mut builder = init(to_u32(zones.len()));
+    for (index, zone) in (0..).zip(zones) {
+        builder.set(index, &**zone);
+    }
+}
+
+/// Reads the names of zones.
+pub fn read_zones(reader: capnp::text_list::Reader<'_>) -> Result<Vec<id::Zone>> {
+    reader.iter().map(|zone| read_name(zone?)).collect()
+}
+
 /// Returns whether daemons of earlier versions know a topic; they drop a list with another one.
 pub fn is_known_to_all(topic: Topic) -> bool {
     matches!(topic, Topic::Catalog | Topic::Endpoints)
@@ -510,7 +526,8 @@
     }
 }
 
-/// Reads the watermarks of a daemon that was pinged at `sent_at`.
+/// Reads the watermarks of a daemon that was pinged at `sent_at`, but for those that are too old: this
+/// daemon may have started later than their time, which its clock cannot express.
 pub fn read_watermarks(
     reader: capnp::struct_list::Reader<'_, schema::mark::Owned>,
     sent_at: Time,
@@ -525,5 +542,8 @@
         };
         Ok((topic, Watermark { position, as_of }))
     };
-    reader.iter().map(watermark).collect()
+    let is_fresh = |entry: &schema::mark::Reader<'_>| {
+        Duration::from_nanos(entry.get_age_nanos()) <= MAX_WATERMARK_AGE
+    };
+    reader.iter().filter(is_fresh).map(watermark).collect()
 }
