Keep the bound on requests to cold endpoints over all daemons

Cause: an endpoint that has just started, or became cold again, bears few requests a second from all daemons together. Nothing counted them: planners prefer an idle endpoint, and each daemon plans plain requests alone.

Change: `serve::cold::Tracker` tells which endpoints are cold, from entries and new lives, and keeps what this daemon's planner granted them. Only the planner that more than half of its region's daemons have followed for 1.5 s grants to them, half of the bound in 1.75 s; daemons say whom they follow with the new call `follow`. Planners of one daemon leave them to it. A grant that is older than 0.75 s when it is to be sent is asked for anew. Requests wait in the order of urgency, or are refused at once with the wait. Frees are left out there. Where no service starts cold, no message is sent and no clock read in addition.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -191,4 +191,7 @@
   # Returns the newest record of each key that was written to a topic from an offset on, and the offset
   # after them; not known when the caller has to read the store.
   news @4 (topic :Topic, from :UInt64, epoch :UInt64) -> (isKnown :Bool, records :List(Record), next :UInt64);
+  # Tells that the caller has this daemon plan for it, who is of the same region. Daemons of earlier versions
+  # don't know it.
+  follow @5 (daemon :Text) -> ();
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -19,6 +19,7 @@
 pub mod carrier;
 pub mod catalog;
 pub mod closure;
+pub mod cold;
 pub mod connection;
 pub mod dialer;
 pub mod dispatcher;
@@ -322,6 +323,8 @@
         self.dialer.observe(registry.all());
         self.knowledge.limits.observe(registry.all());
         let now = self.clock.now();
+        let cold = self.knowledge.limits.cold();
+        cold.observe(&catalog, registry.all(), &|_| None, now);
         self.knowledge.quarantine.observe(&registry, now);
         for dispatcher in &self.dispatchers {
             dispatcher.update_planner(|planner, now| planner.sync(&registry, &catalog, now));
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::closure::Closures;
+use super::cold;
 use super::dialer::{self, CLOSE_TIME, Dialer, Finding, Target};
 use super::exchange::{self, Connection};
 use super::health::Verdict;
@@ -52,6 +53,11 @@
 pub trait PlannedRequest {
     /// Returns the endpoint that is to run the request, with its inputs.
     fn grant(&self) -> &Grant;
+    /// Returns a time before which the planner did not make the grant; none if it does not count what cold
+    /// endpoints get.
+    fn granted_after(&self) -> Option<Time> {
+        None
+    }
     /// Records that the endpoint has begun to answer; with `is_final`, the inputs may be freed.
     fn started(&self, is_final: bool);
     /// Records that the answer still goes on some time after it began, if the grant asks for it.
@@ -69,7 +75,9 @@
     ) -> LocalBoxFuture<'_, Result<(), Refusal>>;
 }
 
-type GrantSender = oneshot::Sender<Result<Grant, Refusal>>;
+/// A grant and when the planner made it.
+type Granted = Result<(Grant, Time), Refusal>;
+type GrantSender = oneshot::Sender<Granted>;
 
 /// A planner of this daemon, with its calls.
 pub struct Dispatcher {
@@ -158,20 +166,26 @@
 
     /// Applies an event to the planner and executes the actions that follow.
     pub fn update_planner(self: &Rc<Self>, event: impl FnOnce(&mut Planner, Time)) {
+        let now = self.clock.now();
         let actions = {
             let mut planner = self.planner.borrow_mut();
-            event(&mut planner, self.clock.now());
+            event(&mut planner, now);
             planner.take_actions()
         };
         for action in actions {
-            self.execute(action);
+            self.execute(action, now);
         }
     }
 
-    fn execute(self: &Rc<Self>, action: Action) {
+    fn execute(self: &Rc<Self>, action: Action, now: Time) {
         match action {
-            Action::Grant(job_id, grant) => self.send_grant(job_id, Ok(grant)),
-            Action::Refuse(job_id, refusal) => self.send_grant(job_id, Err(refusal)),
+            Action::Grant(job_id, grant) => self.send_grant(job_id, Ok((grant, now))),
+            Action::Refuse(job_id, refusal) => {
+                if refusal.reason == cold::REFUSAL {
+                    self.meter.count("request.cold");
+                }
+                self.send_grant(job_id, Err(refusal));
+            }
             Action::Call {
                 call,
                 endpoint,
@@ -214,7 +228,8 @@
                 .swap_remove(&endpoint)
                 .unwrap_or_default();
             let closure = dispatcher.closures.get(&endpoint, dispatcher.clock.now());
-            if closure.is_some() || dispatcher.limits.get(&endpoint).is_some() {
+            let is_cold = dispatcher.is_cold(&endpoint);
+            if closure.is_some() || is_cold || dispatcher.limits.get(&endpoint).is_some() {
                 // It frees them by itself after a while.
                 return;
             }
@@ -227,7 +242,12 @@
         });
     }
 
-    fn send_grant(&self, job_id: JobId, result: Result<Grant, Refusal>) {
+    fn is_cold(&self, endpoint: &id::Endpoint) -> bool {
+        let cold = self.limits.cold();
+        cold.is_used() && cold.is_cold(endpoint, self.clock.now())
+    }
+
+    fn send_grant(&self, job_id: JobId, result: Granted) {
         if let Some(sender) = self.grant_senders.borrow_mut().swap_remove(&job_id) {
             // A request that has ended meanwhile removes itself from the planner.
             drop(sender.send(result));
@@ -289,7 +309,7 @@
         }
     }
 
-    fn expect_grant(&self, job_id: JobId) -> oneshot::Receiver<Result<Grant, Refusal>> {
+    fn expect_grant(&self, job_id: JobId) -> oneshot::Receiver<Granted> {
         let (sender, grant_receiver) = oneshot::channel();
         self.grant_senders.borrow_mut().insert(job_id, sender);
         grant_receiver
@@ -315,9 +335,10 @@
             dispatcher: self.clone(),
             job_id,
             grant: Grant::default(),
+            granted_at: Time::ZERO,
         };
         self.update_planner(|planner, now| planner.submit(job_id, job, now));
-        request.grant = grant_receiver
+        (request.grant, request.granted_at) = grant_receiver
             .await
             .unwrap_or_else(|_| Err(Refusal::planner_gone()))?;
         Ok(request)
@@ -363,7 +384,8 @@
         let is_usable = |idle: &IdleConnection| {
             idle.address == address && now < idle.idle_since + MAX_IDLE_TIME
         };
-        let is_direct = self.dialer.is_direct(endpoint);
+        // A call that is lost on an idle connection may have arrived, and would count twice.
+        let is_direct = self.dialer.is_direct(endpoint) && !self.is_cold(endpoint);
         if let Some(mut idle) = idle.filter(|idle| is_direct && is_usable(idle))
             && idle.connection.is_reusable()
             && let Ok(result) = self
@@ -439,6 +461,7 @@
     dispatcher: Rc<Dispatcher>,
     job_id: JobId,
     grant: Grant,
+    granted_at: Time,
 }
 
 impl LocalRequest {
@@ -452,7 +475,7 @@
         let job_id = self.job_id;
         self.dispatcher
             .update_planner(|planner, now| planner.retry(job_id, inputs_lost, release, now));
-        self.grant = grant_receiver
+        (self.grant, self.granted_at) = grant_receiver
             .await
             .unwrap_or_else(|_| Err(Refusal::planner_gone()))?;
         Ok(())
@@ -464,6 +487,11 @@
         &self.grant
     }
 
+    fn granted_after(&self) -> Option<Time> {
+        let leaves_limited = self.dispatcher.planner.borrow().leaves_limited();
+        (!leaves_limited).then_some(self.granted_at)
+    }
+
     fn started(&self, is_final: bool) {
         let job_id = self.job_id;
         self.dispatcher
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -386,7 +386,10 @@
         let node = &self.node;
         node.earn_retry(&request.service);
         // The planner of the region counts for all daemons.
-        let is_counted = node.limits().covers(&request.service);
+        let limits = node.limits();
+        let cold = limits.cold();
+        let is_counted = limits.covers(&request.service)
+            || (cold.is_used() && cold.covers(&request.service, node.clock.now()));
         let mut planner = if request.is_staged || is_counted {
             &node.staged_planner
         } else {
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -14,6 +14,7 @@
 };
 use crate::id;
 use crate::quarantine::evidence::Life;
+use crate::serve::cold;
 use crate::serve::dialer::{self, CLOSE_TIME, Finding, Target};
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
@@ -60,6 +61,10 @@
                 };
             }
         };
+        if !self.may_send_if_cold(planned) {
+            self.node.meter.count("request.regrant");
+            return not_run(Verdict::Unknown);
+        }
         self.log_fields.borrow_mut().is_detour = connection.is_detour();
         let meta = self.forward_meta(request, planned, events);
         self.log_fields.borrow_mut().fetch_from = meta.fetch_from;
@@ -146,6 +151,18 @@
         listed.map_or(grant.address, |endpoint| endpoint.address)
     }
 
+    /// Returns whether the planner that counts for all daemons has granted the endpoint just now, if it is cold.
+    fn may_send_if_cold(&self, planned: &dyn PlannedRequest) -> bool {
+        let cold = self.node.limits().cold();
+        if !cold.is_used() {
+            return true;
+        }
+        let now = self.node.clock.now();
+        let granted_after = planned.granted_after();
+        !cold.is_cold(&planned.grant().endpoint, now)
+            || granted_after.is_some_and(|at| now < at + cold::MAX_GRANT_AGE)
+    }
+
     fn unanswered_at(&self, request: &AcceptedRequest, id: &id::Endpoint) -> Unanswered {
         let registry = self.node.registry.borrow();
         Unanswered {
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -112,6 +112,11 @@
         self.requests.len()
     }
 
+    /// Returns whether it leaves endpoints that one planner counts for to the planners of regions.
+    pub fn leaves_limited(&self) -> bool {
+        self.engines.leaves_limited()
+    }
+
     /// Returns whether the planner has no requests.
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
@@ -376,7 +381,7 @@
             return;
         };
         let Some(reservation) = self.engines.reserve(request, now) else {
-            if self.engines.is_limited(request) {
+            if self.engines.is_limited(request, now) {
                 // It is granted when a limit allows it, or refused when that is too late.
                 return;
             }
@@ -479,8 +484,8 @@
         if let Some(remaining) = self.closed_for(request, now) {
             return Some(Refusal::closed(&request.job.request, remaining));
         }
-        if let Some(wait) = self.limit_wait(request, now) {
-            return Some(Refusal::new("its endpoints have limited their rate", wait));
+        if let Some(refusal) = self.limit_refusal(request, now) {
+            return Some(refusal);
         }
         if request.has_started {
             // Another planner has admitted it.
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -54,6 +54,8 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
 /// The same for an engine that falls over when it rejects several in a second.
 const BRITTLE_PAUSE: Duration = Duration::from_millis(500);
+/// The weight of a new sample in the moving average of the times that cold engines take.
+const COLD_SMOOTHING: f64 = 0.25;
 
 /// The share of an engine that a request takes.
 #[derive(Clone, Debug)]
@@ -122,6 +124,8 @@
     speeds: IndexMap<id::Pool, Speed>,
     /// The moving average of times to the first byte, as a multiple of the expected ones.
     latency_ratio: Option<f64>,
+    /// The moving average of the same for cold engines, relative to all, by service.
+    cold_slowness: IndexMap<id::Pool, f64>,
     /// Cached parts that were reported before any engine was known.
     early_cached: Vec<CachedPart>,
 }
@@ -136,6 +140,7 @@
             engines: IndexMap::new(),
             speeds: IndexMap::new(),
             latency_ratio: None,
+            cold_slowness: IndexMap::new(),
             early_cached: Vec::new(),
         }
     }
@@ -156,26 +161,48 @@
         self.limits.get(engine)
     }
 
-    fn limits<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = Option<Rate>> + 'a {
+    /// Returns the rates at which the engines that may run a job get requests; none for one without a bound.
+    fn limits<'a>(&'a self, job: &'a Job, now: Time) -> impl Iterator<Item = Option<Rate>> + 'a {
         let engines = self.engines.iter();
         let engines = engines.filter(|(_, engine)| engine.may_run(job));
-        engines.map(|(id, _)| self.limits.get(id))
+        engines.map(move |(id, _)| {
+            let rates = [self.limits.get(id), self.limits.cold().rate(id, now)];
+            rates.into_iter().flatten().reduce(f64::min)
+        })
+    }
+
+    /// Returns the least time until one of the cold engines that may run a job is warm; none when none is cold.
+    pub fn cold_time(&self, job: &Job, now: Time) -> Option<Duration> {
+        let engines = self.engines.iter();
+        let engines = engines.filter(|(_, engine)| engine.may_run(job));
+        let remaining = engines.map(|(id, _)| self.limits.cold().remaining_time(id, now));
+        remaining.filter(|remaining| !remaining.is_zero()).min()
     }
 
     /// Returns whether an engine that has not ended a request yet takes it when its limit allows that, or when
     /// it has room: where all daemons' requests are counted they wait here rather than at the engine.
-    pub fn is_limited(&self, request: &Request) -> bool {
+    pub fn is_limited(&self, request: &Request, now: Time) -> bool {
         let is_limited = |(id, engine): (&id::Endpoint, &Engine)| {
             engine.may_run(&request.job)
                 && !request.tried_engines.contains(id)
-                && self.limits.is_counted(id)
+                && self.is_counted(id, now)
         };
         !self.leaves_limited && self.engines.iter().any(is_limited)
     }
 
+    /// Returns whether one planner counts what an engine gets from all daemons.
+    fn is_counted(&self, engine: &id::Endpoint, now: Time) -> bool {
+        self.limits.is_counted(engine) || self.limits.cold().is_cold(engine, now)
+    }
+
+    /// Returns whether engines that one planner counts for are left to others.
+    pub fn leaves_limited(&self) -> bool {
+        self.leaves_limited
+    }
+
     /// Returns the sum of the limits of the engines that may run a job; none when one has no limit.
-    pub fn total_limit(&self, job: &Job) -> Option<Rate> {
-        let limits: Option<Vec<Rate>> = self.limits(job).collect();
+    pub fn total_limit(&self, job: &Job, now: Time) -> Option<Rate> {
+        let limits: Option<Vec<Rate>> = self.limits(job, now).collect();
         let limits = limits.filter(|limits| !limits.is_empty())?;
         Some(limits.into_iter().sum())
     }
@@ -278,12 +305,14 @@
     /// Chooses the engine of the lowest cost for a request; none when no engine has room.
     pub fn reserve(&mut self, request: &Request, now: Time) -> Option<Reservation> {
         let job = &request.job;
+        let cold = self.limits.cold();
         for (id, engine) in &mut self.engines {
             let limit = self.limits.get(id);
-            engine.limited_until = if self.leaves_limited && self.limits.is_counted(id) {
+            let is_counted = self.limits.is_counted(id) || cold.is_cold(id, now);
+            engine.limited_until = if self.leaves_limited && is_counted {
                 Time::MAX
             } else {
-                now + engine.bucket.wait(limit, now)
+                now + engine.bucket.wait(limit, now).max(cold.wait(id, now))
             };
         }
         let config = self.services.get(&job.service);
@@ -311,6 +340,7 @@
             .filter(|(_, engine)| !has_usable || engine.health.is_usable(now));
         let sources = self.sources(job, now);
         let base = self.speed(&job.service).base();
+        let cold_slowness = self.cold_slowness.get(&job.service).copied();
         let costs = candidates.map(|(id, engine)| {
             let asked = if self.limits.is_unsure(id, now) {
                 ASK_BONUS_MS
@@ -318,6 +348,8 @@
                 0.0
             };
             let reading = self.reading(id, engine, job, &sources, now);
+            let slowness = cold_slowness.filter(|_| self.limits.cold().is_cold(id, now));
+            let base = base.mul_f64(slowness.unwrap_or(1.0).max(1.0));
             let cost = engine.cost(id, request, &reading, base, now) - asked;
             (id.clone(), reading, cost)
         });
@@ -325,6 +357,7 @@
         let engine = self.engines.get_mut(&id)?;
         engine.running += 1;
         engine.bucket.take();
+        self.limits.cold().granted(&id, now);
         let is_alone = engine.reading.is_empty();
         engine.reading.push(reading.time, now);
         engine.memory_tokens += tokens;
@@ -365,6 +398,10 @@
             let speed = self.speeds.entry(job.service.clone()).or_default();
             speed.record(reservation.unread_tokens, duration);
         }
+        if self.limits.cold().is_cold(&reservation.engine, now) {
+            let mean = self.cold_slowness.entry(job.service.clone()).or_insert(1.0);
+            *mean += COLD_SMOOTHING * (ratio - *mean);
+        }
         if let Some(engine) = self.engines.get_mut(&reservation.engine) {
             engine.cache.finish(&job.prompt_parts);
             engine.health.record_duration(ratio, now);
--- a/src/serve/plan/hold.rs
+++ b/src/serve/plan/hold.rs
@@ -6,9 +6,13 @@
 use super::request::Request;
 use super::{Action, JobId, Planner, Refusal};
 use crate::clock::Time;
+use crate::serve::cold;
+use crate::serve::rate::MIN_RATE;
 
 /// The most requests with a part that may end engines which run at once and have not shown that it does not.
 const MAX_TRIALS: usize = 2;
+/// The longest wait that is told: many requests may wait for a rate of almost nothing.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
 impl Planner {
     pub(super) fn refuse_with(&mut self, job_id: JobId, refusal: Refusal) {
@@ -67,14 +71,21 @@
         }
     }
 
-    /// Returns how long a request would wait for the limits of its engines, if that is too long.
-    pub(super) fn limit_wait(&self, request: &Request, now: Time) -> Option<Duration> {
+    /// Refuses a request that would wait too long for the limits of its engines, or since they are cold.
+    pub(super) fn limit_refusal(&self, request: &Request, now: Time) -> Option<Refusal> {
         let job = &request.job;
-        let rate = self.engines.total_limit(job)?;
+        let rate = self.engines.total_limit(job, now)?;
         let is_ahead = |other: &&Request| !other.is_granted && other.job.service == job.service;
         let ahead = self.requests.values().filter(is_ahead).count();
-        let wait = Duration::from_secs_f64((ahead + 1) as f64 / rate);
+        let seconds = (ahead + 1) as f64 / rate.max(MIN_RATE);
+        let wait = Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()));
+        let cold_time = self.engines.cold_time(job, now);
+        let wait = cold_time.map_or(wait, |cold_time| wait.min(cold_time));
         let left = job.deadline.saturating_sub(now);
-        (wait > job.target_latency.min(left)).then_some(wait)
+        let reason = match cold_time {
+            Some(_) => cold::REFUSAL,
+            None => "its endpoints have limited their rate",
+        };
+        (wait > job.target_latency.min(left)).then(|| Refusal::new(reason, wait))
     }
 }
--- a/src/serve/plan/stage_endpoint.rs
+++ b/src/serve/plan/stage_endpoint.rs
@@ -37,6 +37,7 @@
     /// When its limit allows the next call.
     pub limited_until: Time,
     pub bucket: Bucket,
+    pub is_cold: bool,
     /// Bytes of results that it holds or computes.
     pub used_bytes: u64,
     pub results: IndexMap<Handle, Allocation>,
@@ -68,6 +69,7 @@
             closed_until: Time::ZERO,
             limited_until: Time::ZERO,
             bucket: Bucket::default(),
+            is_cold: false,
             used_bytes: 0,
             results: IndexMap::new(),
             foreign_results: None,
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -89,7 +89,9 @@
     pub fn update_limits(&mut self, now: Time) {
         for (id, endpoint) in &mut self.endpoints {
             let wait = endpoint.bucket.wait(self.limits.get(id), now);
-            endpoint.limited_until = now + wait;
+            let cold_wait = self.limits.cold().wait(id, now);
+            endpoint.is_cold = self.limits.cold().is_cold(id, now);
+            endpoint.limited_until = now + wait.max(cold_wait);
         }
     }
 
@@ -182,6 +184,7 @@
         let full_call = batch.call_time + batch.piece_time * count(batch.max_pieces);
         let speed = |(id, endpoint): (&id::Endpoint, &StageEndpoint)| {
             let limit = self.limits.get(id).unwrap_or(f64::MAX);
+            let limit = limit.min(self.limits.cold().rate(id, now).unwrap_or(f64::MAX));
             // At its limit an endpoint is idle between calls.
             let busy = (limit * full_call.as_secs_f64()).min(1.0);
             busy / endpoint.health.slowness(now)
@@ -300,8 +303,10 @@
         let expected = base_time.mul_f64(endpoint.health.slowness(now).max(1.0));
         endpoint.running_call = Some(call_id);
         endpoint.bucket.take();
+        self.limits.cold().granted(&assignment.endpoint, now);
         let limit = self.limits.get(&assignment.endpoint);
-        endpoint.limited_until = now + endpoint.bucket.wait(limit, now);
+        let cold_wait = self.limits.cold().wait(&assignment.endpoint, now);
+        endpoint.limited_until = now + endpoint.bucket.wait(limit, now).max(cold_wait);
         endpoint.call_end = now + expected;
         endpoint.health.call_started(now);
         endpoint.used_bytes += pieces.iter().map(|piece| piece.bytes).sum::<u64>();
@@ -473,7 +478,7 @@
             let Some(endpoint) = endpoint else {
                 continue;
             };
-            if self.limits.get(&result.endpoint).is_some() {
+            if endpoint.is_cold || self.limits.get(&result.endpoint).is_some() {
                 // Calls are scarce, and results expire by themselves.
                 continue;
             }
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::serve::catalog;
 
+mod cold;
 mod crash;
 mod engine;
 mod limit;
--- a/src/serve/rate.rs
+++ b/src/serve/rate.rs
@@ -10,13 +10,14 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, info};
 
+use super::cold;
 use super::registry::Endpoint;
 use crate::clock::Time;
 use crate::id;
 
 /// The least rate at which an endpoint is used, in requests a second: only its answers tell that a limit
 /// has ended.
-const MIN_RATE: f64 = 0.1;
+pub const MIN_RATE: f64 = 0.1;
 /// The requests that an endpoint which was idle gets at once, and for how long a rate adds to them: planners
 /// look at what waits every 20 ms.
 const BURST: f64 = 1.0;
@@ -63,6 +64,7 @@
 /// The limits that one daemon knows of.
 pub struct Limits {
     state: RefCell<State>,
+    cold: cold::Tracker,
     log: Logger,
 }
 
@@ -71,10 +73,16 @@
     pub fn new(log: Logger) -> Self {
         Self {
             state: RefCell::default(),
+            cold: cold::Tracker::new(log.clone()),
             log,
         }
     }
 
+    /// Returns the endpoints that are cold, which bear few requests although they name no limit.
+    pub fn cold(&self) -> &cold::Tracker {
+        &self.cold
+    }
+
     /// Records the listed endpoints; one that has started again has named no limit yet.
     pub fn observe<'a>(&self, endpoints: impl Iterator<Item = &'a Endpoint>) {
         let state = &mut *self.state.borrow_mut();
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -24,7 +24,7 @@
 use super::dispatcher::{Dispatcher, LocalPlanner, PlannedRequest, RequestPlanner};
 use super::plan::{Job, Refusal};
 use super::progress::ReadProgress;
-use crate::clock::Clock;
+use crate::clock::{Clock, Time};
 use crate::generated::plan_capnp::planner;
 use crate::id;
 use crate::peer::stream::{self, ByteCount, Coding};
@@ -66,6 +66,8 @@
     member: Member,
     client: planner::Client,
     rpc_task: JoinHandle<()>,
+    /// When the last ping that was answered was sent.
+    confirmed_at: Cell<Time>,
     is_lost: Cell<bool>,
     lost: Notify,
 }
@@ -76,6 +78,7 @@
             member,
             client,
             rpc_task,
+            confirmed_at: Cell::new(Time::ZERO),
             is_lost: Cell::new(false),
             lost: Notify::new(),
         })
@@ -221,6 +224,11 @@
     /// Connects to the first daemon in rank that answers.
     async fn update_connection(&self) {
         let now = self.clock.now();
+        if self.local.is_some() {
+            let daemons = self.ranking.borrow().len();
+            let cold = self.knowledge.limits.cold();
+            cold.set_rank(self.is_planner(), daemons, now);
+        }
         let Some(wanted) = self.ranking.borrow().first(now) else {
             return;
         };
@@ -284,14 +292,32 @@
         spawn_local(async move { drop(sent.await) });
     }
 
+    /// Tells the planner of this region that it plans for this daemon, if endpoints may be cold.
+    fn follow(&self, connection: &PlannerConnection) {
+        let ranking = self.ranking.borrow();
+        let Some(own) = ranking.own_name() else {
+            return;
+        };
+        if !self.knowledge.limits.cold().is_used() {
+            return;
+        }
+        let mut request = connection.client.follow_request();
+        request.get().set_daemon(own);
+        let sent = request.send().promise;
+        // A daemon of an earlier release refuses it, and the ping detects a failure.
+        spawn_local(async move { drop(sent.await) });
+    }
+
     /// Pings a planner and records its watermarks; returns whether it answers. One that is about to
     /// stop still plans, but others are preferred.
     async fn ping(&self, connection: &PlannerConnection) -> bool {
         let sent_at = self.clock.now();
+        self.follow(connection);
         let ping = connection.client.ping_request().send().promise;
         let reason = match timeout(PING_TIMEOUT, ping).await {
             Ok(Ok(answer)) => match answer.get() {
                 Ok(answer) => {
+                    connection.confirmed_at.set(sent_at);
                     let lists = [answer.get_marks(), answer.get_more_marks()];
                     let watermarks = lists.into_iter().map(|list| {
                         list.and_then(|watermarks| wire::read_watermarks(watermarks, sent_at))
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -95,6 +95,17 @@
         Ok(())
     }
 
+    async fn follow(
+        self: Capability<Self>,
+        params: planner::FollowParams,
+        _: planner::FollowResults,
+    ) -> capnp::Result<()> {
+        let daemon = params.get()?.get_daemon()?.to_str()?;
+        let now = self.clock.now();
+        self.node.limits().cold().follow(&daemon.into(), now);
+        Ok(())
+    }
+
     async fn news(
         self: Capability<Self>,
         params: planner::NewsParams,
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -99,6 +99,16 @@
         self.own.as_ref().is_some_and(|own| own.name == *name)
     }
 
+    /// Returns the name of this daemon, if it is one of these.
+    pub fn own_name(&self) -> Option<&id::Daemon> {
+        self.own.as_ref().map(|own| &own.name)
+    }
+
+    /// Returns the number of registered daemons, whether they answer or not.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
     /// Records a daemon that has registered or changed, or removes one that has left for good.
     pub fn apply_member(&mut self, name: &id::Daemon, member: Option<Member>) {
         if self.is_own(name) {
--- a/src/serve/region/remote.rs
+++ b/src/serve/region/remote.rs
@@ -7,7 +7,7 @@
 use tokio::task::spawn_local;
 
 use super::{PlannerConnection, wire};
-use crate::clock::Clock;
+use crate::clock::{Clock, Time};
 use crate::generated::plan_capnp::{reply, seat};
 use crate::id;
 use crate::serve::dispatcher::PlannedRequest;
@@ -20,6 +20,8 @@
     connection: Rc<PlannerConnection>,
     client: seat::Client,
     grant: Grant,
+    /// The planner answered a call of this time before it sent the grant, on the same connection.
+    granted_after: Time,
     clock: Rc<dyn Clock>,
 }
 
@@ -44,6 +46,7 @@
             connection,
             client,
             grant: Grant::default(),
+            granted_after: Time::ZERO,
             clock: clock.clone(),
         };
         let waiting = remote.client.wait_request().send().promise;
@@ -51,6 +54,7 @@
         Ok(match read_grant(waiting.get()?.get_reply(), &**clock)? {
             Ok(grant) => {
                 remote.grant = grant;
+                remote.granted_after = remote.connection.confirmed_at.get();
                 Ok(Box::new(remote))
             }
             Err(refusal) => Err(refusal),
@@ -74,6 +78,7 @@
             Err(error) => Err(error),
         };
         self.grant = replied.unwrap_or_else(|_| Err(Refusal::planner_gone()))?;
+        self.granted_after = self.connection.confirmed_at.get();
         Ok(())
     }
 }
@@ -88,6 +93,10 @@
         &self.grant
     }
 
+    fn granted_after(&self) -> Option<Time> {
+        Some(self.granted_after)
+    }
+
     fn started(&self, is_final: bool) {
         let mut request = self.client.started_request();
         request.get().set_is_final(is_final);
--- a/src/serve/registry.rs
+++ b/src/serve/registry.rs
@@ -147,8 +147,10 @@
             return false;
         }
         // The return of a missing entry is a change too: a daemon that misses it removes the endpoint.
-        let changed =
-            current.removal_due.is_some() || !current.endpoint.has_same_content(&new.endpoint);
+        // So is an entry that says again that its endpoint is cold: it is believed for a time from now.
+        let changed = current.removal_due.is_some()
+            || !new.endpoint.cold_remaining.is_zero()
+            || !current.endpoint.has_same_content(&new.endpoint);
         self.endpoints.insert(id, new);
         changed
     }
