Name the count of a region's daemons, as clippy asks

Change: `Ranking::len` becomes `member_count`, and a test builds its catalog in one expression.

Result: clippy passes over the library, the daemon and their tests.

--- a/src/serve/cold/tests.rs
+++ b/src/serve/cold/tests.rs
@@ -16,8 +16,10 @@
         cold_start,
         ..Service::default()
     };
-    let mut catalog = Catalog::default();
-    catalog.version = 1;
+    let mut catalog = Catalog {
+        version: 1,
+        ..Catalog::default()
+    };
     catalog.services.insert("s".into(), service);
     catalog
 }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -225,7 +225,7 @@
     async fn update_connection(&self) {
         let now = self.clock.now();
         if self.local.is_some() {
-            let daemons = self.ranking.borrow().len();
+            let daemons = self.ranking.borrow().member_count();
             let cold = self.knowledge.limits.cold();
             cold.set_rank(self.is_planner(), daemons, now);
         }
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -105,7 +105,7 @@
     }
 
     /// Returns the number of registered daemons, whether they answer or not.
-    pub fn len(&self) -> usize {
+    pub fn member_count(&self) -> usize {
         self.members.len()
     }
 
