--- a/src/serve/cold.rs
+++ b/src/serve/cold.rs
@@ -253,7 +253,7 @@
         let state = &mut *self.state.borrow_mut();
         state.mandate.set_rank(is_first, daemons, now);
         let is_planner = state.mandate.holds(now);
-        if is_planner != state.is_logged_planner && !state.services.is_empty() {
+        if is_planner != state.is_logged_planner {
             state.is_logged_planner = is_planner;
             info!(self.log, "cold endpoints planned in this daemon"; "planned" => is_planner);
         }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -224,9 +224,9 @@
     /// Connects to the first daemon in rank that answers.
     async fn update_connection(&self) {
         let now = self.clock.now();
-        if self.local.is_some() {
+        let cold = self.knowledge.limits.cold();
+        if self.local.is_some() && cold.is_used() {
             let daemons = self.ranking.borrow().member_count();
-            let cold = self.knowledge.limits.cold();
             cold.set_rank(self.is_planner(), daemons, now);
         }
         let Some(wanted) = self.ranking.borrow().first(now) else {
