--- a/src/serve.rs
+++ b/src/serve.rs
@@ -19,6 +19,7 @@
 pub mod carrier;
 pub mod catalog;
 pub mod closure;
+pub mod cold;
 pub mod connection;
 pub mod dialer;
 pub mod dispatcher;
@@ -348,6 +349,9 @@
         self.dialer.observe(registry.targets());
         self.knowledge.limits.observe(registry.all());
         let now = self.clock.now();
+        let cold = self.knowledge.limits.cold();
+        let taken_back_at = |zone: &id::Zone| registry.taken_back_at(zone);
+        cold.observe(&catalog, registry.all(), &taken_back_at, now);
         self.knowledge.quarantine.observe(&registry, now);
         for dispatcher in &self.dispatchers {
             dispatcher.update_planner(|planner, now| planner.sync(&registry, &catalog, now));
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::closure::Closures;
+use super::cold;
 use super::dialer::{self, CLOSE_TIME, Dialer, Finding, Target};
 use super::exchange::{self, Connection};
 use super::health::Verdict;
@@ -53,6 +54,11 @@
 pub trait PlannedRequest {
     /// Returns the endpoint that is to run the request, with its inputs.
     fn grant(&self) -> &Grant;
+    /// Returns a time before which the planner did not make the grant; none if it does not count what cold
+    /// endpoints get.
+    fn granted_after(&self) -> Option<Time> {
+        None
+    }
     /// Records that the endpoint has begun to answer; with `is_final`, the inputs may be freed.
     fn started(&self, is_final: bool);
     /// Records that the answer still goes on some time after it began, if the grant asks for it.
@@ -70,7 +76,9 @@
     ) -> LocalBoxFuture<'_, Result<(), Refusal>>;
 }
 
-type GrantSender = oneshot::Sender<Result<Grant, Refusal>>;
+/// A grant and when the planner made it.
+type Granted = Result<(Grant, Time), Refusal>;
+type GrantSender = oneshot::Sender<Granted>;
 
 /// A planner of this daemon, with its calls.
 pub struct Dispatcher {
@@ -159,20 +167,26 @@
 
     /// Applies an event to the planner and executes the actions that follow.
     pub fn update_planner(self: &Rc<Self>, event: impl FnOnce(&mut Planner, Time)) {
+        let now = self.clock.now();
         let actions = {
             let mut planner = self.planner.borrow_mut();
-            event(&mut planner, self.clock.now());
+            event(&mut planner, now);
             planner.take_actions()
         };
         for action in actions {
-            self.execute(action);
+            self.execute(action, now);
         }
     }
 
-    fn execute(self: &Rc<Self>, action: Action) {
+    fn execute(self: &Rc<Self>, action: Action, now: Time) {
         match action {
-            Action::Grant(job_id, grant) => self.send_grant(job_id, Ok(grant)),
-            Action::Refuse(job_id, refusal) => self.send_grant(job_id, Err(refusal)),
+            Action::Grant(job_id, grant) => self.send_grant(job_id, Ok((grant, now))),
+            Action::Refuse(job_id, refusal) => {
+                if refusal.reason == cold::REFUSAL {
+                    self.meter.count("request.cold");
+                }
+                self.send_grant(job_id, Err(refusal));
+            }
             Action::Call {
                 call,
                 endpoint,
@@ -216,7 +230,9 @@
                 .unwrap_or_default();
             let closure = dispatcher.closures.get(&endpoint, dispatcher.clock.now());
             let is_evacuated = dispatcher.planner.borrow().is_evacuated(&endpoint);
-            if is_evacuated || closure.is_some() || dispatcher.limits.get(&endpoint).is_some() {
+            let is_cold = dispatcher.is_cold(&endpoint);
+            let is_limited = dispatcher.limits.get(&endpoint).is_some();
+            if is_evacuated || is_cold || is_limited || closure.is_some() {
                 // It frees them by itself after a while.
                 return;
             }
@@ -235,7 +251,12 @@
         });
     }
 
-    fn send_grant(&self, job_id: JobId, result: Result<Grant, Refusal>) {
+    fn is_cold(&self, endpoint: &id::Endpoint) -> bool {
+        let cold = self.limits.cold();
+        cold.is_used() && cold.is_cold(endpoint, self.clock.now())
+    }
+
+    fn send_grant(&self, job_id: JobId, result: Granted) {
         if let Some(sender) = self.grant_senders.borrow_mut().swap_remove(&job_id) {
             // A request that has ended meanwhile removes itself from the planner.
             drop(sender.send(result));
@@ -304,7 +325,7 @@
         }
     }
 
-    fn expect_grant(&self, job_id: JobId) -> oneshot::Receiver<Result<Grant, Refusal>> {
+    fn expect_grant(&self, job_id: JobId) -> oneshot::Receiver<Granted> {
         let (sender, grant_receiver) = oneshot::channel();
         self.grant_senders.borrow_mut().insert(job_id, sender);
         grant_receiver
@@ -330,9 +351,10 @@
             dispatcher: self.clone(),
             job_id,
             grant: Grant::default(),
+            granted_at: Time::ZERO,
         };
         self.update_planner(|planner, now| planner.submit(job_id, job, now));
-        request.grant = grant_receiver
+        (request.grant, request.granted_at) = grant_receiver
             .await
             .unwrap_or_else(|_| Err(Refusal::planner_gone()))?;
         Ok(request)
@@ -374,7 +396,8 @@
         let is_usable = |idle: &IdleConnection| {
             idle.address == address && now < idle.idle_since + MAX_IDLE_TIME
         };
-        let is_direct = self.dialer.is_direct(endpoint);
+        // A call that is lost on an idle connection may have arrived, and would count twice.
+        let is_direct = self.dialer.is_direct(endpoint) && !self.is_cold(endpoint);
         if let Some(mut idle) = idle.filter(|idle| is_direct && is_usable(idle))
             && idle.connection.is_reusable()
             && let Ok(result) = self
@@ -450,6 +473,7 @@
     dispatcher: Rc<Dispatcher>,
     job_id: JobId,
     grant: Grant,
+    granted_at: Time,
 }
 
 impl LocalRequest {
@@ -463,7 +487,7 @@
         let job_id = self.job_id;
         self.dispatcher
             .update_planner(|planner, now| planner.retry(job_id, inputs_lost, release, now));
-        self.grant = grant_receiver
+        (self.grant, self.granted_at) = grant_receiver
             .await
             .unwrap_or_else(|_| Err(Refusal::planner_gone()))?;
         Ok(())
@@ -475,6 +499,11 @@
         &self.grant
     }
 
+    fn granted_after(&self) -> Option<Time> {
+        let leaves_limited = self.dispatcher.planner.borrow().leaves_limited();
+        (!leaves_limited).then_some(self.granted_at)
+    }
+
     fn started(&self, is_final: bool) {
         let job_id = self.job_id;
         self.dispatcher
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -7,6 +7,7 @@
 use crate::serve::evacuation::Change;
 use crate::serve::residency::Residency;
 
+mod cold;
 mod crash;
 mod emptied;
 mod engine;
