Record which releases serve, for daemons that start

Cause: a service with one release wrote nothing to the log of streams, and a daemon that had just started took the empty log for proof that there had been one release. When all daemons died and the old release left meanwhile, streams were taken up at the new one: 200, joined from two releases, with Resumes and without.

Change: planners record each release of a service in the topic keyed.releases and remove it when it has not been listed for 30 s and another one is. In its first 30 s a daemon takes the only release listed for the answer only if it is the only one recorded. Besides, the first event of the first stream at a release, at each daemon, waits until the log has a record of it (250 ms at most, only with several releases), so that a daemon that does not list the release yet finds it.

find_stream_of_a_daemon_that_is_gone begins its two streams at once, as it did when begin returned at once, and checks a second batch, too.

--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -139,7 +139,7 @@
                 }
             }
             if !bytes.is_empty() {
-                self.begin_stream(request, planned);
+                self.begin_stream(request, planned).await;
             }
             let sent = if !client.has_started() && (end.is_some() || !bytes.is_empty()) {
                 has_started.set(true);
@@ -193,24 +193,21 @@
     }
 
     /// Records which software version begins the stream; it goes on at no other one.
-    fn begin_stream(&self, request: &AcceptedRequest, planned: &dyn PlannedRequest) {
+    async fn begin_stream(&self, request: &AcceptedRequest, planned: &dyn PlannedRequest) {
         if self.has_begun.replace(true) {
             return;
         }
-        let mut release = self.release.borrow_mut();
-        if release.is_none() {
-            release.clone_from(&planned.grant().release);
-        }
-        if let Some(release) = release
-            .clone()
-            .filter(|_| request.route.kind.is_repeatable())
-        {
+        let granted = planned.grant().release.clone();
+        let release = self.release.borrow().clone().or(granted);
+        self.release.borrow_mut().clone_from(&release);
+        if let Some(release) = release.filter(|_| request.route.kind.is_repeatable()) {
             let meta = &request.meta;
             let service = request.service.clone();
             let attempt = meta.resumes.as_ref().unwrap_or(&meta.id);
             self.node
                 .origins
-                .begin(attempt, Origin { service, release });
+                .begin(attempt, Origin { service, release })
+                .await;
         }
     }
 }
--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -21,18 +21,22 @@
 mod table;
 
 use table::Table;
-pub use table::{Origin, Record};
+pub use table::{Change, Origin, Record};
 
 /// How long new streams are gathered before they are written together: calls to the log are priced.
 const FLUSH_DELAY: Duration = Duration::from_millis(150);
 /// The time between attempts to write to a log that fails.
 const FLUSH_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// The longest time for which a first event waits until other daemons can know of its release.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The longest time for reading what was added to the log since the last read.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a log that could not be read is not read again; a client waits for each read.
 const READ_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// How long a record that is not in the log may still be on its way to it.
 const RECORD_DELAY: Duration = Duration::from_millis(250);
+/// The longest time until a planner looks whether a release has to be recorded, or removed.
+const RELEASE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why the log could not be used.
 #[derive(Debug, Snafu)]
@@ -64,12 +68,17 @@
     }
 }
 
-/// The log in which daemons share the origins of streams.
+/// The log in which daemons share the origins of streams, and the releases that serve.
 pub trait Log {
     /// Appends a batch.
     fn append<'a>(&'a self, batch: &'a Batch) -> LocalBoxFuture<'a, Result<(), Error>>;
     /// Reads from an offset to the end, or from the first retained offset if that one is not there.
     fn read(&self, from: id::Offset) -> LocalBoxFuture<'_, Result<Page, Error>>;
+    /// Reads the releases that are recorded as serving, which stay as long as it takes.
+    fn releases(&self) -> LocalBoxFuture<'_, Result<Vec<Origin>, Error>>;
+    /// Changes the releases that are recorded as serving, all or none.
+    fn write_releases<'a>(&'a self, changes: &'a [Change])
+    -> LocalBoxFuture<'a, Result<(), Error>>;
 }
 
 /// What a daemon knows of streams, with the log that it shares with others.
@@ -80,8 +89,14 @@
     /// The time before which everything in the log has been read.
     read_at: Cell<Option<Time>>,
     read_failed_at: Cell<Option<Time>>,
+    /// When the releases in the log were last read, or could not be.
+    releases_read_at: Cell<Option<Time>>,
     reading: Mutex<()>,
     has_unsent: Notify,
+    /// Whether unsent streams are not to be gathered any longer.
+    is_urgent: Notify,
+    has_sent: Notify,
+    has_observed: Notify,
     clock: Rc<dyn Clock>,
     logger: Logger,
 }
@@ -95,8 +110,12 @@
             next_offset: Cell::new(0),
             read_at: Cell::new(None),
             read_failed_at: Cell::new(None),
+            releases_read_at: Cell::new(None),
             reading: Mutex::new(()),
             has_unsent: Notify::new(),
+            is_urgent: Notify::new(),
+            has_sent: Notify::new(),
+            has_observed: Notify::new(),
             clock,
             logger,
         });
@@ -104,20 +123,41 @@
         origins
     }
 
-    /// Records that this daemon has passed on events of a stream, by the client's attempt that began it.
-    pub fn begin(&self, attempt: &id::Name, origin: Origin) {
+    /// Records that this daemon is about to pass on the first event of a stream, by the client's attempt that
+    /// began it. The first stream at a release waits until others can read of it: a daemon that does not list
+    /// the release yet would take another one for the only one.
+    pub async fn begin(&self, attempt: &id::Name, origin: Origin) {
         let record = Record {
             attempt: attempt.clone(),
-            origin,
+            origin: origin.clone(),
         };
         self.table.borrow_mut().begin(record, self.clock.now());
         self.notify_unsent();
+        if timeout(ANNOUNCE_TIMEOUT, self.wait_announced(&origin))
+            .await
+            .is_err()
+        {
+            warn!(self.logger, "release not announced"; "release" => ?origin);
+            self.table.borrow_mut().skip_announcement(&origin);
+        }
+    }
+
+    async fn wait_announced(&self, origin: &Origin) {
+        loop {
+            let sent = self.has_sent.notified();
+            if !self.table.borrow().is_unannounced(origin) {
+                return;
+            }
+            self.is_urgent.notify_one();
+            sent.await;
+        }
     }
 
     /// Records the releases of all endpoints that are listed now.
     pub fn observe(&self, listed: impl Iterator<Item = Origin>) {
         self.table.borrow_mut().observe(listed, self.clock.now());
         self.notify_unsent();
+        self.has_observed.notify_one();
     }
 
     /// Records that the log went back to a copy: it is read anew, and own streams are written again.
@@ -125,6 +165,7 @@
         self.next_offset.set(0);
         self.read_at.set(None);
         self.table.borrow_mut().log_went_back();
+        self.releases_read_at.set(None);
         self.notify_unsent();
     }
 
@@ -138,17 +179,19 @@
     /// when there are several.
     pub async fn find(&self, attempt: Option<&id::Name>, service: &id::Pool) -> Option<Origin> {
         let known = || self.table.borrow().find(attempt?);
-        let only = |is_log_read| {
-            let table = self.table.borrow();
-            table.only_release(service, is_log_read, self.clock.now())
-        };
         if let Some(origin) = known() {
             return Some(origin);
         }
         let is_log_read = self.read().await;
-        if let Some(origin) = known().or_else(|| only(is_log_read)) {
+        if let Some(origin) = known() {
             return Some(origin);
         }
+        let knows_all = is_log_read && self.knows_releases(service).await;
+        let now = self.clock.now();
+        let only = self.table.borrow().only_release(service, knows_all, now);
+        if only.is_some() {
+            return only;
+        }
         if attempt.is_none() || !is_log_read {
             return None;
         }
@@ -157,6 +200,82 @@
         known()
     }
 
+    /// Returns whether the releases at which a stream of a service can have begun are known; reads them if need
+    /// be.
+    async fn knows_releases(&self, service: &id::Pool) -> bool {
+        let knows = || {
+            let table = self.table.borrow();
+            table.knows_releases(service, self.clock.now())
+        };
+        let _reading = self.reading.lock().await;
+        knows() || (self.read_releases().await && knows())
+    }
+
+    /// Reads the releases that are recorded as serving, unless that was tried a moment ago.
+    async fn read_releases(&self) -> bool {
+        let now = self.clock.now();
+        let read_at = self.releases_read_at.get();
+        if read_at.is_some_and(|read_at| now < read_at + READ_RETRY_DELAY) {
+            return false;
+        }
+        self.releases_read_at.set(Some(now));
+        match timeout(READ_TIMEOUT, self.log.releases()).await {
+            Ok(Ok(releases)) => {
+                info!(self.logger, "releases read"; "releases" => ?releases);
+                let mut table = self.table.borrow_mut();
+                table.learn_releases(releases.into_iter(), self.clock.now());
+                true
+            }
+            Ok(Err(error)) => {
+                info!(self.logger, "releases not read"; "error" => %error);
+                false
+            }
+            Err(_) => {
+                info!(self.logger, "releases not read"; "error" => "no answer in time");
+                false
+            }
+        }
+    }
+
+    /// Keeps the record of the releases that serve, while this daemon is a planner: one writer is enough. The
+    /// record of an only release is written once.
+    pub async fn keep_releases(self: Rc<Self>, is_planner: impl Fn() -> bool) {
+        let mut was_planner = false;
+        loop {
+            // What is due without a change of the endpoints has time.
+            drop(timeout(RELEASE_INTERVAL, self.has_observed.notified()).await);
+            let has_begun = !std::mem::replace(&mut was_planner, is_planner());
+            if !was_planner {
+                continue;
+            }
+            if has_begun {
+                // The planner before may have changed them.
+                self.table.borrow_mut().forget_recorded();
+            }
+            self.write_releases().await;
+        }
+    }
+
+    async fn write_releases(&self) {
+        if !self.table.borrow().has_recorded() {
+            let _reading = self.reading.lock().await;
+            self.read_releases().await;
+        }
+        let changes = self.table.borrow_mut().changes(self.clock.now());
+        if changes.is_empty() {
+            return;
+        }
+        match self.log.write_releases(&changes).await {
+            Ok(()) => {
+                info!(self.logger, "releases recorded"; "changes" => ?changes);
+                self.table.borrow_mut().set_recorded(&changes);
+            }
+            Err(error) => {
+                warn!(self.logger, "releases not recorded"; "changes" => ?changes, "error" => %error);
+            }
+        }
+    }
+
     /// Reads what was added to the log; returns whether all that was written before the call is known.
     async fn read(&self) -> bool {
         let called_at = self.clock.now();
@@ -207,7 +326,7 @@
     async fn write(self: Rc<Self>) {
         loop {
             self.has_unsent.notified().await;
-            tokio::time::sleep(FLUSH_DELAY).await;
+            drop(timeout(FLUSH_DELAY, self.is_urgent.notified()).await);
             let records = self.table.borrow_mut().unsent(self.clock.now());
             if records.is_empty() {
                 continue;
@@ -217,7 +336,10 @@
                 records,
             };
             match self.log.append(&batch).await {
-                Ok(()) => self.table.borrow_mut().set_sent(&batch.records),
+                Ok(()) => {
+                    self.table.borrow_mut().set_sent(&batch.records);
+                    self.has_sent.notify_waiters();
+                }
                 Err(error) => {
                     warn!(self.logger, "origins of streams not written";
                         "streams" => batch.records.len(), "error" => %error);
--- a/src/serve/origin/table.rs
+++ b/src/serve/origin/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::clock::Time;
 use crate::id;
@@ -31,6 +31,15 @@
         /// What began it.
         pub origin: Origin,
     }
+
+    /// A change of the releases that are recorded as serving.
+    #[derive(Eq)]
+    pub struct Change {
+        /// The release.
+        pub origin: Origin,
+        /// Whether it serves; otherwise no stream that may be resumed has begun at it.
+        pub is_serving: bool,
+    }
 }
 
 struct Stream {
@@ -48,6 +57,10 @@
     streams: IndexMap<id::Name, Stream>,
     /// When a release was last known to serve; none while it is listed.
     releases: IndexMap<Origin, Option<Time>>,
+    /// The releases that are recorded in the log as serving; none before they are read.
+    recorded: Option<IndexSet<Origin>>,
+    /// The releases of which other daemons can read a stream in the log.
+    announced: IndexSet<Origin>,
 }
 
 impl Table {
@@ -57,6 +70,8 @@
             started: now,
             streams: IndexMap::new(),
             releases: IndexMap::new(),
+            recorded: None,
+            announced: IndexSet::new(),
         }
     }
 
@@ -68,6 +83,7 @@
     /// Records a stream that was read from the log, where it was written `age` ago.
     pub fn learn(&mut self, record: Record, age: Duration, now: Time) {
         if age <= STREAM_LIFETIME {
+            self.announced.insert(record.origin.clone());
             self.insert(record, true, now.saturating_sub(age));
         }
     }
@@ -100,10 +116,85 @@
         self.expire(now);
     }
 
+    /// Records which releases the log has. One that this daemon has not seen may have served until now.
+    pub fn learn_releases(&mut self, recorded: impl Iterator<Item = Origin>, now: Time) {
+        let recorded: IndexSet<Origin> = recorded.collect();
+        for origin in &recorded {
+            self.releases.entry(origin.clone()).or_insert(Some(now));
+        }
+        self.recorded = Some(recorded);
+    }
+
+    /// Records that the releases in the log may have changed.
+    pub fn forget_recorded(&mut self) {
+        self.recorded = None;
+    }
+
+    /// Returns whether the releases in the log are known.
+    pub fn has_recorded(&self) -> bool {
+        self.recorded.is_some()
+    }
+
+    /// Returns whether all releases at which a stream of a service can have begun are known: those that have
+    /// left are known from the time of this daemon, and otherwise from the log, if that is complete.
+    pub fn knows_releases(&self, service: &id::Pool, now: Time) -> bool {
+        if !is_recent(self.started, now) {
+            return true;
+        }
+        let Some(recorded) = &self.recorded else {
+            return false;
+        };
+        let mut listed = self.listed().filter(|origin| origin.service == *service);
+        listed.all(|origin| recorded.contains(origin))
+    }
+
+    fn listed(&self) -> impl Iterator<Item = &Origin> {
+        let listed = self.releases.iter().filter(|(_, seen)| seen.is_none());
+        listed.map(|(origin, _)| origin)
+    }
+
+    /// Returns how the releases in the log have to change, if they are known. The last one of a service stays.
+    pub fn changes(&mut self, now: Time) -> Vec<Change> {
+        self.expire(now);
+        let Some(recorded) = &self.recorded else {
+            return Vec::new();
+        };
+        let change = |is_serving| {
+            move |origin: &Origin| Change {
+                origin: origin.clone(),
+                is_serving,
+            }
+        };
+        let new = self.listed().filter(|origin| !recorded.contains(*origin));
+        let is_replaced =
+            |origin: &&Origin| self.listed().any(|other| other.service == origin.service);
+        let gone = recorded.iter();
+        let gone = gone.filter(|origin| !self.releases.contains_key(*origin));
+        let gone = gone.filter(is_replaced).map(change(false));
+        new.map(change(true)).chain(gone).collect()
+    }
+
+    /// Records that changes were written to the log.
+    pub fn set_recorded(&mut self, changes: &[Change]) {
+        let Some(recorded) = &mut self.recorded else {
+            return;
+        };
+        for change in changes {
+            if change.is_serving {
+                recorded.insert(change.origin.clone());
+            } else {
+                recorded.swap_remove(&change.origin);
+            }
+        }
+    }
+
     fn expire(&mut self, now: Time) {
         self.releases
             .retain(|_, seen| seen.is_none_or(|seen| is_recent(seen, now)));
         self.streams.retain(|_, stream| is_recent(stream.at, now));
+        let releases = &self.releases;
+        self.announced
+            .retain(|origin| releases.contains_key(origin));
     }
 
     fn release_count(&self, service: &id::Pool) -> usize {
@@ -137,6 +228,7 @@
     /// Records that streams were written to the log.
     pub fn set_sent(&mut self, records: &[Record]) {
         for record in records {
+            self.announced.insert(record.origin.clone());
             if let Some(stream) = self.streams.get_mut(&record.attempt) {
                 stream.is_shared = true;
             }
@@ -147,6 +239,18 @@
     pub fn log_went_back(&mut self) {
         let own = self.streams.values_mut().filter(|stream| stream.is_own);
         own.for_each(|stream| stream.is_shared = false);
+        self.announced.clear();
+        self.forget_recorded();
+    }
+
+    /// Returns whether other daemons may not know yet that a release serves, beside another one of its service.
+    pub fn is_unannounced(&self, origin: &Origin) -> bool {
+        !self.announced.contains(origin) && self.release_count(&origin.service) > 1
+    }
+
+    /// Records that a release is not announced before its streams are passed on.
+    pub fn skip_announcement(&mut self, origin: &Origin) {
+        self.announced.insert(origin.clone());
     }
 
     /// Returns what began the stream of an attempt.
@@ -156,7 +260,8 @@
     }
 
     /// Returns the only release of a service at which a stream without a record can have begun. A daemon
-    /// that has started since, and has not read the log, does not know which ones have left.
+    /// that has started since, and has not read the log, does not know which ones have left; nor does it if
+    /// it does not [know the releases](Self::knows_releases).
     pub fn only_release(&self, service: &id::Pool, is_log_read: bool, now: Time) -> Option<Origin> {
         let has_seen_all = is_log_read || !is_recent(self.started, now);
         let is_possible = |(origin, seen): &(&Origin, &Option<Time>)| {
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -108,6 +108,9 @@
     batches: RefCell<Vec<Batch>>,
     is_down: Cell<bool>,
     reads: Cell<usize>,
+    releases: RefCell<indexmap::IndexSet<Origin>>,
+    /// The number of calls that wrote releases.
+    release_writes: Cell<usize>,
 }
 
 impl MemoryLog {
@@ -138,16 +141,51 @@
         };
         Box::pin(std::future::ready(self.check("reading").map(|()| page)))
     }
+
+    fn releases(&self) -> LocalBoxFuture<'_, Result<Vec<Origin>, Error>> {
+        let releases = self.releases.borrow().iter().cloned().collect();
+        let checked = self.check("listing the releases of");
+        Box::pin(std::future::ready(checked.map(|()| releases)))
+    }
+
+    fn write_releases<'a>(
+        &'a self,
+        changes: &'a [Change],
+    ) -> LocalBoxFuture<'a, Result<(), Error>> {
+        let checked = self.check("writing releases to");
+        if checked.is_ok() {
+            self.release_writes.set(self.release_writes.get() + 1);
+            for change in changes {
+                self.releases.borrow_mut().swap_remove(&change.origin);
+                if change.is_serving {
+                    self.releases.borrow_mut().insert(change.origin.clone());
+                }
+            }
+        }
+        Box::pin(std::future::ready(checked))
+    }
 }
 
 fn start(log: &Rc<MemoryLog>) -> Rc<Origins> {
+    start_listing(log, &["v1", "v2"])
+}
+
+fn start_listing(log: &Rc<MemoryLog>, releases: &[&str]) -> Rc<Origins> {
     let clock: Rc<dyn Clock> = Rc::new(Boot::new());
     let logger = Logger::root(slog::Discard, slog::o!());
     let origins = Origins::start(log.clone(), clock, logger);
-    origins.observe([origin("v1"), origin("v2")].into_iter());
+    origins.observe(releases.iter().map(|release| origin(release)));
     origins
 }
 
+/// Runs a planner with endpoints of one release until it has written what there is to write.
+async fn record_releases(log: &Rc<MemoryLog>, release: &str) -> Rc<Origins> {
+    let planner = start_listing(log, &[release]);
+    spawn_local(planner.clone().keep_releases(|| true));
+    tokio::time::sleep(3 * SECOND).await;
+    planner
+}
+
 /// Runs a test on paused time, so that its delays take none.
 fn on_paused_time<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -163,10 +201,14 @@
     on_paused_time(|| async {
         let log = Rc::new(MemoryLog::default());
         let first = start(&log);
-        first.begin(&"a".into(), origin("v1"));
-        first.begin(&"b".into(), origin("v2"));
+        let (a, b) = ("a".into(), "b".into());
+        tokio::join!(first.begin(&a, origin("v1")), first.begin(&b, origin("v2")));
         tokio::time::sleep(SECOND).await;
         assert_eq!(log.batches.borrow().len(), 1, "written together");
+        first.begin(&"d".into(), origin("v1")).await;
+        first.begin(&"e".into(), origin("v2")).await;
+        tokio::time::sleep(SECOND).await;
+        assert_eq!(log.batches.borrow().len(), 2, "gathered");
         let second = start(&log);
         for (attempt, release) in [("a", "v1"), ("b", "v2")] {
             let found = second.find(Some(&attempt.into()), &"s".into()).await;
@@ -184,7 +226,7 @@
     on_paused_time(|| async {
         let log = Rc::new(MemoryLog::default());
         let (first, second) = (start(&log), start(&log));
-        first.begin(&"a".into(), origin("v1"));
+        first.begin(&"a".into(), origin("v1")).await;
         let found = second.find(Some(&"a".into()), &"s".into()).await;
         assert_eq!(found, Some(origin("v1")));
     });
@@ -196,7 +238,7 @@
         let log = Rc::new(MemoryLog::default());
         let (first, second) = (start(&log), start(&log));
         log.is_down.set(true);
-        first.begin(&"a".into(), origin("v1"));
+        first.begin(&"a".into(), origin("v1")).await;
         assert_eq!(
             first.find(Some(&"a".into()), &"s".into()).await,
             Some(origin("v1"))
@@ -215,3 +257,140 @@
         assert_eq!(log.batches.borrow().len(), 1, "written again");
     });
 }
+
+/// Guards against a join after all daemons have died: the only release that is listed is not the only one
+/// that has served.
+#[test]
+fn find_none_after_the_only_release_was_replaced_unseen() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        record_releases(&log, "v1").await;
+        for attempt in [Some(&"a".into()), None] {
+            let returned = start_listing(&log, &["v2"]);
+            assert_eq!(returned.find(attempt, &"s".into()).await, None);
+            let returned = start_listing(&log, &["v1"]);
+            let found = returned.find(attempt, &"s".into()).await;
+            assert_eq!(found, Some(origin("v1")));
+        }
+    });
+}
+
+/// Guards against a guess while nobody has recorded the release that is listed.
+#[test]
+fn find_none_after_start_before_the_release_is_recorded() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let daemon = start_listing(&log, &["v1"]);
+        assert_eq!(daemon.find(None, &"s".into()).await, None);
+        log.is_down.set(true);
+        let daemon = start_listing(&log, &["v1"]);
+        assert_eq!(daemon.find(None, &"s".into()).await, None);
+    });
+}
+
+#[test]
+fn keep_releases_writes_an_only_release_once() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let first = record_releases(&log, "v1").await;
+        first.observe([origin("v1")].into_iter());
+        record_releases(&log, "v1").await;
+        assert_eq!(log.release_writes.get(), 1);
+        let other = start_listing(&log, &["v2"]);
+        spawn_local(other.clone().keep_releases(|| false));
+        tokio::time::sleep(3 * SECOND).await;
+        assert_eq!(log.release_writes.get(), 1, "the planner writes for all");
+    });
+}
+
+/// Guards against a record that is gone for good with the last seconds of the log.
+#[test]
+fn keep_releases_writes_again_after_the_log_went_back() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let planner = record_releases(&log, "v1").await;
+        log.releases.borrow_mut().clear();
+        planner.log_went_back();
+        tokio::time::sleep(3 * SECOND).await;
+        assert!(log.releases.borrow().contains(&origin("v1")));
+    });
+}
+
+fn change(release: &str, is_serving: bool) -> Change {
+    Change {
+        origin: origin(release),
+        is_serving,
+    }
+}
+
+#[test]
+fn changes_remove_a_release_when_no_stream_of_it_is_left() {
+    let (mut table, now) = table(&["v1"]);
+    assert_eq!(table.changes(now), [], "not before they are read");
+    table.learn_releases(std::iter::empty(), now);
+    let first = table.changes(now);
+    assert_eq!(first, [change("v1", true)]);
+    table.set_recorded(&first);
+    table.observe([origin("v2")].into_iter(), now + SECOND);
+    let second = table.changes(now + SECOND);
+    assert_eq!(second, [change("v2", true)]);
+    table.set_recorded(&second);
+    assert_eq!(table.changes(now + STREAM_LIFETIME), []);
+    let later = now + STREAM_LIFETIME + 2 * SECOND;
+    assert_eq!(table.changes(later), [change("v1", false)]);
+}
+
+/// Guards against an empty record, which would not tell what has served, after a service has shrunk to none.
+#[test]
+fn changes_keep_the_last_release() {
+    let (mut table, now) = table(&["v1"]);
+    table.learn_releases([origin("v1")].into_iter(), now);
+    table.observe(std::iter::empty(), now);
+    assert_eq!(table.changes(now + 2 * STREAM_LIFETIME), []);
+}
+
+/// Guards against a planner that removes a release because it has not seen it itself.
+#[test]
+fn changes_keep_a_release_that_left_before_the_daemon_started() {
+    let mut table = Table::new(100 * SECOND);
+    table.observe([origin("v2")].into_iter(), 101 * SECOND);
+    let recorded = || [origin("v1"), origin("v2")].into_iter();
+    table.learn_releases(recorded(), 102 * SECOND);
+    assert_eq!(table.changes(103 * SECOND), []);
+    assert!(table.knows_releases(&"s".into(), 103 * SECOND));
+    assert_eq!(only(&table, true, 103 * SECOND), None);
+    let later = 103 * SECOND + STREAM_LIFETIME;
+    assert_eq!(only(&table, true, later), Some(origin("v2")));
+    assert_eq!(table.changes(later), [change("v1", false)]);
+}
+
+/// Guards against a join at a daemon that does not list a new release yet, when the client is faster than the
+/// record of its stream.
+#[test]
+fn find_none_while_a_new_release_is_listed_elsewhere_only() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        record_releases(&log, "v1").await;
+        let (first, second) = (start(&log), start_listing(&log, &["v1"]));
+        first.begin(&"a".into(), origin("v2")).await;
+        assert_eq!(second.find(None, &"s".into()).await, None);
+        let found = second.find(Some(&"a".into()), &"s".into()).await;
+        assert_eq!(found, Some(origin("v2")));
+    });
+}
+
+/// Guards against streams that wait for a log that is down.
+#[test]
+fn begin_waits_once_for_a_log_that_is_down() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let daemon = start(&log);
+        log.is_down.set(true);
+        let began = tokio::time::Instant::now();
+        daemon.begin(&"a".into(), origin("v1")).await;
+        let waited = began.elapsed();
+        assert!(waited <= ANNOUNCE_TIMEOUT + Duration::from_millis(2));
+        daemon.begin(&"b".into(), origin("v1")).await;
+        assert_eq!(began.elapsed(), waited);
+    });
+}
