Compare grants with the release that began the stream

A planner of an earlier release ignores the release that a stream needs, and the daemon sent the stream wherever it was granted: v1 and v2 in one answer. It now compares the release that the grant names, and the one that it lists itself; if one differs or neither is known, the attempt counts as not run.

Without the comparison, in an earlier form of the tests that went on within one answer: id 1 of v1, then ids 2 and 3 of v2.

--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -40,6 +40,12 @@
         if self.node.is_closed(&id) {
             return not_run(Verdict::Unknown);
         }
+        if !self.fits_release(planned) {
+            let release = planned.grant().release.as_deref();
+            info!(self.node.log, "endpoint of another release granted";
+                "id" => &*request.meta.id, "endpoint" => &*id, "release" => release);
+            return not_run(Verdict::Unknown);
+        }
         let target = Target {
             endpoint: id.clone(),
             address: self.address(planned),
@@ -103,6 +109,22 @@
         outcome
     }
 
+    /// Returns whether a stream that has begun may go on at the granted endpoint. A planner of an earlier release
+    /// of the daemon does not heed what began the stream, and an endpoint may have changed since its grant.
+    fn fits_release(&self, planned: &dyn PlannedRequest) -> bool {
+        let Some(release) = self.release.borrow().clone() else {
+            return true;
+        };
+        let grant = planned.grant();
+        let registry = self.node.registry.borrow();
+        let listed = registry
+            .get(&grant.endpoint)
+            .map(|endpoint| &endpoint.release);
+        let mut known = [grant.release.as_ref(), listed].into_iter().flatten();
+        let is_known = known.clone().next().is_some();
+        is_known && known.all(|known| *known == release)
+    }
+
     /// Finds out whether the endpoint is at fault for a lost connection; returns what is known of it. What
     /// nobody can tell now, its entry in the list of endpoints will.
     pub(super) async fn examine(
