--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -79,6 +79,8 @@
     route: Option<id::Name>,
     endpoint: Option<id::Endpoint>,
     resumes: Option<id::Name>,
+    /// The event after which the client wants its stream to go on.
+    last_event: Option<String>,
     /// The engine from which the last endpoint was to fetch the beginning of the prompt.
     fetch_from: Option<SocketAddr>,
     /// How the endpoint delimited the body of its last response.
@@ -245,7 +247,8 @@
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
             "fetch_from" => fields.fetch_from.map(|source| source.to_string()),
             "framing" => fields.framing, "limit" => fields.limit, "release" => self.release.borrow().as_deref(),
-            "resumes" => fields.resumes.as_deref(), "sent" => fields.sent, "detour" => fields.is_detour,
+            "resumes" => fields.resumes.as_deref(), "last_event" => fields.last_event.as_deref(),
+            "sent" => fields.sent, "detour" => fields.is_detour,
             "turned" => fields.not_run, "ms" => took.as_millis() as u64,
             "planned_ms" => millis(fields.planned), "first_ms" => millis(fields.first_byte),
             "config" => self.node.catalog().version, "config_age_ms" => age,
--- a/src/serve/handler/check.rs
+++ b/src/serve/handler/check.rs
@@ -20,6 +20,7 @@
             .borrow_mut()
             .resumes
             .clone_from(&meta.resumes);
+        self.log_fields.borrow_mut().last_event = meta.last_event_id.clone();
         let catalog = node.catalog();
         let Some(age) = node.config_age() else {
             return Err(failure(503, "no configuration yet"));
