Plan by the pace of endpoints' VMs

Cause: what else runs on an endpoint's VM slows its work for some hundred milliseconds. Endpoints of some deployments say so in the fourth figure of Instance-Load, which was skipped; the planner sent calls to VMs that were slow at that moment as to others, and held the slow answers against the endpoints for seconds.

Change: platform/wire.rs decodes the figure, serve::pace keeps what the last one says of the next moments, and the planner orders stage endpoints, picks pieces, expects ends of calls, limits overdue calls and weighs engines by the expected duration. What the VM explains no longer counts in an endpoint's health. Other daemons' figures come with `started` and `ended` of plan.capnp, without a message more; daemons of the last release send none and skip it.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -166,8 +166,10 @@
 # One planned request; it ends with `leave`, or with the connection.
 interface Seat {
   wait @0 () -> (reply :Reply);
-  started @1 (isFinal :Bool) -> ();
-  ended @2 (verdict :Verdict) -> ();
+  # `pace` is how long work takes on the endpoint's VM at this moment, in percent of the usual time; 0 when
+  # that is not known.
+  started @1 (isFinal :Bool, pace :UInt16) -> ();
+  ended @2 (verdict :Verdict, pace :UInt16) -> ();
   # With a release, the stream has begun there and goes on at no other one.
   retry @3 (again :Bool, release :Text) -> (reply :Reply);
   leave @4 () -> ();
--- a/src/emulator.rs
+++ b/src/emulator.rs
@@ -7,5 +7,6 @@
 
 pub mod engine;
 pub mod load;
+pub mod pace;
 pub mod replay;
 pub mod stage;
--- a/src/emulator/engine.rs
+++ b/src/emulator/engine.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexSet;
 
+use super::pace::Pace;
 use crate::clock::Time;
 use crate::id;
 use crate::serve::plan::PromptPart;
@@ -35,6 +36,8 @@
 /// The state of one engine.
 pub struct Engine {
     speed: Speed,
+    /// The pace of its VM.
+    pub pace: Pace,
     read_until: Time,
     kept: IndexSet<id::Name>,
 }
@@ -44,6 +47,7 @@
     pub fn new(speed: Speed) -> Self {
         Self {
             speed,
+            pace: Pace::new("", None),
             read_until: Time::ZERO,
             kept: IndexSet::new(),
         }
@@ -64,9 +68,10 @@
         let unread = prompt - kept - fetched;
         let millis = unread as f64 / self.speed.read_tokens_per_ms
             + fetched as f64 / self.speed.fetch_tokens_per_ms;
-        self.read_until = self.read_until.max(now) + Duration::from_secs_f64(millis / 1000.0);
+        let reading = Duration::from_secs_f64(millis / 1000.0);
+        self.read_until = self.pace.end(self.read_until.max(now), reading);
         self.kept.extend(parts.iter().map(|part| part.id.clone()));
-        let first_event = self.read_until + self.speed.base;
+        let first_event = self.pace.end(self.read_until, self.speed.base);
         Run {
             first_event,
             end: first_event + self.speed.event * events.saturating_sub(1),
--- a/src/emulator/replay.rs
+++ b/src/emulator/replay.rs
@@ -9,6 +9,7 @@
 
 use super::engine::{Engine, Speed};
 use super::load::{Arrival, Class};
+use super::pace::{Pace, Spells};
 use super::stage::StageEndpoint;
 use crate::clock::Time;
 use crate::id;
@@ -72,6 +73,12 @@
     class: usize,
     target: Time,
     arrival: usize,
+    engine: Option<id::Endpoint>,
+}
+
+struct Running {
+    endpoint: id::Endpoint,
+    outcomes: Vec<PieceOutcome>,
 }
 
 /// A region that is being played.
@@ -82,10 +89,12 @@
     addresses: IndexMap<SocketAddr, id::Endpoint>,
     stage_endpoints: IndexMap<id::Endpoint, StageEndpoint>,
     events: BinaryHeap<Reverse<(Time, Event)>>,
-    calls: IndexMap<CallId, Vec<PieceOutcome>>,
+    calls: IndexMap<CallId, Running>,
     waiting: IndexMap<JobId, Waiting>,
     /// Results that nothing has fetched yet.
     unfetched: IndexSet<Handle>,
+    /// Whether answers tell the pace of VMs.
+    tells_pace: bool,
     report: Report,
     now: Time,
 }
@@ -123,11 +132,35 @@
             calls: IndexMap::new(),
             waiting: IndexMap::new(),
             unfetched: IndexSet::new(),
+            tells_pace: false,
             report: Report::default(),
             now: Time::ZERO,
         }
     }
 
+    /// Slows VMs by turns; with `is_told`, answers say so.
+    pub fn slow(mut self, spells: &Spells, is_told: bool) -> Self {
+        for (id, model) in &mut self.stage_endpoints {
+            model.pace = Pace::new(id, Some(spells.clone()));
+        }
+        for (id, engine) in &mut self.engines {
+            engine.pace = Pace::new(id, Some(spells.clone()));
+        }
+        self.tells_pace = is_told;
+        self
+    }
+
+    fn tell_pace(&mut self, endpoint: &id::Endpoint) {
+        let stage = self.stage_endpoints.get(endpoint);
+        let engine = self.engines.get(endpoint);
+        let pace = stage.map(|model| &model.pace);
+        let pace = pace.or(engine.map(|engine| &engine.pace));
+        let ratio = pace.and_then(|pace| pace.ratio(self.now));
+        if let Some(ratio) = ratio.filter(|_| self.tells_pace) {
+            self.planner.record_pace(endpoint, ratio, self.now);
+        }
+    }
+
     /// Plays arrivals, in their order, until the last request has ended.
     pub fn play(mut self, arrivals: &[Arrival], service: &id::Pool) -> Report {
         let mut next = 0;
@@ -196,6 +229,7 @@
             class: arrival.class,
             target,
             arrival: index,
+            engine: None,
         };
         self.waiting.insert(job_id, waiting);
         self.planner.submit(job_id, job, self.now);
@@ -204,14 +238,20 @@
     fn apply(&mut self, event: Event) {
         match event {
             Event::CallEnded(call) => {
-                let outcomes = self.calls.swap_remove(&call).unwrap_or_default();
-                let outcome = CallOutcome::Answered(outcomes);
+                let Some(running) = self.calls.swap_remove(&call) else {
+                    return;
+                };
+                self.tell_pace(&running.endpoint);
+                let outcome = CallOutcome::Answered(running.outcomes);
                 self.planner.call_ended(call, &outcome, self.now);
             }
             Event::Began(job_id) => {
                 let Some(waiting) = self.waiting.swap_remove(&job_id) else {
                     return;
                 };
+                if let Some(engine) = &waiting.engine {
+                    self.tell_pace(engine);
+                }
                 let is_final = !self.classes[waiting.class].is_resumable;
                 self.planner.started(job_id, is_final, self.now);
                 let is_on_time = self.now <= waiting.target;
@@ -260,7 +300,8 @@
                         self.report.without_room += 1;
                     }
                 }
-                self.calls.insert(call, computed.outcomes);
+                let outcomes = computed.outcomes;
+                self.calls.insert(call, Running { endpoint, outcomes });
                 let ended = Event::CallEnded(call);
                 self.events.push(Reverse((computed.end, ended)));
             }
@@ -272,9 +313,10 @@
                 }
             }
             Action::Grant(job_id, grant) => {
-                let Some(waiting) = self.waiting.get(&job_id) else {
+                let Some(waiting) = self.waiting.get_mut(&job_id) else {
                     return;
                 };
+                waiting.engine = Some(grant.endpoint.clone());
                 let arrival = &arrivals[waiting.arrival];
                 self.unfetched
                     .retain(|handle| !grant.inputs.contains(handle));
--- a/src/emulator/stage.rs
+++ b/src/emulator/stage.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use super::pace::Pace;
 use crate::clock::Time;
 use crate::serve::catalog::Batch;
 use crate::serve::plan::{Handle, PieceOutcome};
@@ -25,6 +26,8 @@
 pub struct StageEndpoint {
     name: String,
     batch: Batch,
+    /// The pace of its VM.
+    pub pace: Pace,
     next_handle: u64,
     held: IndexMap<Handle, Held>,
 }
@@ -35,6 +38,7 @@
         Self {
             name: name.to_owned(),
             batch,
+            pace: Pace::new(name, None),
             next_handle: 0,
             held: IndexMap::new(),
         }
@@ -45,7 +49,8 @@
         self.held.retain(|_, held| now < held.expires_at);
         let mut used: u64 = self.held.values().map(|held| held.bytes).sum();
         let computed = u32::try_from(sizes.len()).unwrap_or(u32::MAX);
-        let end = now + self.batch.call_time + self.batch.piece_time * computed;
+        let usual = self.batch.call_time + self.batch.piece_time * computed;
+        let end = self.pace.end(now, usual);
         let mut outcomes = Vec::new();
         for bytes in sizes.iter().copied() {
             if used + bytes > self.batch.capacity_bytes {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -29,6 +29,7 @@
 pub mod link;
 pub mod meter;
 pub mod origin;
+pub mod pace;
 pub mod plan;
 pub mod progress;
 pub mod protocol;
--- a/src/serve/catalog.rs
+++ b/src/serve/catalog.rs
@@ -142,6 +142,14 @@
     }
 }
 
+impl Batch {
+    /// Returns the time of a full call at the usual speed.
+    pub fn full_time(&self) -> Duration {
+        let pieces = u32::try_from(self.max_pieces).unwrap_or(u32::MAX);
+        self.call_time + self.piece_time * pieces
+    }
+}
+
 impl Engine {
     /// Returns how long the memory of one token takes from one engine to another, if that is possible.
     pub fn token_transfer_time(&self) -> Option<Duration> {
--- a/src/serve/closure/tests.rs
+++ b/src/serve/closure/tests.rs
@@ -14,6 +14,7 @@
         retry_after: retry_after.map(Duration::from_secs),
         limit: None,
         is_brittle: false,
+        pace: None,
     }
 }
 
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -18,6 +18,7 @@
 use super::exchange::{self, Connection};
 use super::health::Verdict;
 use super::meter::Meter;
+use super::pace::Ratio;
 use super::plan::{
     Action, CallId, CallOutcome, Grant, Handle, Job, JobId, PieceRequest, Planner, Refusal,
 };
@@ -39,6 +40,8 @@
 /// How long an idle connection is kept; endpoints close idle ones after seconds.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(900);
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The pace from which a VM counts as slow in the metrics, as a multiple of the usual time.
+const SLOW_PACE: Ratio = 1.6;
 
 /// Plans requests, in this daemon or at another one.
 pub trait RequestPlanner {
@@ -58,6 +61,9 @@
     fn answering(&self);
     /// Records that the endpoint's answer names another limit than the grant does, or none.
     fn limited(&self, limit: Option<Rate>);
+    /// Records how long work takes on the endpoint's VM at this moment; a planner elsewhere learns it with the
+    /// next message.
+    fn paced(&self, _: Ratio) {}
     /// Records how the request ended at the endpoint.
     fn ended(&self, verdict: Verdict);
     /// Gets a grant of another endpoint; with `inputs_lost`, the inputs are computed again. A stream that
@@ -385,6 +391,9 @@
         let now = self.clock.now();
         self.limits.record(endpoint, meta.limit, now);
         self.limits.record_brittle(endpoint, meta.is_brittle);
+        if let Some(ratio) = meta.pace {
+            self.record_pace(endpoint, ratio);
+        }
         if !self.closures.record(endpoint, meta, now) {
             return;
         }
@@ -394,6 +403,15 @@
         self.planner.borrow_mut().close(endpoint, until);
     }
 
+    /// Records how long work takes on an endpoint's VM at this moment.
+    fn record_pace(&self, endpoint: &id::Endpoint, ratio: Ratio) {
+        if ratio >= SLOW_PACE {
+            self.meter.count("pace.slow");
+        }
+        let now = self.clock.now();
+        self.planner.borrow_mut().record_pace(endpoint, ratio, now);
+    }
+
     async fn post_on(
         &self,
         endpoint: &id::Endpoint,
@@ -476,6 +494,11 @@
         self.dispatcher.limits.record(endpoint, limit, now);
     }
 
+    fn paced(&self, ratio: Ratio) {
+        let endpoint = &self.grant.endpoint;
+        self.dispatcher.record_pace(endpoint, ratio);
+    }
+
     fn answering(&self) {
         let job_id = self.job_id;
         self.dispatcher
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -85,6 +85,8 @@
     framing: Option<&'static str>,
     /// The limit that the endpoint named in its last response, in requests a second.
     limit: Option<f64>,
+    /// How long work took on the endpoint's VM at its last response, as a multiple of the usual time.
+    pace: Option<f64>,
     /// Whether another VM passed the last attempt on.
     is_detour: bool,
     /// How long the request waited for its stages and a first endpoint.
@@ -244,7 +246,8 @@
             "id" => &*fields.id, "route" => fields.route.as_deref(), "status" => status,
             "reason" => reason, "endpoint" => fields.endpoint.as_deref(),
             "fetch_from" => fields.fetch_from.map(|source| source.to_string()),
-            "framing" => fields.framing, "limit" => fields.limit, "release" => self.release.borrow().as_deref(),
+            "framing" => fields.framing, "limit" => fields.limit, "pace" => fields.pace,
+            "release" => self.release.borrow().as_deref(),
             "resumes" => fields.resumes.as_deref(), "sent" => fields.sent, "detour" => fields.is_detour,
             "turned" => fields.not_run, "ms" => took.as_millis() as u64,
             "planned_ms" => millis(fields.planned), "first_ms" => millis(fields.first_byte),
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -52,6 +52,10 @@
                 planned.limited(meta.limit);
             }
         }
+        if let Some(ratio) = meta.pace.filter(|_| meta.is_sealed || meta.is_refusal) {
+            self.log_fields.borrow_mut().pace = Some(ratio);
+            planned.paced(ratio);
+        }
         if meta.is_refusal {
             return AttemptOutcome::NotRun {
                 verdict: Verdict::Refused,
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -13,6 +13,7 @@
 use super::Knowledge;
 use super::catalog::Catalog;
 use super::health::Verdict;
+use super::pace::Ratio;
 use super::quarantine::Quarantine;
 use super::registry::{Endpoint, Registry};
 use crate::clock::Time;
@@ -229,6 +230,12 @@
         }
     }
 
+    /// Records how long work takes on the VM of an endpoint at this moment, by one of its answers.
+    pub fn record_pace(&mut self, endpoint: &id::Endpoint, ratio: Ratio, now: Time) {
+        self.stage_endpoints.record_pace(endpoint, ratio, now);
+        self.engines.record_pace(endpoint, ratio, now);
+    }
+
     /// Records that an answer still goes on some time after it began.
     pub fn answering(&mut self, job_id: JobId, now: Time) {
         let Some(request) = self.requests.get_mut(&job_id) else {
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -17,6 +17,7 @@
 use crate::serve::catalog::{Catalog, Engine as EngineConfig};
 use crate::serve::closure::Closure;
 use crate::serve::health::{Health, Verdict};
+use crate::serve::pace::{Pace, Ratio};
 use crate::serve::rate::{Bucket, Limits, Rate};
 use crate::serve::registry::Endpoint;
 
@@ -78,8 +79,10 @@
     is_alone: bool,
     /// Tokens in the memory of the engine.
     memory_tokens: u64,
-    /// The expected time to the first byte.
+    /// The expected time to the first byte at the usual pace of the VM.
     expected: Duration,
+    /// How much longer it was expected to take at the VM's pace then.
+    pace: Ratio,
     is_started: bool,
 }
 
@@ -108,6 +111,7 @@
     /// When its limit allows the next request.
     limited_until: Time,
     health: Health,
+    pace: Pace,
     bucket: Bucket,
     cache: Cache,
 }
@@ -327,6 +331,7 @@
         engine.bucket.take();
         let is_alone = engine.reading.is_empty();
         engine.reading.push(reading.time, now);
+        let expected = base + engine.reading.wait(now);
         engine.memory_tokens += tokens;
         engine.health.call_started(now);
         engine.cache.begin(&job.prompt_parts, now);
@@ -341,7 +346,8 @@
             read_time: reading.time,
             is_alone,
             memory_tokens: tokens,
-            expected: base + engine.reading.wait(now),
+            expected,
+            pace: engine.pace.ratio(expected, now),
             is_started: false,
         })
     }
@@ -358,10 +364,15 @@
         }
         let duration = now.saturating_sub(reservation.granted_at);
         let ratio = duration.as_secs_f64() / reservation.expected.as_secs_f64();
-        let mean = self.latency_ratio.get_or_insert(ratio);
-        *mean += 0.1 * (ratio - *mean);
-        let ratio = ratio / mean.max(0.1);
-        if reservation.is_alone && reservation.fetch_from.is_none() {
+        let engine = self.engines.get(&reservation.engine);
+        let own = engine.map_or(ratio, |engine| {
+            engine.pace.own_ratio(ratio, reservation.pace, now)
+        });
+        let is_slowed = own < ratio;
+        let mean = self.latency_ratio.get_or_insert(own);
+        *mean += 0.1 * (own - *mean);
+        let ratio = own / mean.max(0.1);
+        if reservation.is_alone && reservation.fetch_from.is_none() && !is_slowed {
             let speed = self.speeds.entry(job.service.clone()).or_default();
             speed.record(reservation.unread_tokens, duration);
         }
@@ -373,6 +384,13 @@
         Some(duration)
     }
 
+    /// Records how long work takes on the VM of an engine at this moment.
+    pub fn record_pace(&mut self, id: &id::Endpoint, ratio: Ratio, now: Time) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.pace.record(ratio, now);
+        }
+    }
+
     /// Records how the engine ended a request.
     pub fn finish(&mut self, reservation: &Reservation, job: &Job, verdict: Verdict, now: Time) {
         self.release(reservation, job, now);
@@ -421,6 +439,7 @@
             blocked_until: Time::ZERO,
             limited_until: Time::ZERO,
             health: Health::default(),
+            pace: Pace::default(),
             bucket: Bucket::default(),
             cache: Cache::default(),
         }
@@ -456,14 +475,14 @@
         let shared = parts.split_last().and_then(|(_, shared)| shared.last());
         let preference = shared.map_or(0.0, |part| hash_fraction(&part.id, id));
         let wait = self.reading.wait(now);
-        let latency = (base + wait + reading.time).as_secs_f64() * 1000.0;
         let fetched_tokens = reading.fetch.map_or(0, |(tokens, _)| tokens);
         let zone_cost = if self.zone == request.job.zone {
             0.0
         } else {
             1.0
         };
-        latency * self.health.slowness(now)
+        let latency = self.pace.duration(base + wait + reading.time, now);
+        latency.as_secs_f64() * 1000.0 * self.health.slowness(now)
             + reading.unread_tokens as f64 * REREAD_COST_MS_PER_TOKEN
             + fetched_tokens as f64 * FETCH_COST_MS_PER_TOKEN
             + f64::from(self.running) * RUNNING_COST_MS
--- a/src/serve/plan/stage_endpoint.rs
+++ b/src/serve/plan/stage_endpoint.rs
@@ -7,11 +7,13 @@
 
 use super::forecast::QueuedPiece;
 use super::request::Piece;
+use super::stage_endpoints::Call;
 use super::{CallId, Handle, PieceOutcome};
 use crate::clock::Time;
 use crate::id;
 use crate::serve::catalog;
 use crate::serve::health::Health;
+use crate::serve::pace::Pace;
 use crate::serve::rate::Bucket;
 use crate::serve::registry::Endpoint;
 
@@ -27,6 +29,7 @@
     pub address: SocketAddr,
     pub born: u64,
     pub health: Health,
+    pub pace: Pace,
     pub running_call: Option<CallId>,
     /// When the running call is expected to end.
     pub call_end: Time,
@@ -62,6 +65,7 @@
             address: endpoint.address,
             born: endpoint.born,
             health: Health::default(),
+            pace: Pace::default(),
             running_call: None,
             call_end: Time::ZERO,
             blocked_until: Time::ZERO,
@@ -80,19 +84,31 @@
         now >= self.closed_until && self.health.is_usable(now)
     }
 
+    /// Returns how long a full call takes here, as a multiple of the time that it should take.
+    pub fn slowness(&self, batch: &catalog::Batch, now: Time) -> f64 {
+        self.health.slowness(now) * self.pace.ratio(batch.full_time(), now)
+    }
+
+    /// Returns how long work takes that begins now and takes `usual` at an endpoint in good health.
+    pub fn duration(&self, usual: Duration, now: Time) -> Duration {
+        let slowness = self.health.slowness(now).max(1.0);
+        self.pace.duration(usual, now).mul_f64(slowness)
+    }
+
     /// Returns the queue indexes of the pieces for its next call. Pieces of other zones for which
-    /// `should_wait` holds stay queued.
+    /// `should_wait` holds stay queued. With `is_slow`, pieces without slack do.
     pub fn select_pieces(
         &self,
         batch: &catalog::Batch,
         queue: &[QueuedPiece],
-        has_fast: bool,
+        is_slow: bool,
         should_wait: impl Fn(&QueuedPiece) -> bool,
         now: Time,
     ) -> Vec<usize> {
+        let full_time = batch.full_time();
         let slowness = self.health.slowness(now);
         let extra_time = batch.call_time.mul_f64((slowness - 1.0).max(0.0));
-        let is_slow = slowness >= SLOW_FACTOR && has_fast;
+        let extra_time = extra_time + self.pace.duration(full_time, now).saturating_sub(full_time);
         let foreign = self
             .foreign_results
             .as_ref()
@@ -129,6 +145,24 @@
         indexes
     }
 
+    /// Returns when it is expected to take the next call.
+    pub fn available_at(&self) -> Time {
+        if self.running_call.is_some() {
+            self.call_end
+        } else {
+            self.blocked_until.max(self.limited_until)
+        }
+    }
+
+    /// Records how long a call has taken by now.
+    pub fn record_duration(&mut self, call: &Call, now: Time) {
+        let usual = call.usual.as_secs_f64().max(0.001);
+        let ratio = now.saturating_sub(call.started_at).as_secs_f64() / usual;
+        let expected = call.expected.as_secs_f64() / usual;
+        let own = self.pace.own_ratio(ratio, expected, now);
+        self.health.record_duration(own, now);
+    }
+
     /// Records the outcome of a piece.
     pub fn record_outcome(&mut self, piece: &Piece, outcome: &PieceOutcome, expires_at: Time) {
         match outcome {
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -13,6 +13,7 @@
 use crate::id;
 use crate::serve::catalog::{self, Catalog};
 use crate::serve::health::Verdict;
+use crate::serve::pace::Ratio;
 use crate::serve::rate::Limits;
 use crate::serve::registry::Endpoint;
 
@@ -51,11 +52,13 @@
     pub pieces: Vec<Piece>,
     /// Whether it took too long, so that its pieces were queued again.
     pub is_overdue: bool,
-    started_at: Time,
+    pub started_at: Time,
     /// Bytes that were known to be held at the endpoint when it began, with its own results.
     used_bytes: u64,
-    /// Its duration at normal speed.
-    expected: Duration,
+    /// Its duration at an endpoint in good health whose VM works as usual.
+    pub usual: Duration,
+    /// The same at the pace of the VM when it began.
+    pub expected: Duration,
 }
 
 /// An endpoint and the pieces of its next call.
@@ -179,12 +182,12 @@
         if endpoint_count == 0 {
             return None;
         }
-        let full_call = batch.call_time + batch.piece_time * count(batch.max_pieces);
+        let full_call = batch.full_time();
         let speed = |(id, endpoint): (&id::Endpoint, &StageEndpoint)| {
             let limit = self.limits.get(id).unwrap_or(f64::MAX);
             // At its limit an endpoint is idle between calls.
             let busy = (limit * full_call.as_secs_f64()).min(1.0);
-            busy / endpoint.health.slowness(now)
+            busy / endpoint.slowness(batch, now)
         };
         let usable = self.endpoints.iter();
         let usable = usable.filter(|(_, endpoint)| is_usable(endpoint));
@@ -223,7 +226,7 @@
         let usable = self.endpoints.values().filter(is_usable);
         let has_fast = usable
             .into_iter()
-            .any(|endpoint| endpoint.health.slowness(now) < SLOW_FACTOR);
+            .any(|endpoint| endpoint.slowness(batch, now) < SLOW_FACTOR);
         let mut endpoints: Vec<(&id::Endpoint, &StageEndpoint)> = self.endpoints.iter().collect();
         endpoints.retain(|(_, endpoint)| is_usable(endpoint) && is_idle(endpoint));
         endpoints.sort_by(|a, b| {
@@ -240,7 +243,7 @@
                 } else {
                     0.1
                 };
-                endpoint.health.slowness(now) + endpoint.health.failure_rate(now) + zone_cost
+                endpoint.slowness(batch, now) + endpoint.health.failure_rate(now) + zone_cost
                     - asked
             };
             key(a).total_cmp(&key(b))
@@ -250,7 +253,8 @@
                 queued.slack >= PREFERRED_ZONE_SLACK
                     && self.is_preferred_zone_available(service, queued, now)
             };
-            let indexes = endpoint.select_pieces(batch, queue, has_fast, should_wait, now);
+            let is_slow = has_fast && self.is_slow(id, endpoint, batch, now);
+            let indexes = endpoint.select_pieces(batch, queue, is_slow, should_wait, now);
             (!indexes.is_empty()).then(|| Assignment {
                 endpoint: id.clone(),
                 zone: endpoint.zone.clone(),
@@ -259,6 +263,33 @@
         })
     }
 
+    /// Returns whether an endpoint is so slow that pieces without slack wait for another one. For one whose VM is
+    /// slow at this moment, they do only if another one is expected to end a call earlier.
+    fn is_slow(
+        &self,
+        id: &id::Endpoint,
+        endpoint: &StageEndpoint,
+        batch: &catalog::Batch,
+        now: Time,
+    ) -> bool {
+        if endpoint.health.slowness(now) >= SLOW_FACTOR {
+            return true;
+        }
+        if endpoint.slowness(batch, now) < SLOW_FACTOR {
+            return false;
+        }
+        let usual = batch.full_time();
+        let end = now + endpoint.duration(usual, now);
+        let others = self.endpoints.iter();
+        let mut others = others.filter(|(other, another)| {
+            *other != id && another.service == endpoint.service && another.is_usable(now)
+        });
+        others.any(|(_, other)| {
+            let start = other.available_at().max(now);
+            start + other.duration(usual, start) < end
+        })
+    }
+
     /// Returns whether an endpoint in the preferred zone of a piece can take it soon.
     fn is_preferred_zone_available(
         &self,
@@ -270,17 +301,12 @@
             return false;
         };
         let can_take_soon = |endpoint: &StageEndpoint| {
-            let available_at = if endpoint.running_call.is_some() {
-                endpoint.call_end.max(now)
-            } else {
-                endpoint.blocked_until.max(endpoint.limited_until)
-            };
             endpoint.service == *service
                 && queued.preferred_zone.as_ref() == Some(&endpoint.zone)
                 && endpoint.is_usable(now)
-                && endpoint.health.slowness(now) < SLOW_FACTOR
+                && endpoint.slowness(batch, now) < SLOW_FACTOR
                 && endpoint.used_bytes + queued.piece.bytes <= batch.capacity_bytes
-                && available_at <= now + PREFERRED_ZONE_WAIT
+                && endpoint.available_at() <= now + PREFERRED_ZONE_WAIT
         };
         self.endpoints.values().any(can_take_soon)
     }
@@ -297,7 +323,7 @@
         let endpoint = self.endpoints.get_mut(&assignment.endpoint)?;
         let batch = self.services.get(&endpoint.service)?;
         let base_time = batch.call_time + batch.piece_time * count(pieces.len());
-        let expected = base_time.mul_f64(endpoint.health.slowness(now).max(1.0));
+        let expected = endpoint.duration(base_time, now);
         endpoint.running_call = Some(call_id);
         endpoint.bucket.take();
         let limit = self.limits.get(&assignment.endpoint);
@@ -319,11 +345,19 @@
             is_overdue: false,
             started_at: now,
             used_bytes: endpoint.used_bytes,
-            expected: base_time,
+            usual: base_time,
+            expected: endpoint.pace.duration(base_time, now),
         };
         Some((call, action))
     }
 
+    /// Records how long work takes on the VM of an endpoint at this moment.
+    pub fn record_pace(&mut self, id: &id::Endpoint, ratio: Ratio, now: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.pace.record(ratio, now);
+        }
+    }
+
     /// Records the end of a call.
     pub fn finish_call(&mut self, call_id: CallId, call: &Call, outcome: &CallOutcome, now: Time) {
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else {
@@ -337,9 +371,7 @@
         let capacity = batch.map_or(0, |batch| batch.capacity_bytes);
         match outcome {
             CallOutcome::Answered(outcomes) => {
-                let duration = now.saturating_sub(call.started_at);
-                let ratio = duration.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
-                endpoint.health.record_duration(ratio, now);
+                endpoint.record_duration(call, now);
                 endpoint.overdue_calls = 0;
                 let has_success = outcomes.iter().any(|one| *one != PieceOutcome::Error);
                 let verdict = if has_success {
@@ -401,9 +433,7 @@
         };
         endpoint.running_call = None;
         endpoint.overdue_calls += 1;
-        let duration = now.saturating_sub(call.started_at);
-        let ratio = duration.as_secs_f64() / call.expected.as_secs_f64().max(0.001);
-        endpoint.health.record_duration(ratio, now);
+        endpoint.record_duration(call, now);
         if endpoint.overdue_calls >= MAX_OVERDUE_CALLS {
             endpoint.health.call_ended(Verdict::Lost, now);
         }
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod limit;
 mod load;
+mod pace;
 mod replay;
 mod transfer;
 
--- a/src/serve/plan/tests/replay.rs
+++ b/src/serve/plan/tests/replay.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::emulator::engine::Speed;
 use crate::emulator::load::{Class, ClassStage, Size, Wave, arrivals};
+use crate::emulator::pace::Spells;
 use crate::emulator::replay::{Replay, Report};
 use crate::serve::registry::Entry;
 
@@ -102,6 +103,32 @@
 
 /// Replays the day of a region of two availability zones with eight engines.
 fn replay(waves: &[Wave], seed: u64) -> Report {
+    replay_with(
+        waves,
+        seed,
+        &Region {
+            copies: 1,
+            target_share: 1.0,
+        },
+        |replay| replay,
+    )
+}
+
+/// How a region differs from the usual one.
+struct Region {
+    /// How often it has each endpoint, and as much load.
+    copies: u32,
+    /// The targets of its classes, as a share of the usual ones.
+    target_share: f64,
+}
+
+/// The same in another region, after a change of its endpoints.
+fn replay_with(
+    waves: &[Wave],
+    seed: u64,
+    region: &Region,
+    change: impl for<'a> FnOnce(Replay<'a>) -> Replay<'a>,
+) -> Report {
     let mut registry = Registry::default();
     let mut add = |id: String, service: &str, zone: &str| {
         let port = 8_000 + registry.all().count() as u16;
@@ -112,15 +139,23 @@
         };
         registry.apply(Entry::Present(endpoint), ms(0));
     };
-    for zone in ["a", "b"] {
-        add(format!("quality-{zone}"), "quality", zone);
-        for index in 0..4 {
-            add(format!("engine-{zone}{index}"), "model", zone);
+    for copy in 0..region.copies {
+        let suffix = if copy == 0 {
+            String::new()
+        } else {
+            format!("-{copy}")
+        };
+        for zone in ["a", "b"] {
+            add(format!("quality-{zone}{suffix}"), "quality", zone);
+            for index in 0..4 {
+                add(format!("engine-{zone}{index}{suffix}"), "model", zone);
+            }
         }
-    }
-    for (service, zones) in [("calendar", "aab"), ("payment", "aab")] {
-        for (index, zone) in zones.chars().enumerate() {
-            add(format!("{service}-{index}"), service, &zone.to_string());
+        for (service, zones) in [("calendar", "aab"), ("payment", "aab")] {
+            for (index, zone) in zones.chars().enumerate() {
+                let id = format!("{service}-{index}{suffix}");
+                add(id, service, &zone.to_string());
+            }
         }
     }
     let mut catalog = Catalog {
@@ -152,10 +187,18 @@
         base: ms(20),
         event: ms(25),
     };
-    let classes = classes();
+    let mut classes = classes();
+    for class in &mut classes {
+        class.target = class.target.mul_f64(region.target_share);
+    }
     let planner = Planner::new(vec!["a".into(), "b".into()], knowledge());
-    let load = arrivals(&classes, waves, seed);
-    Replay::new(planner, &registry, &catalog, &speed, &classes).play(&load, &"model".into())
+    let mut waves = waves.to_vec();
+    for wave in &mut waves {
+        wave.rate *= f64::from(region.copies);
+    }
+    let load = arrivals(&classes, &waves, seed);
+    let replay = Replay::new(planner, &registry, &catalog, &speed, &classes);
+    change(replay).play(&load, &"model".into())
 }
 
 fn assert_served(report: &Report, seed: u64) {
@@ -180,6 +223,34 @@
     assert_served(&replay(&day(REVIEW, 2.5), 5), 5);
 }
 
+/// Load pattern: what else runs on VMs slows some of them at any time, and targets are tight.
+#[test]
+fn slow_vms_avoided_by_the_figures_in_answers() {
+    let region = Region {
+        copies: 2,
+        target_share: 0.7,
+    };
+    let on_time = |is_told, seed| -> usize {
+        let spells = Spells {
+            share: 0.15,
+            ratio: 2.5,
+            length: ms(600),
+            seed,
+        };
+        let report = replay_with(&day(REVIEW, 1.0), seed, &region, |replay| {
+            replay.slow(&spells, is_told)
+        });
+        report.classes.values().map(|tally| tally.on_time).sum()
+    };
+    let gains: Vec<(usize, usize)> = (1..=3)
+        .map(|seed| (on_time(true, seed), on_time(false, seed)))
+        .collect();
+    assert!(
+        gains.iter().all(|(told, untold)| told > untold),
+        "{gains:?}"
+    );
+}
+
 /// Load pattern: long shared parts that come again while the engine that keeps them reads others. A busy
 /// engine was left for an idle one, which read them again.
 #[test]
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -76,6 +76,8 @@
         pub limit: Option<f64>,
         /// Whether it falls over when it has to turn many requests away.
         pub is_brittle: bool,
+        /// How long work takes on its VM at this moment, as a multiple of the usual time.
+        pub pace: Option<f64>,
     }
 }
 
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -172,6 +172,12 @@
     }
 }
 
+fn record_pace(request: &LocalRequest, percent: u16) {
+    if let Some(ratio) = wire::read_pace(percent) {
+        request.paced(ratio);
+    }
+}
+
 impl seat::Server for HostedRequest {
     async fn wait(
         self: Capability<Self>,
@@ -190,8 +196,10 @@
         params: seat::StartedParams,
         _: seat::StartedResults,
     ) -> capnp::Result<()> {
-        let is_final = params.get()?.get_is_final();
+        let params = params.get()?;
+        let is_final = params.get_is_final();
         if let Some(request) = &*self.request.borrow() {
+            record_pace(request, params.get_pace());
             request.started(is_final);
         }
         Ok(())
@@ -225,8 +233,10 @@
         params: seat::EndedParams,
         _: seat::EndedResults,
     ) -> capnp::Result<()> {
-        let verdict = wire::read_verdict(params.get()?.get_verdict()?);
+        let params = params.get()?;
+        let verdict = wire::read_verdict(params.get_verdict()?);
         if let Some(request) = &*self.request.borrow() {
+            record_pace(request, params.get_pace());
             request.ended(verdict);
         }
         Ok(())
--- a/src/serve/region/remote.rs
+++ b/src/serve/region/remote.rs
@@ -1,5 +1,6 @@
 //! A request that another daemon plans.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use capnp::Result;
@@ -12,6 +13,7 @@
 use crate::id;
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::health::Verdict;
+use crate::serve::pace::Ratio;
 use crate::serve::plan::{Grant, Job, Refusal};
 use crate::serve::rate::Rate;
 
@@ -20,6 +22,8 @@
     connection: Rc<PlannerConnection>,
     client: seat::Client,
     grant: Grant,
+    /// What the planner is told with the next message.
+    pace: Cell<Option<Ratio>>,
     clock: Rc<dyn Clock>,
 }
 
@@ -44,6 +48,7 @@
             connection,
             client,
             grant: Grant::default(),
+            pace: Cell::new(None),
             clock: clock.clone(),
         };
         let waiting = remote.client.wait_request().send().promise;
@@ -91,6 +96,7 @@
     fn started(&self, is_final: bool) {
         let mut request = self.client.started_request();
         request.get().set_is_final(is_final);
+        request.get().set_pace(wire::write_pace(self.pace.take()));
         send_one_way(request.send().promise);
     }
 
@@ -100,6 +106,10 @@
         send_one_way(request.send().promise);
     }
 
+    fn paced(&self, ratio: Ratio) {
+        self.pace.set(Some(ratio));
+    }
+
     fn answering(&self) {
         send_one_way(self.client.answering_request().send().promise);
     }
@@ -107,6 +117,7 @@
     fn ended(&self, verdict: Verdict) {
         let mut request = self.client.ended_request();
         request.get().set_verdict(wire::write_verdict(verdict));
+        request.get().set_pace(wire::write_pace(self.pace.take()));
         send_one_way(request.send().promise);
     }
 
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -318,3 +318,17 @@
         assert_eq!(&*planned.expect("a grant").grant().endpoint, "e");
     });
 }
+
+#[test]
+fn pace_round_trip_and_none_of_an_earlier_release() {
+    use crate::generated::plan_capnp::seat;
+    for pace in [None, Some(2.5), Some(0.4), Some(20.0)] {
+        assert_eq!(wire::read_pace(wire::write_pace(pace)), pace);
+    }
+    let mut message = message::Builder::new_default();
+    let mut params = message.init_root::<seat::started_params::Builder<'_>>();
+    params.set_is_final(true);
+    let params = params.into_reader();
+    assert_eq!(wire::read_pace(params.get_pace()), None);
+    assert_eq!(wire::write_pace(Some(0.001)), 1, "not taken for none");
+}
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -12,6 +12,7 @@
 use crate::quarantine::evidence::{self, Life, Subject};
 use crate::serve::closure::Closure;
 use crate::serve::health::Verdict;
+use crate::serve::pace::Ratio;
 use crate::serve::plan::{
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
 };
@@ -252,6 +253,17 @@
     (limit >= 0.0).then_some(limit)
 }
 
+/// Converts a pace to the schema's percentage, where 0 is none.
+pub fn write_pace(pace: Option<Ratio>) -> u16 {
+    let percent = pace.map(|ratio| (ratio * 100.0).round().clamp(1.0, f64::from(u16::MAX)));
+    percent.map_or(0, |percent| percent as u16)
+}
+
+/// Converts a pace from the schema's percentage.
+pub fn read_pace(percent: u16) -> Option<Ratio> {
+    (percent > 0).then(|| f64::from(percent) / 100.0)
+}
+
 /// Writes the limits that a daemon has heard of.
 pub fn write_limits(
     reports: &[Report],
