--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod limit;
 mod load;
+mod pace;
 mod replay;
 mod shortage;
 mod transfer;
--- a/src/serve/region/remote.rs
+++ b/src/serve/region/remote.rs
@@ -1,5 +1,6 @@
 //! A request that another daemon plans.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use capnp::Result;
@@ -12,6 +13,7 @@
 use crate::id;
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::health::Verdict;
+use crate::serve::pace::Ratio;
 use crate::serve::plan::{Grant, Job, Refusal};
 use crate::serve::rate::Rate;
 
@@ -22,6 +24,8 @@
     grant: Grant,
     /// The planner answered a call of this time before it sent the grant, on the same connection.
     granted_after: Time,
+    /// What the planner is told with the next message.
+    pace: Cell<Option<Ratio>>,
     clock: Rc<dyn Clock>,
 }
 
@@ -47,6 +51,7 @@
             client,
             grant: Grant::default(),
             granted_after: Time::ZERO,
+            pace: Cell::new(None),
             clock: clock.clone(),
         };
         let waiting = remote.client.wait_request().send().promise;
@@ -100,6 +105,7 @@
     fn started(&self, is_final: bool) {
         let mut request = self.client.started_request();
         request.get().set_is_final(is_final);
+        request.get().set_pace(wire::write_pace(self.pace.take()));
         send_one_way(request.send().promise);
     }
 
@@ -109,6 +115,10 @@
         send_one_way(request.send().promise);
     }
 
+    fn paced(&self, ratio: Ratio) {
+        self.pace.set(Some(ratio));
+    }
+
     fn answering(&self) {
         send_one_way(self.client.answering_request().send().promise);
     }
@@ -116,6 +126,7 @@
     fn ended(&self, verdict: Verdict) {
         let mut request = self.client.ended_request();
         request.get().set_verdict(wire::write_verdict(verdict));
+        request.get().set_pace(wire::write_pace(self.pace.take()));
         send_one_way(request.send().promise);
     }
 
