Remember that a request may have run at an earlier endpoint

A repeatable request that was lost at one endpoint, and then turned away by the next one, forgot the first one: it ended with 503, which promises that it has not run. The state from before an attempt is restored instead.

--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -438,6 +438,7 @@
                 }
                 return Outcome::Failure(failure);
             }
+            let may_have_run = self.may_have_run.get();
             let attempted = self
                 .attempt(request, &*planned, client, &mut events, has_started)
                 .await;
@@ -448,7 +449,8 @@
                     inputs_lost,
                 } => {
                     planned.ended(verdict);
-                    self.may_have_run.set(client.has_started());
+                    // It may still have run at an earlier endpoint.
+                    self.may_have_run.set(may_have_run);
                     self.log_fields.borrow_mut().not_run += 1;
                     if self.log_fields.borrow().not_run >= MAX_NOT_RUN {
                         return self
