Count attempts that no endpoint saw by themselves

What this daemon withholds (the endpoint is closed, evacuated, of another release, cold, or in a region that is not allowed) counted as turned away by an endpoint, and spent the retry budget: a planner that lags behind made requests fail after five grants. Such attempts have a bound of their own, and cost no retries.

withheld_attempts_cost_no_retries failed before (503 for all of ten requests).

--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -42,6 +42,9 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// The number of attempts that did not run a request after which the request fails.
 const MAX_NOT_RUN: u32 = 5;
+/// The number of attempts that this daemon withheld after which the request fails: a planner that lags behind
+/// may grant a few endpoints in turn, and one that grants the same again and again may not keep it forever.
+const MAX_WITHHELD: u32 = 10;
 /// The `Retry-After` of failures for which the planner gave none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The share of its target latency after which a repeatable request is sent to another endpoint.
@@ -153,6 +156,8 @@
         verdict: Verdict,
         inputs_lost: bool,
     },
+    /// This daemon sent the endpoint nothing, since it may not get the request now.
+    Withheld,
     /// The request may have run, and there is no response.
     Lost {
         verdict: Verdict,
@@ -429,6 +434,7 @@
         };
         self.log_fields.borrow_mut().planned = Some(self.age());
         let mut events = EventBuffer::after(request.meta.last_event_id.clone());
+        let mut withheld = 0;
         loop {
             // What was granted may have been found to end endpoints meanwhile.
             if let Some(failure) = self.check_quarantine(request) {
@@ -442,8 +448,18 @@
             let attempted = self
                 .attempt(request, &*planned, client, &mut events, has_started)
                 .await;
+            let is_withheld = matches!(attempted, AttemptOutcome::Withheld);
             let (inputs_lost, reason) = match attempted {
                 AttemptOutcome::Done(outcome) => return outcome,
+                AttemptOutcome::Withheld => {
+                    planned.ended(Verdict::Unknown);
+                    withheld += 1;
+                    let reason = "no granted endpoint may get the request";
+                    if withheld >= MAX_WITHHELD {
+                        return self.final_outcome(client, reason);
+                    }
+                    (false, reason)
+                }
                 AttemptOutcome::NotRun {
                     verdict,
                     inputs_lost,
@@ -482,7 +498,8 @@
                 return self
                     .final_outcome(client, "the version that began the stream is not known");
             }
-            if !node.spend_retry(&request.service) {
+            // What no endpoint saw is no load.
+            if !is_withheld && !node.spend_retry(&request.service) {
                 return self.final_outcome(client, reason);
             }
             let retried = tokio::select! {
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -35,29 +35,29 @@
     ) -> AttemptOutcome {
         let id = planned.grant().endpoint.clone();
         self.log_fields.borrow_mut().endpoint = Some(id.clone());
-        let not_run = |verdict| AttemptOutcome::NotRun {
-            verdict,
-            inputs_lost: false,
-        };
         if self.node.is_closed(&id) {
-            return not_run(Verdict::Unknown);
+            return AttemptOutcome::Withheld;
         }
         if !self.fits_release(planned) {
             let release = planned.grant().release.as_deref();
             info!(self.node.log, "endpoint of another release granted";
                 "id" => &*request.meta.id, "endpoint" => &*id, "release" => release);
-            return not_run(Verdict::Unknown);
+            return AttemptOutcome::Withheld;
         }
         let residency = self.residency(request);
         if !self.node.is_allowed(&residency, &id) {
             self.log_withheld(&id);
-            return not_run(Verdict::Unknown);
+            return AttemptOutcome::Withheld;
         }
         let target = Target {
             endpoint: id.clone(),
             address: self.address(planned),
             residency: residency.clone(),
         };
+        let not_run = |verdict| AttemptOutcome::NotRun {
+            verdict,
+            inputs_lost: false,
+        };
         let connection = match self.node.dialer.connect(&target).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -76,15 +76,15 @@
         };
         if self.node.is_evacuated(&id) {
             // Connecting over other VMs may take seconds.
-            return not_run(Verdict::Unknown);
+            return AttemptOutcome::Withheld;
         }
         if !self.residency(request).covers(&residency) {
             self.log_withheld(&id);
-            return not_run(Verdict::Unknown);
+            return AttemptOutcome::Withheld;
         }
         if !self.may_send_if_cold(planned) {
             self.node.meter.count("request.regrant");
-            return not_run(Verdict::Unknown);
+            return AttemptOutcome::Withheld;
         }
         self.log_fields.borrow_mut().is_detour = connection.is_detour();
         let meta = self.forward_meta(request, planned, events);
