Withhold a request only from the region that was taken away

A change of the allowed regions while a connection was made withheld the request also where its endpoint is still allowed and the connection is direct. Only the VMs of a detour were chosen by the earlier regions.

Not shown by a test: connecting on one host leaves no time for a change.

--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -78,7 +78,10 @@
             // Connecting over other VMs may take seconds.
             return AttemptOutcome::Withheld;
         }
-        if !self.residency(request).covers(&residency) {
+        let current = self.residency(request);
+        // A VM that passes the connection on was chosen by the earlier regions.
+        let may_pass = !connection.is_detour() || current.covers(&residency);
+        if !may_pass || !self.node.is_allowed(&current, &id) {
             self.log_withheld(&id);
             return AttemptOutcome::Withheld;
         }
