Take endpoints that are not listed for evacuated during an evacuation

A planner of the last release may grant a new endpoint in an evacuated zone before this daemon lists it. While any zone of the platform is evacuated, an unlisted endpoint gets nothing. A daemon that passes connections on still answers that it can't, rather than that the endpoint is closed, for what it doesn't list.

unlisted_counts_as_evacuated_during_evacuation failed before.

--- a/src/serve/evacuation.rs
+++ b/src/serve/evacuation.rs
@@ -118,6 +118,11 @@
         self.is_known(zone) && self.records.contains_key(zone)
     }
 
+    /// Returns whether any zone of the platform is evacuated.
+    pub fn covers_any(&self) -> bool {
+        self.records.keys().any(|zone| self.is_known(zone))
+    }
+
     fn is_known(&self, zone: &id::Zone) -> bool {
         self.zones.contains(zone)
     }
--- a/src/serve/registry.rs
+++ b/src/serve/registry.rs
@@ -122,10 +122,11 @@
         &mut self.evacuation
     }
 
-    /// Returns whether an endpoint is in an evacuated zone.
+    /// Returns whether an endpoint is in an evacuated zone, or may be, since it is not listed: planners of
+    /// earlier releases grant new endpoints in all zones.
     pub fn is_evacuated(&self, id: &str) -> bool {
-        let endpoint = self.get(id);
-        endpoint.is_some_and(|endpoint| self.evacuation.covers(&endpoint.zone))
+        let covers = |endpoint: &Endpoint| self.evacuation.covers(&endpoint.zone);
+        self.evacuation.covers_any() && self.get(id).is_none_or(covers)
     }
 
     /// Returns when a zone that is in use was taken back, if this daemon saw it evacuated.
--- a/src/serve/registry/tests.rs
+++ b/src/serve/registry/tests.rs
@@ -61,6 +61,19 @@
     assert!(registry.is_evacuated("a") && !registry.is_evacuated("b"));
 }
 
+/// A planner of an earlier release may grant what this daemon doesn't list yet, and its zone is not known.
+#[test]
+fn unlisted_counts_as_evacuated_during_evacuation() {
+    let mut registry = Registry::new(["z".into(), "y".into()].into());
+    assert!(!registry.is_evacuated("a"));
+    registry.evacuation_mut().apply(Begun("x".into()), at(0));
+    assert!(!registry.is_evacuated("a"), "no zone of the platform");
+    registry.evacuation_mut().apply(Begun("y".into()), at(0));
+    assert!(registry.is_evacuated("a"));
+    registry.apply(Entry::Present(endpoint("a", 1, 1)), at(0));
+    assert!(!registry.is_evacuated("a"), "it is in another zone");
+}
+
 #[test]
 fn draining_not_used() {
     let mut registry = registry();
--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -180,6 +180,9 @@
         .borrow()
         .get(endpoint)
         .map(|known| known.address);
+    if address.is_none() && !node.registry.borrow().is_leaving(endpoint) {
+        return Err(UNAVAILABLE);
+    }
     if node.is_closed(endpoint) {
         return Err(CLOSED);
     }
