Check an endpoint again before a passed-on connection is used

A daemon that passes connections on looked at the endpoint before it dialled only. It looks again after that, and before the first bytes; a request that runs goes on.

open_connection_checked_before_first_bytes failed before; open_connection_of_running_request_goes_on did not.

--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -197,7 +197,12 @@
     };
     let began = node.clock.now();
     if let Ok(connection) = node.dialer.dial(&target, CONNECT_TIMEOUT).await {
-        return Ok(connection);
+        // It may have closed itself, or been evacuated, meanwhile.
+        return if node.is_closed(endpoint) {
+            Err(CLOSED)
+        } else {
+            Ok(connection)
+        };
     }
     match node.dialer.check(began).await {
         true => Err(UNREACHED),
@@ -216,7 +221,13 @@
     let (mut from_daemon, mut to_daemon) = daemon;
     let (mut from_endpoint, mut to_endpoint) = connection.into_halves();
     let requests = async {
+        let mut has_begun = false;
         while let Ok(bytes) = from_daemon.bytes().await {
+            // What has begun to run goes on.
+            if !has_begun && node.is_closed(endpoint) {
+                return;
+            }
+            has_begun = true;
             if bytes.is_empty() || http::send(&mut to_endpoint, &bytes).await.is_err() {
                 return;
             }
