Don't take evacuated stage endpoints for open ones

Where all other endpoints of a stage had closed themselves, one in an evacuated zone counted as open, so requests were held until their deadline instead of being refused at once.

closed_stage_refused_although_others_are_evacuated failed before.

--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -175,11 +175,12 @@
         endpoints.any(|endpoint| now < endpoint.closed_until)
     }
 
-    /// Returns how long all endpoints of a service are closed, unless one is open; the time is none when
+    /// Returns how long all endpoints of a service in zones in use are closed, unless one is open; the time is none when
     /// all of them are leaving.
     pub fn closed_for(&self, service: &id::Pool, now: Time) -> Option<Option<Duration>> {
         let endpoints = self.endpoints.values();
-        let endpoints = endpoints.filter(|endpoint| endpoint.service == *service);
+        let endpoints =
+            endpoints.filter(|endpoint| endpoint.service == *service && !endpoint.is_evacuated);
         let opens = endpoints.map(|endpoint| endpoint.closed_until).min()?;
         let remaining = (opens < Time::MAX).then(|| opens.saturating_sub(now));
         (opens > now).then_some(remaining)
--- a/src/serve/plan/tests/emptied.rs
+++ b/src/serve/plan/tests/emptied.rs
@@ -69,6 +69,22 @@
     assert_eq!(refusals(&site.actions()).len(), 1, "its call was lost");
 }
 
+/// A stage has endpoints that are closed, and others in the evacuated zone: what needs it is refused, not held.
+#[test]
+fn closed_stage_refused_although_others_are_evacuated() {
+    let mut site = Site::new(&[("m", "a"), ("n", "b")], &[("e", "b")]);
+    site.evacuate(evacuated());
+    site.submit(site.job(&[1], 5_000));
+    let waiting = site.submit(site.job(&[1], 5_000));
+    assert_eq!(calls(&site.actions()).len(), 1);
+    site.planner.call_ended(0, &CallOutcome::Refused, ms(10));
+    site.planner.close(&"n".into(), Some(ms(60_000)));
+    site.now = ms(20);
+    site.planner.tick(site.now);
+    let refused = refusals(&site.actions());
+    assert!(refused.iter().any(|(job_id, _)| *job_id == waiting));
+}
+
 /// What runs in a zone still counts when the zone is taken back.
 #[test]
 fn zone_taken_back_used_again() {
