Tell planners when a request is allowed in no region

The list of allowed regions of such a request was empty on the wire, which is read as all regions.

allowed_regions_round_trip failed with the case before.

--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -176,9 +176,14 @@
 #[test]
 fn allowed_regions_round_trip() {
     let places = [("a".into(), "r".into()), ("b".into(), "q".into())].into();
-    for allowed in [&[][..], &["q".into()]] {
+    let cases: [(&[_], &[_]); 3] = [
+        (&[], &[]),
+        (&["q".into()], &[]),
+        (&["q".into()], &["r".into()]),
+    ];
+    for (route, workspace) in cases {
         let sent = Job {
-            residency: Residency::new(&places, allowed, &[]),
+            residency: Residency::new(&places, route, workspace),
             ..job()
         };
         let mut message = message::Builder::new_default();
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -89,12 +89,16 @@
             after.set(index, to_u16(*stage));
         }
     }
-    let regions: Vec<&id::Region> = job.residency.regions().collect();
+    let mut regions: Vec<&str> = job.residency.regions().map(|region| &**region).collect();
+    if job.residency.is_limited() && regions.is_empty() {
+        // An empty list allows all regions, and no region has this name.
+        regions.push("");
+    }
     let mut allowed = builder
         .reborrow()
         .init_allowed_regions(to_u32(regions.len()));
     for (index, region) in (0..).zip(regions) {
-        allowed.set(index, &**region);
+        allowed.set(index, region);
     }
     let mut parts = builder.init_parts(to_u32(job.prompt_parts.len()));
     for (index, part) in (0..).zip(&job.prompt_parts) {
