Keep an evacuation for longer when the store goes back twice

A zone whose record was missing kept the first time at which its evacuation ends, although the store had gone back again and its operators had less time to write the record.

second_copy_without_record_keeps_zone_for_longer failed before.

--- a/src/serve/evacuation.rs
+++ b/src/serve/evacuation.rs
@@ -92,6 +92,9 @@
     /// Records that the store went back to a copy: records that it lacks may be written again.
     pub fn log_went_back(&mut self, now: Time) {
         self.grace_until = self.grace_until.max(now + RETURN_GRACE);
+        for end_due in self.records.values_mut().flatten() {
+            *end_due = self.grace_until;
+        }
     }
 
     /// Ends the evacuation of zones whose records did not come back in time; returns what it changes.
--- a/src/serve/evacuation/tests.rs
+++ b/src/serve/evacuation/tests.rs
@@ -84,3 +84,16 @@
     assert_eq!(evacuation.expire(at(3_200)), [ended("a")]);
     assert_eq!(covered(&evacuation), ["b"]);
 }
+
+/// The store goes back again before the operators have written what it lacks.
+#[test]
+fn second_copy_without_record_keeps_zone_for_longer() {
+    let mut evacuation = platform();
+    evacuation.apply(begun("a"), at(0));
+    for millis in [1_000, 2_000] {
+        evacuation.log_went_back(at(millis));
+        assert_eq!(evacuation.replace(Vec::new(), at(millis + 100)), []);
+    }
+    assert_eq!(evacuation.expire(at(4_199)), []);
+    assert_eq!(evacuation.expire(at(4_200)), [ended("a")]);
+}
