Refuse at once what only an empty region may plan

A request that may only be in another region waited 1.5 s for a planner there, also when no daemon of that region is left. It is refused as soon as the list of daemons is known and none of them is reachable.

allowed_region_without_daemon_refused_at_once failed before.

--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -200,6 +200,16 @@
         ranking.is_listed() && first.is_some_and(|first| ranking.is_own(&first.name))
     }
 
+    /// Returns whether it is another region, of which no daemon can plan.
+    fn is_deserted(&self) -> bool {
+        let ranking = self.ranking.borrow();
+        let is_connected = self.connection.borrow().is_some();
+        self.local.is_none()
+            && !is_connected
+            && ranking.is_listed()
+            && ranking.first(self.clock.now()).is_none()
+    }
+
     /// Returns the connection to the planner, or none when this daemon plans. Waits while the
     /// planner is being found: planning here would interfere with its calls.
     async fn wait_connection(&self) -> Option<Rc<PlannerConnection>> {
@@ -207,7 +217,8 @@
         loop {
             let connection = self.connection.borrow().clone();
             let waited = self.clock.now().saturating_sub(start);
-            if connection.is_some() || self.is_planner() || waited >= PLANNER_WAIT_TIMEOUT {
+            let is_over = self.is_planner() || self.is_deserted();
+            if connection.is_some() || is_over || waited >= PLANNER_WAIT_TIMEOUT {
                 return connection;
             }
             tokio::time::sleep(PLANNER_POLL_INTERVAL).await;
@@ -378,6 +389,9 @@
             if !is_patient && self.connection.borrow().is_none() {
                 break;
             }
+            if self.is_deserted() {
+                break;
+            }
             let connection = self.wait_connection().await;
             let planned = match (&connection, &self.local) {
                 (Some(connection), _) => {
