--- a/src/serve/evacuation.rs
+++ b/src/serve/evacuation.rs
@@ -92,6 +92,9 @@
     /// Records that the store went back to a copy: records that it lacks may be written again.
     pub fn log_went_back(&mut self, now: Time) {
         self.grace_until = self.grace_until.max(now + RETURN_GRACE);
+        for end_due in self.records.values_mut().flatten() {
+            *end_due = self.grace_until;
+        }
     }
 
     /// Ends the evacuation of zones whose records did not come back in time; returns what it changes.
@@ -115,7 +118,13 @@
     /// Returns whether endpoints in a zone are to get nothing. A zone that the platform does not have is
     /// not evacuated: its record is a mistake, and says nothing of others.
     pub fn covers(&self, zone: &id::Zone) -> bool {
-        self.is_known(zone) && self.records.contains_key(zone)
+        // Usually there are no records.
+        self.records.contains_key(zone) && self.is_known(zone)
+    }
+
+    /// Returns whether any zone of the platform is evacuated.
+    pub fn covers_any(&self) -> bool {
+        self.records.keys().any(|zone| self.is_known(zone))
     }
 
     fn is_known(&self, zone: &id::Zone) -> bool {
