Begin streams only where grant and own entry agree on the release

A fresh stream was sent to the address of this daemon's own entry and recorded with the grant's release. If the entry was of the endpoint's next life, events of v2 were recorded as v1, and the stream could be joined from two versions.

The release is now fixed when the request is sent; where grant and entry differ, the attempt counts as not run. The new test failed before (status 200 instead of 503).

--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -67,6 +67,8 @@
     may_have_run: Cell<bool>,
     /// The software version that began the stream, once it is known.
     release: RefCell<Option<id::Release>>,
+    /// The software version of the endpoint of the last attempt, as it was known when the request was sent.
+    sent_release: RefCell<Option<id::Release>>,
     /// Whether an event of a stream was passed on.
     has_begun: Cell<bool>,
     /// What its endpoint is blamed for if it ends without an answer.
@@ -189,6 +191,7 @@
             outlives_client,
             may_have_run: Cell::new(false),
             release: RefCell::default(),
+            sent_release: RefCell::default(),
             has_begun: Cell::new(false),
             unanswered: RefCell::default(),
             digest: OnceCell::new(),
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -139,7 +139,7 @@
                 }
             }
             if !bytes.is_empty() {
-                self.begin_stream(request, planned).await;
+                self.begin_stream(request).await;
             }
             let sent = if !client.has_started() && (end.is_some() || !bytes.is_empty()) {
                 has_started.set(true);
@@ -193,12 +193,12 @@
     }
 
     /// Records which software version begins the stream; it goes on at no other one.
-    async fn begin_stream(&self, request: &AcceptedRequest, planned: &dyn PlannedRequest) {
+    async fn begin_stream(&self, request: &AcceptedRequest) {
         if self.has_begun.replace(true) {
             return;
         }
-        let granted = planned.grant().release.clone();
-        let release = self.release.borrow().clone().or(granted);
+        let sent = self.sent_release.borrow().clone();
+        let release = self.release.borrow().clone().or(sent);
         self.release.borrow_mut().clone_from(&release);
         if let Some(release) = release.filter(|_| request.route.kind.is_repeatable()) {
             let meta = &request.meta;
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -42,10 +42,9 @@
         if self.node.is_closed(&id) {
             return not_run(Verdict::Unknown);
         }
-        if !self.fits_release(planned) {
-            let release = planned.grant().release.as_deref();
-            info!(self.node.log, "endpoint of another release granted";
-                "id" => &*request.meta.id, "endpoint" => &*id, "release" => release);
+        let release = self.granted_release(request, planned);
+        if release.is_err() {
+            self.log_other_release(request, planned);
             return not_run(Verdict::Unknown);
         }
         let residency = self.residency(request);
@@ -82,6 +81,11 @@
             self.log_withheld(&id);
             return not_run(Verdict::Unknown);
         }
+        if self.granted_release(request, planned) != release {
+            // Another life of the endpoint was listed while this connected.
+            self.log_other_release(request, planned);
+            return not_run(Verdict::Unknown);
+        }
         if !self.may_send_if_cold(planned) {
             self.node.meter.count("request.regrant");
             return not_run(Verdict::Unknown);
@@ -96,6 +100,7 @@
         self.unanswered
             .replace(Some(self.unanswered_at(request, &id)));
         self.may_have_run.set(true);
+        self.sent_release.replace(release.unwrap_or_default());
         self.log_fields.borrow_mut().sent += 1;
         self.outlives_client
             .set(!request.route.kind.is_stream() && !request.route.kind.is_repeatable());
@@ -129,20 +134,37 @@
         outcome
     }
 
-    /// Returns whether a stream that has begun may go on at the granted endpoint. A planner of an earlier release
-    /// of the daemon does not heed what began the stream, and an endpoint may have changed since its grant.
-    fn fits_release(&self, planned: &dyn PlannedRequest) -> bool {
-        let Some(release) = self.release.borrow().clone() else {
-            return true;
-        };
+    fn log_other_release(&self, request: &AcceptedRequest, planned: &dyn PlannedRequest) {
+        let grant = planned.grant();
+        info!(self.node.log, "endpoint of another release granted";
+            "id" => &*request.meta.id, "endpoint" => &*grant.endpoint,
+            "release" => grant.release.as_deref());
+    }
+
+    /// Returns the software version that the granted endpoint is known to have; an error if the stream may not
+    /// run there. Grant and own entry may be of two lives of the endpoint, and a planner of an earlier release
+    /// of the daemon does not heed what began the stream.
+    fn granted_release(
+        &self,
+        request: &AcceptedRequest,
+        planned: &dyn PlannedRequest,
+    ) -> Result<Option<id::Release>, ()> {
+        if !request.route.kind.is_stream() {
+            return Ok(None);
+        }
         let grant = planned.grant();
         let registry = self.node.registry.borrow();
-        let listed = registry
-            .get(&grant.endpoint)
-            .map(|endpoint| &endpoint.release);
-        let mut known = [grant.release.as_ref(), listed].into_iter().flatten();
-        let is_known = known.clone().next().is_some();
-        is_known && known.all(|known| *known == release)
+        let listed = registry.get(&grant.endpoint);
+        let listed = listed.map(|endpoint| &endpoint.release);
+        let known = match (grant.release.as_ref(), listed) {
+            (Some(granted), Some(listed)) if granted != listed => return Err(()),
+            (granted, listed) => granted.or(listed).cloned(),
+        };
+        let began_at = self.release.borrow();
+        if began_at.is_some() && *began_at != known {
+            return Err(());
+        }
+        Ok(known)
     }
 
     /// Finds out whether the endpoint is at fault for a lost connection; returns what is known of it. What
