List the recorded releases again after a write that may have landed

A write whose answer was lost left the planner with a wrong belief: a removal that had landed was never written again when its release returned. The planner now lists again after each failed write, and at once when it begins to plan.

A client that left while the releases were read made all other unknown streams refused for a second; the read now counts once it has ended. Whoever knows the releases no longer waits for the lock.

--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -207,6 +207,9 @@
             let table = self.table.borrow();
             table.knows_releases(service, self.clock.now())
         };
+        if knows() {
+            return true;
+        }
         let _reading = self.reading.lock().await;
         knows() || (self.read_releases().await && knows())
     }
@@ -218,8 +221,10 @@
         if read_at.is_some_and(|read_at| now < read_at + READ_RETRY_DELAY) {
             return false;
         }
-        self.releases_read_at.set(Some(now));
-        match timeout(READ_TIMEOUT, self.log.releases()).await {
+        let answer = timeout(READ_TIMEOUT, self.log.releases()).await;
+        // Only now: a client that leaves while it waits has read nothing for others.
+        self.releases_read_at.set(Some(self.clock.now()));
+        match answer {
             Ok(Ok(releases)) => {
                 info!(self.logger, "releases read"; "releases" => ?releases);
                 let mut table = self.table.borrow_mut();
@@ -250,12 +255,18 @@
             }
             if has_begun {
                 // The planner before may have changed them.
-                self.table.borrow_mut().forget_recorded();
+                self.forget_recorded();
             }
             self.write_releases().await;
         }
     }
 
+    /// Forgets which releases the log has; a planner lists them at once.
+    fn forget_recorded(&self) {
+        self.table.borrow_mut().forget_recorded();
+        self.releases_read_at.set(None);
+    }
+
     async fn write_releases(&self) {
         if !self.table.borrow().has_recorded() {
             let _reading = self.reading.lock().await;
@@ -272,6 +283,8 @@
             }
             Err(error) => {
                 warn!(self.logger, "releases not recorded"; "changes" => ?changes, "error" => %error);
+                // They may have been, if only the answer was lost.
+                self.forget_recorded();
             }
         }
     }
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -107,6 +107,10 @@
 struct MemoryLog {
     batches: RefCell<Vec<Batch>>,
     is_down: Cell<bool>,
+    /// Whether the list of releases takes longer than a client waits.
+    is_slow: Cell<bool>,
+    /// Whether the answers to writes of releases are lost.
+    loses_answers: Cell<bool>,
     reads: Cell<usize>,
     releases: RefCell<indexmap::IndexSet<Origin>>,
     /// The number of calls that wrote releases.
@@ -143,6 +147,9 @@
     }
 
     fn releases(&self) -> LocalBoxFuture<'_, Result<Vec<Origin>, Error>> {
+        if self.is_slow.get() {
+            return Box::pin(std::future::pending());
+        }
         let releases = self.releases.borrow().iter().cloned().collect();
         let checked = self.check("listing the releases of");
         Box::pin(std::future::ready(checked.map(|()| releases)))
@@ -162,6 +169,10 @@
                 }
             }
         }
+        if self.loses_answers.get() {
+            let (step, reason) = ("writing releases to", "no answer".to_owned());
+            return Box::pin(std::future::ready(Err(Error { step, reason })));
+        }
         Box::pin(std::future::ready(checked))
     }
 }
@@ -394,3 +405,46 @@
         assert_eq!(began.elapsed(), waited);
     });
 }
+
+/// Guards against a planner that takes a release for recorded, though its removal has landed.
+#[test]
+fn keep_releases_lists_again_after_a_lost_answer() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        log.loses_answers.set(true);
+        let planner = record_releases(&log, "v1").await;
+        log.loses_answers.set(false);
+        planner.observe([origin("v1")].into_iter());
+        tokio::time::sleep(3 * SECOND).await;
+        assert_eq!(log.release_writes.get(), 1, "it had landed");
+    });
+}
+
+/// Guards against a client that leaves while it waits for the releases: others may still ask for them.
+#[test]
+fn find_reads_releases_again_after_a_client_left() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        record_releases(&log, "v1").await;
+        let daemon = start_listing(&log, &["v1"]);
+        log.is_slow.set(true);
+        let service = "s".into();
+        let left = timeout(Duration::from_millis(10), daemon.find(None, &service)).await;
+        assert!(left.is_err(), "the client has left");
+        log.is_slow.set(false);
+        assert_eq!(daemon.find(None, &service).await, Some(origin("v1")));
+    });
+}
+
+/// Guards against a planner that waits with the record, since a client was told just now that there is none.
+#[test]
+fn keep_releases_reads_at_once_when_it_begins_to_plan() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let planner = start_listing(&log, &["v1"]);
+        assert_eq!(planner.find(None, &"s".into()).await, None);
+        spawn_local(planner.clone().keep_releases(|| true));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(log.release_writes.get(), 1);
+    });
+}
