Count a release as gone on confirmed lists of endpoints only

A planner that was frozen or did not get the list removed a release that served again, as 30 s had passed on its clock. A daemon that the store turned away guessed the only release from an old list. The 30 s counted from the start of the process, not from its first list. A release that returned after more than 30 s still counted as announced.

Removals, and guesses without the log, now need a list that was confirmed within 2 s; after a longer gap the 30 s of what had left begin anew and the record is listed again. The 30 s of a daemon count from the first endpoint that it lists.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -264,6 +264,7 @@
                     info!(self.log, "endpoints expired"; "endpoints" => ?expired);
                     self.sync();
                 }
+                self.origins.confirm();
                 let registry = self.registry.borrow();
                 self.knowledge.quarantine.observe(&registry, now);
             }
--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -105,7 +105,7 @@
     /// Starts to write new streams to the log.
     pub fn start(log: Rc<dyn Log>, clock: Rc<dyn Clock>, logger: Logger) -> Rc<Self> {
         let origins = Rc::new(Self {
-            table: RefCell::new(Table::new(clock.now())),
+            table: RefCell::new(Table::new()),
             log,
             next_offset: Cell::new(0),
             read_at: Cell::new(None),
@@ -160,6 +160,11 @@
         self.has_observed.notify_one();
     }
 
+    /// Records that the list of endpoints is the current one.
+    pub fn confirm(&self) {
+        self.table.borrow_mut().confirm(self.clock.now());
+    }
+
     /// Records that the log went back to a copy: it is read anew, and own streams are written again.
     pub fn log_went_back(&self) {
         self.next_offset.set(0);
--- a/src/serve/origin/table.rs
+++ b/src/serve/origin/table.rs
@@ -9,6 +9,9 @@
 
 /// How long after its first event a stream may be resumed. Clients of the users wait for 15 s.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
+/// The longest time since a confirmation for which a list of endpoints counts as the current one: reads end within
+/// 1.5 s of one another, and one that is slow is no reason to doubt the list.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// The most streams of this daemon, and of others, that are remembered.
 const MAX_STREAMS: usize = 20_000;
 /// The most records that are written together.
@@ -53,7 +56,10 @@
 
 /// Streams and releases of the last `STREAM_LIFETIME`.
 pub struct Table {
-    started: Time,
+    /// When endpoints were first listed.
+    started: Option<Time>,
+    /// When the list of endpoints was last known to be the current one.
+    confirmed_at: Option<Time>,
     streams: IndexMap<id::Name, Stream>,
     /// When a release was last known to serve; none while it is listed.
     releases: IndexMap<Origin, Option<Time>>,
@@ -64,10 +70,11 @@
 }
 
 impl Table {
-    /// Makes a table of a daemon that starts now.
-    pub fn new(now: Time) -> Self {
+    /// Makes a table of a daemon that has just started.
+    pub fn new() -> Self {
         Self {
-            started: now,
+            started: None,
+            confirmed_at: None,
             streams: IndexMap::new(),
             releases: IndexMap::new(),
             recorded: None,
@@ -110,10 +117,28 @@
         for seen in self.releases.values_mut() {
             seen.get_or_insert(now);
         }
+        // Before the new ones: a release that returns late has to be announced again.
+        self.expire(now);
         for origin in listed {
+            self.started.get_or_insert(now);
             self.releases.insert(origin, None);
         }
-        self.expire(now);
+    }
+
+    /// Records that the list of endpoints is the current one.
+    pub fn confirm(&mut self, now: Time) {
+        if self.confirmed_at.is_some() && !self.is_confirmed(now) {
+            // What had left may have served meanwhile, unseen.
+            let gone = self.releases.values_mut().flatten();
+            gone.for_each(|seen| *seen = now);
+            self.forget_recorded();
+        }
+        self.confirmed_at = Some(now);
+    }
+
+    fn is_confirmed(&self, now: Time) -> bool {
+        let confirmed_at = self.confirmed_at;
+        confirmed_at.is_some_and(|confirmed_at| now <= confirmed_at + MAX_LIST_AGE)
     }
 
     /// Records which releases the log has. One that this daemon has not seen may have served until now.
@@ -138,7 +163,7 @@
     /// Returns whether all releases at which a stream of a service can have begun are known: those that have
     /// left are known from the time of this daemon, and otherwise from the log, if that is complete.
     pub fn knows_releases(&self, service: &id::Pool, now: Time) -> bool {
-        if !is_recent(self.started, now) {
+        if self.has_run_long(now) {
             return true;
         }
         let Some(recorded) = &self.recorded else {
@@ -148,12 +173,18 @@
         listed.all(|origin| recorded.contains(origin))
     }
 
+    /// Returns whether this daemon has seen all releases leave of which streams may be resumed.
+    fn has_run_long(&self, now: Time) -> bool {
+        self.started.is_some_and(|started| !is_recent(started, now))
+    }
+
     fn listed(&self) -> impl Iterator<Item = &Origin> {
         let listed = self.releases.iter().filter(|(_, seen)| seen.is_none());
         listed.map(|(origin, _)| origin)
     }
 
-    /// Returns how the releases in the log have to change, if they are known. The last one of a service stays.
+    /// Returns how the releases in the log have to change, if they are known. The last one of a service stays,
+    /// and one that is gone stays while the list of endpoints may be old.
     pub fn changes(&mut self, now: Time) -> Vec<Change> {
         self.expire(now);
         let Some(recorded) = &self.recorded else {
@@ -169,7 +200,8 @@
         let is_replaced =
             |origin: &&Origin| self.listed().any(|other| other.service == origin.service);
         let gone = recorded.iter();
-        let gone = gone.filter(|origin| !self.releases.contains_key(*origin));
+        let is_confirmed = self.is_confirmed(now);
+        let gone = gone.filter(|origin| is_confirmed && !self.releases.contains_key(*origin));
         let gone = gone.filter(is_replaced).map(change(false));
         new.map(change(true)).chain(gone).collect()
     }
@@ -259,16 +291,16 @@
         Some(stream.origin.clone())
     }
 
-    /// Returns the only release of a service at which a stream without a record can have begun. A daemon
-    /// that has started since, and has not read the log, does not know which ones have left; nor does it if
-    /// it does not [know the releases](Self::knows_releases).
-    pub fn only_release(&self, service: &id::Pool, is_log_read: bool, now: Time) -> Option<Origin> {
-        let has_seen_all = is_log_read || !is_recent(self.started, now);
+    /// Returns the only release of a service at which a stream without a record can have begun. A daemon that does
+    /// not know from the log which ones [have served](Self::knows_releases) must have run for long, and its list
+    /// of endpoints be the current one.
+    pub fn only_release(&self, service: &id::Pool, knows_all: bool, now: Time) -> Option<Origin> {
+        let has_seen_all = self.has_run_long(now) && self.is_confirmed(now);
         let is_possible = |(origin, seen): &(&Origin, &Option<Time>)| {
             origin.service == *service && seen.is_none_or(|seen| is_recent(seen, now))
         };
         let mut possible = self.releases.iter().filter(is_possible);
-        let (origin, _) = possible.next().filter(|_| has_seen_all)?;
+        let (origin, _) = possible.next().filter(|_| knows_all || has_seen_all)?;
         possible.next().is_none().then(|| origin.clone())
     }
 }
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -20,18 +20,30 @@
     }
 }
 
-fn only(table: &Table, is_log_read: bool, now: Time) -> Option<Origin> {
-    table.only_release(&"s".into(), is_log_read, now)
+fn only(table: &Table, knows_all: bool, now: Time) -> Option<Origin> {
+    table.only_release(&"s".into(), knows_all, now)
 }
 
 /// Returns a table of a daemon that has run for long, with endpoints of these releases.
 fn table(releases: &[&str]) -> (Table, Time) {
     let now = STREAM_LIFETIME * 2;
-    let mut table = Table::new(Duration::ZERO);
-    table.observe(releases.iter().map(|release| origin(release)), now);
+    let mut table = Table::new();
+    let listed = || releases.iter().map(|release| origin(release));
+    table.observe(listed(), Duration::ZERO);
+    table.observe(listed(), now);
+    table.confirm(now);
     (table, now)
 }
 
+/// Confirms the list of endpoints each second.
+fn confirm(table: &mut Table, from: Time, to: Time) {
+    let mut now = from;
+    while now <= to {
+        table.confirm(now);
+        now += SECOND;
+    }
+}
+
 #[test]
 fn only_release_while_there_is_one() {
     let (mut table, now) = table(&["v1"]);
@@ -52,7 +64,7 @@
 /// Guards against a guess by a daemon that has just started, after all endpoints of a release have left.
 #[test]
 fn only_release_unknown_after_start_without_log() {
-    let mut table = Table::new(100 * SECOND);
+    let mut table = Table::new();
     table.observe([origin("v2")].into_iter(), 101 * SECOND);
     assert_eq!(only(&table, false, 102 * SECOND), None);
     assert_eq!(only(&table, true, 102 * SECOND), Some(origin("v2")));
@@ -348,6 +360,7 @@
     table.set_recorded(&second);
     assert_eq!(table.changes(now + STREAM_LIFETIME), []);
     let later = now + STREAM_LIFETIME + 2 * SECOND;
+    confirm(&mut table, now, later);
     assert_eq!(table.changes(later), [change("v1", false)]);
 }
 
@@ -363,7 +376,7 @@
 /// Guards against a planner that removes a release because it has not seen it itself.
 #[test]
 fn changes_keep_a_release_that_left_before_the_daemon_started() {
-    let mut table = Table::new(100 * SECOND);
+    let mut table = Table::new();
     table.observe([origin("v2")].into_iter(), 101 * SECOND);
     let recorded = || [origin("v1"), origin("v2")].into_iter();
     table.learn_releases(recorded(), 102 * SECOND);
@@ -371,6 +384,7 @@
     assert!(table.knows_releases(&"s".into(), 103 * SECOND));
     assert_eq!(only(&table, true, 103 * SECOND), None);
     let later = 103 * SECOND + STREAM_LIFETIME;
+    confirm(&mut table, 103 * SECOND, later);
     assert_eq!(only(&table, true, later), Some(origin("v2")));
     assert_eq!(table.changes(later), [change("v1", false)]);
 }
@@ -448,3 +462,55 @@
         assert_eq!(log.release_writes.get(), 1);
     });
 }
+
+/// Guards against a planner that was frozen, or did not get the list, while a release came back.
+#[test]
+fn changes_keep_a_release_that_may_have_served_unseen() {
+    let (mut table, now) = table(&["v1", "v2"]);
+    let recorded = || [origin("v1"), origin("v2")].into_iter();
+    table.learn_releases(recorded(), now);
+    table.observe([origin("v2")].into_iter(), now);
+    let later = now + 2 * STREAM_LIFETIME;
+    assert_eq!(table.changes(later), [], "the list is not confirmed");
+    table.confirm(later);
+    assert!(!table.has_recorded(), "it is listed again");
+    table.learn_releases(recorded(), later);
+    assert_eq!(table.changes(later), [], "it may have served until now");
+    let last = later + STREAM_LIFETIME + SECOND;
+    confirm(&mut table, later, last);
+    assert_eq!(table.changes(last), [change("v1", false)]);
+}
+
+/// Guards against a guess from an old list, by a daemon that the store turns away.
+#[test]
+fn only_release_without_log_needs_confirmed_list() {
+    let (mut table, now) = table(&["v1"]);
+    let later = now + 10 * SECOND;
+    assert_eq!(only(&table, false, later), None);
+    assert_eq!(only(&table, true, later), Some(origin("v1")));
+    table.confirm(later);
+    assert_eq!(only(&table, false, later), Some(origin("v1")));
+}
+
+/// Guards against a daemon whose first list comes late: it has not seen which releases have left before.
+#[test]
+fn only_release_unknown_after_late_first_list() {
+    let mut table = Table::new();
+    table.observe(std::iter::empty(), Duration::ZERO);
+    table.observe([origin("v2")].into_iter(), 100 * SECOND);
+    table.confirm(100 * SECOND);
+    assert!(!table.knows_releases(&"s".into(), 101 * SECOND));
+    assert_eq!(only(&table, false, 101 * SECOND), None);
+}
+
+/// Guards against a first event that does not wait, since its release was announced long ago.
+#[test]
+fn observe_forgets_announcement_of_a_release_that_returns_late() {
+    let (mut table, now) = table(&["v1", "v2"]);
+    table.learn(record("a", "v1"), Duration::ZERO, now);
+    assert!(!table.is_unannounced(&origin("v1")));
+    table.observe([origin("v2")].into_iter(), now);
+    let later = now + STREAM_LIFETIME + SECOND;
+    table.observe([origin("v1"), origin("v2")].into_iter(), later);
+    assert!(table.is_unannounced(&origin("v1")));
+}
