Announce a release when a request is sent to it

The first event at a new release waited up to 250 ms for the log, as long as passing an event on may take in all; other streams of the release waited on after one had given up, and those of the old release waited, too, though all daemons list it.

A release is now announced when a stream's request is sent, by a record without an attempt (daemons of earlier releases read it as one more stream); the wait is 100 ms at most, ends for all streams of the release, and the release that was the only one of its service counts as announced. The three new tests failed before.

--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -19,6 +19,7 @@
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
+use crate::serve::origin::Origin;
 use crate::serve::protocol::ForwardMeta;
 use crate::serve::residency::Residency;
 use crate::serve::response::ResponseWriter;
@@ -100,7 +101,7 @@
         self.unanswered
             .replace(Some(self.unanswered_at(request, &id)));
         self.may_have_run.set(true);
-        self.sent_release.replace(release.unwrap_or_default());
+        self.set_sent_release(request, release.unwrap_or_default());
         self.log_fields.borrow_mut().sent += 1;
         self.outlives_client
             .set(!request.route.kind.is_stream() && !request.route.kind.is_repeatable());
@@ -134,6 +135,16 @@
         outcome
     }
 
+    /// Fixes the release that the stream is recorded with. It is announced now, so that the first event need not
+    /// wait for the log.
+    fn set_sent_release(&self, request: &AcceptedRequest, release: Option<id::Release>) {
+        self.sent_release.replace(release.clone());
+        if let Some(release) = release.filter(|_| request.route.kind.is_repeatable()) {
+            let service = request.service.clone();
+            self.node.origins.announce(&Origin { service, release });
+        }
+    }
+
     fn log_other_release(&self, request: &AcceptedRequest, planned: &dyn PlannedRequest) {
         let grant = planned.grant();
         info!(self.node.log, "endpoint of another release granted";
--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -27,8 +27,9 @@
 const FLUSH_DELAY: Duration = Duration::from_millis(150);
 /// The time between attempts to write to a log that fails.
 const FLUSH_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// The longest time for which a first event waits until other daemons can know of its release.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(250);
+/// The longest time for which a first event waits until other daemons can know of its release. Passing an event on
+/// may take 250 ms in all.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(100);
 /// The longest time for reading what was added to the log since the last read.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a log that could not be read is not read again; a client waits for each read.
@@ -93,8 +94,8 @@
     releases_read_at: Cell<Option<Time>>,
     reading: Mutex<()>,
     has_unsent: Notify,
-    /// Whether unsent streams are not to be gathered any longer.
-    is_urgent: Notify,
+    /// Notified when unsent streams are not to be gathered any longer.
+    flush_requested: Notify,
     has_sent: Notify,
     has_observed: Notify,
     clock: Rc<dyn Clock>,
@@ -113,7 +114,7 @@
             releases_read_at: Cell::new(None),
             reading: Mutex::new(()),
             has_unsent: Notify::new(),
-            is_urgent: Notify::new(),
+            flush_requested: Notify::new(),
             has_sent: Notify::new(),
             has_observed: Notify::new(),
             clock,
@@ -123,6 +124,16 @@
         origins
     }
 
+    /// Records that a stream may begin at a release, so that its first event need not wait for the log.
+    pub fn announce(&self, origin: &Origin) {
+        let mut table = self.table.borrow_mut();
+        table.announce(origin, self.clock.now());
+        if table.is_unannounced(origin) {
+            self.flush_requested.notify_one();
+            self.has_unsent.notify_one();
+        }
+    }
+
     /// Records that this daemon is about to pass on the first event of a stream, by the client's attempt that
     /// began it. The first stream at a release waits until others can read of it: a daemon that does not list
     /// the release yet would take another one for the only one.
@@ -139,6 +150,7 @@
         {
             warn!(self.logger, "release not announced"; "release" => ?origin);
             self.table.borrow_mut().skip_announcement(&origin);
+            self.has_sent.notify_waiters();
         }
     }
 
@@ -148,7 +160,7 @@
             if !self.table.borrow().is_unannounced(origin) {
                 return;
             }
-            self.is_urgent.notify_one();
+            self.flush_requested.notify_one();
             sent.await;
         }
     }
@@ -344,7 +356,7 @@
     async fn write(self: Rc<Self>) {
         loop {
             self.has_unsent.notified().await;
-            drop(timeout(FLUSH_DELAY, self.is_urgent.notified()).await);
+            drop(timeout(FLUSH_DELAY, self.flush_requested.notified()).await);
             let records = self.table.borrow_mut().unsent(self.clock.now());
             if records.is_empty() {
                 continue;
--- a/src/serve/origin/table.rs
+++ b/src/serve/origin/table.rs
@@ -17,6 +17,9 @@
 /// The most records that are written together.
 const MAX_BATCH: usize = 1_000;
 
+/// The attempt in a record that announces a release, and is of no stream.
+const ANNOUNCEMENT: &str = "";
+
 event! {
     /// What began a stream. It goes on at endpoints of the same service and release only.
     #[derive(Eq, Hash)]
@@ -67,6 +70,8 @@
     recorded: Option<IndexSet<Origin>>,
     /// The releases of which other daemons can read a stream in the log.
     announced: IndexSet<Origin>,
+    /// The releases to announce before a stream of them has begun.
+    announcing: IndexSet<Origin>,
 }
 
 impl Table {
@@ -79,6 +84,7 @@
             releases: IndexMap::new(),
             recorded: None,
             announced: IndexSet::new(),
+            announcing: IndexSet::new(),
         }
     }
 
@@ -97,8 +103,10 @@
 
     fn insert(&mut self, record: Record, is_shared: bool, at: Time) {
         let Record { attempt, origin } = record;
-        let seen = self.releases.entry(origin.clone()).or_insert(Some(at));
-        *seen = seen.map(|seen| seen.max(at));
+        self.see(&origin, at);
+        if *attempt == *ANNOUNCEMENT {
+            return;
+        }
         let stream = Stream {
             origin,
             at,
@@ -112,17 +120,44 @@
         }
     }
 
+    fn see(&mut self, origin: &Origin, at: Time) {
+        let seen = self.releases.entry(origin.clone()).or_insert(Some(at));
+        *seen = seen.map(|seen| seen.max(at));
+    }
+
+    /// Records that a stream may begin at a release soon.
+    pub fn announce(&mut self, origin: &Origin, now: Time) {
+        self.see(origin, now);
+        if self.is_unannounced(origin) {
+            self.announcing.insert(origin.clone());
+        }
+    }
+
     /// Records the releases of all endpoints that are listed now.
     pub fn observe(&mut self, listed: impl Iterator<Item = Origin>, now: Time) {
+        // Before the new ones: a release that returns late has to be announced again.
+        self.expire(now);
+        let only = self.only_listed(now);
         for seen in self.releases.values_mut() {
             seen.get_or_insert(now);
         }
-        // Before the new ones: a release that returns late has to be announced again.
-        self.expire(now);
         for origin in listed {
             self.started.get_or_insert(now);
             self.releases.insert(origin, None);
         }
+        for origin in only {
+            if self.release_count(&origin.service) > 1 {
+                self.announced.insert(origin);
+            }
+        }
+    }
+
+    /// Returns the releases that are the only ones of their services. Changes of endpoints are read in one order:
+    /// whoever lists a release that appears later lists them, too.
+    fn only_listed(&self, now: Time) -> Vec<Origin> {
+        let is_only = |origin: &&Origin| self.release_count(&origin.service) == 1;
+        let listed = self.listed().filter(|_| self.has_run_long(now));
+        listed.filter(is_only).cloned().collect()
     }
 
     /// Records that the list of endpoints is the current one.
@@ -225,8 +260,9 @@
             .retain(|_, seen| seen.is_none_or(|seen| is_recent(seen, now)));
         self.streams.retain(|_, stream| is_recent(stream.at, now));
         let releases = &self.releases;
-        self.announced
-            .retain(|origin| releases.contains_key(origin));
+        for origins in [&mut self.announced, &mut self.announcing] {
+            origins.retain(|origin| releases.contains_key(origin));
+        }
     }
 
     fn release_count(&self, service: &id::Pool) -> usize {
@@ -240,27 +276,38 @@
         !stream.is_shared && self.release_count(&stream.origin.service) > 1
     }
 
-    /// Returns whether there are streams to write to the log.
+    fn announcements(&self) -> impl Iterator<Item = &Origin> {
+        let announcing = self.announcing.iter();
+        announcing.filter(|origin| self.is_unannounced(origin))
+    }
+
+    /// Returns whether there are streams or announcements to write to the log.
     pub fn has_unsent(&self) -> bool {
-        self.streams.values().any(|stream| self.is_unsent(stream))
+        self.announcements().next().is_some()
+            || self.streams.values().any(|stream| self.is_unsent(stream))
     }
 
-    /// Returns the streams to write to the log.
+    /// Returns the announcements and the streams to write to the log.
     pub fn unsent(&mut self, now: Time) -> Vec<Record> {
         self.expire(now);
+        let announcements = self.announcements().map(|origin| Record {
+            attempt: ANNOUNCEMENT.into(),
+            origin: origin.clone(),
+        });
         let streams = self.streams.iter();
         let unsent = streams.filter(|(_, stream)| self.is_unsent(stream));
         let records = unsent.map(|(attempt, stream)| Record {
             attempt: attempt.clone(),
             origin: stream.origin.clone(),
         });
-        records.take(MAX_BATCH).collect()
+        announcements.chain(records).take(MAX_BATCH).collect()
     }
 
-    /// Records that streams were written to the log.
+    /// Records that announcements and streams were written to the log.
     pub fn set_sent(&mut self, records: &[Record]) {
         for record in records {
             self.announced.insert(record.origin.clone());
+            self.announcing.swap_remove(&record.origin);
             if let Some(stream) = self.streams.get_mut(&record.attempt) {
                 stream.is_shared = true;
             }
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -514,3 +514,52 @@
     table.observe([origin("v1"), origin("v2")].into_iter(), later);
     assert!(table.is_unannounced(&origin("v1")));
 }
+
+/// Guards against streams of an old release that wait, though all daemons list it.
+#[test]
+fn observe_counts_the_only_release_as_announced() {
+    let (mut table, now) = table(&["v1"]);
+    table.observe([origin("v1"), origin("v2")].into_iter(), now);
+    assert!(!table.is_unannounced(&origin("v1")));
+    assert!(table.is_unannounced(&origin("v2")));
+    let mut table = Table::new();
+    table.observe([origin("v1"), origin("v2")].into_iter(), now);
+    assert!(table.is_unannounced(&origin("v1")), "listed together");
+}
+
+/// An attempt that is sent may bring no event, and its stream begin at another release.
+#[test]
+fn announce_records_no_stream() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let (first, second) = (start(&log), start_listing(&log, &["v1"]));
+        first.announce(&origin("v2"));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(log.batches.borrow().len(), 1, "at once");
+        assert_eq!(second.find(None, &"s".into()).await, None);
+        let began = tokio::time::Instant::now();
+        first.begin(&"a".into(), origin("v2")).await;
+        assert_eq!(began.elapsed(), Duration::ZERO, "it is announced");
+        let unnamed = second.find(Some(&"".into()), &"s".into()).await;
+        assert_eq!(unnamed, None);
+    });
+}
+
+/// Guards against a second stream that waits on after the first one has given up.
+#[test]
+fn begin_gives_up_for_all_streams_of_a_release() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let daemon = start(&log);
+        log.is_down.set(true);
+        let later = async {
+            tokio::time::sleep(ANNOUNCE_TIMEOUT / 2).await;
+            let began = tokio::time::Instant::now();
+            daemon.begin(&"b".into(), origin("v1")).await;
+            began.elapsed()
+        };
+        let first = "a".into();
+        let (_, waited) = tokio::join!(daemon.begin(&first, origin("v1")), later);
+        assert!(waited <= ANNOUNCE_TIMEOUT / 2 + Duration::from_millis(2));
+    });
+}
