--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -27,8 +27,9 @@
 const FLUSH_DELAY: Duration = Duration::from_millis(150);
 /// The time between attempts to write to a log that fails.
 const FLUSH_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// The longest time for which a first event waits until other daemons can know of its release.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(250);
+/// The longest time for which a first event waits until other daemons can know of its release. Passing an event on
+/// may take 250 ms in all.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(100);
 /// The longest time for reading what was added to the log since the last read.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a log that could not be read is not read again; a client waits for each read.
@@ -93,8 +94,8 @@
     releases_read_at: Cell<Option<Time>>,
     reading: Mutex<()>,
     has_unsent: Notify,
-    /// Whether unsent streams are not to be gathered any longer.
-    is_urgent: Notify,
+    /// Notified when unsent streams are not to be gathered any longer.
+    flush_requested: Notify,
     has_sent: Notify,
     has_observed: Notify,
     clock: Rc<dyn Clock>,
@@ -105,7 +106,7 @@
     /// Starts to write new streams to the log.
     pub fn start(log: Rc<dyn Log>, clock: Rc<dyn Clock>, logger: Logger) -> Rc<Self> {
         let origins = Rc::new(Self {
-            table: RefCell::new(Table::new(clock.now())),
+            table: RefCell::new(Table::new()),
             log,
             next_offset: Cell::new(0),
             read_at: Cell::new(None),
@@ -113,7 +114,7 @@
             releases_read_at: Cell::new(None),
             reading: Mutex::new(()),
             has_unsent: Notify::new(),
-            is_urgent: Notify::new(),
+            flush_requested: Notify::new(),
             has_sent: Notify::new(),
             has_observed: Notify::new(),
             clock,
@@ -123,6 +124,16 @@
         origins
     }
 
+    /// Records that a stream may begin at a release, so that its first event need not wait for the log.
+    pub fn announce(&self, origin: &Origin) {
+        let mut table = self.table.borrow_mut();
+        table.announce(origin, self.clock.now());
+        if table.is_unannounced(origin) {
+            self.flush_requested.notify_one();
+            self.has_unsent.notify_one();
+        }
+    }
+
     /// Records that this daemon is about to pass on the first event of a stream, by the client's attempt that
     /// began it. The first stream at a release waits until others can read of it: a daemon that does not list
     /// the release yet would take another one for the only one.
@@ -139,6 +150,7 @@
         {
             warn!(self.logger, "release not announced"; "release" => ?origin);
             self.table.borrow_mut().skip_announcement(&origin);
+            self.has_sent.notify_waiters();
         }
     }
 
@@ -148,7 +160,7 @@
             if !self.table.borrow().is_unannounced(origin) {
                 return;
             }
-            self.is_urgent.notify_one();
+            self.flush_requested.notify_one();
             sent.await;
         }
     }
@@ -160,6 +172,11 @@
         self.has_observed.notify_one();
     }
 
+    /// Records that the list of endpoints is the current one.
+    pub fn confirm(&self) {
+        self.table.borrow_mut().confirm(self.clock.now());
+    }
+
     /// Records that the log went back to a copy: it is read anew, and own streams are written again.
     pub fn log_went_back(&self) {
         self.next_offset.set(0);
@@ -207,6 +224,9 @@
             let table = self.table.borrow();
             table.knows_releases(service, self.clock.now())
         };
+        if knows() {
+            return true;
+        }
         let _reading = self.reading.lock().await;
         knows() || (self.read_releases().await && knows())
     }
@@ -218,8 +238,10 @@
         if read_at.is_some_and(|read_at| now < read_at + READ_RETRY_DELAY) {
             return false;
         }
-        self.releases_read_at.set(Some(now));
-        match timeout(READ_TIMEOUT, self.log.releases()).await {
+        let answer = timeout(READ_TIMEOUT, self.log.releases()).await;
+        // Only now: a client that leaves while it waits has read nothing for others.
+        self.releases_read_at.set(Some(self.clock.now()));
+        match answer {
             Ok(Ok(releases)) => {
                 info!(self.logger, "releases read"; "releases" => ?releases);
                 let mut table = self.table.borrow_mut();
@@ -250,12 +272,18 @@
             }
             if has_begun {
                 // The planner before may have changed them.
-                self.table.borrow_mut().forget_recorded();
+                self.forget_recorded();
             }
             self.write_releases().await;
         }
     }
 
+    /// Forgets which releases the log has; a planner lists them at once.
+    fn forget_recorded(&self) {
+        self.table.borrow_mut().forget_recorded();
+        self.releases_read_at.set(None);
+    }
+
     async fn write_releases(&self) {
         if !self.table.borrow().has_recorded() {
             let _reading = self.reading.lock().await;
@@ -272,6 +300,8 @@
             }
             Err(error) => {
                 warn!(self.logger, "releases not recorded"; "changes" => ?changes, "error" => %error);
+                // They may have been, if only the answer was lost.
+                self.forget_recorded();
             }
         }
     }
@@ -326,7 +356,7 @@
     async fn write(self: Rc<Self>) {
         loop {
             self.has_unsent.notified().await;
-            drop(timeout(FLUSH_DELAY, self.is_urgent.notified()).await);
+            drop(timeout(FLUSH_DELAY, self.flush_requested.notified()).await);
             let records = self.table.borrow_mut().unsent(self.clock.now());
             if records.is_empty() {
                 continue;
--- a/src/serve/origin/table.rs
+++ b/src/serve/origin/table.rs
@@ -9,11 +9,17 @@
 
 /// How long after its first event a stream may be resumed. Clients of the users wait for 15 s.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
+/// The longest time since a confirmation for which a list of endpoints counts as the current one: reads end within
+/// 1.5 s of one another, and one that is slow is no reason to doubt the list.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// The most streams of this daemon, and of others, that are remembered.
 const MAX_STREAMS: usize = 20_000;
 /// The most records that are written together.
 const MAX_BATCH: usize = 1_000;
 
+/// The attempt in a record that announces a release, and is of no stream.
+const ANNOUNCEMENT: &str = "";
+
 event! {
     /// What began a stream. It goes on at endpoints of the same service and release only.
     #[derive(Eq, Hash)]
@@ -53,7 +59,10 @@
 
 /// Streams and releases of the last `STREAM_LIFETIME`.
 pub struct Table {
-    started: Time,
+    /// When endpoints were first listed.
+    started: Option<Time>,
+    /// When the list of endpoints was last known to be the current one.
+    confirmed_at: Option<Time>,
     streams: IndexMap<id::Name, Stream>,
     /// When a release was last known to serve; none while it is listed.
     releases: IndexMap<Origin, Option<Time>>,
@@ -61,17 +70,21 @@
     recorded: Option<IndexSet<Origin>>,
     /// The releases of which other daemons can read a stream in the log.
     announced: IndexSet<Origin>,
+    /// The releases to announce before a stream of them has begun.
+    announcing: IndexSet<Origin>,
 }
 
 impl Table {
-    /// Makes a table of a daemon that starts now.
-    pub fn new(now: Time) -> Self {
+    /// Makes a table of a daemon that has just started.
+    pub fn new() -> Self {
         Self {
-            started: now,
+            started: None,
+            confirmed_at: None,
             streams: IndexMap::new(),
             releases: IndexMap::new(),
             recorded: None,
             announced: IndexSet::new(),
+            announcing: IndexSet::new(),
         }
     }
 
@@ -90,8 +103,10 @@
 
     fn insert(&mut self, record: Record, is_shared: bool, at: Time) {
         let Record { attempt, origin } = record;
-        let seen = self.releases.entry(origin.clone()).or_insert(Some(at));
-        *seen = seen.map(|seen| seen.max(at));
+        self.see(&origin, at);
+        if *attempt == *ANNOUNCEMENT {
+            return;
+        }
         let stream = Stream {
             origin,
             at,
@@ -105,15 +120,60 @@
         }
     }
 
+    fn see(&mut self, origin: &Origin, at: Time) {
+        let seen = self.releases.entry(origin.clone()).or_insert(Some(at));
+        *seen = seen.map(|seen| seen.max(at));
+    }
+
+    /// Records that a stream may begin at a release soon.
+    pub fn announce(&mut self, origin: &Origin, now: Time) {
+        self.see(origin, now);
+        if self.is_unannounced(origin) {
+            self.announcing.insert(origin.clone());
+        }
+    }
+
     /// Records the releases of all endpoints that are listed now.
     pub fn observe(&mut self, listed: impl Iterator<Item = Origin>, now: Time) {
+        // Before the new ones: a release that returns late has to be announced again.
+        self.expire(now);
+        let only = self.only_listed(now);
         for seen in self.releases.values_mut() {
             seen.get_or_insert(now);
         }
         for origin in listed {
+            self.started.get_or_insert(now);
             self.releases.insert(origin, None);
         }
-        self.expire(now);
+        for origin in only {
+            if self.release_count(&origin.service) > 1 {
+                self.announced.insert(origin);
+            }
+        }
+    }
+
+    /// Returns the releases that are the only ones of their services. Changes of endpoints are read in one order:
+    /// whoever lists a release that appears later lists them, too.
+    fn only_listed(&self, now: Time) -> Vec<Origin> {
+        let is_only = |origin: &&Origin| self.release_count(&origin.service) == 1;
+        let listed = self.listed().filter(|_| self.has_run_long(now));
+        listed.filter(is_only).cloned().collect()
+    }
+
+    /// Records that the list of endpoints is the current one.
+    pub fn confirm(&mut self, now: Time) {
+        if self.confirmed_at.is_some() && !self.is_confirmed(now) {
+            // What had left may have served meanwhile, unseen.
+            let gone = self.releases.values_mut().flatten();
+            gone.for_each(|seen| *seen = now);
+            self.forget_recorded();
+        }
+        self.confirmed_at = Some(now);
+    }
+
+    fn is_confirmed(&self, now: Time) -> bool {
+        let confirmed_at = self.confirmed_at;
+        confirmed_at.is_some_and(|confirmed_at| now <= confirmed_at + MAX_LIST_AGE)
     }
 
     /// Records which releases the log has. One that this daemon has not seen may have served until now.
@@ -138,7 +198,7 @@
     /// Returns whether all releases at which a stream of a service can have begun are known: those that have
     /// left are known from the time of this daemon, and otherwise from the log, if that is complete.
     pub fn knows_releases(&self, service: &id::Pool, now: Time) -> bool {
-        if !is_recent(self.started, now) {
+        if self.has_run_long(now) {
             return true;
         }
         let Some(recorded) = &self.recorded else {
@@ -148,12 +208,18 @@
         listed.all(|origin| recorded.contains(origin))
     }
 
+    /// Returns whether this daemon has seen all releases leave of which streams may be resumed.
+    fn has_run_long(&self, now: Time) -> bool {
+        self.started.is_some_and(|started| !is_recent(started, now))
+    }
+
     fn listed(&self) -> impl Iterator<Item = &Origin> {
         let listed = self.releases.iter().filter(|(_, seen)| seen.is_none());
         listed.map(|(origin, _)| origin)
     }
 
-    /// Returns how the releases in the log have to change, if they are known. The last one of a service stays.
+    /// Returns how the releases in the log have to change, if they are known. The last one of a service stays,
+    /// and one that is gone stays while the list of endpoints may be old.
     pub fn changes(&mut self, now: Time) -> Vec<Change> {
         self.expire(now);
         let Some(recorded) = &self.recorded else {
@@ -169,7 +235,8 @@
         let is_replaced =
             |origin: &&Origin| self.listed().any(|other| other.service == origin.service);
         let gone = recorded.iter();
-        let gone = gone.filter(|origin| !self.releases.contains_key(*origin));
+        let is_confirmed = self.is_confirmed(now);
+        let gone = gone.filter(|origin| is_confirmed && !self.releases.contains_key(*origin));
         let gone = gone.filter(is_replaced).map(change(false));
         new.map(change(true)).chain(gone).collect()
     }
@@ -193,8 +260,9 @@
             .retain(|_, seen| seen.is_none_or(|seen| is_recent(seen, now)));
         self.streams.retain(|_, stream| is_recent(stream.at, now));
         let releases = &self.releases;
-        self.announced
-            .retain(|origin| releases.contains_key(origin));
+        for origins in [&mut self.announced, &mut self.announcing] {
+            origins.retain(|origin| releases.contains_key(origin));
+        }
     }
 
     fn release_count(&self, service: &id::Pool) -> usize {
@@ -208,27 +276,38 @@
         !stream.is_shared && self.release_count(&stream.origin.service) > 1
     }
 
-    /// Returns whether there are streams to write to the log.
+    fn announcements(&self) -> impl Iterator<Item = &Origin> {
+        let announcing = self.announcing.iter();
+        announcing.filter(|origin| self.is_unannounced(origin))
+    }
+
+    /// Returns whether there are streams or announcements to write to the log.
     pub fn has_unsent(&self) -> bool {
-        self.streams.values().any(|stream| self.is_unsent(stream))
+        self.announcements().next().is_some()
+            || self.streams.values().any(|stream| self.is_unsent(stream))
     }
 
-    /// Returns the streams to write to the log.
+    /// Returns the announcements and the streams to write to the log.
     pub fn unsent(&mut self, now: Time) -> Vec<Record> {
         self.expire(now);
+        let announcements = self.announcements().map(|origin| Record {
+            attempt: ANNOUNCEMENT.into(),
+            origin: origin.clone(),
+        });
         let streams = self.streams.iter();
         let unsent = streams.filter(|(_, stream)| self.is_unsent(stream));
         let records = unsent.map(|(attempt, stream)| Record {
             attempt: attempt.clone(),
             origin: stream.origin.clone(),
         });
-        records.take(MAX_BATCH).collect()
+        announcements.chain(records).take(MAX_BATCH).collect()
     }
 
-    /// Records that streams were written to the log.
+    /// Records that announcements and streams were written to the log.
     pub fn set_sent(&mut self, records: &[Record]) {
         for record in records {
             self.announced.insert(record.origin.clone());
+            self.announcing.swap_remove(&record.origin);
             if let Some(stream) = self.streams.get_mut(&record.attempt) {
                 stream.is_shared = true;
             }
@@ -259,16 +338,16 @@
         Some(stream.origin.clone())
     }
 
-    /// Returns the only release of a service at which a stream without a record can have begun. A daemon
-    /// that has started since, and has not read the log, does not know which ones have left; nor does it if
-    /// it does not [know the releases](Self::knows_releases).
-    pub fn only_release(&self, service: &id::Pool, is_log_read: bool, now: Time) -> Option<Origin> {
-        let has_seen_all = is_log_read || !is_recent(self.started, now);
+    /// Returns the only release of a service at which a stream without a record can have begun. A daemon that does
+    /// not know from the log which ones [have served](Self::knows_releases) must have run for long, and its list
+    /// of endpoints be the current one.
+    pub fn only_release(&self, service: &id::Pool, knows_all: bool, now: Time) -> Option<Origin> {
+        let has_seen_all = self.has_run_long(now) && self.is_confirmed(now);
         let is_possible = |(origin, seen): &(&Origin, &Option<Time>)| {
             origin.service == *service && seen.is_none_or(|seen| is_recent(seen, now))
         };
         let mut possible = self.releases.iter().filter(is_possible);
-        let (origin, _) = possible.next().filter(|_| has_seen_all)?;
+        let (origin, _) = possible.next().filter(|_| knows_all || has_seen_all)?;
         possible.next().is_none().then(|| origin.clone())
     }
 }
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -20,18 +20,30 @@
     }
 }
 
-fn only(table: &Table, is_log_read: bool, now: Time) -> Option<Origin> {
-    table.only_release(&"s".into(), is_log_read, now)
+fn only(table: &Table, knows_all: bool, now: Time) -> Option<Origin> {
+    table.only_release(&"s".into(), knows_all, now)
 }
 
 /// Returns a table of a daemon that has run for long, with endpoints of these releases.
 fn table(releases: &[&str]) -> (Table, Time) {
     let now = STREAM_LIFETIME * 2;
-    let mut table = Table::new(Duration::ZERO);
-    table.observe(releases.iter().map(|release| origin(release)), now);
+    let mut table = Table::new();
+    let listed = || releases.iter().map(|release| origin(release));
+    table.observe(listed(), Duration::ZERO);
+    table.observe(listed(), now);
+    table.confirm(now);
     (table, now)
 }
 
+/// Confirms the list of endpoints each second.
+fn confirm(table: &mut Table, from: Time, to: Time) {
+    let mut now = from;
+    while now <= to {
+        table.confirm(now);
+        now += SECOND;
+    }
+}
+
 #[test]
 fn only_release_while_there_is_one() {
     let (mut table, now) = table(&["v1"]);
@@ -52,7 +64,7 @@
 /// Guards against a guess by a daemon that has just started, after all endpoints of a release have left.
 #[test]
 fn only_release_unknown_after_start_without_log() {
-    let mut table = Table::new(100 * SECOND);
+    let mut table = Table::new();
     table.observe([origin("v2")].into_iter(), 101 * SECOND);
     assert_eq!(only(&table, false, 102 * SECOND), None);
     assert_eq!(only(&table, true, 102 * SECOND), Some(origin("v2")));
@@ -107,6 +119,10 @@
 struct MemoryLog {
     batches: RefCell<Vec<Batch>>,
     is_down: Cell<bool>,
+    /// Whether the list of releases takes longer than a client waits.
+    is_slow: Cell<bool>,
+    /// Whether the answers to writes of releases are lost.
+    loses_answers: Cell<bool>,
     reads: Cell<usize>,
     releases: RefCell<indexmap::IndexSet<Origin>>,
     /// The number of calls that wrote releases.
@@ -143,6 +159,9 @@
     }
 
     fn releases(&self) -> LocalBoxFuture<'_, Result<Vec<Origin>, Error>> {
+        if self.is_slow.get() {
+            return Box::pin(std::future::pending());
+        }
         let releases = self.releases.borrow().iter().cloned().collect();
         let checked = self.check("listing the releases of");
         Box::pin(std::future::ready(checked.map(|()| releases)))
@@ -162,6 +181,10 @@
                 }
             }
         }
+        if self.loses_answers.get() {
+            let (step, reason) = ("writing releases to", "no answer".to_owned());
+            return Box::pin(std::future::ready(Err(Error { step, reason })));
+        }
         Box::pin(std::future::ready(checked))
     }
 }
@@ -337,6 +360,7 @@
     table.set_recorded(&second);
     assert_eq!(table.changes(now + STREAM_LIFETIME), []);
     let later = now + STREAM_LIFETIME + 2 * SECOND;
+    confirm(&mut table, now, later);
     assert_eq!(table.changes(later), [change("v1", false)]);
 }
 
@@ -352,7 +376,7 @@
 /// Guards against a planner that removes a release because it has not seen it itself.
 #[test]
 fn changes_keep_a_release_that_left_before_the_daemon_started() {
-    let mut table = Table::new(100 * SECOND);
+    let mut table = Table::new();
     table.observe([origin("v2")].into_iter(), 101 * SECOND);
     let recorded = || [origin("v1"), origin("v2")].into_iter();
     table.learn_releases(recorded(), 102 * SECOND);
@@ -360,6 +384,7 @@
     assert!(table.knows_releases(&"s".into(), 103 * SECOND));
     assert_eq!(only(&table, true, 103 * SECOND), None);
     let later = 103 * SECOND + STREAM_LIFETIME;
+    confirm(&mut table, 103 * SECOND, later);
     assert_eq!(only(&table, true, later), Some(origin("v2")));
     assert_eq!(table.changes(later), [change("v1", false)]);
 }
@@ -394,3 +419,147 @@
         assert_eq!(began.elapsed(), waited);
     });
 }
+
+/// Guards against a planner that takes a release for recorded, though its removal has landed.
+#[test]
+fn keep_releases_lists_again_after_a_lost_answer() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        log.loses_answers.set(true);
+        let planner = record_releases(&log, "v1").await;
+        log.loses_answers.set(false);
+        planner.observe([origin("v1")].into_iter());
+        tokio::time::sleep(3 * SECOND).await;
+        assert_eq!(log.release_writes.get(), 1, "it had landed");
+    });
+}
+
+/// Guards against a client that leaves while it waits for the releases: others may still ask for them.
+#[test]
+fn find_reads_releases_again_after_a_client_left() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        record_releases(&log, "v1").await;
+        let daemon = start_listing(&log, &["v1"]);
+        log.is_slow.set(true);
+        let service = "s".into();
+        let left = timeout(Duration::from_millis(10), daemon.find(None, &service)).await;
+        assert!(left.is_err(), "the client has left");
+        log.is_slow.set(false);
+        assert_eq!(daemon.find(None, &service).await, Some(origin("v1")));
+    });
+}
+
+/// Guards against a planner that waits with the record, since a client was told just now that there is none.
+#[test]
+fn keep_releases_reads_at_once_when_it_begins_to_plan() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let planner = start_listing(&log, &["v1"]);
+        assert_eq!(planner.find(None, &"s".into()).await, None);
+        spawn_local(planner.clone().keep_releases(|| true));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(log.release_writes.get(), 1);
+    });
+}
+
+/// Guards against a planner that was frozen, or did not get the list, while a release came back.
+#[test]
+fn changes_keep_a_release_that_may_have_served_unseen() {
+    let (mut table, now) = table(&["v1", "v2"]);
+    let recorded = || [origin("v1"), origin("v2")].into_iter();
+    table.learn_releases(recorded(), now);
+    table.observe([origin("v2")].into_iter(), now);
+    let later = now + 2 * STREAM_LIFETIME;
+    assert_eq!(table.changes(later), [], "the list is not confirmed");
+    table.confirm(later);
+    assert!(!table.has_recorded(), "it is listed again");
+    table.learn_releases(recorded(), later);
+    assert_eq!(table.changes(later), [], "it may have served until now");
+    let last = later + STREAM_LIFETIME + SECOND;
+    confirm(&mut table, later, last);
+    assert_eq!(table.changes(last), [change("v1", false)]);
+}
+
+/// Guards against a guess from an old list, by a daemon that the store turns away.
+#[test]
+fn only_release_without_log_needs_confirmed_list() {
+    let (mut table, now) = table(&["v1"]);
+    let later = now + 10 * SECOND;
+    assert_eq!(only(&table, false, later), None);
+    assert_eq!(only(&table, true, later), Some(origin("v1")));
+    table.confirm(later);
+    assert_eq!(only(&table, false, later), Some(origin("v1")));
+}
+
+/// Guards against a daemon whose first list comes late: it has not seen which releases have left before.
+#[test]
+fn only_release_unknown_after_late_first_list() {
+    let mut table = Table::new();
+    table.observe(std::iter::empty(), Duration::ZERO);
+    table.observe([origin("v2")].into_iter(), 100 * SECOND);
+    table.confirm(100 * SECOND);
+    assert!(!table.knows_releases(&"s".into(), 101 * SECOND));
+    assert_eq!(only(&table, false, 101 * SECOND), None);
+}
+
+/// Guards against a first event that does not wait, since its release was announced long ago.
+#[test]
+fn observe_forgets_announcement_of_a_release_that_returns_late() {
+    let (mut table, now) = table(&["v1", "v2"]);
+    table.learn(record("a", "v1"), Duration::ZERO, now);
+    assert!(!table.is_unannounced(&origin("v1")));
+    table.observe([origin("v2")].into_iter(), now);
+    let later = now + STREAM_LIFETIME + SECOND;
+    table.observe([origin("v1"), origin("v2")].into_iter(), later);
+    assert!(table.is_unannounced(&origin("v1")));
+}
+
+/// Guards against streams of an old release that wait, though all daemons list it.
+#[test]
+fn observe_counts_the_only_release_as_announced() {
+    let (mut table, now) = table(&["v1"]);
+    table.observe([origin("v1"), origin("v2")].into_iter(), now);
+    assert!(!table.is_unannounced(&origin("v1")));
+    assert!(table.is_unannounced(&origin("v2")));
+    let mut table = Table::new();
+    table.observe([origin("v1"), origin("v2")].into_iter(), now);
+    assert!(table.is_unannounced(&origin("v1")), "listed together");
+}
+
+/// An attempt that is sent may bring no event, and its stream begin at another release.
+#[test]
+fn announce_records_no_stream() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let (first, second) = (start(&log), start_listing(&log, &["v1"]));
+        first.announce(&origin("v2"));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(log.batches.borrow().len(), 1, "at once");
+        assert_eq!(second.find(None, &"s".into()).await, None);
+        let began = tokio::time::Instant::now();
+        first.begin(&"a".into(), origin("v2")).await;
+        assert_eq!(began.elapsed(), Duration::ZERO, "it is announced");
+        let unnamed = second.find(Some(&"".into()), &"s".into()).await;
+        assert_eq!(unnamed, None);
+    });
+}
+
+/// Guards against a second stream that waits on after the first one has given up.
+#[test]
+fn begin_gives_up_for_all_streams_of_a_release() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let daemon = start(&log);
+        log.is_down.set(true);
+        let later = async {
+            tokio::time::sleep(ANNOUNCE_TIMEOUT / 2).await;
+            let began = tokio::time::Instant::now();
+            daemon.begin(&"b".into(), origin("v1")).await;
+            began.elapsed()
+        };
+        let first = "a".into();
+        let (_, waited) = tokio::join!(daemon.begin(&first, origin("v1")), later);
+        assert!(waited <= ANNOUNCE_TIMEOUT / 2 + Duration::from_millis(2));
+    });
+}
