--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -43,8 +43,22 @@
     }
 }
 
+/// The API key of the workspace.
+const KEY: &str = "key-of-school";
+
 /// Sends a request and reads its answer.
 pub fn request(front: SocketAddr, path: &str, fields: &str, deadline: Duration) -> Answer {
+    request_with_key(front, path, fields, deadline, KEY)
+}
+
+/// The same with another key.
+pub fn request_with_key(
+    front: SocketAddr,
+    path: &str,
+    fields: &str,
+    deadline: Duration,
+    key: &str,
+) -> Answer {
     let mut answer = Answer::none();
     let Ok(mut connection) = Connection::connect(front) else {
         return answer;
@@ -56,7 +70,7 @@
     );
     let body = "what is to be planned";
     let text = format!(
-        "POST {path} HTTP/1.1\r\nHost: lunch.example\r\n{fields}Deadline-Ms: {}\r\nX-Api-Key: key-of-school\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST {path} HTTP/1.1\r\nHost: lunch.example\r\n{fields}Deadline-Ms: {}\r\nX-Api-Key: {key}\r\nContent-Length: {}\r\n\r\n{body}",
         deadline.as_millis(),
         body.len()
     );
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod store;
 
 mod carrier;
+mod copy;
 mod endless;
 mod late_answer;
 mod versions;
@@ -51,6 +52,7 @@
     let verdict = match case.as_str() {
         "carrier-killed" => carrier::run(&stage, daemon::SIGKILL),
         "carrier-stopped" => carrier::run(&stage, daemon::SIGTERM),
+        "copy" => copy::run(&stage),
         "endless" => endless::run(&stage),
         "versions" => versions::run(&stage),
         "late-answer" => late_answer::run(&stage),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,11 +19,17 @@
 /// Whether the store turns one daemon away.
 pub type Refusing = Arc<AtomicBool>;
 
+/// Records without their length, by topic.
+type Topics = HashMap<String, Vec<Vec<u8>>>;
+
 #[derive(Default)]
 pub struct Store {
-    /// Records without their length, by topic.
-    topics: Mutex<HashMap<String, Vec<Vec<u8>>>>,
+    topics: Mutex<Topics>,
     appended: Condvar,
+    /// How often it has come back from a copy.
+    copies: AtomicU64,
+    /// Whether it is away: nobody gets an answer.
+    is_away: AtomicBool,
 }
 
 fn query<'a>(target: &'a str, name: &str) -> Option<&'a str> {
@@ -98,6 +104,29 @@
         (offset, log.len())
     }
 
+    /// Returns a copy of what it holds.
+    pub fn copy(&self) -> Topics {
+        self.topics.lock().expect("no panic").clone()
+    }
+
+    /// Goes away: open calls end without an answer.
+    pub fn leave(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+        self.wake();
+    }
+
+    /// Comes back from a copy; offsets are given out again.
+    pub fn come_back(&self, copy: Topics) {
+        let mut topics = self.topics.lock().expect("no panic");
+        *topics = copy;
+        self.copies.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
+    fn era(&self) -> String {
+        format!("Store-Era: {}\r\n", 1 + self.copies.load(Ordering::SeqCst))
+    }
+
     /// Has waiting reads look whether they are turned away.
     pub fn wake(&self) {
         let _topics = self.topics.lock().expect("no panic");
@@ -113,9 +142,15 @@
         while let Some(head) = connection.head()? {
             let mut body = Vec::new();
             connection.body(&head, &mut body)?;
+            if self.is_away.load(Ordering::SeqCst) {
+                return Ok(());
+            }
             let mut answer = self.answer(head.target(), &body, links, refusing);
+            if self.is_away.load(Ordering::SeqCst) {
+                return Ok(());
+            }
             if refusing.load(Ordering::SeqCst) {
-                answer = response("503 Service Unavailable", "Store-Era: 1\r\n", b"");
+                answer = response("503 Service Unavailable", &self.era(), b"");
             }
             thread::sleep(ANSWER_TIME);
             connection.send(&answer)?;
@@ -133,7 +168,8 @@
         let topic = query(target, "topic").unwrap_or_default();
         let number = |name| query(target, name).and_then(|text| text.parse::<u64>().ok());
         let is_servers = topic == "keyed.servers";
-        let fields = "Store-Era: 1\r\nContent-Type: application/json\r\n";
+        let era = self.era();
+        let fields = &format!("{era}Content-Type: application/json\r\n");
         let path = target.split('?').next().unwrap_or_default();
         match path {
             "/v1/log-append" => {
@@ -178,7 +214,9 @@
                 loop {
                     let end = topics.get(topic).map_or(0, Vec::len);
                     let left = deadline.saturating_duration_since(Instant::now());
-                    if end > from || left.is_zero() || refusing.load(Ordering::SeqCst) {
+                    let is_over =
+                        refusing.load(Ordering::SeqCst) || self.is_away.load(Ordering::SeqCst);
+                    if end > from || left.is_zero() || is_over {
                         break;
                     }
                     let waited = self.appended.wait_timeout(topics, left);
@@ -195,7 +233,7 @@
                     page.extend_from_slice(&(record.len() as u32).to_be_bytes());
                     page.extend_from_slice(&record);
                 }
-                response("200 OK", "Store-Era: 1\r\n", &page)
+                response("200 OK", &era, &page)
             }
             _ => response("404 Not Found", fields, b"{}"),
         }
