--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -166,6 +166,12 @@
 }
 
 # One planned request; it ends with `leave`, or with the connection.
+# Requests that clients sent to a service.
+struct Arrivals {
+  service @0 :Text;
+  count @1 :UInt32;
+}
+
 interface Seat {
   wait @0 () -> (reply :Reply);
   # `pace` is how long work takes on the endpoint's VM at this moment, in percent of the usual time; 0 when
@@ -185,7 +191,9 @@
   place @0 (job :Job) -> (seat :Seat);
   # Says that the daemon is alive, whether it is about to stop, and what it knows of the store.
   # `moreMarks` are those of topics that daemons of earlier versions don't know.
-  ping @1 () -> (leaving :Bool, marks :List(Mark), moreMarks :List(Mark));
+  # A daemon of the same region names itself, and the requests that came to it since its last ping: it lends
+  # its share of the budgets of retries to a daemon that says that it pools them.
+  ping @1 (daemon :Text, requests :List(Arrivals)) -> (leaving :Bool, marks :List(Mark), moreMarks :List(Mark), isPooling :Bool);
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
   # With the configuration it names the zones that operators evacuate; daemons of earlier versions don't
@@ -200,4 +208,6 @@
   # Tells that the caller has this daemon plan for it, who is of the same region. Daemons of earlier versions
   # don't know it.
   follow @5 (daemon :Text) -> ();
+  # Takes one retry from the budget of a service.
+  spend @6 (service :Text) -> (isGranted :Bool);
 }
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -106,6 +106,8 @@
     first_byte: Option<Duration>,
     sent: u32,
     not_run: u32,
+    /// Whether it ended since the budget of retries had none left.
+    is_over_budget: bool,
     is_logged: bool,
 }
 
@@ -269,7 +271,7 @@
             "release" => self.release.borrow().as_deref(),
             "resumes" => fields.resumes.as_deref(), "last_event" => fields.last_event.as_deref(),
             "sent" => fields.sent, "detour" => fields.is_detour,
-            "turned" => fields.not_run, "ms" => took.as_millis() as u64,
+            "turned" => fields.not_run, "over_budget" => fields.is_over_budget, "ms" => took.as_millis() as u64,
             "planned_ms" => millis(fields.planned), "first_ms" => millis(fields.first_byte),
             "config" => self.node.catalog().version, "config_age_ms" => age,
             "may_have_run" => self.may_have_run.get());
@@ -505,7 +507,7 @@
                     .final_outcome(client, "the version that began the stream is not known");
             }
             // What no endpoint saw is no load.
-            if !is_withheld && !node.spend_retry(&request.service) {
+            if !is_withheld && !self.spend_retry(request) {
                 return self.final_outcome(client, reason);
             }
             let retried = tokio::select! {
@@ -535,6 +537,19 @@
         }
     }
 
+    /// Takes a retry from the budget of the request's service; returns whether there was one.
+    fn spend_retry(&self, request: &AcceptedRequest) -> bool {
+        let is_granted = self.node.spend_retry(&request.service);
+        self.log_fields.borrow_mut().is_over_budget = !is_granted;
+        let counter = if is_granted {
+            "retry.granted"
+        } else {
+            "retry.over_budget"
+        };
+        self.node.meter.count(counter);
+        is_granted
+    }
+
     /// Returns whether the request may be sent again although it may have run.
     fn may_repeat(&self, request: &AcceptedRequest) -> bool {
         request.route.kind.is_repeatable()
