Choose endpoints that turn requests away after others

A refusal said nothing of an endpoint beyond the next 100 ms, so endpoints that turn four requests in five away were tried again and again, each try at the cost of a retry and some 80 ms. Now refusals count like failures, without ejecting the endpoint and with a half-life of 8 s.

The planner's test had 356 refusals for 200 requests before, 20 are allowed.

--- a/src/serve/health.rs
+++ b/src/serve/health.rs
@@ -7,6 +7,10 @@
 
 /// The half-life of past failures and slow calls: long enough for a few requests.
 const HALF_LIFE: Duration = Duration::from_secs(4);
+/// The half-life of past refusals: what asks again costs a retry.
+const REFUSAL_HALF_LIFE: Duration = Duration::from_secs(8);
+/// The weight of a refusal: endpoints that work as they should have room for what they are granted.
+const REFUSAL_WEIGHT: f64 = 0.5;
 /// The weight of a new sample in the moving averages of duration and failures.
 const SMOOTHING: f64 = 0.25;
 /// The length of a first ejection; endpoints restart within seconds.
@@ -39,6 +43,7 @@
 pub struct Health {
     breaker: Breaker,
     failure_rate: f64,
+    refusal_rate: f64,
     slowness: f64,
     updated_at: Time,
 }
@@ -48,6 +53,7 @@
         Self {
             breaker: Breaker::default(),
             failure_rate: 0.0,
+            refusal_rate: 0.0,
             slowness: 1.0,
             updated_at: Time::ZERO,
         }
@@ -56,9 +62,10 @@
 
 impl Health {
     fn decay(&mut self, now: Time) {
-        let half_lives =
-            now.saturating_sub(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let factor = 0.5_f64.powf(half_lives);
+        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+        let factor = |half_life: Duration| 0.5_f64.powf(elapsed / half_life.as_secs_f64());
+        self.refusal_rate *= factor(REFUSAL_HALF_LIFE);
+        let factor = factor(HALF_LIFE);
         self.failure_rate *= factor;
         self.slowness = 1.0 + (self.slowness - 1.0) * factor;
         self.updated_at = now;
@@ -76,6 +83,13 @@
         copy.failure_rate
     }
 
+    /// Returns the share of calls that it refuses, from 0 to 1.
+    pub fn refusal_rate(&self, now: Time) -> f64 {
+        let mut copy = self.clone();
+        copy.decay(now);
+        copy.refusal_rate
+    }
+
     /// Returns the duration of calls as a multiple of the expected one.
     pub fn slowness(&self, now: Time) -> f64 {
         let mut copy = self.clone();
@@ -105,6 +119,7 @@
         match verdict {
             Verdict::Good => {
                 self.failure_rate *= 1.0 - SMOOTHING;
+                self.refusal_rate *= 1.0 - SMOOTHING;
                 self.breaker.succeed();
                 false
             }
@@ -118,7 +133,12 @@
                 }
                 eject
             }
-            Verdict::Refused | Verdict::Unknown => {
+            Verdict::Refused => {
+                self.refusal_rate += REFUSAL_WEIGHT * (1.0 - self.refusal_rate);
+                self.breaker.cancel(now);
+                false
+            }
+            Verdict::Unknown => {
                 self.breaker.cancel(now);
                 false
             }
--- a/src/serve/health/tests.rs
+++ b/src/serve/health/tests.rs
@@ -58,3 +58,16 @@
     assert!(slow > 3.0, "{slow}");
     assert!(health.slowness(at(20_000)) < 1.2);
 }
+
+#[test]
+fn refusals_count_and_decay() {
+    let mut health = Health::default();
+    health.call_ended(Verdict::Refused, at(0));
+    let once = health.refusal_rate(at(0));
+    health.call_ended(Verdict::Refused, at(0));
+    let twice = health.refusal_rate(at(0));
+    assert!(once > 0.4 && twice > once, "{once}, {twice}");
+    assert!(health.refusal_rate(at(8_000)) < 0.6 * twice);
+    health.call_ended(Verdict::Good, at(0));
+    assert!(health.refusal_rate(at(0)) < twice);
+}
--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -44,6 +44,8 @@
 const PREFERRED_ENGINE_BONUS_MS: f64 = 20.0;
 /// The cost of an engine whose requests all fail.
 const FAILURE_COST_MS: f64 = 600.0;
+/// The cost of an engine that refuses all requests: each costs a retry, of which there are few.
+const REFUSAL_COST_MS: f64 = 600.0;
 /// The bonus of an engine that may have no limit any more, which only its next answer tells.
 const ASK_BONUS_MS: f64 = 100.0;
 /// The cost of a prompt token that is fetched from another engine, besides its time; it is billed at about
@@ -539,6 +541,7 @@
             + f64::from(self.running) * RUNNING_COST_MS
             + remote * CROSS_ZONE_COST_MS_PER_MB
             + self.health.failure_rate(now) * FAILURE_COST_MS
+            + self.health.refusal_rate(now) * REFUSAL_COST_MS
             + zone_cost
             - preference * PREFERRED_ENGINE_BONUS_MS
     }
--- a/src/serve/plan/tests/engine.rs
+++ b/src/serve/plan/tests/engine.rs
@@ -17,6 +17,32 @@
     assert_eq!(refusals(&site.actions())[0].0, job_id);
 }
 
+/// Guards against engines that are tried again and again although they turn most requests away: each try costs a
+/// retry.
+#[test]
+fn requests_mostly_refused_by_engines_avoid_them() {
+    let engines = [("e", "a"), ("f", "a"), ("g", "a"), ("h", "a"), ("i", "a")];
+    let mut site = Site::new(&[], &engines);
+    let (mut refused, mut served) = (0, 0);
+    for number in 0..200 {
+        site.now = ms(50 * number);
+        let job_id = site.submit(site.job(&[], 2_000));
+        let mut granted = grants(&site.actions())[0].1.endpoint.clone();
+        // All but one turn four requests in five away.
+        while &*granted != "i" && (number + refused) % 5 > 0 {
+            refused += 1;
+            site.planner.ended(job_id, Verdict::Refused, site.now);
+            site.planner.retry(job_id, false, None, site.now);
+            granted = grants(&site.actions())[0].1.endpoint.clone();
+        }
+        served += 1;
+        site.planner.ended(job_id, Verdict::Good, site.now);
+        site.planner.remove(job_id, site.now);
+    }
+    assert_eq!(served, 200);
+    assert!(refused <= 20, "{refused} refused");
+}
+
 #[test]
 fn inputs_lost_at_the_engine_computed_again() {
     let mut site = Site::new(&[("m", "a")], &[("e", "a"), ("f", "a")]);
