Take up an unknown stream only after reading the log of streams

Streams went on at an engine of another version (ORDER): a daemon that the store turned away, or that was cut off or stood still for seconds while engines of a new version joined, took the only release that it listed for the one that began the stream. It guessed without the log for as long as its list of endpoints was confirmed within 2 s, but a release that appeared since has begun streams at other daemons. The class: knowledge of a moment ago taken for that of now. A list that is not confirmed does not show either which releases have left, however long the daemon has run.

Now an unknown stream is refused unless the log could be read after its request came, and, without the record of releases, unless the list is the current one. The test only_release_without_log_needs_confirmed_list asserted the wrong choice; find_none_without_the_log and only_release_unknown_with_old_list replace it. The first fails with the old condition: Some(v1).

--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -203,13 +203,18 @@
         if let Some(origin) = known() {
             return Some(origin);
         }
-        let knows_all = is_log_read && self.knows_releases(service).await;
-        let now = self.clock.now();
-        let only = self.table.borrow().only_release(service, knows_all, now);
-        if only.is_some() {
-            return only;
+        if !is_log_read {
+            // Other daemons may list a release that this one does not.
+            return None;
+        }
+        if self.knows_releases(service).await {
+            let now = self.clock.now();
+            let only = self.table.borrow().only_release(service, now);
+            if only.is_some() {
+                return only;
+            }
         }
-        if attempt.is_none() || !is_log_read {
+        if attempt.is_none() {
             return None;
         }
         tokio::time::sleep(RECORD_DELAY).await;
--- a/src/serve/origin/table.rs
+++ b/src/serve/origin/table.rs
@@ -196,9 +196,10 @@
     }
 
     /// Returns whether all releases at which a stream of a service can have begun are known: those that have
-    /// left are known from the time of this daemon, and otherwise from the log, if that is complete.
+    /// left are known from the time of this daemon, if its list of endpoints is the current one, and otherwise from
+    /// the log, if that is complete.
     pub fn knows_releases(&self, service: &id::Pool, now: Time) -> bool {
-        if self.has_run_long(now) {
+        if self.has_run_long(now) && self.is_confirmed(now) {
             return true;
         }
         let Some(recorded) = &self.recorded else {
@@ -338,16 +339,14 @@
         Some(stream.origin.clone())
     }
 
-    /// Returns the only release of a service at which a stream without a record can have begun. A daemon that does
-    /// not know from the log which ones [have served](Self::knows_releases) must have run for long, and its list
-    /// of endpoints be the current one.
-    pub fn only_release(&self, service: &id::Pool, knows_all: bool, now: Time) -> Option<Origin> {
-        let has_seen_all = self.has_run_long(now) && self.is_confirmed(now);
+    /// Returns the only release of a service at which a stream without a record can have begun, if the releases that
+    /// [have served](Self::knows_releases) are known, and all records in the log.
+    pub fn only_release(&self, service: &id::Pool, now: Time) -> Option<Origin> {
         let is_possible = |(origin, seen): &(&Origin, &Option<Time>)| {
             origin.service == *service && seen.is_none_or(|seen| is_recent(seen, now))
         };
         let mut possible = self.releases.iter().filter(is_possible);
-        let (origin, _) = possible.next().filter(|_| knows_all || has_seen_all)?;
+        let (origin, _) = possible.next()?;
         possible.next().is_none().then(|| origin.clone())
     }
 }
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -2,7 +2,7 @@
 
 use super::table::STREAM_LIFETIME;
 use super::*;
-use crate::clock::Boot;
+use crate::clock::{Boot, Manual};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -20,8 +20,12 @@
     }
 }
 
-fn only(table: &Table, knows_all: bool, now: Time) -> Option<Origin> {
-    table.only_release(&"s".into(), knows_all, now)
+fn only(table: &Table, now: Time) -> Option<Origin> {
+    table.only_release(&"s".into(), now)
+}
+
+fn knows(table: &Table, now: Time) -> bool {
+    table.knows_releases(&"s".into(), now)
 }
 
 /// Returns a table of a daemon that has run for long, with endpoints of these releases.
@@ -47,18 +51,14 @@
 #[test]
 fn only_release_while_there_is_one() {
     let (mut table, now) = table(&["v1"]);
-    assert_eq!(only(&table, false, now), Some(origin("v1")));
-    assert_eq!(table.only_release(&"other".into(), true, now), None);
+    assert_eq!(only(&table, now), Some(origin("v1")));
+    assert_eq!(table.only_release(&"other".into(), now), None);
     table.observe([origin("v1"), origin("v2")].into_iter(), now);
-    assert_eq!(only(&table, true, now), None);
+    assert_eq!(only(&table, now), None);
     table.observe([origin("v2")].into_iter(), now + SECOND);
-    assert_eq!(
-        only(&table, true, now + 2 * SECOND),
-        None,
-        "v1 may have begun it"
-    );
+    assert_eq!(only(&table, now + 2 * SECOND), None, "v1 may have begun it");
     let later = now + SECOND + STREAM_LIFETIME + SECOND;
-    assert_eq!(only(&table, true, later), Some(origin("v2")));
+    assert_eq!(only(&table, later), Some(origin("v2")));
 }
 
 /// Guards against a guess by a daemon that has just started, after all endpoints of a release have left.
@@ -66,14 +66,12 @@
 fn only_release_unknown_after_start_without_log() {
     let mut table = Table::new();
     table.observe([origin("v2")].into_iter(), 101 * SECOND);
-    assert_eq!(only(&table, false, 102 * SECOND), None);
-    assert_eq!(only(&table, true, 102 * SECOND), Some(origin("v2")));
+    assert!(!knows(&table, 102 * SECOND));
+    table.learn_releases([origin("v2")].into_iter(), 102 * SECOND);
+    assert!(knows(&table, 102 * SECOND));
+    assert_eq!(only(&table, 102 * SECOND), Some(origin("v2")));
     table.learn(record("a", "v1"), 5 * SECOND, 102 * SECOND);
-    assert_eq!(
-        only(&table, true, 102 * SECOND),
-        None,
-        "v1 has served of late"
-    );
+    assert_eq!(only(&table, 102 * SECOND), None, "v1 has served of late");
 }
 
 #[test]
@@ -81,7 +79,7 @@
     let (mut table, now) = table(&["v2"]);
     table.learn(record("a", "v1"), STREAM_LIFETIME + SECOND, now);
     assert_eq!(table.find(&"a".into()), None);
-    assert_eq!(only(&table, true, now), Some(origin("v2")));
+    assert_eq!(only(&table, now), Some(origin("v2")));
 }
 
 #[test]
@@ -111,7 +109,7 @@
     let (mut table, now) = table(&["v1"]);
     table.begin(record("a", "v2"), now);
     assert!(table.has_unsent());
-    assert_eq!(only(&table, true, now), None);
+    assert_eq!(only(&table, now), None);
 }
 
 /// A log in memory, which may be down.
@@ -194,7 +192,10 @@
 }
 
 fn start_listing(log: &Rc<MemoryLog>, releases: &[&str]) -> Rc<Origins> {
-    let clock: Rc<dyn Clock> = Rc::new(Boot::new());
+    start_at(log, releases, Rc::new(Boot::new()))
+}
+
+fn start_at(log: &Rc<MemoryLog>, releases: &[&str], clock: Rc<dyn Clock>) -> Rc<Origins> {
     let logger = Logger::root(slog::Discard, slog::o!());
     let origins = Origins::start(log.clone(), clock, logger);
     origins.observe(releases.iter().map(|release| origin(release)));
@@ -382,10 +383,10 @@
     table.learn_releases(recorded(), 102 * SECOND);
     assert_eq!(table.changes(103 * SECOND), []);
     assert!(table.knows_releases(&"s".into(), 103 * SECOND));
-    assert_eq!(only(&table, true, 103 * SECOND), None);
+    assert_eq!(only(&table, 103 * SECOND), None);
     let later = 103 * SECOND + STREAM_LIFETIME;
     confirm(&mut table, 103 * SECOND, later);
-    assert_eq!(only(&table, true, later), Some(origin("v2")));
+    assert_eq!(only(&table, later), Some(origin("v2")));
     assert_eq!(table.changes(later), [change("v1", false)]);
 }
 
@@ -481,15 +482,34 @@
     assert_eq!(table.changes(last), [change("v1", false)]);
 }
 
-/// Guards against a guess from an old list, by a daemon that the store turns away.
+/// Guards against a guess from an old list: a daemon that stood still has not seen which releases have come.
 #[test]
-fn only_release_without_log_needs_confirmed_list() {
+fn only_release_unknown_with_old_list() {
     let (mut table, now) = table(&["v1"]);
+    assert!(knows(&table, now));
     let later = now + 10 * SECOND;
-    assert_eq!(only(&table, false, later), None);
-    assert_eq!(only(&table, true, later), Some(origin("v1")));
+    assert!(!knows(&table, later));
     table.confirm(later);
-    assert_eq!(only(&table, false, later), Some(origin("v1")));
+    assert!(knows(&table, later));
+}
+
+/// Guards against a guess by a daemon that the store turns away: its list was the current one a moment ago, and a
+/// release that has come since is known to the others only.
+#[test]
+fn find_none_without_the_log() {
+    on_paused_time(|| async {
+        let log = Rc::new(MemoryLog::default());
+        let clock = Rc::new(Manual::default());
+        let daemon = start_at(&log, &["v1"], clock.clone());
+        clock.advance(STREAM_LIFETIME + SECOND);
+        daemon.confirm();
+        log.is_down.set(true);
+        assert_eq!(daemon.find(Some(&"a".into()), &"s".into()).await, None);
+        log.is_down.set(false);
+        clock.advance(READ_RETRY_DELAY);
+        let found = daemon.find(Some(&"a".into()), &"s".into()).await;
+        assert_eq!(found, Some(origin("v1")));
+    });
 }
 
 /// Guards against a daemon whose first list comes late: it has not seen which releases have left before.
@@ -500,7 +520,6 @@
     table.observe([origin("v2")].into_iter(), 100 * SECOND);
     table.confirm(100 * SECOND);
     assert!(!table.knows_releases(&"s".into(), 101 * SECOND));
-    assert_eq!(only(&table, false, 101 * SECOND), None);
 }
 
 /// Guards against a first event that does not wait, since its release was announced long ago.
