--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -214,9 +214,7 @@
                 return only;
             }
         }
-        if attempt.is_none() {
-            return None;
-        }
+        attempt?;
         tokio::time::sleep(RECORD_DELAY).await;
         self.read().await;
         known()
