Save up the share of retries of a daemon on a new VM

A share begins empty since the process before may have spent it; where there was none, nothing can have been spent. A daemon now lists the entries of the others before it registers, and tells its first pool once if it found no entry of its own.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -192,8 +192,9 @@
   # Says that the daemon is alive, whether it is about to stop, and what it knows of the store.
   # `moreMarks` are those of topics that daemons of earlier versions don't know.
   # A daemon of the same region names itself, and the requests that came to it since its last ping: it lends
-  # its share of the budgets of retries to a daemon that says that it pools them.
-  ping @1 (daemon :Text, requests :List(Arrivals)) -> (leaving :Bool, marks :List(Mark), moreMarks :List(Mark), isPooling :Bool);
+  # its share of the budgets of retries to a daemon that says that it pools them. `isNew` tells once that no process
+  # has used that share before.
+  ping @1 (daemon :Text, requests :List(Arrivals), isNew :Bool) -> (leaving :Bool, marks :List(Mark), moreMarks :List(Mark), isPooling :Bool);
   # Returns a topic's newest record, compressed, and the offset up to which it is the newest; no data
   # when there is none to hand out.
   # With the configuration it names the zones that operators evacuate; daemons of earlier versions don't
--- a/src/serve/budget.rs
+++ b/src/serve/budget.rs
@@ -3,7 +3,7 @@
 //! One place counts for a region: each daemon lends its share to the daemon that plans for it, and keeps it only
 //! while there is none. See [the design note](../../docs/design/retry-budget.md).
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -39,6 +39,15 @@
         /// Their number.
         pub count: u32,
     }
+
+    /// What a daemon tells the one to which it lends its share.
+    #[derive(Default)]
+    pub struct Loan {
+        /// The requests that no pool has counted yet.
+        pub arrivals: Vec<Arrivals>,
+        /// Whether no process has used its share before, so that it is saved up.
+        pub is_new: bool,
+    }
 }
 
 impl Default for Bound {
@@ -146,8 +155,15 @@
     }
 
     /// Records that a daemon lends its share, and the requests that came to it since it did so before.
-    pub fn lend(&mut self, daemon: &id::Daemon, arrivals: &[Arrivals], now: Time) {
+    pub fn lend(&mut self, daemon: &id::Daemon, loan: &Loan, now: Time) {
         self.forget_if_suspended(now);
+        let Loan { arrivals, is_new } = loan;
+        if *is_new {
+            let saved = SAVED_SHARE * self.share(1);
+            let accounts = self.accounts.values_mut();
+            let accounts = accounts.chain(std::iter::once(&mut self.unused));
+            accounts.for_each(|account| account.left += saved);
+        }
         let lender = self.lenders.entry(daemon.clone()).or_insert(Lender {
             heard_at: now,
             recent: IndexMap::new(),
@@ -163,6 +179,12 @@
         }
     }
 
+    /// Returns the part of the slack that belongs to so many daemons.
+    fn share(&self, lenders: usize) -> f64 {
+        let daemons = self.daemons.map_or(f64::INFINITY, |daemons| daemons as f64);
+        self.bound.slack * lenders as f64 / daemons
+    }
+
     /// Ends the loan of a daemon.
     pub fn end_loan(&mut self, daemon: &id::Daemon, now: Time) {
         if self.lenders.swap_remove(daemon).is_some() {
@@ -186,13 +208,8 @@
         self.forget_if_suspended(now);
         self.lenders
             .retain(|_, lender| now < lender.heard_at + LOAN_TIME);
-        let Bound {
-            ratio,
-            slack,
-            window,
-        } = self.bound;
-        let daemons = self.daemons.map_or(f64::INFINITY, |daemons| daemons as f64);
-        let share = slack * self.lenders.len() as f64 / daemons;
+        let Bound { ratio, window, .. } = self.bound;
+        let share = self.share(self.lenders.len());
         let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
         let windows = elapsed / window.as_secs_f64().max(f64::MIN_POSITIVE);
         self.filled_at = now;
@@ -227,6 +244,8 @@
     pool: RefCell<Pool>,
     /// The requests that no pool has counted yet.
     uncounted: RefCell<IndexMap<id::Pool, u32>>,
+    /// Whether no process has used the own share before, and no pool has been told.
+    is_new: Cell<bool>,
 }
 
 impl Budget {
@@ -236,9 +255,15 @@
             own,
             pool: RefCell::default(),
             uncounted: RefCell::default(),
+            is_new: Cell::new(false),
         }
     }
 
+    /// Records that no process has run on this VM before.
+    pub fn set_new(&self) {
+        self.is_new.set(true);
+    }
+
     /// Sets the operators' bound.
     pub fn set_bound(&self, bound: Bound) {
         self.pool.replace(Pool::new(bound));
@@ -261,18 +286,20 @@
         *count = count.saturating_add(1);
     }
 
-    /// Returns the requests that no pool has counted yet, which are counted once: what is lost on the way to a
-    /// pool only makes it smaller.
-    pub fn take_uncounted(&self) -> Vec<Arrivals> {
+    /// Returns what to tell a pool. It counts once: what is lost on the way only makes the pool smaller.
+    pub fn take_loan(&self) -> Loan {
         let uncounted = self.uncounted.take().into_iter();
         let arrivals = uncounted.map(|(service, count)| Arrivals { service, count });
-        arrivals.collect()
+        Loan {
+            arrivals: arrivals.collect(),
+            is_new: self.is_new.take(),
+        }
     }
 
     /// Keeps the share of this daemon, since nobody else pools it.
     pub fn keep(&self, now: Time) {
-        let arrivals = self.take_uncounted();
-        self.pool().lend(&self.own, &arrivals, now);
+        let loan = self.take_loan();
+        self.pool().lend(&self.own, &loan, now);
     }
 
     /// Records that another daemon has the share of this one.
--- a/src/serve/budget/tests.rs
+++ b/src/serve/budget/tests.rs
@@ -31,9 +31,12 @@
     format!("f{number}").as_str().into()
 }
 
-fn requests(count: u32) -> Vec<Arrivals> {
+fn requests(count: u32) -> Loan {
     let service = service();
-    vec![Arrivals { service, count }]
+    Loan {
+        arrivals: vec![Arrivals { service, count }],
+        is_new: false,
+    }
 }
 
 fn pool(daemons: usize) -> Pool {
@@ -66,11 +69,25 @@
 fn spend_new_pool_empty() {
     let mut pool = pool(DAEMONS);
     for number in 0..DAEMONS {
-        pool.lend(&name(number), &[], Time::ZERO);
+        pool.lend(&name(number), &Loan::default(), Time::ZERO);
     }
     assert_eq!(drain(&mut pool, Time::ZERO), 0);
 }
 
+/// Guards against a fleet that cannot send anything once more when it has just started for the first time.
+#[test]
+fn spend_new_daemons_saved_share() {
+    let mut pool = pool(DAEMONS);
+    for number in 0..DAEMONS {
+        let loan = Loan {
+            is_new: true,
+            ..Loan::default()
+        };
+        pool.lend(&name(number), &loan, Time::ZERO);
+    }
+    assert_eq!(drain(&mut pool, Time::ZERO), 40);
+}
+
 #[test]
 fn spend_all_lenders_whole_allowance() {
     let mut pool = pool(DAEMONS);
@@ -103,7 +120,7 @@
     let mut now = lend_for(&mut pool, DAEMONS, 1, Time::ZERO, WINDOW);
     let end = now + LOAN_TIME;
     while now < end {
-        pool.lend(&name(0), &[], now);
+        pool.lend(&name(0), &Loan::default(), now);
         pool.fill(now);
         now += TICK;
     }
@@ -117,7 +134,7 @@
     let mut pool = pool(DAEMONS);
     let now = lend_for(&mut pool, DAEMONS, 1, Time::ZERO, WINDOW);
     // A message that came before the suspension.
-    pool.lend(&name(3), &[], now + LOAN_TIME);
+    pool.lend(&name(3), &Loan::default(), now + LOAN_TIME);
     assert_eq!(drain(&mut pool, now + LOAN_TIME), 0);
 }
 
@@ -141,6 +158,7 @@
             retries: Vec::new(),
         };
         fleet.budgets = (0..DAEMONS).map(Self::start).collect();
+        fleet.budgets.iter().for_each(Budget::set_new);
         fleet
     }
 
@@ -193,10 +211,8 @@
                 self.budgets[own].keep(now);
             } else {
                 self.budgets[own].lent(now);
-                let arrivals = self.budgets[own].take_uncounted();
-                self.budgets[planner]
-                    .pool()
-                    .lend(&name(own), &arrivals, now);
+                let loan = self.budgets[own].take_loan();
+                self.budgets[planner].pool().lend(&name(own), &loan, now);
             }
         }
         for own in 0..DAEMONS {
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -370,9 +370,10 @@
         let budget = &self.knowledge.budget;
         budget.lent(self.clock.now());
         params.set_daemon(own);
-        let arrivals = budget.take_uncounted();
-        let count = u32::try_from(arrivals.len()).unwrap_or_default();
-        wire::write_arrivals(&arrivals, params.init_requests(count));
+        let loan = budget.take_loan();
+        params.set_is_new(loan.is_new);
+        let count = u32::try_from(loan.arrivals.len()).unwrap_or_default();
+        wire::write_arrivals(&loan.arrivals, params.init_requests(count));
     }
 
     /// Pings a planner and records its watermarks; returns whether it answers. One that is about to
@@ -521,6 +522,8 @@
     name: id::Region,
     homes: Homes,
     dialer: Rc<Dialer>,
+    /// Whether this VM had an entry when the daemons were listed, or before.
+    is_registered: Cell<bool>,
 }
 
 impl Regions {
@@ -538,12 +541,15 @@
             name,
             homes,
             dialer,
+            is_registered: Cell::new(false),
         })
     }
 
     /// Records a daemon that has registered or changed, or removes one that has left for good.
     pub fn apply_member(&self, name: &id::Daemon, member: Option<(id::Region, Member)>) {
-        if !self.own.ranking.borrow().is_own(name) {
+        if self.own.ranking.borrow().is_own(name) {
+            self.is_registered.set(true);
+        } else {
             let carrier = member
                 .as_ref()
                 .and_then(|(region, member)| member.carrier(region));
@@ -563,10 +569,23 @@
 
     /// Records that all registered daemons are known.
     pub fn set_listed(&self) {
+        let is_first = !self.own.ranking.borrow().is_listed();
         for region in self.all() {
             region.ranking.borrow_mut().set_listed();
         }
         self.count_daemons();
+        if is_first && !self.is_registered.get() {
+            self.own.knowledge.budget.set_new();
+        }
+    }
+
+    /// Waits until all registered daemons are known, for a short time at most.
+    pub async fn wait_listed(&self) {
+        let start = self.own.clock.now();
+        let waited = || self.own.clock.now().saturating_sub(start);
+        while !self.own.ranking.borrow().is_listed() && waited() < PLANNER_WAIT_TIMEOUT {
+            tokio::time::sleep(PLANNER_POLL_INTERVAL).await;
+        }
     }
 
     fn all(&self) -> impl Iterator<Item = &Rc<Region>> {
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -14,6 +14,7 @@
 use crate::generated::plan_capnp::{planner, seat};
 use crate::peer::stream;
 use crate::serve::Node;
+use crate::serve::budget::Loan;
 use crate::serve::dispatcher::{Dispatcher, LocalRequest, PlannedRequest};
 use crate::serve::plan::{Grant, Job, Refusal};
 use crate::serve::progress::{Position, ReadProgress, Topic};
@@ -69,12 +70,12 @@
         if daemon.is_empty() {
             return Ok(());
         }
-        let arrivals = wire::read_arrivals(params.get_requests()?)?;
+        let loan = Loan {
+            arrivals: wire::read_arrivals(params.get_requests()?)?,
+            is_new: params.get_is_new(),
+        };
         let now = self.clock.now();
-        self.node
-            .budget()
-            .pool()
-            .lend(&daemon.into(), &arrivals, now);
+        self.node.budget().pool().lend(&daemon.into(), &loan, now);
         Ok(())
     }
 }
