Give each call of a stage a connection of its own

Results of one request were given to another, and its client got 200 (MIXED): an endpoint of a stage that sent an answer once more, late, had it taken for the answer to the next call on the kept connection, and the connection stayed one answer behind. An earlier refusal that came once more made a call count as not run that the endpoint was running. The class: an answer that no identity confirms. Calls of stages carry no id, so only a connection that has carried nothing else tells whose answer it is; those of requests had one each already, as have calls to the store, and calls between daemons have ids. Connections were seldom kept anyway, as calls that free results took turns on them.

--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -16,7 +16,7 @@
 use super::closure::Closures;
 use super::cold;
 use super::dialer::{self, CLOSE_TIME, Dialer, Finding, Target};
-use super::exchange::{self, Connection};
+use super::exchange;
 use super::health::Verdict;
 use super::meter::Meter;
 use super::pace::Ratio;
@@ -39,8 +39,6 @@
 const MAX_LOGGED_IDS: usize = 32;
 /// How long results of an endpoint are gathered before one call frees them.
 const FREE_BATCH_TIME: Duration = Duration::from_millis(15);
-/// How long an idle connection is kept; endpoints close idle ones after seconds.
-const MAX_IDLE_TIME: Duration = Duration::from_millis(900);
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The pace from which a VM counts as slow in the metrics, as a multiple of the usual time.
 const SLOW_PACE: Ratio = 1.6;
@@ -93,7 +91,6 @@
     next_id: Cell<JobId>,
     /// Results to free with the next call, by endpoint.
     pending_frees: RefCell<IndexMap<id::Endpoint, Vec<Handle>>>,
-    idle_connections: RefCell<IndexMap<id::Endpoint, IdleConnection>>,
     closures: Rc<Closures>,
     limits: Rc<Limits>,
     dialer: Rc<Dialer>,
@@ -139,7 +136,6 @@
             grant_senders: RefCell::default(),
             next_id: Cell::new(0),
             pending_frees: RefCell::default(),
-            idle_connections: RefCell::default(),
             closures,
             limits,
             dialer,
@@ -394,30 +390,26 @@
 }
 
 impl Dispatcher {
-    /// Makes a call that may be repeated: on an idle connection, and on a new one if that fails.
+    /// Makes a call on a connection of its own: no id in an answer tells which call it belongs to, and endpoints may
+    /// send one once more where the next is due.
     async fn post(&self, target: &Target, request: &HttpRequest) -> Result<CallResult, CallError> {
-        let (endpoint, address) = (&target.endpoint, target.address);
-        let idle = self.idle_connections.borrow_mut().swap_remove(endpoint);
-        let now = self.clock.now();
-        let is_usable = |idle: &IdleConnection| {
-            idle.address == address && now < idle.idle_since + MAX_IDLE_TIME
-        };
-        // A call that is lost on an idle connection may have arrived, and would count twice.
-        let is_direct = self.dialer.is_direct(endpoint) && !self.is_cold(endpoint);
-        if let Some(mut idle) = idle.filter(|idle| is_direct && is_usable(idle))
-            && idle.connection.is_reusable()
-            && let Ok(result) = self
-                .post_on(endpoint, address, idle.connection, request)
-                .await
-        {
-            return Ok(result);
-        }
+        let endpoint = &target.endpoint;
         let connection = self.dialer.connect(target).await?;
         if self.planner.borrow().is_evacuated(endpoint) {
-            // The first try, or connecting, took longer than the operators' record.
+            // Connecting took longer than the operators' record.
             return Ok(CallResult::Refused);
         }
-        self.post_on(endpoint, address, connection, request).await
+        let size = request.body.len();
+        let head = exchange::request_head(request.method, request.target, &request.fields, size);
+        let mut response = exchange::send(connection, &head, &request.body).await?;
+        let status = response.head.status;
+        let meta = self.protocol.parse_response(&response.head, "");
+        self.record_state(endpoint, &meta);
+        let body = response.body(MAX_RESPONSE_BYTES).await?;
+        Ok(match body {
+            Some(body) if status == 200 => CallResult::Body(body),
+            _ => CallResult::Refused,
+        })
     }
 
     /// Records what a stage endpoint's answer says of itself, which binds the calls of this daemon.
@@ -445,45 +437,6 @@
         let now = self.clock.now();
         self.planner.borrow_mut().record_pace(endpoint, ratio, now);
     }
-
-    async fn post_on(
-        &self,
-        endpoint: &id::Endpoint,
-        address: SocketAddr,
-        connection: Connection,
-        request: &HttpRequest,
-    ) -> Result<CallResult, CallError> {
-        let size = request.body.len();
-        let head =
-            exchange::request_head(request.method, request.target, &request.fields, size, true);
-        let mut response = exchange::send(connection, &head, &request.body).await?;
-        let status = response.head.status;
-        let meta = self.protocol.parse_response(&response.head, "");
-        self.record_state(endpoint, &meta);
-        let body = response.body(MAX_RESPONSE_BYTES).await?;
-        if let Some(connection) = response.into_connection() {
-            let idle_since = self.clock.now();
-            let idle = IdleConnection {
-                connection,
-                address,
-                idle_since,
-            };
-            self.idle_connections
-                .borrow_mut()
-                .insert(endpoint.clone(), idle);
-        }
-        Ok(match body {
-            Some(body) if status == 200 => CallResult::Body(body),
-            _ => CallResult::Refused,
-        })
-    }
-}
-
-/// An open connection without a call.
-struct IdleConnection {
-    connection: Connection,
-    address: SocketAddr,
-    idle_since: Time,
 }
 
 /// A request that is planned in this daemon.
