Keep pools of retries that are only busy

A pool forgot its loans when its daemon spent half a second on reaching planners, as if it had been suspended, and was filled by its own loop alone. Loans fill it, too, and it counts as suspended after a second. Goes with it: budgets of retries in the product have one cap again.

--- a/src/retry.rs
+++ b/src/retry.rs
@@ -9,35 +9,27 @@
 
 /// The longest delay before a retry.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// The default cap of a budget, in uses.
-const DEFAULT_CAP: f64 = 10.0;
+/// The most uses that are saved up.
+const MAX_USES: f64 = 10.0;
 
 /// A budget that grows with calls, so that an outage does not multiply load.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     /// Uses that are left.
     uses: f64,
-    /// The most uses that are saved up.
-    cap: f64,
 }
 
 impl Budget {
     /// Makes a budget that holds `start` uses.
     pub fn new(start: f64) -> Self {
         Self {
-            uses: start.min(DEFAULT_CAP),
-            cap: DEFAULT_CAP,
+            uses: start.min(MAX_USES),
         }
     }
 
-    /// Makes a full budget that saves up at most `cap` uses.
-    pub fn capped(cap: f64) -> Self {
-        Self { uses: cap, cap }
-    }
-
     /// Adds `ratio` uses for a call that was made.
     pub fn earn(&mut self, ratio: f64) {
-        self.uses = (self.uses + ratio).min(self.cap);
+        self.uses = (self.uses + ratio).min(MAX_USES);
     }
 
     /// Returns whether a use is left.
--- a/src/serve/budget.rs
+++ b/src/serve/budget.rs
@@ -16,6 +16,11 @@
 /// How long after its last word a daemon counts as one that lends: it looks for another planner when a ping gets
 /// no answer for 300 ms, and busy daemons ping late.
 const LOAN_TIME: Duration = Duration::from_millis(500);
+/// How long a pool that is told nothing and asked nothing may have been suspended: it is filled every tenth of a second,
+/// but for the time of a few attempts to reach a planner.
+const SUSPENSION_TIME: Duration = Duration::from_secs(1);
+/// The least time between two fillings by loans, of which there are hundreds a second.
+const FILL_INTERVAL: Duration = Duration::from_millis(50);
 /// The part of the allowance that is saved up for what fails at once; the rest comes as time passes.
 const SAVED_SHARE: f64 = 0.5;
 /// The slots into which a window is divided to count requests.
@@ -157,6 +162,9 @@
     /// Records that a daemon lends its share, and the requests that came to it since it did so before.
     pub fn lend(&mut self, daemon: &id::Daemon, loan: &Loan, now: Time) {
         self.forget_if_suspended(now);
+        if now >= self.filled_at + FILL_INTERVAL {
+            self.fill(now);
+        }
         let Loan { arrivals, is_new } = loan;
         if *is_new {
             let saved = SAVED_SHARE * self.share(1);
@@ -195,7 +203,7 @@
     /// Forgets all loans if the process was suspended: the lenders have another pool by now, and their messages may
     /// still be waiting here.
     fn forget_if_suspended(&mut self, now: Time) {
-        if now >= self.filled_at + LOAN_TIME {
+        if now >= self.filled_at + SUSPENSION_TIME {
             self.lenders.clear();
             self.accounts.clear();
             self.unused = Account::default();
