Open the connection of a stage's next call while the call before runs

Now a connection that has carried nothing is opened while the call before runs, and calls that free results share one again, since nothing is taken from their answers.

--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -16,7 +16,7 @@
 use super::closure::Closures;
 use super::cold;
 use super::dialer::{self, CLOSE_TIME, Dialer, Finding, Target};
-use super::exchange;
+use super::exchange::{self, Connection};
 use super::health::Verdict;
 use super::meter::Meter;
 use super::pace::Ratio;
@@ -29,6 +29,10 @@
 use crate::clock::{Clock, Time};
 use crate::id;
 
+mod idle;
+
+use idle::{Connections, Use};
+
 /// The longest response to a stage call, in bytes; a handle takes about forty.
 const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
 /// How often the planner checks deadlines and overdue calls.
@@ -91,6 +95,7 @@
     next_id: Cell<JobId>,
     /// Results to free with the next call, by endpoint.
     pending_frees: RefCell<IndexMap<id::Endpoint, Vec<Handle>>>,
+    connections: Connections,
     closures: Rc<Closures>,
     limits: Rc<Limits>,
     dialer: Rc<Dialer>,
@@ -136,6 +141,7 @@
             grant_senders: RefCell::default(),
             next_id: Cell::new(0),
             pending_frees: RefCell::default(),
+            connections: Connections::default(),
             closures,
             limits,
             dialer,
@@ -245,7 +251,7 @@
                 // Names of results say nothing.
                 residency: Residency::default(),
             };
-            let sent = timeout(FREE_TIMEOUT, dispatcher.post(&target, &request)).await;
+            let sent = timeout(FREE_TIMEOUT, dispatcher.post(&target, &request, Use::Free)).await;
             if !matches!(sent, Ok(Ok(CallResult::Body(_)))) {
                 debug!(dispatcher.log, "results not freed";
                     "endpoint" => &*endpoint, "results" => handles.len());
@@ -281,7 +287,7 @@
             address,
             residency: residencies.fold(Residency::default(), Residency::and),
         };
-        let result = timeout(call_timeout, self.post(&target, &request)).await;
+        let result = timeout(call_timeout, self.post(&target, &request, Use::Call)).await;
         let outcome = match result {
             Ok(Ok(CallResult::Body(body))) => {
                 let outcomes = self.protocol.parse_outcomes(&body, pieces.len());
@@ -390,22 +396,79 @@
 }
 
 impl Dispatcher {
-    /// Makes a call on a connection of its own: no id in an answer tells which call it belongs to, and endpoints may
-    /// send one once more where the next is due.
-    async fn post(&self, target: &Target, request: &HttpRequest) -> Result<CallResult, CallError> {
-        let endpoint = &target.endpoint;
+    /// Makes a call that may be repeated: on an idle connection, and on a new one if that fails.
+    async fn post(
+        self: &Rc<Self>,
+        target: &Target,
+        request: &HttpRequest,
+        carries: Use,
+    ) -> Result<CallResult, CallError> {
+        let Target {
+            endpoint, address, ..
+        } = target;
+        // A call that is lost on an idle connection may have arrived, and would count twice.
+        let is_direct = self.dialer.is_direct(endpoint) && !self.is_cold(endpoint);
+        let idle = self
+            .connections
+            .take(endpoint, *address, carries, self.clock.now());
+        if is_direct && carries == Use::Call {
+            self.prepare_connection(target.clone());
+        }
+        if let Some(connection) = idle.filter(|_| is_direct)
+            && let Ok(result) = self.post_on(target, connection, request, carries).await
+        {
+            return Ok(result);
+        }
         let connection = self.dialer.connect(target).await?;
         if self.planner.borrow().is_evacuated(endpoint) {
-            // Connecting took longer than the operators' record.
+            // The first try, or connecting, took longer than the operators' record.
             return Ok(CallResult::Refused);
         }
-        let size = request.body.len();
-        let head = exchange::request_head(request.method, request.target, &request.fields, size);
-        let mut response = exchange::send(connection, &head, &request.body).await?;
+        self.post_on(target, connection, request, carries).await
+    }
+
+    /// Connects to an endpoint for its next call, which begins as soon as this one has ended.
+    fn prepare_connection(self: &Rc<Self>, target: Target) {
+        let dispatcher = self.clone();
+        spawn_local(async move {
+            let Ok(connection) = dispatcher.dialer.connect(&target).await else {
+                return;
+            };
+            if !connection.is_detour() {
+                let now = dispatcher.clock.now();
+                let (endpoint, address) = (&target.endpoint, target.address);
+                dispatcher
+                    .connections
+                    .put(endpoint, address, Use::Call, connection, now);
+            }
+        });
+    }
+
+    async fn post_on(
+        &self,
+        target: &Target,
+        connection: Connection,
+        request: &HttpRequest,
+        carries: Use,
+    ) -> Result<CallResult, CallError> {
+        let HttpRequest {
+            method,
+            target: path,
+            fields,
+            body,
+        } = request;
+        let keep_alive = carries == Use::Free;
+        let head = exchange::request_head(method, path, fields, body.len(), keep_alive);
+        let mut response = exchange::send(connection, &head, body).await?;
         let status = response.head.status;
         let meta = self.protocol.parse_response(&response.head, "");
-        self.record_state(endpoint, &meta);
+        self.record_state(&target.endpoint, &meta);
         let body = response.body(MAX_RESPONSE_BYTES).await?;
+        if let Some(connection) = response.into_connection().filter(|_| keep_alive) {
+            let (endpoint, now) = (&target.endpoint, self.clock.now());
+            self.connections
+                .put(endpoint, target.address, carries, connection, now);
+        }
         Ok(match body {
             Some(body) if status == 200 => CallResult::Body(body),
             _ => CallResult::Refused,
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -98,6 +98,11 @@
         self.is_detour
     }
 
+    /// Returns whether the connection is open and nothing has come on it that was not asked for.
+    pub fn is_quiet(&mut self) -> bool {
+        self.source.is_quiet()
+    }
+
     /// Returns both halves.
     pub fn into_halves(self) -> (Source, Sink) {
         (self.source, self.sink)
@@ -138,14 +143,21 @@
     drop(socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)));
 }
 
-/// Returns the head of a request, the only one on its connection.
-pub fn request_head(method: &str, target: &str, fields: &[Field], body_bytes: usize) -> Vec<u8> {
+/// Returns the head of a request; with `keep_alive`, the connection may carry another one.
+pub fn request_head(
+    method: &str,
+    target: &str,
+    fields: &[Field],
+    body_bytes: usize,
+    keep_alive: bool,
+) -> Vec<u8> {
     let mut head = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
     write_fields(&mut head, fields);
     if body_bytes > 0 || matches!(method, "POST" | "PUT" | "PATCH") {
         head.extend_from_slice(format!("Content-Length: {body_bytes}\r\n").as_bytes());
     }
-    head.extend_from_slice(b"Connection: close\r\n\r\n");
+    let connection = if keep_alive { "keep-alive" } else { "close" };
+    head.extend_from_slice(format!("Connection: {connection}\r\n\r\n").as_bytes());
     head
 }
 
@@ -167,6 +179,7 @@
     pub framing: Framing,
     /// Both halves: closing the writing one would signal the endpoint that the client has gone.
     connection: Connection,
+    is_request_sent: bool,
 }
 
 impl Response {
@@ -193,6 +206,14 @@
         chunk.map_err(|source| Error::Lost { step, peer, source })
     }
 
+    /// Returns the connection if the response was read completely and it can carry another request.
+    pub fn into_connection(mut self) -> Option<Connection> {
+        let is_over = self.is_request_sent && self.head.keep_alive && self.framing == Framing::End;
+        // Another VM sees only the first answer, and another one may be better next time.
+        let is_over = is_over && !self.connection.is_detour;
+        (is_over && self.connection.is_quiet()).then_some(self.connection)
+    }
+
     /// Reads the whole body; none when it is longer than `limit`.
     pub async fn body(&mut self, limit: usize) -> Result<Option<Bytes>, Error> {
         let peer = self.connection.peer;
@@ -226,6 +247,7 @@
             None
         }
     };
+    let is_request_sent = head.is_none();
     let head = match head {
         Some(head) => head,
         None => source.response_head().await,
@@ -235,5 +257,6 @@
         framing: head.framing.clone(),
         head,
         connection,
+        is_request_sent,
     })
 }
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -99,7 +99,7 @@
         self.log_fields.borrow_mut().fetch_from = meta.fetch_from;
         let fields = self.node.protocol.forward_fields(&self.head, &meta);
         let (method, target) = (&self.head.method, &self.head.target);
-        let head = exchange::request_head(method, target, &fields, self.body.len());
+        let head = exchange::request_head(method, target, &fields, self.body.len(), false);
         let sending = exchange::send(connection, &head, &self.body);
         self.unanswered
             .replace(Some(self.unanswered_at(request, &id)));
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -111,6 +111,16 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns whether an idle connection is open and has no bytes.
+    pub fn is_quiet(&mut self) -> bool {
+        if self.has_read_ahead() {
+            return false;
+        }
+        let mut byte = [0];
+        let read = self.socket.try_read(&mut byte);
+        read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Reads some bytes, whatever they are; none when the peer has closed.
     pub async fn bytes(&mut self) -> Result<Bytes> {
         if self.buffer.is_empty() {
