Reset connections that were passed on incompletely

What callers saw: a stream without a length that another daemon passed on, and that its endpoint, its link or that daemon broke off, ended as complete at the event it had reached (ORDER); a plain answer was short and looked whole (MIXED).

Cause: the carrier sets the linger time to zero and drops both halves, so that the kernel sends a reset. Dropping the writing half sends a close first. A close that comes before the reset is what the reader gets: the end of an answer without a length.

Change: the writing half is given up without a close.

--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -243,13 +243,19 @@
         drop(to_daemon.shutdown().await);
     } else {
         // A reset, so that what was passed on does not look complete.
-        for half in [&to_daemon, &to_endpoint] {
-            let socket: &TcpStream = half.as_ref();
-            drop(SockRef::from(socket).set_linger(Some(Duration::ZERO)));
-        }
+        reset(to_daemon);
+        reset(to_endpoint);
     }
 }
 
+/// Ends a connection with a reset once its reading half is dropped.
+fn reset(sink: Sink) {
+    let socket: &TcpStream = sink.as_ref();
+    drop(SockRef::from(socket).set_linger(Some(Duration::ZERO)));
+    // Dropping the half would send a close first, which looks like the end of an answer without a length.
+    sink.forget();
+}
+
 /// Passes answers on; returns whether the endpoint has closed the connection.
 async fn pass_answers_on(
     node: &Node,
