Tell a daemon whose connection is passed on how that ended

What callers saw: while their daemon was cut off from endpoints and others passed its connections on, one of those was stopped or killed.

Cause: the close of such a connection was taken for the endpoint's. The kernel closes the connections of a process that ends, too. A process that is killed sends no reset, so the reset of a carrier that lives on cannot tell the two apart.

Evidence: answer_over_killed_carrier_not_complete; on the code before, the client gets 200 and "id: 1, id: 2, id: 3" of five events, complete.

Change: what a carrier passes back comes in chunks, and the last one says that the endpoint has closed. Without it the answer has broken off. Both daemons name the framing in their heads: an earlier release's carrier does not, and then no close ends an answer; for an earlier release's daemon the carrier passes bytes on as before.

--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -15,7 +15,7 @@
 mod body;
 mod head;
 
-pub use body::{Chunk, End, Framing};
+pub use body::{Chunk, End, Framing, LAST_CHUNK, write_chunk};
 pub use head::{Field, Fields, RequestHead, ResponseHead, field, has_body};
 
 /// The size of one read from a socket; prompts arrive in a few reads.
@@ -65,6 +65,17 @@
 pub struct Source {
     socket: OwnedReadHalf,
     buffer: BytesMut,
+    carriage: Carriage,
+}
+
+/// How a peer's bytes come, and so what a close of the connection says.
+enum Carriage {
+    /// On a connection of the peer's own, which closes it.
+    Direct,
+    /// In the chunks of a carrier. Only the last one tells that the peer has closed.
+    Chunked { framing: Framing, encoded: BytesMut },
+    /// As a carrier of an earlier release passes them on: a close may be the end of the carrier.
+    Plain,
 }
 
 /// The writing half of a connection.
@@ -73,8 +84,12 @@
 /// Splits a connection, so that a disconnect is detected while a response is written.
 pub fn split(stream: TcpStream) -> (Source, Sink) {
     let (socket, sink) = stream.into_split();
-    let buffer = BytesMut::new();
-    (Source { socket, buffer }, sink)
+    let source = Source {
+        socket,
+        buffer: BytesMut::new(),
+        carriage: Carriage::Direct,
+    };
+    (source, sink)
 }
 
 /// Parses the head of a response at the start of some bytes, behind interim ones; returns none while it is
@@ -95,20 +110,58 @@
     sent.map_err(|source| Error::Io { source })
 }
 
+/// Reads more bytes from a socket; returns zero when it was closed.
+async fn read(socket: &mut OwnedReadHalf, buffer: &mut BytesMut) -> Result<usize> {
+    // Allocates only when there are bytes, so that idle connections have no buffer.
+    let ready = socket.readable().await;
+    ready.map_err(|source| Error::Io { source })?;
+    buffer.reserve(READ_BYTES);
+    let read = socket.read_buf(buffer).await;
+    read.map_err(|source| Error::Io { source })
+}
+
 impl Source {
+    /// Makes all that follows come from the peer of a carrier, which sends it in chunks if `is_chunked`. Otherwise
+    /// a close does not tell whose it is, and counts as a connection that broke off.
+    pub fn carry(&mut self, is_chunked: bool) {
+        self.carriage = if is_chunked {
+            Carriage::Chunked {
+                framing: Framing::chunked(),
+                encoded: self.buffer.split(),
+            }
+        } else {
+            Carriage::Plain
+        };
+    }
+
     /// Reads more bytes into the buffer; returns zero when the peer has closed.
     async fn fill(&mut self) -> Result<usize> {
-        // Allocates only when there are bytes, so that idle connections have no buffer.
-        let ready = self.socket.readable().await;
-        ready.map_err(|source| Error::Io { source })?;
-        self.buffer.reserve(READ_BYTES);
-        let read = self.socket.read_buf(&mut self.buffer).await;
-        read.map_err(|source| Error::Io { source })
+        match &mut self.carriage {
+            Carriage::Direct => read(&mut self.socket, &mut self.buffer).await,
+            Carriage::Plain => match read(&mut self.socket, &mut self.buffer).await? {
+                0 => Err(Error::Truncated),
+                size => Ok(size),
+            },
+            Carriage::Chunked { framing, encoded } => loop {
+                match framing.decode(encoded)? {
+                    Some(Chunk::Bytes(bytes)) => {
+                        self.buffer.extend_from_slice(&bytes);
+                        return Ok(bytes.len());
+                    }
+                    Some(Chunk::End(_)) => return Ok(0),
+                    None if read(&mut self.socket, encoded).await? == 0 => {
+                        return Err(Error::Truncated);
+                    }
+                    None => {}
+                }
+            },
+        }
     }
 
     /// Returns whether bytes of a next message were read.
     pub fn has_read_ahead(&self) -> bool {
         !self.buffer.is_empty()
+            || matches!(&self.carriage, Carriage::Chunked { encoded, .. } if !encoded.is_empty())
     }
 
     /// Returns whether an idle connection is open and has no bytes.
@@ -131,7 +184,7 @@
 
     /// Waits for the first byte of a message; returns false if the peer closed instead.
     pub async fn wait_message(&mut self) -> Result<bool> {
-        Ok(self.has_read_ahead() || self.fill().await? > 0)
+        Ok(!self.buffer.is_empty() || self.fill().await? > 0)
     }
 
     /// Completes when the peer has closed or reset the connection.
--- a/src/serve/http/body.rs
+++ b/src/serve/http/body.rs
@@ -13,6 +13,19 @@
 /// The most hexadecimal digits of a chunk's size, which is thus below 4 GiB.
 const MAX_SIZE_DIGITS: usize = 8;
 
+/// The chunk that ends a body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Appends a chunk to a buffer; without bytes it would end the body, and is left out.
+pub fn write_chunk(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    buffer.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+    buffer.extend_from_slice(bytes);
+    buffer.extend_from_slice(b"\r\n");
+}
+
 /// How a body is delimited, and how much of it is still to come.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Framing {
--- a/src/serve/response.rs
+++ b/src/serve/response.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::exchange::write_fields;
-use super::http::{self, Field, RequestHead, Sink};
+use super::http::{self, Field, LAST_CHUNK, RequestHead, Sink, write_chunk};
 
 fn status_text(status: u16) -> &'static str {
     match status {
@@ -56,15 +56,6 @@
 /// The longest body that is held for a client of HTTP/1.0.
 const MAX_HELD_BYTES: usize = 8 * 1024 * 1024;
 
-fn write_chunk(buffer: &mut Vec<u8>, bytes: &[u8]) {
-    if bytes.is_empty() {
-        return;
-    }
-    buffer.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
-    buffer.extend_from_slice(bytes);
-    buffer.extend_from_slice(b"\r\n");
-}
-
 /// Writes the response to one request.
 pub struct ResponseWriter {
     sink: Sink,
@@ -194,7 +185,7 @@
     pub async fn finish(mut self) -> Option<Sink> {
         match std::mem::replace(&mut self.body, Body::Plain) {
             Body::Plain => {}
-            Body::Chunked => http::send(&mut self.sink, b"0\r\n\r\n").await.ok()?,
+            Body::Chunked => http::send(&mut self.sink, LAST_CHUNK).await.ok()?,
             Body::Held(status, fields, held) => {
                 return self.send_whole(status, &fields, &held.into()).await;
             }
--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -1,8 +1,9 @@
 //! Connections to endpoints that one daemon passes on for another, whose own link is at fault.
 //!
 //! The request is HTTP's CONNECT with the id of an endpoint. A daemon passes on to endpoints that it lists and
-//! reaches by itself, never by way of a third one, and obeys what endpoints have told it. See
-//! [the design note](../../docs/design/links.md).
+//! reaches by itself, never by way of a third one, and obeys what endpoints have told it. What it passes back comes
+//! in chunks, of which the last one tells that the endpoint has closed: a process that ends closes its connections,
+//! too. See [the design note](../../docs/design/links.md).
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -20,7 +21,7 @@
 use super::carrier::Carrier;
 use super::dialer::Target;
 use super::exchange::{self, CONNECT_TIMEOUT, Connection};
-use super::http::{self, ResponseHead, Sink, Source};
+use super::http::{self, Fields, LAST_CHUNK, ResponseHead, Sink, Source, write_chunk};
 use super::residency::Residency;
 use super::response::empty_response;
 use super::{Node, protocol};
@@ -39,6 +40,10 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 const METHOD: &str = "CONNECT";
+/// The field in which both daemons say that the endpoint's bytes come in chunks. A daemon of an earlier release does
+/// not.
+const FRAMING_FIELD: &str = "Tunnel-Framing";
+const CHUNKED: &str = "chunked";
 /// The connection is passed on.
 const OPENED: u16 = 200;
 /// The endpoint takes nothing from this daemon, or it is not the one that was meant.
@@ -115,18 +120,28 @@
     let (daemon, endpoint) = (&*carrier.name, &*target.endpoint);
     let connection = exchange::connect_once(carrier.address, OPEN_TIMEOUT).await;
     let (mut source, mut sink) = connection.context(ConnectSnafu { daemon })?.into_halves();
-    let head = format!("{METHOD} {endpoint} HTTP/1.1\r\nHost: {endpoint}\r\n\r\n");
+    let head = format!(
+        "{METHOD} {endpoint} HTTP/1.1\r\nHost: {endpoint}\r\n{FRAMING_FIELD}: {CHUNKED}\r\n\r\n"
+    );
     let sent = http::send(&mut sink, head.as_bytes()).await;
     sent.context(AskSnafu { daemon })?;
     let head = source.response_head().await;
-    match head.context(AskSnafu { daemon })?.status {
-        OPENED => Ok(Connection::detour(source, sink, target.address)),
+    let head = head.context(AskSnafu { daemon })?;
+    match head.status {
+        OPENED => {
+            source.carry(is_chunked(&head.fields));
+            Ok(Connection::detour(source, sink, target.address))
+        }
         UNREACHED => UnreachedSnafu { daemon, endpoint }.fail(),
         CLOSED => ClosedSnafu { daemon, endpoint }.fail(),
         status => RefusedSnafu { daemon, status }.fail(),
     }
 }
 
+fn is_chunked(fields: &Fields) -> bool {
+    fields.get(FRAMING_FIELD) == Some(CHUNKED)
+}
+
 /// Passes connections on as long as the process runs.
 pub async fn listen(listener: TcpListener, node: Rc<Node>) {
     let open = Rc::new(Cell::new(0));
@@ -157,15 +172,24 @@
     let status = dialed.as_ref().err().copied().unwrap_or(OPENED);
     debug!(node.log, "connection passed on";
         "endpoint" => &*endpoint, "status" => status, "open" => open.get());
+    let is_chunked = is_chunked(&head.fields);
     // The answer has no body and no length: what follows is the endpoint's.
     let answer = match status {
+        OPENED if is_chunked => {
+            format!("HTTP/1.1 200 OK\r\n{FRAMING_FIELD}: {CHUNKED}\r\n\r\n").into_bytes()
+        }
         OPENED => b"HTTP/1.1 200 OK\r\n\r\n".to_vec(),
         status => empty_response(status, &[], None, false),
     };
     let sent = http::send(&mut sink, &answer).await;
     if let (Ok(connection), Ok(())) = (dialed, sent) {
         open.set(open.get() + 1);
-        pass_on(&node, &endpoint, (source, sink), connection).await;
+        let daemon = Asker {
+            source,
+            sink,
+            is_chunked,
+        };
+        pass_on(&node, &endpoint, daemon, connection).await;
         open.set(open.get() - 1);
     }
 }
@@ -210,15 +234,21 @@
     }
 }
 
+/// The daemon for which a connection is passed on.
+struct Asker {
+    source: Source,
+    sink: Sink,
+    is_chunked: bool,
+}
+
 /// Passes bytes on in both directions until one of them ends. The daemon's end is the endpoint's client
 /// leaving, so both end with it.
-async fn pass_on(
-    node: &Node,
-    endpoint: &id::Endpoint,
-    daemon: (Source, Sink),
-    connection: Connection,
-) {
-    let (mut from_daemon, mut to_daemon) = daemon;
+async fn pass_on(node: &Node, endpoint: &id::Endpoint, daemon: Asker, connection: Connection) {
+    let Asker {
+        source: mut from_daemon,
+        sink: mut to_daemon,
+        is_chunked,
+    } = daemon;
     let (mut from_endpoint, mut to_endpoint) = connection.into_halves();
     let requests = async {
         let mut has_begun = false;
@@ -233,18 +263,23 @@
             }
         }
     };
-    let answers = pass_answers_on(node, endpoint, &mut from_endpoint, &mut to_daemon);
+    let answers = pass_answers_on(
+        node,
+        endpoint,
+        &mut from_endpoint,
+        (&mut to_daemon, is_chunked),
+    );
     let is_complete = tokio::select! {
         biased;
         is_complete = answers => is_complete,
         () = requests => false,
     };
-    if is_complete {
-        drop(to_daemon.shutdown().await);
-    } else {
-        // A reset, so that what was passed on does not look complete.
-        reset(to_daemon);
-        reset(to_endpoint);
+    match (is_complete, is_chunked) {
+        (true, true) => drop(http::send(&mut to_daemon, LAST_CHUNK).await),
+        (true, false) => drop(to_daemon.shutdown().await),
+        (false, true) => {}
+        // Only a reset shows a daemon of an earlier release that what was passed on is not complete.
+        (false, false) => reset(to_daemon),
     }
 }
 
@@ -261,9 +296,10 @@
     node: &Node,
     endpoint: &id::Endpoint,
     from_endpoint: &mut Source,
-    to_daemon: &mut Sink,
+    (to_daemon, is_chunked): (&mut Sink, bool),
 ) -> bool {
     let mut start = Start::default();
+    let mut chunk = Vec::new();
     loop {
         let bytes = match timeout(SILENCE_TIMEOUT, from_endpoint.bytes()).await {
             Ok(Ok(bytes)) => bytes,
@@ -280,7 +316,14 @@
         if bytes.is_empty() {
             return true;
         }
-        if http::send(to_daemon, &bytes).await.is_err() {
+        let bytes = if is_chunked {
+            chunk.clear();
+            write_chunk(&mut chunk, &bytes);
+            &chunk
+        } else {
+            &bytes[..]
+        };
+        if http::send(to_daemon, bytes).await.is_err() {
             return false;
         }
     }
