Confirm that an endpoint runs after it closed under an answer

What callers saw: an endpoint's process was killed while it wrote answers without a length. Streams ended as complete at the event they had reached (ORDER), plain answers were short and looked whole (MIXED).

Cause: a close was taken for the end of the answer wherever nothing else delimited it. The kernel closes the connections of a killed process in the same way.

Evidence: answer_of_killed_endpoint_not_complete; on the code before, the client gets 200 and "id: 1, id: 2, id: 3" of five events, complete.

Change: whoever sees the close connects to the endpoint 40 ms later, over another daemon if need be, before the last chunk is sent. A process that has ended takes no connection. Closes of one endpoint within 10 ms are confirmed by one connection. A carrier does so before it tells that the endpoint has closed, so the rule stands in one place, serve::ending. An entry of another life of the endpoint, or nobody who could tell, leaves the answer broken off.

Result: the test passes, and answer_of_running_endpoint_complete: what a running endpoint ends is still complete.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -23,6 +23,7 @@
 pub mod connection;
 pub mod dialer;
 pub mod dispatcher;
+mod ending;
 pub mod evacuation;
 pub mod exchange;
 pub mod handler;
--- a/src/serve/dialer.rs
+++ b/src/serve/dialer.rs
@@ -31,6 +31,8 @@
 const CHECKED_ENDPOINTS: usize = 4;
 /// How long after its connections an endpoint that ends stops listening.
 pub const CLOSE_TIME: Duration = Duration::from_millis(30);
+/// The time in which an endpoint that ends closes all its connections: what it has closed since is examined at once.
+const CLOSE_SPREAD: Duration = Duration::from_millis(10);
 /// How long what was found of an endpoint holds: all its connections break at once.
 const FINDING_VALIDITY: Duration = Duration::from_millis(200);
 /// How often a link that is down is probed. Each probe costs an endpoint a connection.
@@ -119,6 +121,8 @@
     endpoints: RefCell<IndexMap<id::Endpoint, SocketAddr>>,
     check: RefCell<Option<(Time, Check)>>,
     examinations: RefCell<IndexMap<id::Endpoint, (Time, Examination)>>,
+    /// The endpoints of which it is being found out whether they still run, since they closed a connection.
+    confirmations: RefCell<IndexMap<id::Endpoint, (Time, Check)>>,
     /// When an endpoint was reached last, directly or over another VM.
     reached_at: Cell<Time>,
     clock: Rc<dyn Clock>,
@@ -134,6 +138,7 @@
             endpoints: RefCell::default(),
             check: RefCell::default(),
             examinations: RefCell::default(),
+            confirmations: RefCell::default(),
             reached_at: Cell::new(clock.now()),
             clock,
             log,
@@ -358,6 +363,27 @@
         finding
     }
 
+    /// Returns whether an endpoint that has closed a connection just now still runs. The close of a process that has
+    /// ended looks the same, but it takes no connection any more.
+    pub async fn outlives_close(self: &Rc<Self>, target: &Target) -> bool {
+        let now = self.clock.now();
+        let confirmation = {
+            let mut running = self.confirmations.borrow_mut();
+            running.retain(|_, (began, _)| now < *began + CLOSE_SPREAD);
+            let begin = || {
+                let (dialer, target) = (self.clone(), target.clone());
+                let confirmation = async move {
+                    tokio::time::sleep(CLOSE_SPREAD + CLOSE_TIME).await;
+                    dialer.connect(&target).await.is_ok()
+                };
+                (now, confirmation.boxed_local().shared())
+            };
+            let entry = running.entry(target.endpoint.clone());
+            entry.or_insert_with(begin).1.clone()
+        };
+        confirmation.await
+    }
+
     fn choose_endpoints(&self, count: usize) -> Vec<Target> {
         let endpoints = self.endpoints.borrow();
         let target = |(endpoint, address): (&id::Endpoint, &SocketAddr)| Target {
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::http::{self, Chunk, Field, Framing, ResponseHead, Sink, Source};
+use super::http::{self, Chunk, End, Field, Framing, ResponseHead, Sink, Source};
 
 /// How long the first connection attempt may take: several round trips between regions.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -193,6 +193,20 @@
         self.connection.is_detour
     }
 
+    /// Returns what showed the end of a body that was read.
+    pub fn end(&self) -> End {
+        match self.framing {
+            Framing::Close => End::Closed,
+            _ => End::Framed,
+        }
+    }
+
+    /// Returns whether an end of the body is the endpoint's own: a close may be the end of its process, unless
+    /// another VM has found out.
+    pub fn is_end_told(&self, end: End) -> bool {
+        end == End::Framed || self.is_detour()
+    }
+
     /// Returns whether nothing of the body is left to read.
     pub fn is_read(&self) -> bool {
         self.framing == Framing::End
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -76,6 +76,7 @@
     has_begun: Cell<bool>,
     /// What its endpoint is blamed for if it ends without an answer.
     unanswered: RefCell<Option<Unanswered>>,
+    sent_to: RefCell<Option<SentTo>>,
     digest: OnceCell<id::Digest>,
     /// The regions for which it was planned last.
     planned_for: RefCell<Residency>,
@@ -111,6 +112,13 @@
     is_logged: bool,
 }
 
+/// To whom a request was sent last.
+#[derive(Clone, Copy)]
+struct SentTo {
+    /// When the endpoint's life began.
+    born: u64,
+}
+
 /// A request at an endpoint that has not answered it.
 struct Unanswered {
     suspects: Suspects,
@@ -203,6 +211,7 @@
             sent_release: RefCell::default(),
             has_begun: Cell::new(false),
             unanswered: RefCell::default(),
+            sent_to: RefCell::default(),
             digest: OnceCell::new(),
             planned_for: RefCell::default(),
             log_fields: RefCell::default(),
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -78,12 +78,12 @@
             Ok(Some(body)) => body,
             Ok(None) => return lost("the answer is too long"),
             Err(_) => {
-                return AttemptOutcome::Lost {
-                    verdict: Verdict::Crashed,
-                    reason: "the answer broke off",
-                };
+                return answer_broke_off();
             }
         };
+        if !response.is_end_told(response.end()) && !self.confirms_end(planned).await {
+            return answer_broke_off();
+        }
         let outcome = Outcome::Response(
             status,
             self.node.protocol.response_fields(&response.head),
@@ -125,7 +125,12 @@
             };
             let (bytes, end) = match chunk {
                 Ok(Chunk::Bytes(bytes)) => (events.push(&bytes), None),
-                Ok(Chunk::End(end)) if events.is_whole(end) => (Bytes::new(), Some(end)),
+                Ok(Chunk::End(end)) if events.is_whole(end) => {
+                    if !response.is_end_told(end) && !self.confirms_end(planned).await {
+                        return stream_broke_off(is_proven);
+                    }
+                    (Bytes::new(), Some(end))
+                }
                 Ok(Chunk::End(_)) | Err(_) => return stream_broke_off(is_proven),
             };
             if events.partial_length() > MAX_EVENT_BYTES {
@@ -216,6 +221,13 @@
     }
 }
 
+fn answer_broke_off() -> AttemptOutcome {
+    AttemptOutcome::Lost {
+        verdict: Verdict::Crashed,
+        reason: "the answer broke off",
+    }
+}
+
 /// Makes the outcome of a broken stream. One that has been answered for a while did not end its endpoint.
 fn stream_broke_off(is_proven: bool) -> AttemptOutcome {
     let verdict = if is_proven {
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -10,7 +10,7 @@
 use super::event::EventBuffer;
 use super::{
     ANSWER_TIMEOUT_SHARE, AcceptedRequest, AttemptOutcome, MIN_ANSWER_TIMEOUT, RequestHandler,
-    Unanswered, lost,
+    SentTo, Unanswered, lost,
 };
 use crate::id;
 use crate::quarantine::evidence::Life;
@@ -101,8 +101,11 @@
         let (method, target) = (&self.head.method, &self.head.target);
         let head = exchange::request_head(method, target, &fields, self.body.len(), false);
         let sending = exchange::send(connection, &head, &self.body);
-        self.unanswered
-            .replace(Some(self.unanswered_at(request, &id)));
+        let unanswered = self.unanswered_at(request, &id);
+        self.sent_to.replace(Some(SentTo {
+            born: unanswered.life.born,
+        }));
+        self.unanswered.replace(Some(unanswered));
         self.may_have_run.set(true);
         self.set_sent_release(request, release.unwrap_or_default());
         self.log_fields.borrow_mut().sent += 1;
@@ -217,6 +220,18 @@
         }
     }
 
+    /// Returns whether an answer that its endpoint ended with its connection is [whole](crate::serve::ending).
+    pub(super) async fn confirms_end(&self, planned: &dyn PlannedRequest) -> bool {
+        let target = Target {
+            endpoint: planned.grant().endpoint.clone(),
+            address: self.address(planned),
+            // Nothing of the request is sent.
+            residency: Residency::default(),
+        };
+        let born = self.sent_to.borrow().map_or(0, |sent_to| sent_to.born);
+        self.node.confirms_end(&target, born).await
+    }
+
     /// Returns where the granted endpoint listens, as this daemon lists it; one that is new may be known to the
     /// planner only.
     fn address(&self, planned: &dyn PlannedRequest) -> SocketAddr {
--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -173,6 +173,7 @@
     debug!(node.log, "connection passed on";
         "endpoint" => &*endpoint, "status" => status, "open" => open.get());
     let is_chunked = is_chunked(&head.fields);
+    let born = node.listed_birth(&endpoint);
     // The answer has no body and no length: what follows is the endpoint's.
     let answer = match status {
         OPENED if is_chunked => {
@@ -182,20 +183,20 @@
         status => empty_response(status, &[], None, false),
     };
     let sent = http::send(&mut sink, &answer).await;
-    if let (Ok(connection), Ok(())) = (dialed, sent) {
+    if let (Ok((target, connection)), Ok(())) = (dialed, sent) {
         open.set(open.get() + 1);
         let daemon = Asker {
             source,
             sink,
             is_chunked,
         };
-        pass_on(&node, &endpoint, daemon, connection).await;
+        pass_on(&node, (&target, born), daemon, connection).await;
         open.set(open.get() - 1);
     }
 }
 
 /// Connects to an endpoint for another daemon; returns the status of its refusal otherwise.
-async fn dial(node: &Node, endpoint: &id::Endpoint) -> Result<Connection, u16> {
+async fn dial(node: &Node, endpoint: &id::Endpoint) -> Result<(Target, Connection), u16> {
     if node.leaving_since().is_some() || node.dialer.is_down() {
         return Err(UNAVAILABLE);
     }
@@ -225,7 +226,7 @@
         return if node.is_closed(endpoint) {
             Err(CLOSED)
         } else {
-            Ok(connection)
+            Ok((target, connection))
         };
     }
     match node.dialer.check(began).await {
@@ -243,7 +244,7 @@
 
 /// Passes bytes on in both directions until one of them ends. The daemon's end is the endpoint's client
 /// leaving, so both end with it.
-async fn pass_on(node: &Node, endpoint: &id::Endpoint, daemon: Asker, connection: Connection) {
+async fn pass_on(node: &Node, life: (&Target, u64), daemon: Asker, connection: Connection) {
     let Asker {
         source: mut from_daemon,
         sink: mut to_daemon,
@@ -254,7 +255,7 @@
         let mut has_begun = false;
         while let Ok(bytes) = from_daemon.bytes().await {
             // What has begun to run goes on.
-            if !has_begun && node.is_closed(endpoint) {
+            if !has_begun && node.is_closed(&life.0.endpoint) {
                 return;
             }
             has_begun = true;
@@ -263,12 +264,7 @@
             }
         }
     };
-    let answers = pass_answers_on(
-        node,
-        endpoint,
-        &mut from_endpoint,
-        (&mut to_daemon, is_chunked),
-    );
+    let answers = pass_answers_on(node, life, &mut from_endpoint, (&mut to_daemon, is_chunked));
     let is_complete = tokio::select! {
         biased;
         is_complete = answers => is_complete,
@@ -291,10 +287,10 @@
     sink.forget();
 }
 
-/// Passes answers on; returns whether the endpoint has closed the connection.
+/// Passes answers on; returns whether the endpoint has closed the connection, and did not end itself.
 async fn pass_answers_on(
     node: &Node,
-    endpoint: &id::Endpoint,
+    (target, born): (&Target, u64),
     from_endpoint: &mut Source,
     (to_daemon, is_chunked): (&mut Sink, bool),
 ) -> bool {
@@ -311,10 +307,10 @@
             // It binds this VM, too.
             let meta: protocol::ResponseMeta = node.protocol.parse_response(&head, "");
             let now = node.clock.now();
-            node.closures.record(endpoint, &meta, now);
+            node.closures.record(&target.endpoint, &meta, now);
         }
         if bytes.is_empty() {
-            return true;
+            return node.confirms_end(target, born).await;
         }
         let bytes = if is_chunked {
             chunk.clear();
