Let a stopping daemon wait for what it passes on

What callers saw: a daemon that passed connections on for one that was cut off was stopped as planned.

Cause: a stopping daemon ends once it has no requests of its own and nothing to plan. Connections that it passes on were not counted.

Evidence: answer_over_stopped_carrier_whole; on the code before, the client gets four of five events.

Change: connections with a request under way are counted, up to the confirmation of their end. One that was opened and carries nothing yet holds nothing up.

Result: the test passes; the daemon ends once the answer has.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -162,6 +162,8 @@
     log: Logger,
     leaving_since: Cell<Option<Time>>,
     active_requests: Cell<usize>,
+    /// The connections of other daemons with a request under way.
+    carried_requests: Cell<usize>,
     final_response: Notify,
     started: Time,
     config_confirmed: Notify,
@@ -235,6 +237,7 @@
             log: dependencies.log,
             leaving_since: Cell::new(None),
             active_requests: Cell::new(0),
+            carried_requests: Cell::new(0),
             final_response: Notify::new(),
             started,
             config_confirmed: Notify::new(),
@@ -484,6 +487,7 @@
         loop {
             let waited = self.clock.now().saturating_sub(start);
             let is_idle = self.active_requests.get() == 0
+                && self.carried_requests.get() == 0
                 && self
                     .dispatchers
                     .iter()
--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -235,6 +235,23 @@
     }
 }
 
+/// A request on a connection that is passed on; a stopping daemon waits for its end.
+struct UnderWay<'a>(&'a Node);
+
+impl<'a> UnderWay<'a> {
+    fn begin(node: &'a Node) -> Self {
+        node.carried_requests.set(node.carried_requests.get() + 1);
+        Self(node)
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        let count = &self.0.carried_requests;
+        count.set(count.get().saturating_sub(1));
+    }
+}
+
 /// The daemon for which a connection is passed on.
 struct Asker {
     source: Source,
@@ -251,14 +268,14 @@
         is_chunked,
     } = daemon;
     let (mut from_endpoint, mut to_endpoint) = connection.into_halves();
+    let mut under_way = None;
     let requests = async {
-        let mut has_begun = false;
         while let Ok(bytes) = from_daemon.bytes().await {
             // What has begun to run goes on.
-            if !has_begun && node.is_closed(&life.0.endpoint) {
+            if under_way.is_none() && node.is_closed(&life.0.endpoint) {
                 return;
             }
-            has_begun = true;
+            under_way.get_or_insert_with(|| UnderWay::begin(node));
             if bytes.is_empty() || http::send(&mut to_endpoint, &bytes).await.is_err() {
                 return;
             }
