Refuse at once what outlasts the stop of a daemon

What callers saw: in a planned stop of one daemon, in calm, requests that came late in its grace were taken and sent to endpoints. At the end they were cut off: streams midway, requests that must not be repeated with 504.

Cause: whether a stopping daemon accepts a request was decided by its kind alone (3 s for those with stages, 5.5 s for others), at its arrival. How long requests of its route run was not known, nor how long it would wait for a grant.

Evidence: request_that_outlasts_the_stop_refused_at_once. On the code before, a stream of 3 s that comes 4.5 s after the stop began is sent to its endpoint and ends after 2.4 s.

Change: serve::drain decides. Each route's time at endpoints is learned, as a mean and a mean deviation. A request is accepted, and one that waits stays, only while its run can end before the last answers are due; otherwise it is refused as not run, with a Retry-After of 50 ms, since another daemon takes it. What may have run is not sent again then. The times within which requests are accepted at all, and those of the last answers and of the end, stay.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -23,6 +23,7 @@
 pub mod connection;
 pub mod dialer;
 pub mod dispatcher;
+pub mod drain;
 mod ending;
 pub mod evacuation;
 pub mod exchange;
@@ -50,6 +51,7 @@
 use closure::Closures;
 use dialer::Dialer;
 use dispatcher::{Dispatcher, RequestPlanner};
+use drain::{Drain, RunTime};
 use evacuation::Evacuation;
 use meter::Meter;
 use origin::{Origin, Origins};
@@ -60,16 +62,6 @@
 use registry::{Endpoint, Entry, Registry};
 use residency::{Places, Residency};
 
-/// How long a stopping daemon serves at least: the load balancer sends new connections
-/// elsewhere after two failed checks a second apart, and idle ones are closed after that.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_500);
-/// How long a stopping daemon accepts requests with stages, which may need several seconds; the
-/// operators' rule covers what was sent in the first three.
-const STAGED_ACCEPT_TIME: Duration = Duration::from_secs(3);
-/// How long a stopping daemon accepts other requests, which end within a second.
-const PLAIN_ACCEPT_TIME: Duration = Duration::from_millis(5_500);
-/// How long before the daemon's end requests without a response get a failure.
-const FINAL_RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 /// How often a stopping daemon checks for active requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -160,7 +152,8 @@
     clock: Rc<dyn Clock>,
     meter: Rc<Meter>,
     log: Logger,
-    leaving_since: Cell<Option<Time>>,
+    drain: Cell<Option<Drain>>,
+    drain_begun: Notify,
     active_requests: Cell<usize>,
     /// The connections of other daemons with a request under way.
     carried_requests: Cell<usize>,
@@ -181,6 +174,7 @@
     max_remaining: Duration,
     /// The mean size of a request, in weighted tokens.
     mean_size: Option<f32>,
+    run_time: RunTime,
 }
 
 /// What a node is built from.
@@ -235,7 +229,8 @@
             clock: dependencies.clock,
             meter: dependencies.meter,
             log: dependencies.log,
-            leaving_since: Cell::new(None),
+            drain: Cell::new(None),
+            drain_begun: Notify::new(),
             active_requests: Cell::new(0),
             carried_requests: Cell::new(0),
             final_response: Notify::new(),
@@ -450,55 +445,73 @@
             .config_age()
             .is_some_and(|age| age <= self.options.max_ready_age);
         is_fresh
-            && self.leaving_since.get().is_none()
+            && self.drain.get().is_none()
             && !self.dialer.is_isolated()
             && self.registry.borrow().available().next().is_some()
     }
 
-    /// Begins to stop: the daemon is not ready any more, but still serves requests.
-    pub fn leave(&self) {
-        warn!(self.log, "stopping"; "active" => self.active_requests.get());
-        self.leaving_since.set(Some(self.clock.now()));
+    /// Begins to stop: the daemon is not ready any more, but still serves requests for `grace` at most.
+    pub fn leave(&self, grace: Duration) {
+        warn!(self.log, "stopping";
+            "active" => self.active_requests.get(), "carried" => self.carried_requests.get());
+        self.drain.set(Some(Drain::new(self.clock.now(), grace)));
+        self.drain_begun.notify_waiters();
         self.staged_planner.stop_planning();
     }
 
     /// Returns the time at which the daemon began to stop, if it did.
     pub fn leaving_since(&self) -> Option<Time> {
-        self.leaving_since.get()
+        self.drain.get().map(|drain| drain.since())
     }
 
-    /// Returns whether the daemon stops too soon to accept a request.
-    fn is_closed_for(&self, is_staged: bool) -> bool {
-        let leaving_for = self
-            .leaving_since
-            .get()
-            .map(|leaving_since| self.clock.now().saturating_sub(leaving_since));
-        let accept_time = if is_staged {
-            STAGED_ACCEPT_TIME
-        } else {
-            PLAIN_ACCEPT_TIME
-        };
-        leaving_for.is_some_and(|leaving_for| leaving_for > accept_time)
+    /// Waits until the daemon begins to stop.
+    async fn wait_drain(&self) -> Drain {
+        loop {
+            let begun = self.drain_begun.notified();
+            if let Some(drain) = self.drain.get() {
+                return drain;
+            }
+            begun.await;
+        }
+    }
+
+    /// Returns the time within which endpoints run a request of a route, as far as is known.
+    fn run_time(&self, route: &catalog::Route) -> Duration {
+        let stats = self.route_stats.borrow();
+        let run_time = stats
+            .get(&route.name)
+            .and_then(|stats| stats.run_time.bound());
+        run_time.unwrap_or(route.target_latency)
+    }
+
+    /// Records how long an endpoint ran a request of a route.
+    fn record_run_time(&self, route: &id::Name, took: Duration) {
+        let mut stats = self.route_stats.borrow_mut();
+        stats
+            .entry(route.clone())
+            .or_default()
+            .run_time
+            .record(took);
     }
 
-    /// Waits until all requests have ended, at most for `grace`.
-    pub async fn finish(&self, grace: Duration) {
-        let start = self.clock.now();
+    /// Waits until a daemon that has begun to stop has nothing left to do, or has to end.
+    pub async fn finish(&self) {
+        let drain = self.wait_drain().await;
         loop {
-            let waited = self.clock.now().saturating_sub(start);
+            let now = self.clock.now();
             let is_idle = self.active_requests.get() == 0
                 && self.carried_requests.get() == 0
                 && self
                     .dispatchers
                     .iter()
                     .all(|dispatcher| dispatcher.is_empty());
-            if waited >= MIN_DRAIN_TIME && is_idle {
+            if drain.may_end(now) && is_idle {
                 return;
             }
-            if waited >= grace.saturating_sub(FINAL_RESPONSE_MARGIN) {
+            if drain.is_final(now) {
                 self.final_response.notify_waiters();
             }
-            if waited >= grace {
+            if drain.is_over(now) {
                 // Other daemons' waiting requests move to another planner.
                 self.dispatchers.iter().for_each(|dispatcher| {
                     dispatcher.update_planner(|planner, _| planner.transfer_all())
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -54,6 +54,10 @@
 /// How long before its deadline a client gets a timeout status: the way back and a busy daemon take
 /// that long.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(60);
+/// The `Retry-After` of a daemon that stops: clients find another one at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// How often a request that a stopping daemon can no longer serve checks whether an endpoint has it.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The length of a truncated digest: enough to distinguish the contents of some minutes.
 const DIGEST_BYTES: usize = 12;
 /// The timeout of a request without a deadline.
@@ -117,6 +121,7 @@
 struct SentTo {
     /// When the endpoint's life began.
     born: u64,
+    at: Time,
 }
 
 /// A request at an endpoint that has not answered it.
@@ -392,6 +397,9 @@
                 biased;
                 served = timeout(answer_time, &mut serving) => served.ok(),
                 () = self.node.final_response.notified() => None,
+                () = self.misses_stop(request) => {
+                    return Outcome::Failure(stopping());
+                }
             };
             match served {
                 // A response that has started may still be complete in time.
@@ -412,6 +420,29 @@
         })
     }
 
+    /// Completes when the daemon stops too soon to have the request run, and no endpoint has it.
+    async fn misses_stop(&self, request: &AcceptedRequest) {
+        let drain = self.node.wait_drain().await;
+        loop {
+            let last_send = drain.last_send(self.node.run_time(&request.route));
+            let remaining = last_send.saturating_sub(self.node.clock.now());
+            if !remaining.is_zero() {
+                tokio::time::sleep(remaining).await;
+            } else if self.may_have_run.get() {
+                tokio::time::sleep(STOP_POLL_INTERVAL).await;
+            } else {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the daemon stops before another attempt could end.
+    fn is_past_last_send(&self, request: &AcceptedRequest) -> bool {
+        let run_time = self.node.run_time(&request.route);
+        let drain = self.node.drain.get();
+        drain.is_some_and(|drain| self.node.clock.now() >= drain.last_send(run_time))
+    }
+
     async fn run_attempts(
         &self,
         request: &AcceptedRequest,
@@ -518,6 +549,9 @@
                 return self
                     .final_outcome(client, "the version that began the stream is not known");
             }
+            if self.is_past_last_send(request) {
+                return self.final_outcome(client, reason);
+            }
             let is_first = self.log_fields.borrow().sent == 0;
             has_retry = has_retry || is_first || self.spend_retry(request).await;
             if !has_retry {
@@ -590,6 +624,15 @@
     }
 }
 
+/// Makes the failure of a request that has not run since the daemon stops.
+fn stopping() -> Failure {
+    Failure {
+        status: 503,
+        retry_after: Some(STOPPING_RETRY_AFTER),
+        reason: "the daemon is stopping".into(),
+    }
+}
+
 fn lost(reason: &'static str) -> AttemptOutcome {
     AttemptOutcome::Lost {
         verdict: Verdict::Lost,
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -96,6 +96,7 @@
             return AttemptOutcome::Failed(outcome);
         }
         planned.ended(Verdict::Good);
+        self.record_run_time(request);
         AttemptOutcome::Done(outcome)
     }
 
@@ -168,6 +169,7 @@
             }
             if end.is_some() {
                 planned.ended(Verdict::Good);
+                self.record_run_time(request);
                 return AttemptOutcome::Done(Outcome::Streamed);
             }
         }
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -104,6 +104,7 @@
         let unanswered = self.unanswered_at(request, &id);
         self.sent_to.replace(Some(SentTo {
             born: unanswered.life.born,
+            at: unanswered.sent_at,
         }));
         self.unanswered.replace(Some(unanswered));
         self.may_have_run.set(true);
@@ -232,6 +233,14 @@
         self.node.confirms_end(&target, born).await
     }
 
+    /// Records how long the endpoint ran the request, which has ended well.
+    pub(super) fn record_run_time(&self, request: &AcceptedRequest) {
+        if let Some(sent_to) = *self.sent_to.borrow() {
+            let took = self.node.clock.now().saturating_sub(sent_to.at);
+            self.node.record_run_time(&request.route.name, took);
+        }
+    }
+
     /// Returns where the granted endpoint listens, as this daemon lists it; one that is new may be known to the
     /// planner only.
     fn address(&self, planned: &dyn PlannedRequest) -> SocketAddr {
--- a/src/serve/handler/check.rs
+++ b/src/serve/handler/check.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use super::{AcceptedRequest, DEFAULT_TIMEOUT, Failure, RequestHandler, failure};
+use super::{AcceptedRequest, DEFAULT_TIMEOUT, Failure, RequestHandler, failure, stopping};
 use crate::id;
 use crate::serve::catalog::{Catalog, Route};
 use crate::serve::protocol::RequestMeta;
@@ -97,8 +97,11 @@
         let settings = catalog.services.get(&service);
         let is_engine = settings.is_some_and(|settings| settings.engine.is_some());
         let is_staged = is_engine || !route.stages.is_empty();
-        if self.node.is_closed_for(is_staged) {
-            return Err(failure(503, "the daemon is stopping"));
+        let drain = self.node.drain.get();
+        let now = self.node.clock.now();
+        let run_time = self.node.run_time(&route);
+        if drain.is_some_and(|drain| !drain.accepts(is_staged, run_time, now)) {
+            return Err(stopping());
         }
         let key = meta.api_key.as_deref();
         let owner = key.and_then(|key| catalog.workspace(key)).cloned();
