Take only a connection that lasts for a sign of life

What callers saw: with real processes, one of four engines ends under answers without a length, and a proxy stands between it and the daemon: streams ended as complete at the event they had reached (ORDER).

Cause: the confirmation of an end took a connection that was accepted for an endpoint that runs. A proxy accepts for an endpoint that is gone, and an ending process may do so until it closes its listener.

Change: the connection is made at once and has to stay open for 60 ms.

--- a/src/serve/dialer.rs
+++ b/src/serve/dialer.rs
@@ -31,8 +31,11 @@
 const CHECKED_ENDPOINTS: usize = 4;
 /// How long after its connections an endpoint that ends stops listening.
 pub const CLOSE_TIME: Duration = Duration::from_millis(30);
-/// The time in which an endpoint that ends closes all its connections: what it has closed since is examined at once.
+/// The time in which an endpoint that ends closes all its connections: one examination serves for them.
 const CLOSE_SPREAD: Duration = Duration::from_millis(10);
+/// How long a connection to an endpoint that has closed another one has to stay open to show that it runs. One that
+/// ends may still take connections at first, and so may what stands between, but they do not last.
+const HOLD_TIME: Duration = Duration::from_millis(60);
 /// How long what was found of an endpoint holds: all its connections break at once.
 const FINDING_VALIDITY: Duration = Duration::from_millis(200);
 /// How often a link that is down is probed. Each probe costs an endpoint a connection.
@@ -364,7 +367,7 @@
     }
 
     /// Returns whether an endpoint that has closed a connection just now still runs. The close of a process that has
-    /// ended looks the same, but it takes no connection any more.
+    /// ended looks the same, but it keeps no connection.
     pub async fn outlives_close(self: &Rc<Self>, target: &Target) -> bool {
         let now = self.clock.now();
         let confirmation = {
@@ -373,8 +376,11 @@
             let begin = || {
                 let (dialer, target) = (self.clone(), target.clone());
                 let confirmation = async move {
-                    tokio::time::sleep(CLOSE_SPREAD + CLOSE_TIME).await;
-                    dialer.connect(&target).await.is_ok()
+                    let Ok(mut connection) = dialer.connect(&target).await else {
+                        return false;
+                    };
+                    tokio::time::sleep(HOLD_TIME).await;
+                    connection.is_quiet()
                 };
                 (now, confirmation.boxed_local().shared())
             };
