Keep errors of another endpoint out of a stream that goes on

What callers saw: a stream had begun and broke off, and the next endpoint answered with an error.

Cause: an answer with status 200 went into the stream as long as its lines could be fields. A text such as "error: gone" is one that no client knows, and the type of the answer was not looked at.

The errors with another status broke the stream off.

Change: an answer that goes on with a stream has to be a success and, if it names its type, of events. After an event with an id, an event without one may only have fields that clients know.

--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -16,7 +16,7 @@
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
-use crate::serve::http::Chunk;
+use crate::serve::http::{Chunk, ResponseHead};
 use crate::serve::origin::Origin;
 use crate::serve::response::ResponseWriter;
 
@@ -24,6 +24,9 @@
 /// on then, and pauses of half a second between events are usual.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The media type of a stream.
+const EVENT_STREAM: &str = "text/event-stream";
+
 impl RequestHandler {
     /// Handles a response whose head has been read.
     pub(super) async fn handle_response(
@@ -67,6 +70,9 @@
         if !meta.is_id_matching || !meta.is_sealed {
             return lost("the answer has another id or no signature");
         }
+        if client.has_started() && !(is_good && may_hold_events(&response.head)) {
+            return lost("a resumed stream failed");
+        }
         let has_events = !response.is_read() || client.has_started();
         if is_good && has_events && request.route.kind.is_stream() {
             return self
@@ -89,9 +95,6 @@
             self.node.protocol.response_fields(&response.head),
             body,
         );
-        if client.has_started() && !is_good {
-            return lost("a resumed stream failed");
-        }
         if status >= 500 {
             return AttemptOutcome::Failed(outcome);
         }
@@ -223,6 +226,12 @@
     }
 }
 
+/// Returns whether the body of a response may be events; one that does not say what it is may.
+fn may_hold_events(head: &ResponseHead) -> bool {
+    let kind = head.fields.get("Content-Type");
+    kind.is_none_or(|kind| kind.trim_start().starts_with(EVENT_STREAM))
+}
+
 fn answer_broke_off() -> AttemptOutcome {
     AttemptOutcome::Lost {
         verdict: Verdict::Crashed,
--- a/src/serve/handler/event.rs
+++ b/src/serve/handler/event.rs
@@ -44,6 +44,12 @@
     line[..colon].iter().all(is_name_byte)
 }
 
+/// Returns whether a line is a comment or a field that clients know.
+fn is_known_line(line: &[u8]) -> bool {
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    name.is_empty() || BARE_FIELDS.contains(&name)
+}
+
 /// Returns whether an id may follow another one; ids that are not numbers are not compared.
 fn may_follow(id: &str, last_id: &str) -> bool {
     match (id.parse::<u64>(), last_id.parse::<u64>()) {
@@ -85,7 +91,9 @@
             let id = id.map(|id| String::from_utf8_lossy(id.trim_ascii()).into_owned());
             let is_next = match (&id, &self.last_id) {
                 (Some(id), Some(last_id)) => may_follow(id, last_id),
-                _ => true,
+                // An error's text may look like the line of an event.
+                (None, Some(_)) => lines.clone().all(is_known_line),
+                (_, None) => true,
             };
             if !is_next || !lines.into_iter().all(is_event_line) {
                 self.is_invalid = true;
--- a/src/serve/handler/event/tests.rs
+++ b/src/serve/handler/event/tests.rs
@@ -46,6 +46,8 @@
         "id: 2\ndata: again\n\n",
         "id: 1\n\nid: 2\n\nid: 3\n\n",
         "\u{1}\u{2}: x\n\n",
+        "error: gone\n\n",
+        "error: gone\ndata: x\n\n",
     ] {
         let stream = format!("id: 1\ndata: a\n\nid: 2\n\n{rest}");
         for portion in [1, 5, stream.len()] {
