Stop watching requests in a stop once their answers have begun

A request that a stopping daemon can no longer send was looked at every 20 ms as long as an endpoint had it, also one whose stream was being passed on: with hundreds of streams that is most of a small VM's processor. Found by reading. One whose answer has begun is not looked at any more, the others ten times a second. The tests of stops in platform/tests/ends.rs are as before.

--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -56,8 +56,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(60);
 /// The `Retry-After` of a daemon that stops: clients find another one at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// How often a request that a stopping daemon can no longer serve checks whether an endpoint has it.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How often a request that a stopping daemon can no longer send checks whether an endpoint still has it.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The length of a truncated digest: enough to distinguish the contents of some minutes.
 const DIGEST_BYTES: usize = 12;
 /// The timeout of a request without a deadline.
@@ -397,7 +397,7 @@
                 biased;
                 served = timeout(answer_time, &mut serving) => served.ok(),
                 () = self.node.final_response.notified() => None,
-                () = self.misses_stop(request) => {
+                () = self.misses_stop(request, &has_started) => {
                     return Outcome::Failure(stopping());
                 }
             };
@@ -421,12 +421,14 @@
     }
 
     /// Completes when the daemon stops too soon to have the request run, and no endpoint has it.
-    async fn misses_stop(&self, request: &AcceptedRequest) {
+    async fn misses_stop(&self, request: &AcceptedRequest, has_started: &Cell<bool>) {
         let drain = self.node.wait_drain().await;
         loop {
             let last_send = drain.last_send(self.node.run_time(&request.route));
             let remaining = last_send.saturating_sub(self.node.clock.now());
-            if !remaining.is_zero() {
+            if has_started.get() {
+                std::future::pending().await
+            } else if !remaining.is_zero() {
                 tokio::time::sleep(remaining).await;
             } else if self.may_have_run.get() {
                 tokio::time::sleep(STOP_POLL_INTERVAL).await;
