--- a/src/serve/drain.rs
+++ b/src/serve/drain.rs
@@ -86,7 +86,10 @@
     /// Records a run that has ended well.
     pub fn record(&mut self, took: Duration) {
         let took = took.as_secs_f64();
-        let (mean, deviation) = self.estimate.get_or_insert((took, took / 2.0));
+        let Some((mean, deviation)) = &mut self.estimate else {
+            self.estimate = Some((took, took / 2.0));
+            return;
+        };
         let error = took - *mean;
         *mean += MEAN_SMOOTHING * error;
         *deviation += DEVIATION_SMOOTHING * (error.abs() - *deviation);
