Let clients that go on sending get the refusal

What callers saw: a client that sent a body over the limit, 12 MB for 4 MB, got a broken pipe in place of its 413, and could take the request for one to repeat.

Cause: after a refusal the daemon waited for the client's close with the buffer that detects disconnects, which stops at 64 KB, for 0.5 s. It closed with unread bytes, which resets the connection and drops the answer.

Change: Source::discard reads and drops what comes, up to four times the longest body and 2 s, and lets other tasks go on between two reads. It serves every refusal that closes the connection.

--- a/src/serve/connection.rs
+++ b/src/serve/connection.rs
@@ -23,8 +23,10 @@
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_500);
 /// How often an idle connection checks whether it is to be closed.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// How long the rest of a rejected body is discarded, so that the client gets the response.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a client that was rejected may go on sending before the connection is closed, so that it gets the answer.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// How many of the longest bodies it may send meanwhile.
+const DISCARD_BODIES: usize = 4;
 
 /// Accepts clients' connections as long as the process runs.
 pub async fn accept(listener: TcpListener, node: Rc<Node>) {
@@ -129,7 +131,8 @@
         if let Some(sink) = &mut self.sink {
             drop(tokio::io::AsyncWriteExt::shutdown(sink).await);
         }
-        drop(timeout(DISCARD_TIMEOUT, self.source.closed()).await);
+        let bytes = DISCARD_BODIES * self.node.catalog().limits.body_bytes;
+        drop(timeout(DISCARD_TIMEOUT, self.source.discard(bytes)).await);
     }
 
     async fn serve_request(&mut self, head: RequestHead, arrived_at: Time) -> bool {
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -198,6 +198,18 @@
         std::future::pending().await
     }
 
+    /// Reads at most `limit` bytes and drops them; returns when the peer has closed.
+    pub async fn discard(&mut self, mut limit: usize) {
+        loop {
+            limit = limit.saturating_sub(self.buffer.len());
+            self.buffer.clear();
+            if limit == 0 || !matches!(self.fill().await, Ok(1..)) {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Reads the head of a request of at most `limit` bytes.
     pub async fn request_head(&mut self, limit: usize) -> Result<RequestHead> {
         loop {
