Account for what clients make a daemon hold in one place

What callers saw: in a trial, clients with many large bodies that stop short of their end, whole, in pieces or in chunks, ended a process, which ran out of memory; all its callers were cut.

Cause: each connection gathered its body, its head and its read-ahead up to a limit of its own, and nothing counted them together. memory_mb and max_fds of the settings were not read. A body grew by doubling and could hold twice its size; connections were accepted until descriptors ran out.

Change: serve::intake, an account of connections and bytes without I/O, and shares that give back what they hold when they are dropped. A connection is admitted and a body allocated only if there is room. Bodies that make no progress give way to others, then later bodies to earlier ones, then the longest idle connections to new ones; all with 503, as not run. What every connection may hold is set aside, so that a small request needs no room. Bodies are segments that are counted before they are allocated. Small chunks are copied once, and others go on between two reads of a body.

An ordinary request and one of 4,194,304 bytes are answered beside the crowd and after it.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -30,6 +30,7 @@
 pub mod handler;
 pub mod health;
 pub mod http;
+pub mod intake;
 pub mod link;
 pub mod meter;
 pub mod origin;
@@ -150,6 +151,7 @@
     dialer: Rc<Dialer>,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
+    intake: Rc<intake::Pool>,
     meter: Rc<Meter>,
     log: Logger,
     drain: Cell<Option<Drain>>,
@@ -201,6 +203,8 @@
     pub protocol: Rc<dyn Protocol>,
     /// The clock, which a suspension of the VM does not stop.
     pub clock: Rc<dyn Clock>,
+    /// What clients make the daemon hold.
+    pub intake: Rc<intake::Pool>,
     /// The metrics.
     pub meter: Rc<Meter>,
     /// The logger.
@@ -227,6 +231,7 @@
             dialer: dependencies.dialer,
             protocol: dependencies.protocol,
             clock: dependencies.clock,
+            intake: dependencies.intake,
             meter: dependencies.meter,
             log: dependencies.log,
             drain: Cell::new(None),
--- a/src/serve/dispatcher.rs
+++ b/src/serve/dispatcher.rs
@@ -459,7 +459,7 @@
         } = request;
         let keep_alive = carries == Use::Free;
         let head = exchange::request_head(method, path, fields, body.len(), keep_alive);
-        let mut response = exchange::send(connection, &head, body).await?;
+        let mut response = exchange::send(connection, &head, &[body]).await?;
         let status = response.head.status;
         let meta = self.protocol.parse_response(&response.head, "");
         self.record_state(&target.endpoint, &meta);
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -5,6 +5,7 @@
 //! with it.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,14 +13,13 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::http::{self, Chunk, End, Field, Framing, ResponseHead, Sink, Source};
+use super::http::{self, Body, Chunk, End, Field, Framing, ResponseHead, Sink, Source};
+use super::intake::Share;
 
 /// How long the first connection attempt may take: several round trips between regions.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// The most connection attempts; the SYN packet of one may be lost.
 const MAX_CONNECT_ATTEMPTS: u32 = 3;
-/// Shorter bodies are sent in one write with their head.
-const MIN_SEPARATE_BODY_BYTES: usize = 1024;
 /// How long sent bytes may stay unacknowledged before the connection fails.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -50,6 +50,15 @@
 }
 
 impl Error {
+    /// Returns whether this daemon had no room for what came.
+    pub fn is_for_want_of_room(&self) -> bool {
+        let source = match self {
+            Self::Lost { source, .. } => Some(source),
+            Self::NotSent { .. } => None,
+        };
+        matches!(source, Some(http::Error::NoRoom { .. }))
+    }
+
     /// Returns whether there was no answer at all, not even a refusal.
     pub fn is_silent(&self) -> bool {
         matches!(
@@ -228,6 +237,15 @@
         (is_over && self.connection.is_quiet()).then_some(self.connection)
     }
 
+    /// Reads the whole body, for which it takes room; none when it is longer than `limit`.
+    pub async fn whole(&mut self, limit: usize, share: Rc<Share>) -> Result<Option<Body>, Error> {
+        let peer = self.connection.peer;
+        let step = "reading the answer of";
+        let source = &mut self.connection.source;
+        let body = source.whole(&mut self.framing, limit, share).await;
+        body.map_err(|source| Error::Lost { step, peer, source })
+    }
+
     /// Reads the whole body; none when it is longer than `limit`.
     pub async fn body(&mut self, limit: usize) -> Result<Option<Bytes>, Error> {
         let peer = self.connection.peer;
@@ -237,21 +255,18 @@
     }
 }
 
-/// Sends a request and reads the head of its response.
-pub async fn send(mut connection: Connection, head: &[u8], body: &[u8]) -> Result<Response, Error> {
+/// Sends a request, whose body may come in segments, and reads the head of its response.
+pub async fn send(
+    mut connection: Connection,
+    head: &[u8],
+    body: &[&[u8]],
+) -> Result<Response, Error> {
     let Connection {
         source, sink, peer, ..
     } = &mut connection;
     let peer = *peer;
     let lost = |step| move |source| Error::Lost { step, peer, source };
-    let writing = async {
-        if body.len() < MIN_SEPARATE_BODY_BYTES {
-            http::send(sink, &[head, body].concat()).await
-        } else {
-            http::send(sink, head).await?;
-            http::send(sink, body).await
-        }
-    };
+    let writing = http::send_segments(sink, head, body);
     // An endpoint may answer before it has read the body. The rest is not sent then.
     let head = tokio::select! {
         biased;
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use sha2::{Digest, Sha256};
 use slog::info;
 use tokio::time::timeout;
@@ -18,7 +17,8 @@
 use super::Node;
 use super::catalog::{Route, Workspace};
 use super::health::Verdict;
-use super::http::{Field, RequestHead, Sink};
+use super::http::{Body, Field, RequestHead, Sink};
+use super::intake::Share;
 use super::plan::{self, Job, Refusal, Stage};
 use super::protocol::RequestMeta;
 use super::residency::Residency;
@@ -33,6 +33,7 @@
 mod event;
 mod place;
 
+pub use check::Rejection;
 use event::EventBuffer;
 
 /// The longest response that is not streamed; it is buffered until it is complete.
@@ -67,7 +68,9 @@
 pub struct RequestHandler {
     node: Rc<Node>,
     head: RequestHead,
-    body: Bytes,
+    body: RefCell<Rc<Body>>,
+    /// What the client makes the daemon hold.
+    share: Rc<Share>,
     arrived_at: Time,
     /// Whether it continues when the client disconnects.
     outlives_client: Rc<Cell<bool>>,
@@ -151,7 +154,7 @@
 /// How handling a request ended.
 enum Outcome {
     /// The endpoint's complete response.
-    Response(u16, Vec<Field>, Bytes),
+    Response(u16, Vec<Field>, Body),
     /// The endpoint's response was streamed.
     Streamed,
     /// The response broke off.
@@ -200,7 +203,8 @@
     pub fn new(
         node: Rc<Node>,
         head: RequestHead,
-        body: Bytes,
+        body: Body,
+        share: Rc<Share>,
         arrived_at: Time,
         outlives_client: Rc<Cell<bool>>,
     ) -> Self {
@@ -208,7 +212,8 @@
         Self {
             node,
             head,
-            body,
+            body: RefCell::new(Rc::new(body)),
+            share,
             arrived_at,
             outlives_client,
             may_have_run: Cell::new(false),
@@ -378,7 +383,9 @@
             digest.update(part.as_bytes());
             digest.update([0]);
         }
-        digest.update(&self.body);
+        for segment in self.body.borrow().segments() {
+            digest.update(segment);
+        }
         hex::encode(&digest.finalize()[..DIGEST_BYTES]).into()
     }
 
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -1,6 +1,7 @@
 //! Passes an endpoint's response on to the client.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use crate::serve::dispatcher::PlannedRequest;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
-use crate::serve::http::{Chunk, ResponseHead};
+use crate::serve::http::{Body, Chunk, ResponseHead};
 use crate::serve::origin::Origin;
 use crate::serve::response::ResponseWriter;
 
@@ -80,9 +81,11 @@
                 .await;
         }
         planned.started(!request.route.kind.is_repeatable());
-        let body = match response.body(MAX_RESPONSE_BYTES).await {
+        self.release_body(request);
+        let body = match response.whole(MAX_RESPONSE_BYTES, self.share.clone()).await {
             Ok(Some(body)) => body,
             Ok(None) => return lost("the answer is too long"),
+            Err(error) if error.is_for_want_of_room() => return no_room(),
             Err(_) => {
                 return answer_broke_off();
             }
@@ -103,6 +106,13 @@
         AttemptOutcome::Done(outcome)
     }
 
+    /// Drops the request's body if it is not sent again.
+    fn release_body(&self, request: &AcceptedRequest) {
+        if !self.may_repeat(request) {
+            self.body.replace(Rc::new(Body::new(self.share.clone())));
+        }
+    }
+
     /// Streams a response to the client as it arrives.
     async fn stream_response(
         &self,
@@ -120,6 +130,7 @@
         let mut began = None;
         let mut is_proven = false;
         events.begin();
+        self.release_body(request);
         loop {
             let Some(chunk) = self.next_chunk(request, planned, &mut response).await else {
                 return AttemptOutcome::Lost {
@@ -232,6 +243,14 @@
     kind.is_none_or(|kind| kind.trim_start().starts_with(EVENT_STREAM))
 }
 
+/// Makes the outcome of an answer that this daemon cannot take in, for which the endpoint is not to blame.
+fn no_room() -> AttemptOutcome {
+    AttemptOutcome::Lost {
+        verdict: Verdict::Unknown,
+        reason: "no room for the answer",
+    }
+}
+
 fn answer_broke_off() -> AttemptOutcome {
     AttemptOutcome::Lost {
         verdict: Verdict::Crashed,
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -99,8 +99,12 @@
         self.log_fields.borrow_mut().fetch_from = meta.fetch_from;
         let fields = self.node.protocol.forward_fields(&self.head, &meta);
         let (method, target) = (&self.head.method, &self.head.target);
-        let head = exchange::request_head(method, target, &fields, self.body.len(), false);
-        let sending = exchange::send(connection, &head, &self.body);
+        let body = self.body.borrow().clone();
+        let head = exchange::request_head(method, target, &fields, body.len(), false);
+        let sending = async move {
+            let segments: Vec<&[u8]> = body.segments().collect();
+            exchange::send(connection, &head, &segments).await
+        };
         let unanswered = self.unanswered_at(request, &id);
         self.sent_to.replace(Some(SentTo {
             born: unanswered.life.born,
--- a/src/serve/handler/check.rs
+++ b/src/serve/handler/check.rs
@@ -2,12 +2,24 @@
 
 use std::cell::RefCell;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
 
 use super::{AcceptedRequest, DEFAULT_TIMEOUT, Failure, RequestHandler, failure, stopping};
 use crate::id;
 use crate::serve::catalog::{Catalog, Route};
+use crate::serve::http::Field;
 use crate::serve::protocol::RequestMeta;
 
+/// What the daemon answers to a request whose body it does not read.
+pub struct Rejection {
+    /// The status.
+    pub status: u16,
+    /// The fields of the answer.
+    pub fields: Vec<Field>,
+    /// When the client may come back.
+    pub retry_after: Option<Duration>,
+}
+
 impl RequestHandler {
     /// Checks the request's fields, route and API key, and sets its deadline.
     pub(super) fn accept(&self) -> Result<AcceptedRequest, Failure> {
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -5,25 +5,37 @@
 //! [the design note](../../docs/design/fleet.md).
 
 use std::io;
+use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::sleep;
+
+use super::intake::Share;
 
 mod body;
 mod head;
+mod whole;
 
 pub use body::{Chunk, End, Framing, LAST_CHUNK, write_chunk};
 pub use head::{Field, Fields, RequestHead, ResponseHead, field, has_body};
+pub use whole::Body;
 
 /// The size of one read from a socket; prompts arrive in a few reads.
 const READ_BYTES: usize = 16 * 1024;
 /// The longest head of a response.
 pub const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
-/// The most bytes that are buffered from a client while its request is served.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Shorter bodies are sent in one write with their head.
+const MIN_SEPARATE_BODY_BYTES: usize = 1024;
+/// The most bytes that are buffered from a client while its request is served, so that a disconnect is seen at once.
+const MAX_READ_AHEAD_BYTES: usize = 8 * 1024;
+/// How often a client that has sent more is checked for a disconnect.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Why a message could not be read.
 #[derive(Debug, Snafu)]
@@ -50,6 +62,12 @@
         /// The longest body, in bytes.
         limit: usize,
     },
+    /// There is no room for the bytes.
+    #[snafu(display("no room for the body for {} ms", wait.as_millis()))]
+    NoRoom {
+        /// After what time there may be.
+        wait: Duration,
+    },
     /// The head is too long.
     #[snafu(display("the head is over {limit} bytes"))]
     HeadTooLong {
@@ -110,6 +128,19 @@
     sent.map_err(|source| Error::Io { source })
 }
 
+/// Sends a head and the segments of a body; a short one goes in one write with its head.
+pub async fn send_segments(sink: &mut Sink, head: &[u8], body: &[&[u8]]) -> Result<()> {
+    let length: usize = body.iter().map(|segment| segment.len()).sum();
+    if length < MIN_SEPARATE_BODY_BYTES {
+        return send(sink, &[head, &body.concat()].concat()).await;
+    }
+    send(sink, head).await?;
+    for segment in body {
+        send(sink, segment).await?;
+    }
+    Ok(())
+}
+
 /// Reads more bytes from a socket; returns zero when it was closed.
 async fn read(socket: &mut OwnedReadHalf, buffer: &mut BytesMut) -> Result<usize> {
     // Allocates only when there are bytes, so that idle connections have no buffer.
@@ -134,6 +165,13 @@
         };
     }
 
+    /// Sets how many bytes the peer may send before they are read.
+    pub fn set_window(&self, bytes: usize) {
+        let socket: &TcpStream = self.socket.as_ref();
+        // Without it, the connection is slower or faster than it has to be.
+        drop(SockRef::from(socket).set_recv_buffer_size(bytes));
+    }
+
     /// Reads more bytes into the buffer; returns zero when the peer has closed.
     async fn fill(&mut self) -> Result<usize> {
         match &mut self.carriage {
@@ -184,6 +222,10 @@
 
     /// Waits for the first byte of a message; returns false if the peer closed instead.
     pub async fn wait_message(&mut self) -> Result<bool> {
+        if self.buffer.is_empty() {
+            // Idle connections have no buffer.
+            self.buffer = BytesMut::new();
+        }
         Ok(!self.buffer.is_empty() || self.fill().await? > 0)
     }
 
@@ -195,7 +237,13 @@
                 Ok(_) => {}
             }
         }
-        std::future::pending().await
+        // What follows stays with the operating system, which bounds it, and may be read as the next request.
+        loop {
+            match self.socket.ready(Interest::READABLE).await {
+                Ok(ready) if !ready.is_read_closed() => sleep(CLOSE_POLL_INTERVAL).await,
+                _ => return,
+            }
+        }
     }
 
     /// Reads at most `limit` bytes and drops them; returns when the peer has closed.
@@ -257,6 +305,30 @@
         }
     }
 
+    /// Reads a whole body, for which it takes room; none when it is longer than `limit`. One that ends with its
+    /// connection is whole unless the connection was reset.
+    pub async fn whole(
+        &mut self,
+        framing: &mut Framing,
+        limit: usize,
+        share: Rc<Share>,
+    ) -> Result<Option<Body>> {
+        let mut body = Body::new(share);
+        if let Some(length) = framing.length() {
+            match usize::try_from(length) {
+                Ok(length) if length <= limit => body.reserve(length).await?,
+                _ => return Ok(None),
+            }
+        }
+        while let Chunk::Bytes(bytes) = self.chunk(framing).await? {
+            if body.len() + bytes.len() > limit {
+                return Ok(None);
+            }
+            body.append(&bytes).await?;
+        }
+        Ok(Some(body))
+    }
+
     /// Reads a whole body; none when it is longer than `limit`. One that ends with its connection is
     /// whole unless the connection was reset.
     pub async fn body(&mut self, framing: &mut Framing, limit: usize) -> Result<Option<Bytes>> {
--- a/src/serve/http/body.rs
+++ b/src/serve/http/body.rs
@@ -103,9 +103,13 @@
     }
 }
 
+/// Returns how many of the remaining bytes are in the buffer.
+fn up_to(buffer: &BytesMut, remaining: u64) -> usize {
+    usize::try_from(remaining).map_or(buffer.len(), |remaining| remaining.min(buffer.len()))
+}
+
 fn take_up_to(buffer: &mut BytesMut, remaining: u64) -> Bytes {
-    let size =
-        usize::try_from(remaining).map_or(buffer.len(), |remaining| remaining.min(buffer.len()));
+    let size = up_to(buffer, remaining);
     buffer.split_to(size).freeze()
 }
 
@@ -173,13 +177,23 @@
                     *self = Self::of_length(*remaining - bytes.len() as u64);
                     return Ok(Some(Chunk::Bytes(bytes)));
                 }
-                Self::Chunked(chunk) => match chunk.decode(buffer) {
-                    Ok(Some(ChunkStep::Bytes(bytes))) if joined.is_empty() && buffer.is_empty() => {
-                        return Ok(Some(Chunk::Bytes(bytes)));
+                Self::Chunked(ChunkState::Data(remaining)) if !buffer.is_empty() => {
+                    let size = up_to(buffer, *remaining);
+                    let is_all = joined.is_empty() && size == buffer.len();
+                    *self = Self::Chunked(match *remaining - size as u64 {
+                        0 => ChunkState::Gap,
+                        remaining => ChunkState::Data(remaining),
+                    });
+                    if is_all {
+                        return Ok(Some(Chunk::Bytes(buffer.split().freeze())));
                     }
-                    Ok(Some(ChunkStep::Bytes(bytes))) => joined.extend_from_slice(&bytes),
-                    Ok(Some(ChunkStep::Next(next))) => *chunk = next,
-                    Ok(Some(ChunkStep::End)) => *self = Self::End,
+                    // Splitting each of many small chunks off would cost more than to copy it.
+                    joined.extend_from_slice(&buffer[..size]);
+                    buffer.advance(size);
+                }
+                Self::Chunked(chunk) => match chunk.decode(buffer) {
+                    Ok(Some(Some(next))) => *chunk = next,
+                    Ok(Some(None)) => *self = Self::End,
                     Ok(None) | Err(_) if !joined.is_empty() => {
                         return Ok(Some(Chunk::Bytes(joined.freeze())));
                     }
@@ -191,14 +205,10 @@
     }
 }
 
-enum ChunkStep {
-    Bytes(Bytes),
-    Next(ChunkState),
-    End,
-}
-
 impl ChunkState {
-    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<ChunkStep>> {
+    /// Decodes what stands between the bytes of chunks; returns what comes next, if it is not the end of the body, or
+    /// none when more has to be read.
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Option<Self>>> {
         match *self {
             Self::Size => {
                 let Some(length) = line_length(buffer)? else {
@@ -206,24 +216,16 @@
                 };
                 let size = parse_chunk_size(&buffer[..length])?;
                 buffer.advance(length + LINE_END_BYTES);
-                Ok(Some(ChunkStep::Next(match size {
+                Ok(Some(Some(match size {
                     0 => Self::Trailer(0),
                     size => Self::Data(size),
                 })))
             }
-            Self::Data(_) if buffer.is_empty() => Ok(None),
-            Self::Data(remaining) => {
-                let bytes = take_up_to(buffer, remaining);
-                *self = match remaining - bytes.len() as u64 {
-                    0 => Self::Gap,
-                    remaining => Self::Data(remaining),
-                };
-                Ok(Some(ChunkStep::Bytes(bytes)))
-            }
+            Self::Data(_) => Ok(None),
             Self::Gap if buffer.len() < LINE_END_BYTES => Ok(None),
             Self::Gap if buffer.starts_with(b"\r\n") => {
                 buffer.advance(LINE_END_BYTES);
-                Ok(Some(ChunkStep::Next(Self::Size)))
+                Ok(Some(Some(Self::Size)))
             }
             Self::Gap => malformed("a chunk is longer than its size"),
             Self::Trailer(size) => {
@@ -235,11 +237,7 @@
                     return malformed("the trailer is too long");
                 }
                 buffer.advance(length + LINE_END_BYTES);
-                Ok(Some(if length == 0 {
-                    ChunkStep::End
-                } else {
-                    ChunkStep::Next(Self::Trailer(size))
-                }))
+                Ok(Some((length > 0).then_some(Self::Trailer(size))))
             }
         }
     }
--- a/src/serve/meter.rs
+++ b/src/serve/meter.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cadence::{Counted, MetricSink, StatsdClient, Timed};
+use cadence::{Counted, Gauged, MetricSink, StatsdClient, Timed};
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -36,6 +36,7 @@
 
 #[derive(Default)]
 struct Sums {
+    /// Counters, and the values of gauges.
     counters: IndexMap<String, u64>,
     latencies: IndexMap<String, Histogram<u32>>,
 }
@@ -50,7 +51,9 @@
         if !is_known && self.counters.len() + self.latencies.len() >= MAX_METRICS {
             return None;
         }
-        if kind.starts_with("ms") {
+        if kind.starts_with('g') {
+            self.counters.insert(name.to_owned(), value);
+        } else if kind.starts_with("ms") {
             let latencies = &mut self.latencies;
             if !latencies.contains_key(name) {
                 let empty = Histogram::new_with_bounds(1, MAX_LATENCY_MS, LATENCY_DIGITS).ok()?;
@@ -111,6 +114,11 @@
         drop(self.client.count(name, 1));
     }
 
+    /// Records the value that something has now.
+    pub fn gauge(&self, name: &str, value: usize) {
+        drop(self.client.gauge(name, value as u64));
+    }
+
     /// Records how long something took.
     pub fn time(&self, name: &str, took: Duration) {
         let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
--- a/src/serve/response.rs
+++ b/src/serve/response.rs
@@ -1,11 +1,11 @@
 //! Responses to clients: an endpoint's response as it arrives, or a failure of the daemon itself.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-
 use super::exchange::write_fields;
 use super::http::{self, Field, LAST_CHUNK, RequestHead, Sink, write_chunk};
+use super::intake::Share;
 
 fn status_text(status: u16) -> &'static str {
     match status {
@@ -66,6 +66,7 @@
     is_http_1_1: bool,
     is_head_sent: bool,
     body: Body,
+    share: Rc<Share>,
 }
 
 /// How the body is sent.
@@ -76,12 +77,13 @@
     Chunked,
     /// With its length once it is complete: to a client of HTTP/1.0, a close would end a part of it as
     /// well as the whole. Contains the head's fields and the body so far.
-    Held(u16, Vec<Field>, Vec<u8>),
+    Held(u16, Vec<Field>, http::Body),
 }
 
 impl ResponseWriter {
-    /// Makes a writer of the response to a request; with `keep_alive`, the connection stays open.
-    pub fn new(sink: Sink, request: &RequestHead, keep_alive: bool) -> Self {
+    /// Makes a writer of the response to a request; with `keep_alive`, the connection stays open. What it has to hold
+    /// counts to the client's share.
+    pub fn new(sink: Sink, request: &RequestHead, keep_alive: bool, share: Rc<Share>) -> Self {
         Self {
             sink,
             keep_alive,
@@ -89,6 +91,7 @@
             is_http_1_1: request.is_http_1_1,
             is_head_sent: false,
             body: Body::Plain,
+            share,
         }
     }
 
@@ -135,10 +138,16 @@
     }
 
     /// Sends a complete response; returns a reusable connection.
-    pub async fn send_whole(mut self, status: u16, fields: &[Field], body: &Bytes) -> Option<Sink> {
-        let mut response = self.head(status, fields, Some(body.len() as u64));
-        response.extend_from_slice(body);
-        http::send(&mut self.sink, &response).await.ok()?;
+    pub async fn send_whole(
+        mut self,
+        status: u16,
+        fields: &[Field],
+        body: &http::Body,
+    ) -> Option<Sink> {
+        let head = self.head(status, fields, Some(body.len() as u64));
+        let segments: Vec<&[u8]> = body.segments().collect();
+        let sent = http::send_segments(&mut self.sink, &head, &segments).await;
+        sent.ok()?;
         self.keep_alive.then_some(self.sink)
     }
 
@@ -146,7 +155,7 @@
     pub async fn start(&mut self, status: u16, fields: &[Field], first: &[u8]) -> http::Result<()> {
         if !self.is_http_1_1 {
             self.is_head_sent = true;
-            self.body = Body::Held(status, fields.to_vec(), Vec::new());
+            self.body = Body::Held(status, fields.to_vec(), http::Body::new(self.share.clone()));
             return self.send_chunk(first).await;
         }
         let mut head = self.head(status, fields, None);
@@ -174,10 +183,7 @@
                 }
                 .fail()
             }
-            Body::Held(_, _, held) => {
-                held.extend_from_slice(bytes);
-                Ok(())
-            }
+            Body::Held(_, _, held) => held.append(bytes).await,
         }
     }
 
@@ -187,7 +193,7 @@
             Body::Plain => {}
             Body::Chunked => http::send(&mut self.sink, LAST_CHUNK).await.ok()?,
             Body::Held(status, fields, held) => {
-                return self.send_whole(status, &fields, &held.into()).await;
+                return self.send_whole(status, &fields, &held).await;
             }
         }
         self.keep_alive.then_some(self.sink)
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -1,5 +1,7 @@
 //! Clients outside the limits, at real processes with lowered limits: the process lives, its memory and its
 //! descriptors stay within its settings, and ordinary requests are answered.
+//!
+//! See [the design note](../../docs/design/intake.md).
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
