Decide from the head whether a body is received

What callers saw: nothing; the daemon took in large bodies of clients with an unknown key, or for no route, before it said 401 or 404, and they waited for the answer until they had sent everything.

Cause: route and key are checked by the handler, which starts once the whole body is there.

--- a/src/serve/connection.rs
+++ b/src/serve/connection.rs
@@ -225,10 +225,12 @@
         false
     }
 
-    /// Reads the body of a request.
+    /// Reads the body of a request. What the head rules out is rejected before more of it is read than every
+    /// connection may hold.
     async fn receive_body(&mut self, head: &RequestHead, limit: usize) -> Result<Body, Unread> {
         let mut framing = head.framing.clone();
         let mut body = Body::new(self.share.clone());
+        let mut is_screened = false;
         let mut has_window = false;
         if let Some(length) = framing.length() {
             let length = usize::try_from(length).unwrap_or(usize::MAX);
@@ -236,6 +238,8 @@
                 return Err(Unread::Rejected(rejection(413)));
             }
             if length > FREE_BYTES {
+                self.node.screen(head).await?;
+                is_screened = true;
                 body.reserve(length).await?;
             }
         }
@@ -249,6 +253,10 @@
             if length > limit {
                 return Err(Unread::Rejected(rejection(413)));
             }
+            if length > FREE_BYTES && !is_screened {
+                self.node.screen(head).await?;
+                is_screened = true;
+            }
             if length > FREE_BYTES && !has_window {
                 // What was taken for the body bounds what it has unread.
                 self.source.set_window(BODY_WINDOW_BYTES);
--- a/src/serve/handler/check.rs
+++ b/src/serve/handler/check.rs
@@ -4,10 +4,13 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
+use slog::info;
+
 use super::{AcceptedRequest, DEFAULT_TIMEOUT, Failure, RequestHandler, failure, stopping};
 use crate::id;
-use crate::serve::catalog::{Catalog, Route};
-use crate::serve::http::Field;
+use crate::serve::Node;
+use crate::serve::catalog::{Catalog, Route, Workspace};
+use crate::serve::http::{Field, RequestHead};
 use crate::serve::protocol::RequestMeta;
 
 /// What the daemon answers to a request whose body it does not read.
@@ -20,6 +23,94 @@
     pub retry_after: Option<Duration>,
 }
 
+impl Node {
+    /// Decides from the head of a request whether its body is read: what is refused anyway is refused before.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to a request that is not served.
+    pub async fn screen(&self, head: &RequestHead) -> Result<(), Rejection> {
+        self.wait_configured().await;
+        let meta = self.protocol.parse_request(head);
+        let (id, checked) = match &meta {
+            Err(reason) => ("", Err(failure(400, reason))),
+            Ok(meta) => (&*meta.id, self.check_head(meta)),
+        };
+        checked.map_err(|failure| {
+            info!(self.log, "request rejected before its body";
+                "id" => id, "status" => failure.status, "reason" => &*failure.reason);
+            self.meter.count("request.rejected_early");
+            Rejection {
+                status: failure.status,
+                fields: self.protocol.failure_fields(id),
+                retry_after: failure.retry_after,
+            }
+        })
+    }
+
+    fn check_head(&self, meta: &RequestMeta) -> Result<(), Failure> {
+        let catalog = self.catalog();
+        let route = self.find_route(&catalog, meta)?;
+        self.find_workspace(&catalog, route, meta)?;
+        if self.is_stopping_before(route, is_staged(&catalog, route)) {
+            return Err(stopping());
+        }
+        Ok(())
+    }
+
+    /// Returns the route of a request.
+    fn find_route<'a>(
+        &self,
+        catalog: &'a Catalog,
+        meta: &RequestMeta,
+    ) -> Result<&'a Route, Failure> {
+        let Some(age) = self.config_age() else {
+            return Err(failure(503, "no configuration yet"));
+        };
+        let is_fresh = age <= self.options.max_key_age;
+        let route = catalog.route(&meta.host, &meta.path);
+        route.ok_or_else(|| failure(if is_fresh { 404 } else { 503 }, "no route"))
+    }
+
+    /// Returns the workspace of a request's API key; none if its route needs none.
+    fn find_workspace<'a>(
+        &self,
+        catalog: &'a Catalog,
+        route: &Route,
+        meta: &RequestMeta,
+    ) -> Result<Option<&'a Workspace>, Failure> {
+        if catalog.workspaces.is_none() || route.is_public {
+            return Ok(None);
+        }
+        let age = self.config_age();
+        if age.is_none_or(|age| age > self.options.max_key_age) {
+            return Err(failure(503, "the API keys may be out of date"));
+        }
+        let key = meta.api_key.as_deref().unwrap_or_default();
+        let workspace = catalog.workspace(key);
+        workspace
+            .map(Some)
+            .ok_or_else(|| failure(401, "unknown key"))
+    }
+
+    /// Returns whether the daemon stops before a request of a route could end.
+    fn is_stopping_before(&self, route: &Route, is_staged: bool) -> bool {
+        let drain = self.drain.get();
+        let (run_time, now) = (self.run_time(route), self.clock.now());
+        drain.is_some_and(|drain| !drain.accepts(is_staged, run_time, now))
+    }
+}
+
+/// Returns whether requests of a route have stages, or may be for an engine.
+fn is_staged(catalog: &Catalog, route: &Route) -> bool {
+    let is_engine = |service| {
+        let settings = catalog.services.get(service);
+        settings.is_some_and(|settings| settings.engine.is_some())
+    };
+    let mut services = route.split.iter().map(|share| &share.service);
+    !route.stages.is_empty() || services.any(is_engine)
+}
+
 impl RequestHandler {
     /// Checks the request's fields, route and API key, and sets its deadline.
     pub(super) fn accept(&self) -> Result<AcceptedRequest, Failure> {
@@ -35,28 +126,12 @@
             .clone_from(&meta.resumes);
         self.log_fields.borrow_mut().last_event = meta.last_event_id.clone();
         let catalog = node.catalog();
-        let Some(age) = node.config_age() else {
-            return Err(failure(503, "no configuration yet"));
-        };
-        let is_fresh = age <= node.options.max_key_age;
-        let Some(route) = catalog.route(&meta.host, &meta.path) else {
-            let reason = "no route";
-            return Err(failure(if is_fresh { 404 } else { 503 }, reason));
-        };
+        let route = node.find_route(&catalog, &meta)?;
         self.log_fields.borrow_mut().route = Some(route.name.clone());
-        let mut workspace = None;
-        let mut priority = route.priority;
-        if catalog.workspaces.is_some() && !route.is_public {
-            if !is_fresh {
-                return Err(failure(503, "the API keys may be out of date"));
-            }
-            let key = meta.api_key.as_deref().unwrap_or_default();
-            let Some(workspace_entry) = catalog.workspace(key) else {
-                return Err(failure(401, "unknown key"));
-            };
-            workspace = Some(workspace_entry.name.clone());
-            priority = workspace_entry.priority.unwrap_or(priority);
-        }
+        let entry = node.find_workspace(&catalog, route, &meta)?;
+        let workspace = entry.map(|entry| entry.name.clone());
+        let priority = entry.and_then(|entry| entry.priority);
+        let priority = priority.unwrap_or(route.priority);
         self.build(meta, route.clone(), &catalog, workspace, priority)
     }
 
@@ -109,10 +184,7 @@
         let settings = catalog.services.get(&service);
         let is_engine = settings.is_some_and(|settings| settings.engine.is_some());
         let is_staged = is_engine || !route.stages.is_empty();
-        let drain = self.node.drain.get();
-        let now = self.node.clock.now();
-        let run_time = self.node.run_time(&route);
-        if drain.is_some_and(|drain| !drain.accepts(is_staged, run_time, now)) {
+        if self.node.is_stopping_before(&route, is_staged) {
             return Err(stopping());
         }
         let key = meta.api_key.as_deref();
