Count answers and incomplete events with what clients make a daemon hold

Cause: each plain answer was gathered up to 8 MiB and each incomplete event up to 256 KiB, and nothing counted those of all requests together.

Change: intake::Room is what something holds of a connection's share. Without room a request ends with 502 or its stream breaks off; the endpoint is not blamed, and the request is not sent again, since another answer would not fit either.

--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -18,6 +18,7 @@
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
 use crate::serve::http::{Body, Chunk, ResponseHead};
+use crate::serve::intake::{FREE_BYTES, Room};
 use crate::serve::origin::Origin;
 use crate::serve::response::ResponseWriter;
 
@@ -25,6 +26,9 @@
 /// on then, and pauses of half a second between events are usual.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How much room an incomplete event takes at a time.
+const ROOM_BYTES: usize = 64 * 1024;
+
 /// The media type of a stream.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -85,7 +89,9 @@
         let body = match response.whole(MAX_RESPONSE_BYTES, self.share.clone()).await {
             Ok(Some(body)) => body,
             Ok(None) => return lost("the answer is too long"),
-            Err(error) if error.is_for_want_of_room() => return no_room(),
+            Err(error) if error.is_for_want_of_room() => {
+                return self.end_without_room(planned, client);
+            }
             Err(_) => {
                 return answer_broke_off();
             }
@@ -106,6 +112,17 @@
         AttemptOutcome::Done(outcome)
     }
 
+    /// Ends a request whose answer this daemon cannot take in: the endpoint is not to blame, and another one's answer
+    /// would not fit either.
+    fn end_without_room(
+        &self,
+        planned: &dyn PlannedRequest,
+        client: &ResponseWriter,
+    ) -> AttemptOutcome {
+        planned.ended(Verdict::Unknown);
+        AttemptOutcome::Done(self.final_outcome(client, "no room for the answer"))
+    }
+
     /// Drops the request's body if it is not sent again.
     fn release_body(&self, request: &AcceptedRequest) {
         if !self.may_repeat(request) {
@@ -130,6 +147,7 @@
         let mut began = None;
         let mut is_proven = false;
         events.begin();
+        let mut room = Room::new(self.share.clone());
         self.release_body(request);
         loop {
             let Some(chunk) = self.next_chunk(request, planned, &mut response).await else {
@@ -151,6 +169,14 @@
             if events.partial_length() > MAX_EVENT_BYTES {
                 return lost("an event of the stream is too long");
             }
+            // A buffer doubles as it grows.
+            let buffered = (2 * events.partial_length()).next_multiple_of(ROOM_BYTES);
+            if events.partial_length() == 0 {
+                room.clear();
+            } else if events.partial_length() > FREE_BYTES && room.reserve(buffered).await.is_err()
+            {
+                return self.end_without_room(planned, client);
+            }
             if end.is_none() {
                 let now = self.node.clock.now();
                 let began = *began.get_or_insert_with(|| {
@@ -243,14 +269,6 @@
     kind.is_none_or(|kind| kind.trim_start().starts_with(EVENT_STREAM))
 }
 
-/// Makes the outcome of an answer that this daemon cannot take in, for which the endpoint is not to blame.
-fn no_room() -> AttemptOutcome {
-    AttemptOutcome::Lost {
-        verdict: Verdict::Unknown,
-        reason: "no room for the answer",
-    }
-}
-
 fn answer_broke_off() -> AttemptOutcome {
     AttemptOutcome::Lost {
         verdict: Verdict::Crashed,
--- a/src/serve/http/whole.rs
+++ b/src/serve/http/whole.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use super::{Error, Result};
-use crate::serve::intake::{FREE_BYTES, Share};
+use crate::serve::intake::{Room, Share};
 
 /// The size of one allocation. Bodies consist of equal ones, so that they neither grow by copies nor leave gaps of
 /// many sizes behind.
@@ -15,9 +15,7 @@
 pub struct Body {
     segments: Vec<Vec<u8>>,
     length: usize,
-    share: Rc<Share>,
-    /// The room that was taken, beyond what every connection has.
-    taken: usize,
+    room: Room,
 }
 
 impl Body {
@@ -26,8 +24,7 @@
         Self {
             segments: Vec::new(),
             length: 0,
-            share,
-            taken: 0,
+            room: Room::new(share),
         }
     }
 
@@ -46,30 +43,14 @@
         self.segments.iter().map(Vec::as_slice)
     }
 
-    /// Drops the bytes and gives their room back.
-    pub fn clear(&mut self) {
-        self.segments = Vec::new();
-        self.length = 0;
-        self.share.shrink(std::mem::take(&mut self.taken));
-    }
-
     /// Takes room for a body of some length.
     ///
     /// # Errors
     ///
     /// Fails when there is none.
     pub async fn reserve(&mut self, length: usize) -> Result<()> {
-        if length > self.room() {
-            let bytes = length - self.taken;
-            let grown = self.share.grow(bytes).await;
-            grown.map_err(|wait| Error::NoRoom { wait })?;
-            self.taken += bytes;
-        }
-        Ok(())
-    }
-
-    fn room(&self) -> usize {
-        self.taken.max(FREE_BYTES)
+        let reserved = self.room.reserve(length).await;
+        reserved.map_err(|wait| Error::NoRoom { wait })
     }
 
     /// Appends bytes, and takes room for them if it was not reserved.
@@ -79,17 +60,17 @@
     /// Fails when there is none.
     pub async fn append(&mut self, mut bytes: &[u8]) -> Result<()> {
         while !bytes.is_empty() {
-            if self.room() <= self.length {
+            if self.room.bytes() <= self.length {
                 self.reserve(self.length + SEGMENT_BYTES).await?;
             }
-            let room = self.room() - self.length;
+            let room = self.room.bytes() - self.length;
             let segment = match self.segments.last_mut() {
                 Some(segment) if segment.len() < segment.capacity() => segment,
                 _ => {
-                    let size = if self.taken == 0 {
-                        bytes.len().max(MIN_SEGMENT_BYTES)
-                    } else {
+                    let size = if self.room.is_taken() {
                         SEGMENT_BYTES
+                    } else {
+                        bytes.len().max(MIN_SEGMENT_BYTES)
                     };
                     self.segments.push_mut(Vec::with_capacity(size.min(room)))
                 }
@@ -103,9 +84,3 @@
         Ok(())
     }
 }
-
-impl Drop for Body {
-    fn drop(&mut self) {
-        self.share.shrink(self.taken);
-    }
-}
--- a/src/serve/intake.rs
+++ b/src/serve/intake.rs
@@ -11,7 +11,7 @@
 
 mod share;
 
-pub use share::{Pool, Refusal, Share};
+pub use share::{Pool, Refusal, Room, Share};
 
 /// What one connection may hold besides what is counted: its task, what was read ahead, and a small body.
 pub const CONNECTION_BYTES: usize = 48 * 1024;
--- a/src/serve/intake/share.rs
+++ b/src/serve/intake/share.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
-use super::{Account, Admission, Bound, Grant, Id};
+use super::{Account, Admission, Bound, FREE_BYTES, Grant, Id};
 use crate::clock::Clock;
 use crate::serve::meter::Meter;
 
@@ -34,6 +34,12 @@
     evicted: Rc<Notify>,
 }
 
+/// Room for some bytes, which is given back with this.
+pub struct Room {
+    share: Rc<Share>,
+    taken: usize,
+}
+
 /// A connection that is told that there is no room.
 pub struct Refusal(Rc<Pool>);
 
@@ -196,6 +202,47 @@
     }
 }
 
+impl Room {
+    /// Makes room for what every connection may have.
+    pub fn new(share: Rc<Share>) -> Self {
+        Self { share, taken: 0 }
+    }
+
+    /// Returns for how many bytes there is room.
+    pub fn bytes(&self) -> usize {
+        self.taken.max(FREE_BYTES)
+    }
+
+    /// Returns whether room was taken beyond what every connection has.
+    pub fn is_taken(&self) -> bool {
+        self.taken > 0
+    }
+
+    /// Makes room for so many bytes in all.
+    ///
+    /// # Errors
+    ///
+    /// Returns after what time there may be room.
+    pub async fn reserve(&mut self, bytes: usize) -> Result<(), Duration> {
+        if bytes > self.bytes() {
+            self.share.grow(bytes - self.taken).await?;
+            self.taken = bytes;
+        }
+        Ok(())
+    }
+
+    /// Gives back what was taken.
+    pub fn clear(&mut self) {
+        self.share.shrink(std::mem::take(&mut self.taken));
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.clear();
+    }
+}
+
 impl Drop for Share {
     fn drop(&mut self) {
         self.pool.account.borrow_mut().close(self.id);
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -7,6 +7,7 @@
 
 use socket2::SockRef;
 
+use super::standin::ANSWER_TIME;
 use super::{BODY_BYTES, EXCESSIVE_BYTES, PATIENCE};
 
 /// What is missing at the end of a crowd's bodies.
@@ -47,8 +48,12 @@
 }
 
 fn head(fields: &str) -> String {
+    head_to("/order/1", fields)
+}
+
+fn head_to(path: &str, fields: &str) -> String {
     format!(
-        "POST /order/1 HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: 9c41\r\nDeadline-Ms: 30000\r\n{fields}\r\n"
+        "POST {path} HTTP/1.1\r\nHost: x.example\r\nAttempt-Id: 9c41\r\nDeadline-Ms: 30000\r\n{fields}\r\n"
     )
 }
 
@@ -174,6 +179,15 @@
         )
     }
 
+    /// Sends requests whose answers are long, and waits until their endpoint has sent what it does.
+    pub fn ask(front: SocketAddr, count: usize, path: &str, fields: &str) -> Self {
+        let crowd = Self::connect(front, count);
+        let request = head_to(path, &format!("{fields}{}", length(0)));
+        crowd.write_some(request.as_bytes());
+        thread::sleep(ANSWER_TIME);
+        crowd
+    }
+
     /// Sends whole requests with many bytes behind each.
     pub fn pipeline(front: SocketAddr, count: usize, fields: &str) -> Self {
         let crowd = Self::connect(front, count);
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -215,3 +215,30 @@
     drop(crowd);
     check(&mut daemon);
 }
+
+/// Guards against answers of endpoints that together exceed the memory, each within its limit.
+#[test]
+fn answers_bounded_together() {
+    let _lock = daemon::lock();
+    let mut daemon = Daemon::start(LIMITS);
+    let crowd = Crowd::ask(daemon.front, CROWD, "/order/long", KEY);
+    check(&mut daemon);
+    drop(crowd);
+    check(&mut daemon);
+    assert_eq!(send_longest(&daemon).status, 200);
+    daemon.check();
+}
+
+/// Guards against events of streams that together exceed the memory, none of which has ended.
+#[test]
+fn events_bounded_together() {
+    let _lock = daemon::lock();
+    let mut daemon = Daemon::start(Limits {
+        memory_mb: 32,
+        ..LIMITS
+    });
+    let crowd = Crowd::ask(daemon.front, 3 * CROWD, "/stream/long", KEY);
+    check(&mut daemon);
+    drop(crowd);
+    check(&mut daemon);
+}
