Serve requests whose connection was told to give way as they arrived

Cause: a connection that was told to give way while its request arrived was served, but counted as one that ends. If an eighth of all did so, new connections waited for the end of these requests. Found by reading; only a full daemon can get there.

Change: a received request is no longer one that gives way. A configuration whose longest body has no room on this VM is logged.

Result: connect_full_served_victim_not_awaited, which the state before fails by construction: it kept the connection among those that were told to give way.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -331,6 +331,10 @@
                 "region" => &**region, "version" => catalog.version);
             self.meter.count("config.unknown_region");
         }
+        let (longest, largest) = (catalog.limits.body_bytes, self.intake.bound().largest());
+        if longest > largest {
+            warn!(self.log, "no room for the longest body"; "bytes" => longest, "room" => largest);
+        }
         let names_regions = residency::names_regions(&catalog);
         self.names_regions.set(names_regions);
         *self.catalog.borrow_mut() = Rc::new(catalog);
--- a/src/serve/intake.rs
+++ b/src/serve/intake.rs
@@ -253,9 +253,11 @@
         }
     }
 
-    /// Records that a request was received; it does not give way any more.
+    /// Records that a request was received; it does not give way any more, even if it was just told to.
     pub fn serve(&mut self, id: Id) {
-        self.enter(id, State::Serving);
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.state = State::Serving;
+        }
     }
 
     /// Returns whether a holder can have more bytes once others have given theirs back.
--- a/src/serve/intake/tests.rs
+++ b/src/serve/intake/tests.rs
@@ -205,6 +205,23 @@
     );
 }
 
+/// Guards against new connections that wait for one to end whose request was received at that moment.
+#[test]
+fn connect_full_served_victim_not_awaited() {
+    let mut account = Account::new(bound(1, BODY_BYTES));
+    assert_eq!(account.connect(Time::ZERO), Admission::Admitted(0, None));
+    assert_eq!(
+        account.connect(second(1.0)),
+        Admission::Admitted(1, Some(0))
+    );
+    account.serve(0);
+    assert!(!account.is_evicted(0));
+    assert_eq!(
+        account.connect(second(1.0)),
+        Admission::Admitted(2, Some(1))
+    );
+}
+
 /// Guards against idle connections that are closed while bodies that have stopped stay.
 #[test]
 fn connect_full_stopped_body_gives_way_first() {
