Play crowds of all kinds one over another, and stop the daemon under them

Cause: each test of crowds has one kind of client. What one of them leaves behind, such as room that is not given back, shows only under the next.

Change: crowds_in_any_order_bounded draws six crowds from a seed, keeps, closes or resets them, checks memory, descriptors and an ordinary request after each, sends the longest body, and ends with SIGTERM while they are connected.

--- a/src/serve/intake.rs
+++ b/src/serve/intake.rs
@@ -243,7 +243,7 @@
     }
 
     /// Records bytes of a body that have arrived. They pay for time at the least rate, which is saved up for
-    /// [`PROGRESS_TIME`] at most.
+    /// a second at most.
     pub fn progress(&mut self, id: Id, bytes: usize, now: Time) {
         if let Some(holder) = self.holders.get_mut(&id)
             && let State::Receiving(due) = &mut holder.state
--- a/tests/clients/daemon.rs
+++ b/tests/clients/daemon.rs
@@ -129,6 +129,20 @@
             .is_ok_and(|_| answer.starts_with("HTTP/1.1 200"))
     }
 
+    /// Stops the process as the platform does, and checks that it ends by itself.
+    pub fn stop(&mut self) {
+        let pid = i32::try_from(self.child.id()).expect("a process id");
+        let pid = rustix::process::Pid::from_raw(pid).expect("a process id");
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it lives");
+        let began = Instant::now();
+        while self.is_alive() {
+            assert!(began.elapsed() < PATIENCE, "the process ends");
+            thread::sleep(Duration::from_millis(20));
+        }
+        let status = self.child.wait().expect("a status");
+        assert!(status.success(), "{status}");
+    }
+
     /// Checks that the process lives and has stayed within its settings.
     pub fn check(&mut self) {
         assert!(self.is_alive(), "the process lives");
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -7,6 +7,7 @@
 
 mod crowd;
 mod daemon;
+mod soak;
 mod standin;
 
 use std::thread;
