--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -181,6 +181,8 @@
         engine.kill();
         thread::sleep(Duration::from_millis(2_000));
         life.born += 60_000;
+        // Its first entry comes 0.3 s after the cut has healed.
+        life.silent_ms = 1_000;
         engine = rig.engine(&life)?;
         thread::sleep(Duration::from_millis(700));
         rig.record.note("the cut heals");
@@ -248,7 +250,7 @@
 }
 
 /// The streams of the client with long ids, all at once, and the length of each id.
-const LONG_STREAMS: usize = 30;
+const LONG_STREAMS: usize = 80;
 const LONG_ID: usize = 15_000;
 /// The streams of ordinary clients, each of 60 events in 6 s.
 const TAKEN_UP: usize = 16;
@@ -485,7 +487,7 @@
 }
 
 /// The requests that come before the one that waits, each with so many pieces of its second stage.
-const URGENT: usize = 9;
+const URGENT: usize = 12;
 const URGENT_PIECES: usize = 10;
 
 /// Sends a staged draft; returns what became of it.
