--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -9,7 +10,7 @@
 use crate::engine::{self, Options};
 use crate::http::Connection;
 use crate::proxy;
-use crate::rig::{Engine, Record, Rig, configuration, free_address, head};
+use crate::rig::{Engine, MEMORY_MB, Record, Rig, configuration, free_address, head};
 
 type Verdict = io::Result<bool>;
 
@@ -19,7 +20,7 @@
         "reborn" => reborn(rig),
         "ids" => ids(rig),
         "fatal" => fatal(rig),
-        "handles" => handles(rig),
+        "parts" => parts(rig),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -486,78 +487,104 @@
     Ok(late > LATE_REQUESTS)
 }
 
-/// The requests that come before the one that waits, each with so many pieces of its second stage.
-const URGENT: usize = 12;
-const URGENT_PIECES: usize = 10;
+/// The requests a second of the client with many parts, the parts of each, and the time for which it sends them.
+const PARTS_RATE: u32 = 100;
+const PARTS: u32 = 1_600;
+const PARTS_TIME: Duration = Duration::from_secs(28);
+/// The ordinary clients, each of which places one order after the other on its connection.
+const ORDERING: usize = 6;
 
-/// Sends a staged draft; returns what became of it.
-fn staged(address: SocketAddr, route: &str, attempt: &str, pieces: &str, record: &Record) {
-    let fields = format!(
-        "Model: m\r\nToken-Counts: 100,10\r\nPrompt-Prefix: 5c1e07a2:80,{attempt}:20\r\nPieces: {pieces}\r\nPiece-Key: key-{attempt}\r\n"
-    );
-    let path = format!("/{route}/events/2/10");
-    let request = head("POST", &path, attempt, 15_000, &fields, attempt.len());
-    let answer = Connection::connect(address).and_then(|mut connection| {
-        connection.ask(&request, attempt.as_bytes(), Duration::from_secs(15))
-    });
-    let answer = answer.map(|answer| answer.status());
-    record.note(format!("client: {attempt}: {answer:?}"));
-}
-
-fn handles(rig: &Rig) -> Verdict {
+fn parts(rig: &Rig) -> Verdict {
     rig.store.put("keyed.op", "config", &configuration(7));
-    let mut engines = Vec::new();
-    for (id, service) in [
-        ("i-menu-model-1", "menu-model"),
-        ("i-packing-line-1", "packing-line"),
-    ] {
-        engines.push(rig.engine(&options(rig, id, service)?)?);
-    }
-    let mut life = options(rig, "i-allergy-registry-1", "allergy-registry")?;
-    let mut registry = rig.engine(&life)?;
-    let fronts = rig.fronts(2, None)?;
+    let _engines = endpoints(rig)?;
+    let mut fronts = rig.fronts(1, None)?;
     let address = fronts[0].front;
-    let send = |route: &'static str, attempt: String, pieces: String| {
-        let record = rig.record.clone();
-        thread::spawn(move || staged(address, route, &attempt, &pieces, &record))
-    };
-    let mut threads = vec![send("digest", "a1".to_owned(), "1,1".to_owned())];
-    thread::sleep(Duration::from_millis(120));
-    for number in 0..URGENT {
-        threads.push(send(
-            "urgent",
-            format!("u{number}"),
-            URGENT_PIECES.to_string(),
-        ));
-    }
-    thread::sleep(Duration::from_millis(480));
-    if rig.has_trouble {
-        rig.record.note("the endpoint of the first stage crashes");
-        registry.kill();
-        thread::sleep(Duration::from_millis(1_700));
-        life.born += 10_000;
-        registry = rig.engine(&life)?;
-    } else {
-        thread::sleep(Duration::from_millis(1_700));
-    }
-    thread::sleep(Duration::from_millis(100));
-    threads.push(send("digest", "a2".to_owned(), "1,1".to_owned()));
-    for thread in threads {
-        drop(thread.join());
+    let is_over = Arc::new(AtomicBool::new(false));
+    let ordering: Vec<_> = (0..ORDERING)
+        .map(|number| {
+            let (is_over, record) = (is_over.clone(), rig.record.clone());
+            thread::spawn(move || order_until(address, number, &is_over, &record))
+        })
+        .collect();
+    let count = if rig.has_trouble { PARTS } else { 3 };
+    rig.record.note(format!(
+        "a client sends {PARTS_RATE} drafts a second, each with a prompt of {count} parts"
+    ));
+    let begun = Instant::now();
+    let (mut number, mut unserved) = (0, 0);
+    let mut is_killed = false;
+    while begun.elapsed() < PARTS_TIME && !is_killed {
+        let parts: Vec<String> = (0..count)
+            .map(|part| format!("{:x}:1", number * 4096 + part))
+            .collect();
+        let fields = format!(
+            "Model: m\r\nToken-Counts: {count},8\r\nPrompt-Prefix: {}\r\n",
+            parts.join(",")
+        );
+        let request = head(
+            "POST",
+            "/notice/events/1/0",
+            &format!("c{number}"),
+            15_000,
+            &fields,
+            2,
+        );
+        let answer = Connection::connect(address)
+            .and_then(|mut connection| connection.ask(&request, b"ok", Duration::from_secs(5)));
+        unserved += u32::from(!answer.is_ok_and(|answer| answer.status() == 200));
+        number += 1;
+        let peak = fronts[0].peak_mb();
+        if number % 200 == 0 {
+            rig.record.note(format!("{number} drafts, {unserved} not served; the daemon's memory is {peak} MB at its peak"));
+        }
+        if peak > MEMORY_MB {
+            rig.record.note(format!(
+                "{number} drafts; the daemon's memory is over {MEMORY_MB} MB ({peak} MB): killed, as the platform does"
+            ));
+            fronts[0].kill();
+            is_killed = true;
+        }
+        let due = begun + Duration::from_secs(1) * number / PARTS_RATE;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
     }
-    drop((registry, engines));
-    let lines = rig.lines.lock().unwrap();
-    let is_foreign = |line: &str| {
-        let (request, owner) = line.split_once(": it is of ")?;
-        let request = request.rsplit(' ').next()?;
-        Some(owner.split(',').next()? != request)
-    };
-    let foreign = lines
-        .iter()
-        .filter(|(_, line)| is_foreign(line) == Some(true))
-        .count();
+    is_over.store(true, Ordering::Relaxed);
+    let ordered = ordering.into_iter().filter_map(|thread| thread.join().ok());
+    let ordered = ordered.collect::<io::Result<Vec<bool>>>()?;
+    let closed = ordered.iter().filter(|is_closed| **is_closed).count();
     rig.record.note(format!(
-        "MIXED: {foreign} inputs of another request were given to a piece or a request (none may)"
+        "Fault: the daemon's memory went over its limit: {is_killed}; LOST: {closed} orders of {ORDERING} clients on kept connections ended with a closed connection and no answer (3 may)"
     ));
-    Ok(foreign > 0)
+    Ok(is_killed && closed > 3)
+}
+
+/// Places orders that their endpoint works on for 1.5 s, one after the other on one connection; returns whether it was
+/// closed without an answer.
+fn order_until(
+    address: SocketAddr,
+    client: usize,
+    is_over: &AtomicBool,
+    record: &Record,
+) -> io::Result<bool> {
+    let mut connection = Connection::connect(address)?;
+    for number in 0.. {
+        if is_over.load(Ordering::Relaxed) {
+            return Ok(false);
+        }
+        let attempt = format!("a{client}x{number}");
+        let request = head("POST", "/commit/work/1500", &attempt, 5000, "", 2);
+        match connection.ask(&request, b"ok", Duration::from_secs(6)) {
+            Ok(answer) if answer.status() == 200 => {}
+            Ok(answer) => record.note(format!(
+                "client: order {attempt} got status {}",
+                answer.status()
+            )),
+            Err(_) => {
+                record.note(format!(
+                    "client: order {attempt}: the connection was closed without an answer"
+                ));
+                return Ok(number > 0);
+            }
+        }
+    }
+    Ok(false)
 }
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -14,6 +14,8 @@
 use crate::http;
 use crate::store::Store;
 
+/// The memory of a machine, in millions of bytes, as in the settings of the small deployments.
+pub const MEMORY_MB: u64 = 260;
 /// The program of the deploy file.
 const FRONT: &str = "target/front/cyclamenrill-front";
 /// The key of the only tenant.
@@ -58,6 +60,15 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// Returns the memory that the process has used at most, in millions of bytes.
+    pub fn peak_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kib.unwrap_or(0) * 1024 / 1_000_000
+    }
+
     pub fn kill(&mut self) {
         drop(self.child.kill());
     }
@@ -191,7 +202,7 @@
             "zone":"{zone}","region":"{region}","zones":{{{zones}}},
             "listen":{{"front":"{ip}:{}","ready":"{ip}:{}"}},"port_range":[{},{}],"seeds":[],
             "bootstrap":true,"counts_as_loss":false,
-            "limits":{{"cpu_share":0.25,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":1000.0,"disk_mb":0}},
+            "limits":{{"cpu_share":0.25,"cores":1,"memory_mb":{MEMORY_MB},"max_fds":4100,"link_mbps":1000.0,"disk_mb":0}},
             "data_dir":null,"discovery":"platform","entry_mode":"vip","heartbeat_ms":1200,
             "contracts":["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","stages"],
             "fault_tolerance":{{"machines":2,"zones":0,"regions":0}},
@@ -278,13 +289,7 @@
     let staged = r#","max_attempts":1,"stages":[{"service":"allergy-registry","after":[],"bytes":8000}],"sticky":true,"resumable":false,"target_gap_ms":300"#;
     let plain = r#","max_attempts":1,"sticky":true,"resumable":false,"target_gap_ms":300"#;
     let resumable = r#","max_attempts":1,"sticky":true,"resumable":true,"target_gap_ms":300"#;
-    let two_stages = r#","max_attempts":1,"stages":[{"service":"allergy-registry","after":[],"bytes":8000},{"service":"packing-line","after":[0],"bytes":8000}],"sticky":true,"resumable":false,"target_gap_ms":300"#;
-    let packed = r#","max_attempts":1,"stages":[{"service":"packing-line","after":[],"bytes":8000}],"sticky":true,"resumable":false,"target_gap_ms":300"#;
     let routes = [
-        route("digest", "stream", "menu-model", 15000, 4000, two_stages)
-            .replace("\"priority\":1", "\"priority\":6"),
-        route("urgent", "stream", "menu-model", 15000, 4000, packed)
-            .replace("\"priority\":1", "\"priority\":0"),
         route("plan", "stream", "menu-model", 6000, 920, staged),
         route("notice", "stream", "menu-model", 15000, 1500, plain),
         route("query", "stream", "menu-model", 15000, 1500, resumable),
@@ -305,7 +310,7 @@
             r#","max_attempts":2"#,
         ),
     ];
-    let services = r#"{"name":"menu-model","max_conns":610,"engine":{"slots":128,"kv_capacity":577317,"kv_token_bytes":96256,"link_mbps":1100000}},{"name":"orders","max_conns":96},{"name":"allergy-registry","max_conns":610,"pieces":{"slots":1,"queue":2,"batch":10,"call_ms":150,"item_ms":13,"headroom_mb":64,"handle_s":4,"link_mbps":10000}},{"name":"packing-line","max_conns":610,"pieces":{"slots":1,"queue":2,"batch":10,"call_ms":150,"item_ms":13,"headroom_mb":64,"handle_s":4,"link_mbps":10000}}"#;
+    let services = r#"{"name":"menu-model","max_conns":610,"engine":{"slots":128,"kv_capacity":577317,"kv_token_bytes":96256,"link_mbps":1100000}},{"name":"orders","max_conns":96},{"name":"allergy-registry","max_conns":610,"pieces":{"slots":1,"queue":2,"batch":10,"call_ms":150,"item_ms":13,"headroom_mb":64,"handle_s":4,"link_mbps":10000}}"#;
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{services}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"bozi300","api_keys":["{KEY}"]}}]}}"#,
         routes.join(",")
