Check numbers of requests before anything depends on them

Cause: the planner allocated 64 bytes a piece before it looked at the job, and its forecast counted one call a stage whatever the number of pieces.

More than 4,096 pieces get 400 at the daemon of the client and a final refusal at a planner, for jobs of earlier versions. The least time of a stage is that of all calls that one endpoint has to run.

--- a/src/serve/handler/check.rs
+++ b/src/serve/handler/check.rs
@@ -11,6 +11,7 @@
 use crate::serve::Node;
 use crate::serve::catalog::{Catalog, Route, Workspace};
 use crate::serve::http::{Field, RequestHead};
+use crate::serve::plan::MAX_PIECES;
 use crate::serve::protocol::RequestMeta;
 
 /// What the daemon answers to a request whose body it does not read.
@@ -52,6 +53,7 @@
         let catalog = self.catalog();
         let route = self.find_route(&catalog, meta)?;
         self.find_workspace(&catalog, route, meta)?;
+        check_pieces(route, meta)?;
         if self.is_stopping_before(route, is_staged(&catalog, route)) {
             return Err(stopping());
         }
@@ -101,6 +103,16 @@
     }
 }
 
+/// Checks that the stages of a request have no more pieces than a planner takes.
+fn check_pieces(route: &Route, meta: &RequestMeta) -> Result<(), Failure> {
+    let counts = meta.piece_counts.iter().take(route.stages.len());
+    let pieces = counts.fold(0, |sum: usize, count| sum.saturating_add(*count));
+    if pieces > MAX_PIECES {
+        return Err(failure(400, "too many pieces"));
+    }
+    Ok(())
+}
+
 /// Returns whether requests of a route have stages, or may be for an engine.
 fn is_staged(catalog: &Catalog, route: &Route) -> bool {
     let is_engine = |service| {
@@ -129,6 +141,7 @@
         let route = node.find_route(&catalog, &meta)?;
         self.log_fields.borrow_mut().route = Some(route.name.clone());
         let entry = node.find_workspace(&catalog, route, &meta)?;
+        check_pieces(route, &meta)?;
         let workspace = entry.map(|entry| entry.name.clone());
         let priority = entry.and_then(|entry| entry.priority);
         let priority = priority.unwrap_or(route.priority);
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -46,6 +46,9 @@
 /// Identifies a call to a stage endpoint.
 pub type CallId = u64;
 
+/// The most pieces that the stages of one request have, all together. Each takes some memory before it is known whether
+/// the request can be served.
+pub const MAX_PIECES: usize = 4_096;
 /// How often the inputs of a request may be lost before it is refused.
 const MAX_RESTARTS: u32 = 2;
 /// How often a piece may fail at endpoints before its request is refused.
@@ -198,6 +201,11 @@
             let refusal = Refusal::new("it may not be in this region", MAX_RETRY_AFTER);
             return self.actions.push(Action::Refuse(job_id, refusal));
         }
+        if job.pieces() > MAX_PIECES {
+            // Daemons refuse such requests of their clients, but those of earlier versions do not.
+            let refusal = Refusal::oversized();
+            return self.actions.push(Action::Refuse(job_id, refusal));
+        }
         self.quarantine.update(now);
         let mut request = Request::new(job, now);
         let transferred = request.add_transferred();
--- a/src/serve/plan/forecast.rs
+++ b/src/serve/plan/forecast.rs
@@ -135,7 +135,9 @@
         let queued = queued.saturating_sub(begin);
         wait = wait.max(queued);
         // Pieces that are queued before its own fill the same call.
-        let own = endpoints.min_time(&job_stage.service, job_stage.pieces + ahead);
+        let filled = endpoints.call_time(&job_stage.service, job_stage.pieces + ahead);
+        let own = endpoints.min_time(&job_stage.service, job_stage.pieces);
+        let own = own.max(filled);
         ends.push(begin + queued + own);
     }
     let last = ends.iter().max().copied()?;
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -137,17 +137,33 @@
         endpoint.is_some_and(|endpoint| endpoint.is_evacuated)
     }
 
-    /// Returns the least time that a service needs for some pieces.
-    pub fn min_time(&self, service: &id::Pool, pieces: usize) -> Duration {
-        let Some(batch) = self.services.get(service) else {
+    /// Returns the time of one call for some pieces of a service, or for as many of them as it takes.
+    pub fn call_time(&self, service: &id::Pool, pieces: usize) -> Duration {
+        let Some(batch) = self.services.get(service).filter(|_| pieces > 0) else {
             return Duration::ZERO;
         };
-        if pieces == 0 {
-            return Duration::ZERO;
-        }
         batch.call_time + batch.piece_time * count(pieces.min(batch.max_pieces))
     }
 
+    /// Returns the least time that a service needs for some pieces: that of the calls that one of its endpoints has to
+    /// run, if they are shared out evenly.
+    pub fn min_time(&self, service: &id::Pool, pieces: usize) -> Duration {
+        let max_pieces = self.services.get(service).map(|batch| batch.max_pieces);
+        let Some(max_pieces) = max_pieces.filter(|max_pieces| pieces > *max_pieces) else {
+            return self.call_time(service, pieces);
+        };
+        let endpoints = self.endpoints.values();
+        let endpoints = endpoints
+            .filter(|endpoint| endpoint.service == *service && !endpoint.is_evacuated)
+            .count()
+            .max(1);
+        let in_a_round = max_pieces.max(1) * endpoints;
+        let rounds = pieces.div_ceil(in_a_round);
+        let in_last = pieces - (rounds - 1) * in_a_round;
+        self.call_time(service, max_pieces) * count(rounds - 1)
+            + self.call_time(service, in_last.min(max_pieces))
+    }
+
     /// Returns the time that some pieces of a service take, without the fixed time of calls.
     pub fn piece_time(&self, service: &id::Pool, pieces: usize) -> Duration {
         let piece_time = self.services.get(service).map(|batch| batch.piece_time);
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -14,6 +14,7 @@
 mod limit;
 mod load;
 mod pace;
+mod pieces;
 mod replay;
 mod shortage;
 mod transfer;
--- a/src/serve/plan/types.rs
+++ b/src/serve/plan/types.rs
@@ -91,6 +91,12 @@
 }
 
 impl Job {
+    /// Returns the number of pieces of all its stages.
+    pub fn pieces(&self) -> usize {
+        let pieces = self.stages.iter().map(|stage| stage.pieces);
+        pieces.fold(0, usize::saturating_add)
+    }
+
     /// Returns what it can be blamed by when its endpoint ends.
     pub fn suspects(&self) -> Suspects {
         suspects(&self.digest, &self.prompt_parts)
@@ -328,6 +334,13 @@
         refusal
     }
 
+    /// Makes the refusal of a request of more pieces than any planner takes.
+    pub fn oversized() -> Self {
+        let mut refusal = Self::new("its stages have too many pieces", MAX_RETRY_AFTER);
+        refusal.is_final = true;
+        refusal
+    }
+
     /// Makes the refusal of a request that no region may serve, which only a new configuration or new
     /// endpoints change.
     pub fn misplaced(reason: String) -> Self {
--- a/src/serve/region/tests.rs
+++ b/src/serve/region/tests.rs
@@ -172,6 +172,31 @@
     assert_eq!(read.closures, sent.closures);
 }
 
+/// Guards against numbers of clients that a daemon of an earlier version passes on unchecked.
+#[test]
+fn odd_numbers_of_job_bounded() {
+    let most = u64::from(u32::MAX);
+    let sent = Job {
+        weight: f32::NAN,
+        tokens: Tokens {
+            prompt: u64::MAX,
+            output: 1 << 63,
+        },
+        prompt_parts: vec![PromptPart {
+            id: "p".into(),
+            tokens: u64::MAX,
+        }],
+        ..job()
+    };
+    let mut message = message::Builder::new_default();
+    wire::write_job(&sent, Duration::ZERO, message.init_root());
+    let read: wire_job::Reader<'_> = message.get_root_as_reader().expect("a job");
+    let read = wire::read_job(read, Duration::ZERO).expect("a valid message");
+    assert_eq!((read.tokens.prompt, read.tokens.output), (most, most));
+    assert_eq!(read.prompt_parts[0].tokens, most);
+    assert!(read.weight.is_finite());
+}
+
 /// Guards against a planner that is not told where a request may be; none are sent where it may be everywhere.
 #[test]
 fn allowed_regions_round_trip() {
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -153,10 +153,21 @@
 fn read_prompt_part(reader: schema::part::Reader<'_>) -> Result<PromptPart> {
     Ok(PromptPart {
         id: read_name(reader.get_id()?)?,
-        tokens: reader.get_tokens(),
+        tokens: read_tokens(reader.get_tokens()),
     })
 }
 
+/// Reads a number of tokens. Daemons of earlier versions pass on whatever their clients send; sums of numbers below this
+/// bound do not overflow.
+fn read_tokens(tokens: u64) -> u64 {
+    tokens.min(u32::MAX.into())
+}
+
+/// Reads the weight of a job, which daemons of earlier versions derive from any numbers of their clients.
+fn read_weight(weight: f32) -> f32 {
+    if weight.is_finite() { weight } else { 1.0 }
+}
+
 /// Reads a job; its durations from `now` become times of this daemon's clock.
 pub fn read_job(reader: schema::job::Reader<'_>, now: Time) -> Result<Job> {
     let stages = reader.get_needs()?.iter().map(read_stage);
@@ -178,12 +189,12 @@
         deadline: now + Duration::from_nanos(reader.get_end_nanos()),
         prompt_parts: parts.collect::<Result<_>>()?,
         tokens: Tokens {
-            prompt: reader.get_prompt_tokens(),
-            output: reader.get_output_tokens(),
+            prompt: read_tokens(reader.get_prompt_tokens()),
+            output: read_tokens(reader.get_output_tokens()),
         },
         zone: read_name(reader.get_zone()?)?,
         target_latency: Duration::from_nanos(reader.get_span_nanos()),
-        weight: reader.get_weight(),
+        weight: read_weight(reader.get_weight()),
         digest: read_name(reader.get_digest()?)?,
         transferred_results: read_transferred(reader.get_made()?, now)?,
         release: read_release(reader.get_release()?)?,
