Confirm the end of an answer by the process that wrote it

Cause: a new connection that lasts 60 ms, and a listed life that had not changed, were taken for the process that wrote the answer. The next process takes connections before its first entry is read.

Evidence: answer_of_reborn_endpoint_not_complete failed on with the first three of five events as a whole answer.

Change: serve::witness holds a second connection from the head of such an answer on; after the close the endpoint has to answer there, or to name the listed start of its process. The same for connections that are passed on.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -46,6 +46,7 @@
 pub mod residency;
 pub mod response;
 pub mod tunnel;
+mod witness;
 
 use budget::Budget;
 use catalog::Catalog;
@@ -62,6 +63,7 @@
 use rate::Limits;
 use registry::{Endpoint, Entry, Registry};
 use residency::{Places, Residency};
+use witness::Witnesses;
 
 /// How often a stopping daemon checks for active requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -149,6 +151,7 @@
     closures: Rc<Closures>,
     knowledge: Knowledge,
     dialer: Rc<Dialer>,
+    witnesses: Witnesses,
     protocol: Rc<dyn Protocol>,
     clock: Rc<dyn Clock>,
     intake: Rc<intake::Pool>,
@@ -229,6 +232,7 @@
             closures: dependencies.closures,
             knowledge: dependencies.knowledge,
             dialer: dependencies.dialer,
+            witnesses: Witnesses::default(),
             protocol: dependencies.protocol,
             clock: dependencies.clock,
             intake: dependencies.intake,
@@ -403,6 +407,17 @@
         closure.is_some() || self.registry.borrow().is_leaving(id) || self.is_evacuated(id)
     }
 
+    /// Returns whether an endpoint may be asked about itself: one that leaves may, but not one that wants nothing for
+    /// a time, or whose requests are counted.
+    fn may_ask(&self, id: &id::Endpoint) -> bool {
+        let now = self.clock.now();
+        let closure = self.closures.get(id, now);
+        let wants_nothing = closure.is_some_and(|closure| closure.remaining.is_some());
+        let limits = self.limits();
+        let is_counted = limits.get(id).is_some() || limits.cold().is_cold(id, now);
+        !wants_nothing && !is_counted && !self.is_evacuated(id)
+    }
+
     /// Returns whether an endpoint may get a request, by the region that it lists.
     fn is_allowed(&self, residency: &Residency, id: &str) -> bool {
         let registry = self.registry.borrow();
--- a/src/serve/dialer.rs
+++ b/src/serve/dialer.rs
@@ -31,11 +31,6 @@
 const CHECKED_ENDPOINTS: usize = 4;
 /// How long after its connections an endpoint that ends stops listening.
 pub const CLOSE_TIME: Duration = Duration::from_millis(30);
-/// The time in which an endpoint that ends closes all its connections: one examination serves for them.
-const CLOSE_SPREAD: Duration = Duration::from_millis(10);
-/// How long a connection to an endpoint that has closed another one has to stay open to show that it runs. One that
-/// ends may still take connections at first, and so may what stands between, but they do not last.
-const HOLD_TIME: Duration = Duration::from_millis(60);
 /// How long what was found of an endpoint holds: all its connections break at once.
 const FINDING_VALIDITY: Duration = Duration::from_millis(200);
 /// How often a link that is down is probed. Each probe costs an endpoint a connection.
@@ -124,8 +119,6 @@
     endpoints: RefCell<IndexMap<id::Endpoint, SocketAddr>>,
     check: RefCell<Option<(Time, Check)>>,
     examinations: RefCell<IndexMap<id::Endpoint, (Time, Examination)>>,
-    /// The endpoints of which it is being found out whether they still run, since they closed a connection.
-    confirmations: RefCell<IndexMap<id::Endpoint, (Time, Check)>>,
     /// When an endpoint was reached last, directly or over another VM.
     reached_at: Cell<Time>,
     clock: Rc<dyn Clock>,
@@ -141,7 +134,6 @@
             endpoints: RefCell::default(),
             check: RefCell::default(),
             examinations: RefCell::default(),
-            confirmations: RefCell::default(),
             reached_at: Cell::new(clock.now()),
             clock,
             log,
@@ -366,30 +358,6 @@
         finding
     }
 
-    /// Returns whether an endpoint that has closed a connection just now still runs. The close of a process that has
-    /// ended looks the same, but it keeps no connection.
-    pub async fn outlives_close(self: &Rc<Self>, target: &Target) -> bool {
-        let now = self.clock.now();
-        let confirmation = {
-            let mut running = self.confirmations.borrow_mut();
-            running.retain(|_, (began, _)| now < *began + CLOSE_SPREAD);
-            let begin = || {
-                let (dialer, target) = (self.clone(), target.clone());
-                let confirmation = async move {
-                    let Ok(mut connection) = dialer.connect(&target).await else {
-                        return false;
-                    };
-                    tokio::time::sleep(HOLD_TIME).await;
-                    connection.is_quiet()
-                };
-                (now, confirmation.boxed_local().shared())
-            };
-            let entry = running.entry(target.endpoint.clone());
-            entry.or_insert_with(begin).1.clone()
-        };
-        confirmation.await
-    }
-
     fn choose_endpoints(&self, count: usize) -> Vec<Target> {
         let endpoints = self.endpoints.borrow();
         let target = |(endpoint, address): (&id::Endpoint, &SocketAddr)| Target {
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::http::{self, Body, Chunk, End, Field, Framing, ResponseHead, Sink, Source};
+use super::http::{self, Body, Chunk, Field, Framing, ResponseHead, Sink, Source};
 use super::intake::Share;
 
 /// How long the first connection attempt may take: several round trips between regions.
@@ -202,20 +202,6 @@
         self.connection.is_detour
     }
 
-    /// Returns what showed the end of a body that was read.
-    pub fn end(&self) -> End {
-        match self.framing {
-            Framing::Close => End::Closed,
-            _ => End::Framed,
-        }
-    }
-
-    /// Returns whether an end of the body is the endpoint's own: a close may be the end of its process, unless
-    /// another VM has found out.
-    pub fn is_end_told(&self, end: End) -> bool {
-        end == End::Framed || self.is_detour()
-    }
-
     /// Returns whether nothing of the body is left to read.
     pub fn is_read(&self) -> bool {
         self.framing == Framing::End
--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -16,6 +16,7 @@
 
 use super::Node;
 use super::catalog::{Route, Workspace};
+use super::ending::Sent;
 use super::health::Verdict;
 use super::http::{Body, Field, RequestHead, Sink};
 use super::intake::Share;
@@ -83,7 +84,8 @@
     has_begun: Cell<bool>,
     /// What its endpoint is blamed for if it ends without an answer.
     unanswered: RefCell<Option<Unanswered>>,
-    sent_to: RefCell<Option<SentTo>>,
+    /// How the request was sent last.
+    sent: Cell<Option<Sent>>,
     digest: OnceCell<id::Digest>,
     /// The regions for which it was planned last.
     planned_for: RefCell<Residency>,
@@ -119,14 +121,6 @@
     is_logged: bool,
 }
 
-/// To whom a request was sent last.
-#[derive(Clone, Copy)]
-struct SentTo {
-    /// When the endpoint's life began.
-    born: u64,
-    at: Time,
-}
-
 /// A request at an endpoint that has not answered it.
 struct Unanswered {
     suspects: Suspects,
@@ -221,7 +215,7 @@
             sent_release: RefCell::default(),
             has_begun: Cell::new(false),
             unanswered: RefCell::default(),
-            sent_to: RefCell::default(),
+            sent: Cell::default(),
             digest: OnceCell::new(),
             planned_for: RefCell::default(),
             log_fields: RefCell::default(),
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -15,6 +15,7 @@
 };
 use crate::quarantine::evidence::PROOF_TIME;
 use crate::serve::dispatcher::PlannedRequest;
+use crate::serve::ending::Ending;
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
 use crate::serve::http::{Body, Chunk, ResponseHead};
@@ -78,10 +79,12 @@
         if client.has_started() && !(is_good && may_hold_events(&response.head)) {
             return lost("a resumed stream failed");
         }
+        let ending = self.expect_end(planned, &response);
         let has_events = !response.is_read() || client.has_started();
         if is_good && has_events && request.route.kind.is_stream() {
+            let answer = (response, ending);
             return self
-                .stream_response(request, planned, client, events, has_started, response)
+                .stream_response(request, planned, client, events, has_started, answer)
                 .await;
         }
         planned.started(!request.route.kind.is_repeatable());
@@ -96,7 +99,7 @@
                 return answer_broke_off();
             }
         };
-        if !response.is_end_told(response.end()) && !self.confirms_end(planned).await {
+        if !self.confirms_end(ending.as_ref()).await {
             return answer_broke_off();
         }
         let outcome = Outcome::Response(
@@ -138,7 +141,7 @@
         client: &mut ResponseWriter,
         events: &mut EventBuffer,
         has_started: &Cell<bool>,
-        mut response: exchange::Response,
+        (mut response, ending): (exchange::Response, Option<Ending>),
     ) -> AttemptOutcome {
         // The length that an endpoint announces is not passed on: it says nothing about its events, and
         // the last chunk can still be withheld when the stream turns out to have broken off.
@@ -159,7 +162,7 @@
             let (bytes, end) = match chunk {
                 Ok(Chunk::Bytes(bytes)) => (events.push(&bytes), None),
                 Ok(Chunk::End(end)) if events.is_whole(end) => {
-                    if !response.is_end_told(end) && !self.confirms_end(planned).await {
+                    if !self.confirms_end(ending.as_ref()).await {
                         return stream_broke_off(is_proven);
                     }
                     (Bytes::new(), Some(end))
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -10,15 +10,17 @@
 use super::event::EventBuffer;
 use super::{
     ANSWER_TIMEOUT_SHARE, AcceptedRequest, AttemptOutcome, MIN_ANSWER_TIMEOUT, RequestHandler,
-    SentTo, Unanswered, lost,
+    Unanswered, lost,
 };
 use crate::id;
 use crate::quarantine::evidence::Life;
 use crate::serve::cold;
 use crate::serve::dialer::{self, CLOSE_TIME, Finding, Target};
 use crate::serve::dispatcher::PlannedRequest;
+use crate::serve::ending::{Ending, Sent};
 use crate::serve::exchange;
 use crate::serve::health::Verdict;
+use crate::serve::http::Framing;
 use crate::serve::origin::Origin;
 use crate::serve::protocol::ForwardMeta;
 use crate::serve::residency::Residency;
@@ -106,7 +108,7 @@
             exchange::send(connection, &head, &segments).await
         };
         let unanswered = self.unanswered_at(request, &id);
-        self.sent_to.replace(Some(SentTo {
+        self.sent.set(Some(Sent {
             born: unanswered.life.born,
             at: unanswered.sent_at,
         }));
@@ -225,22 +227,36 @@
         }
     }
 
-    /// Returns whether an answer that its endpoint ended with its connection is [whole](crate::serve::ending).
-    pub(super) async fn confirms_end(&self, planned: &dyn PlannedRequest) -> bool {
+    /// Prepares to find out whether an answer that ends with its connection is [whole](crate::serve::ending); none if
+    /// its end shows that, or another VM finds out.
+    pub(super) fn expect_end(
+        &self,
+        planned: &dyn PlannedRequest,
+        response: &exchange::Response,
+    ) -> Option<Ending> {
+        let is_told = response.framing != Framing::Close || response.is_detour();
+        let sent = self.sent.get().filter(|_| !is_told)?;
         let target = Target {
             endpoint: planned.grant().endpoint.clone(),
             address: self.address(planned),
             // Nothing of the request is sent.
             residency: Residency::default(),
         };
-        let born = self.sent_to.borrow().map_or(0, |sent_to| sent_to.born);
-        self.node.confirms_end(&target, born).await
+        Some(self.node.expect_end(&target, sent))
+    }
+
+    /// Returns whether an answer that has ended is whole, as far as its end tells.
+    pub(super) async fn confirms_end(&self, ending: Option<&Ending>) -> bool {
+        match ending {
+            Some(ending) => self.node.confirms_end(ending).await,
+            None => true,
+        }
     }
 
     /// Records how long the endpoint ran the request, which has ended well.
     pub(super) fn record_run_time(&self, request: &AcceptedRequest) {
-        if let Some(sent_to) = *self.sent_to.borrow() {
-            let took = self.node.clock.now().saturating_sub(sent_to.at);
+        if let Some(sent) = self.sent.get() {
+            let took = self.node.clock.now().saturating_sub(sent.at);
             self.node.record_run_time(&request.route.name, took);
         }
     }
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -95,6 +95,16 @@
     }
 }
 
+token! {
+    /// What an endpoint says of itself.
+    pub struct Life {
+        /// Whether the expected endpoint has answered, and not another one at its address.
+        pub is_expected: bool,
+        /// The start of its process, if it tells.
+        pub born: Option<u64>,
+    }
+}
+
 /// The protocol of clients and endpoints.
 pub trait Protocol {
     /// Reads the fields of a request.
@@ -115,6 +125,10 @@
     fn stage_call(&self, endpoint: &id::Endpoint, pieces: &[PieceRequest]) -> HttpRequest;
     /// Reads the outcomes of `count` pieces; none when the body is invalid.
     fn parse_outcomes(&self, body: &[u8], count: usize) -> Option<Vec<PieceOutcome>>;
+    /// Returns the request that has an endpoint say what it is, which runs nothing.
+    fn life_call(&self, endpoint: &id::Endpoint) -> HttpRequest;
+    /// Reads what an endpoint says of itself; any answer shows that something runs.
+    fn parse_life(&self, head: &ResponseHead, body: &[u8]) -> Life;
     /// Returns the request that frees results.
     fn free_call(&self, endpoint: &id::Endpoint, handles: &[Handle]) -> HttpRequest;
 }
--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -20,8 +20,9 @@
 
 use super::carrier::Carrier;
 use super::dialer::Target;
+use super::ending::Sent;
 use super::exchange::{self, CONNECT_TIMEOUT, Connection};
-use super::http::{self, Fields, LAST_CHUNK, ResponseHead, Sink, Source, write_chunk};
+use super::http::{self, Fields, Framing, LAST_CHUNK, ResponseHead, Sink, Source, write_chunk};
 use super::residency::Residency;
 use super::response::empty_response;
 use super::{Node, protocol};
@@ -173,7 +174,6 @@
     debug!(node.log, "connection passed on";
         "endpoint" => &*endpoint, "status" => status, "open" => open.get());
     let is_chunked = is_chunked(&head.fields);
-    let born = node.listed_birth(&endpoint);
     // The answer has no body and no length: what follows is the endpoint's.
     let answer = match status {
         OPENED if is_chunked => {
@@ -190,7 +190,7 @@
             sink,
             is_chunked,
         };
-        pass_on(&node, (&target, born), daemon, connection).await;
+        pass_on(&node, &target, daemon, connection).await;
         open.set(open.get() - 1);
     }
 }
@@ -261,7 +261,7 @@
 
 /// Passes bytes on in both directions until one of them ends. The daemon's end is the endpoint's client
 /// leaving, so both end with it.
-async fn pass_on(node: &Node, life: (&Target, u64), daemon: Asker, connection: Connection) {
+async fn pass_on(node: &Rc<Node>, target: &Target, daemon: Asker, connection: Connection) {
     let Asker {
         source: mut from_daemon,
         sink: mut to_daemon,
@@ -269,19 +269,31 @@
     } = daemon;
     let (mut from_endpoint, mut to_endpoint) = connection.into_halves();
     let mut under_way = None;
+    let sent = Cell::new(None);
     let requests = async {
         while let Ok(bytes) = from_daemon.bytes().await {
             // What has begun to run goes on.
-            if under_way.is_none() && node.is_closed(&life.0.endpoint) {
+            if under_way.is_none() && node.is_closed(&target.endpoint) {
                 return;
             }
-            under_way.get_or_insert_with(|| UnderWay::begin(node));
+            under_way.get_or_insert_with(|| {
+                sent.set(Some(Sent {
+                    at: node.clock.now(),
+                    born: node.listed_birth(&target.endpoint),
+                }));
+                UnderWay::begin(node)
+            });
             if bytes.is_empty() || http::send(&mut to_endpoint, &bytes).await.is_err() {
                 return;
             }
         }
     };
-    let answers = pass_answers_on(node, life, &mut from_endpoint, (&mut to_daemon, is_chunked));
+    let answers = pass_answers_on(
+        node,
+        (target, &sent),
+        &mut from_endpoint,
+        (&mut to_daemon, is_chunked),
+    );
     let is_complete = tokio::select! {
         biased;
         is_complete = answers => is_complete,
@@ -304,15 +316,18 @@
     sink.forget();
 }
 
-/// Passes answers on; returns whether the endpoint has closed the connection, and did not end itself.
+/// Passes answers on until the endpoint closes the connection; returns false if the last answer may be cut short by that
+/// and does not show it.
 async fn pass_answers_on(
-    node: &Node,
-    (target, born): (&Target, u64),
+    node: &Rc<Node>,
+    (target, sent): (&Target, &Cell<Option<Sent>>),
     from_endpoint: &mut Source,
     (to_daemon, is_chunked): (&mut Sink, bool),
 ) -> bool {
     let mut start = Start::default();
     let mut chunk = Vec::new();
+    let mut is_unframed = false;
+    let mut ending = None;
     loop {
         let bytes = match timeout(SILENCE_TIMEOUT, from_endpoint.bytes()).await {
             Ok(Ok(bytes)) => bytes,
@@ -325,9 +340,16 @@
             let meta: protocol::ResponseMeta = node.protocol.parse_response(&head, "");
             let now = node.clock.now();
             node.closures.record(&target.endpoint, &meta, now);
+            is_unframed = head.framing == Framing::Close;
+            let sent = sent.get().filter(|_| is_unframed);
+            ending = sent.map(|sent| node.expect_end(target, sent));
         }
         if bytes.is_empty() {
-            return node.confirms_end(target, born).await;
+            return match &ending {
+                Some(ending) => node.confirms_end(ending).await,
+                // Whether any other answer is whole shows in itself.
+                None => !is_unframed,
+            };
         }
         let bytes = if is_chunked {
             chunk.clear();
