Blame all parts of a prompt, and bound what is remembered by what it weighs

Cause: Suspects::subjects blamed the last 32 parts. The bound was meant for memory, but hid whatever stands before.

Change: all parts are blamed. Above 4,096 subjects, what one endpoint alone ended under is reduced to a trace that is enough to notice a second end.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -5,6 +5,7 @@
 //! that ended its endpoint is cleared as soon as an endpoint answers it and lives on. See
 //! [the design note](../../docs/design/quarantine.md).
 
+use std::cell::OnceCell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 
 mod share;
 mod silence;
+mod trace;
 mod verdict;
 
 /// How long an answer has to be written before it shows that its content is harmless. Endpoints end
@@ -28,12 +30,16 @@
 pub const PAROLE_TIME: Duration = Duration::from_secs(3_600);
 /// The endpoints that ended under a part from which on few requests with it run at once.
 const MIN_TRIAL_BLAMES: usize = 2;
-/// The most subjects that are remembered.
+/// The most subjects that are remembered in full. What only one endpoint ended under leaves a trace when there are more.
 const MAX_SUBJECTS: usize = 4_096;
+/// The share of that which is kept when there are more.
+const KEPT_SUBJECTS: usize = MAX_SUBJECTS / 4 * 3;
+/// The most subjects, with those that several endpoints ended under or that are refused.
+const MAX_SHARED_SUBJECTS: usize = 4 * MAX_SUBJECTS;
+/// A content counts as one more subject for so many parts of its prompt.
+const PARTS_PER_SUBJECT: usize = 16;
 /// The most ended endpoints that are remembered for one subject.
 const MAX_LIVES: usize = 16;
-/// The most parts of one prompt that are blamed.
-const MAX_PARTS: usize = 32;
 
 event! {
     /// What can be blamed for the end of endpoints.
@@ -70,7 +76,7 @@
     /// the end of the prompt. The deeper a part, the more requests have it.
     fn subjects(&self) -> impl Iterator<Item = (Subject, usize)> {
         let content = std::iter::once((Subject::Content(self.content.clone()), 0));
-        let parts = self.parts.iter().rev().take(MAX_PARTS).zip(1..);
+        let parts = self.parts.iter().rev().zip(1..);
         let parts = parts.map(|(part, depth)| (Subject::Part(part.clone()), depth));
         content.chain(parts)
     }
@@ -110,6 +116,17 @@
         self.refused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns for how many subjects it counts.
+    fn weight(&self) -> usize {
+        1 + self.parts.len() / PARTS_PER_SUBJECT
+    }
+
+    /// Returns whether it says no more than that one endpoint ended under the subject, and only here.
+    fn is_faint(&self) -> bool {
+        let is_known = self.refused_until.is_some() || self.sharing.is_logged();
+        self.blames.len() <= 1 && !is_known && !self.is_silent
+    }
+
     /// Returns when nothing of it matters any more.
     fn expires_at(&self) -> Time {
         let refused = self.refused_until.map(|until| until + PAROLE_TIME);
@@ -131,6 +148,12 @@
 #[derive(Debug)]
 pub struct Evidence {
     entries: IndexMap<Subject, Entry>,
+    /// What is left of subjects that one endpoint ended under, and for which there was no room.
+    traces: Traces,
+    /// The parts under which several endpoints ended; none since that has changed.
+    trials: OnceCell<IndexSet<id::Name>>,
+    /// How often something was refused.
+    refusals: u64,
     short_answers: Vec<ShortAnswer>,
     unanswered: Vec<Unanswered>,
     /// When verdicts may change; none while no blame is new.
@@ -148,6 +171,9 @@
         daemon.hash(&mut hasher);
         Self {
             entries: IndexMap::new(),
+            traces: Traces::default(),
+            trials: OnceCell::new(),
+            refusals: 0,
             short_answers: Vec::new(),
             unanswered: Vec::new(),
             next_verdict: None,
@@ -181,8 +207,11 @@
     }
 
     fn blame_subjects(&mut self, suspects: &Suspects, life: &Life, blame: Blame) {
+        self.trials.take();
         for (subject, depth) in suspects.subjects() {
-            let entry = self.entries.entry(subject).or_default();
+            let traces = &mut self.traces;
+            let entry = self.entries.entry(subject);
+            let entry = entry.or_insert_with_key(|subject| traces.take(subject));
             entry.depth = depth.max(entry.depth);
             if depth == 0 {
                 entry.parts.clone_from(&suspects.parts);
@@ -216,8 +245,10 @@
     pub fn clear(&mut self, suspects: &Suspects, service: &id::Pool, now: Time) {
         for (subject, _) in suspects.subjects() {
             let Some(entry) = self.entries.get_mut(&subject) else {
+                self.traces.clear(&subject, service);
                 continue;
             };
+            self.trials.take();
             entry.blames.retain(|life, _| life.service != *service);
             if entry.blames.is_empty() {
                 entry.cleared_at = Some(now);
@@ -234,22 +265,31 @@
     pub fn is_suspect(&self, suspects: &Suspects) -> bool {
         let is_blamed = |(subject, _)| {
             let entry = self.entries.get(&subject);
-            entry.is_some_and(|entry| !entry.blames.is_empty())
+            let is_blamed = entry.is_some_and(|entry| !entry.blames.is_empty());
+            is_blamed || self.traces.has(&subject)
         };
         !self.entries.is_empty() && suspects.subjects().any(is_blamed)
     }
 
     /// Returns the parts of a request under which several endpoints ended, and which may be refused soon.
     pub fn trials(&self, suspects: &Suspects) -> Vec<id::Name> {
-        let is_on_trial = |part: &&id::Name| {
-            let entry = self.entries.get(&Subject::Part((*part).clone()));
-            entry.is_some_and(|entry| entry.blames.len() >= MIN_TRIAL_BLAMES)
-        };
-        if self.entries.is_empty() {
+        let on_trial = self.trials.get_or_init(|| self.find_trials());
+        if on_trial.is_empty() {
             return Vec::new();
         }
-        let parts = suspects.parts.iter().filter(is_on_trial);
-        parts.cloned().collect()
+        let parts = suspects.parts.iter();
+        parts
+            .filter(|part| on_trial.contains(*part))
+            .cloned()
+            .collect()
+    }
+
+    fn find_trials(&self) -> IndexSet<id::Name> {
+        let part = |(subject, entry): (&Subject, &Entry)| match subject {
+            Subject::Part(part) if entry.blames.len() >= MIN_TRIAL_BLAMES => Some(part.clone()),
+            _ => None,
+        };
+        self.entries.iter().filter_map(part).collect()
     }
 
     /// Returns for how long a request is refused, if it is.
@@ -269,6 +309,11 @@
         self.has_refused
     }
 
+    /// Returns how often something was refused: what was not refused before is not, as long as this does not change.
+    pub fn refusals(&self) -> u64 {
+        self.refusals
+    }
+
     /// Decides what is refused, if anything has changed; returns what was not refused before.
     pub fn update(&mut self, now: Time) -> Option<Vec<Subject>> {
         self.clear_short_answers(now);
@@ -288,6 +333,7 @@
                 let last = entry.last_blame().unwrap_or(now);
                 entry.refused_until = Some(last + REFUSAL_TIME);
                 self.has_refused = true;
+                self.refusals += 1;
             }
         }
         self.schedule_writes(now);
@@ -309,23 +355,71 @@
         }
     }
 
-    /// Drops what has expired and, above the limit, what was blamed least.
+    /// Makes room above the limit: drops what has expired, leaves traces of what one endpoint ended under, the oldest
+    /// first, and drops what was blamed least if that is not enough.
     fn evict(&mut self, now: Time) {
-        if self.entries.len() <= MAX_SUBJECTS {
+        if self.weight() <= MAX_SUBJECTS {
             return;
         }
         self.entries.retain(|_, entry| now < entry.expires_at());
-        while self.entries.len() > MAX_SUBJECTS {
-            let rank = |entry: &Entry| {
-                let is_refused = entry.is_refused(now);
-                (is_refused, entry.blames.len(), entry.last_blame())
-            };
-            let entries = self.entries.values().enumerate();
-            let Some((index, _)) = entries.min_by_key(|(_, entry)| rank(entry)) else {
-                return;
-            };
-            self.entries.swap_remove_index(index);
+        let excess = self.weight().saturating_sub(KEPT_SUBJECTS);
+        let faint = self.lowest(excess, Entry::is_faint, Entry::last_blame);
+        for (subject, entry) in self.remove(&faint) {
+            self.traces.add(&subject, &entry);
+        }
+        let excess = self.weight().saturating_sub(MAX_SHARED_SUBJECTS);
+        let rank = |entry: &Entry| {
+            let is_refused = entry.is_refused(now);
+            (is_refused, entry.blames.len(), entry.last_blame())
+        };
+        let least = self.lowest(excess, |_| true, rank);
+        drop(self.remove(&least));
+    }
+
+    fn weight(&self) -> usize {
+        self.entries.values().map(Entry::weight).sum()
+    }
+
+    /// Returns the indexes of the entries of the lowest rank that weigh so much together.
+    fn lowest<R: Ord>(
+        &self,
+        weight: usize,
+        is_candidate: impl Fn(&Entry) -> bool,
+        rank: impl Fn(&Entry) -> R,
+    ) -> IndexSet<usize> {
+        if weight == 0 {
+            return IndexSet::new();
+        }
+        let entries = self.entries.values().enumerate();
+        let candidates = entries.filter(|(_, entry)| is_candidate(entry));
+        let mut candidates: Vec<(R, usize, usize)> = candidates
+            .map(|(index, entry)| (rank(entry), index, entry.weight()))
+            .collect();
+        candidates.sort_unstable();
+        let mut left = weight;
+        let mut is_needed = |weight: usize| {
+            let is_needed = left > 0;
+            left = left.saturating_sub(weight);
+            is_needed
+        };
+        let candidates = candidates.into_iter();
+        candidates
+            .take_while(|(.., weight)| is_needed(*weight))
+            .map(|(_, index, _)| index)
+            .collect()
+    }
+
+    /// Removes the entries at some indexes.
+    fn remove(&mut self, indexes: &IndexSet<usize>) -> Vec<(Subject, Entry)> {
+        if indexes.is_empty() {
+            return Vec::new();
         }
+        self.trials.take();
+        let entries = std::mem::take(&mut self.entries).into_iter().enumerate();
+        let (removed, kept): (Vec<_>, Vec<_>) =
+            entries.partition(|(index, _)| indexes.contains(index));
+        self.entries = kept.into_iter().map(|(_, entry)| entry).collect();
+        removed.into_iter().map(|(_, entry)| entry).collect()
     }
 
     /// Returns the endpoints that ended under a subject.
@@ -339,6 +433,7 @@
 pub use share::Record;
 pub use silence::Listing;
 use silence::Unanswered;
+use trace::Traces;
 
 #[cfg(test)]
 mod tests;
--- a/src/quarantine/evidence/share.rs
+++ b/src/quarantine/evidence/share.rs
@@ -43,6 +43,11 @@
 }
 
 impl State {
+    /// Returns whether the log has, or is about to get, a record.
+    pub fn is_logged(&self) -> bool {
+        self.logged.is_some() || self.due.is_some()
+    }
+
     /// Has the record removed, since the subject is harmless.
     pub fn withdraw(&mut self, now: Time) {
         self.due = self.logged.is_some().then_some(now);
@@ -135,7 +140,10 @@
     /// Adds what another daemon wrote, or told.
     pub fn learn(&mut self, record: &Record, is_logged: bool, now: Time) {
         let turn = self.turn(&record.subject);
-        let entry = self.entries.entry(record.subject.clone()).or_default();
+        self.trials.take();
+        let traces = &mut self.traces;
+        let entry = self.entries.entry(record.subject.clone());
+        let entry = entry.or_insert_with_key(|subject| traces.take(subject));
         entry.depth = entry.depth.max(record.depth);
         entry.is_silent |= record.is_silent;
         let cleared_at = entry.cleared_at;
@@ -161,6 +169,7 @@
             let until = now + REFUSAL_TIME.saturating_sub(age);
             entry.refused_until = entry.refused_until.max(Some(until));
             self.has_refused = true;
+            self.refusals += 1;
         }
         if is_logged {
             entry.sharing.set_logged(record);
@@ -179,6 +188,8 @@
 
     /// Drops what matters no more; has its record removed.
     pub fn expire(&mut self, now: Time) {
+        self.trials.take();
+        self.traces.expire(now);
         let expired = self.entries.iter();
         let expired = expired.filter(|(_, entry)| now >= entry.expires_at());
         let expired: Vec<Subject> = expired.map(|(subject, _)| subject.clone()).collect();
--- a/src/quarantine/evidence/silence.rs
+++ b/src/quarantine/evidence/silence.rs
@@ -96,7 +96,10 @@
 
     fn blame_silent(&mut self, request: &Unanswered, now: Time) {
         let subject = Subject::Content(request.content.clone());
-        let entry = self.entries.entry(subject).or_default();
+        self.trials.take();
+        let traces = &mut self.traces;
+        let entry = self.entries.entry(subject);
+        let entry = entry.or_insert_with_key(|subject| traces.take(subject));
         let blame = Blame {
             at: now,
             has_begun: false,
--- a/src/quarantine/evidence/tests.rs
+++ b/src/quarantine/evidence/tests.rs
@@ -395,3 +395,77 @@
     assert!(daemon.evidence.len() <= MAX_SUBJECTS);
     assert!(daemon.is_refused(&["bad"]));
 }
+
+/// Returns a prompt of some parts, of which one is given.
+fn prompt(count: usize, place: usize, part: &str, name: &str) -> Vec<String> {
+    let mut parts: Vec<String> = (0..count)
+        .map(|number| format!("{name}-{number}"))
+        .collect();
+    parts[place] = part.to_owned();
+    parts
+}
+
+fn names(prompt: &[String]) -> Vec<&str> {
+    prompt.iter().map(String::as_str).collect()
+}
+
+/// Guards against a fatal part that is never refused since it stands far before the end of a long prompt.
+#[test]
+fn fatal_part_refused_wherever_it_stands() {
+    for (count, place) in [(34, 0), (200, 0), (200, 100), (1_600, 0), (1_600, 1_599)] {
+        let mut daemon = Daemon::new("f");
+        for end in 0..3 {
+            let fatal = prompt(count, place, "bad", &format!("o{end}"));
+            let beside = format!("n{end}");
+            daemon.end(&format!("e{end}"), &[&names(&fatal), &["a", &beside]]);
+            daemon.answer(&["a", "z"]);
+        }
+        let fatal = prompt(count, place, "bad", "new");
+        assert!(daemon.is_refused(&names(&fatal)), "{place} of {count}");
+        let sound = prompt(count, place, "a", "o1");
+        assert!(!daemon.is_refused(&names(&sound)), "{place} of {count}");
+    }
+}
+
+/// Guards against parts of other requests that push out the one under which all endpoints end: at each end there are more
+/// than are remembered.
+#[test]
+fn fatal_part_refused_beside_floods_of_others() {
+    const PARTS: usize = 1_600;
+    let mut daemon = Daemon::new("f");
+    for end in 0..6 {
+        for number in 0..20 {
+            let parts = prompt(PARTS, 0, "all", &format!("o{end}x{number}"));
+            let suspects = request(&format!("c{end}x{number}"), &names(&parts));
+            let life = life(&format!("e{end}"));
+            daemon.evidence.blame(&suspects, &life, true, daemon.now);
+        }
+        let fatal = prompt(PARTS, 7, "bad", &format!("f{end}"));
+        daemon.end(&format!("e{end}"), &[&names(&fatal)]);
+        daemon.answer(&["all"]);
+        let (subjects, traces) = (daemon.evidence.len(), daemon.evidence.traces.len());
+        assert!(subjects <= MAX_SUBJECTS && traces <= trace::MAX_TRACES);
+    }
+    assert!(daemon.evidence.traces.len() > MAX_SUBJECTS, "a flood");
+    let fatal = prompt(PARTS, 7, "bad", "new");
+    assert!(daemon.is_refused(&names(&fatal)));
+    let sound = prompt(PARTS, 0, "all", "o3x3");
+    assert!(!daemon.is_refused(&names(&sound)));
+    daemon.now += BLAME_RETENTION;
+    daemon.evidence.expire(daemon.now);
+    assert_eq!(daemon.evidence.traces.len(), 0);
+}
+
+/// Guards against evidence that an answer clears only where there was room to remember it in full.
+#[test]
+fn answer_clears_traces() {
+    let mut daemon = Daemon::new("f");
+    let parts = prompt(MAX_SUBJECTS, 0, "a", "o");
+    daemon.end("e1", &[&["old"]]);
+    daemon.end("e2", &[&names(&parts)]);
+    let suspects = request("new", &["old"]);
+    assert!(daemon.evidence.traces.has(&Subject::Part("old".into())));
+    assert!(daemon.evidence.is_suspect(&suspects));
+    daemon.answer(&["old"]);
+    assert!(!daemon.evidence.is_suspect(&suspects));
+}
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -395,11 +395,13 @@
         {
             return self.transfer(job_id);
         }
-        if !request.is_granted
-            && let Some(remaining) = self.quarantine.refusal(&request.job.suspects(), now)
-        {
+        let is_granted = request.is_granted;
+        if !is_granted && let Some(remaining) = self.refused_for(job_id, now) {
             return self.refuse_with(job_id, Refusal::quarantined(remaining));
         }
+        let Some(request) = self.requests.get_mut(&job_id) else {
+            return;
+        };
         let spent = request.release_spent_results();
         let is_due = request.reservation.is_none() && !request.is_granted && request.is_ready();
         if is_due && !self.is_held(job_id, now) {
--- a/src/serve/plan/hold.rs
+++ b/src/serve/plan/hold.rs
@@ -22,21 +22,29 @@
         }
     }
 
+    /// Returns for how long the content of a request is refused, if it is. Prompts may have many parts, so it is looked
+    /// at only if something was refused since it was last.
+    pub(super) fn refused_for(&mut self, job_id: JobId, now: Time) -> Option<Duration> {
+        let refusals = self.quarantine.refusals();
+        let request = self.requests.get_mut(&job_id)?;
+        if request.checked_refusals.replace(refusals) == Some(refusals) {
+            return None;
+        }
+        self.quarantine.refusal(&request.job.suspects(), now)
+    }
+
     /// Refuses requests that wait for their stages although no endpoint will get them.
     pub(super) fn refuse_quarantined(&mut self, now: Time) {
         self.quarantine.update(now);
-        if !self.quarantine.has_refused() {
-            return;
-        }
+        let refusals = Some(self.quarantine.refusals());
         let waiting = self.requests.iter();
-        let waiting = waiting.filter(|(_, request)| !request.is_granted);
-        let refused = waiting.filter_map(|(job_id, request)| {
-            let remaining = self.quarantine.refusal(&request.job.suspects(), now)?;
-            Some((*job_id, remaining))
-        });
-        let refused: Vec<(JobId, Duration)> = refused.collect();
-        for (job_id, remaining) in refused {
-            self.refuse_with(job_id, Refusal::quarantined(remaining));
+        let unchecked = waiting
+            .filter(|(_, request)| !request.is_granted && request.checked_refusals != refusals);
+        let unchecked: Vec<JobId> = unchecked.map(|(job_id, _)| *job_id).collect();
+        for job_id in unchecked {
+            if let Some(remaining) = self.refused_for(job_id, now) {
+                self.refuse_with(job_id, Refusal::quarantined(remaining));
+            }
         }
     }
 
--- a/src/serve/plan/request.rs
+++ b/src/serve/plan/request.rs
@@ -75,6 +75,8 @@
     pub round: u32,
     /// How often its inputs were lost.
     pub restarts: u32,
+    /// How often something had been refused when it was found not to be.
+    pub checked_refusals: Option<u64>,
     /// Its share of the engine that runs it now.
     pub reservation: Option<Reservation>,
     /// Whether an engine was granted that has not rejected it.
@@ -113,6 +115,7 @@
         Self {
             round: 0,
             restarts: 0,
+            checked_refusals: None,
             reservation: None,
             is_granted: false,
             has_started: false,
--- a/src/serve/plan/tests/crash.rs
+++ b/src/serve/plan/tests/crash.rs
@@ -24,8 +24,9 @@
 /// Seeds that have failed: harmless parts after a fatal one were refused for it, since engines were so busy
 /// that some of them were at as many ends.
 const FOUND_SEEDS: [u64; 4] = [73, 146, 353, 421];
-/// The seeds of a run, and the variable that sets another number.
+/// The seeds of a run, those of long prompts, and the variable that sets another number.
 const SEEDS: u64 = 12;
+const LONG_SEEDS: u64 = 4;
 const SEEDS_VARIABLE: &str = "CYCLAMENRILL_TEST_SEEDS";
 
 /// The shape of one history.
@@ -47,6 +48,9 @@
     mass_end: Option<Time>,
     /// When each region gets a new planner, which knows what the log has.
     takeovers: Vec<Time>,
+    /// Further shared parts of each prompt, which are drawn from a pool.
+    more: usize,
+    pool: usize,
 }
 
 impl Shape {
@@ -64,6 +68,22 @@
             ends_per_s: rng.random_range(0.0..0.3),
             mass_end: rng.random_bool(0.3).then(|| at(rng)),
             takeovers: (0..rng.random_range(0..3)).map(|_| at(rng)).collect(),
+            more: 0,
+            pool: 0,
+        }
+    }
+
+    /// Prompts of up to some hundred shared parts, with one fatal part at any place.
+    fn of_long_prompts(rng: &mut ChaCha8Rng) -> Self {
+        let more = rng.random_range(30..=300);
+        Self {
+            sound_per_s: rng.random_range(9.0..60.0),
+            fatal_per_s: rng.random_range(0.5..4.0),
+            fatal_place: rng.random_range(0..=more),
+            fatal_parts: 1,
+            more,
+            pool: more * rng.random_range(2..=12),
+            ..Self::new(rng)
         }
     }
 }
@@ -126,9 +146,9 @@
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, shape: fn(&mut ChaCha8Rng) -> Shape) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let shape = Shape::new(&mut rng);
+        let shape = shape(&mut rng);
         let sites = (0..shape.regions).map(|_| Site::new(&[], &[]));
         let ends = vec![Vec::new(); shape.fatal_parts];
         let mut world = Self {
@@ -191,6 +211,9 @@
         let first = self.rng.random_range(0..self.shape.firsts);
         let second = self.rng.random_range(0..self.shape.seconds);
         let own: u64 = self.rng.random();
+        if self.shape.more > 0 {
+            return self.long_prompt(first, own, fatal);
+        }
         let (first, second) = match fatal {
             Some(part) if self.shape.fatal_place == 0 => {
                 (format!("bad{part}"), format!("s{second}"))
@@ -206,14 +229,38 @@
         [first, second, format!("own{own}")].map(part).into()
     }
 
+    /// Returns a prompt of many shared parts, all different, in the order of the pool or any other.
+    fn long_prompt(&mut self, first: usize, own: u64, fatal: Option<usize>) -> Vec<PromptPart> {
+        let Shape {
+            more,
+            pool,
+            fatal_place,
+            ..
+        } = self.shape;
+        let start = self.rng.random_range(0..pool);
+        let step = [1, 7, 11][self.rng.random_range(0..3)];
+        let others = (0..more).map(|place| format!("o{}", (start + place * step) % pool));
+        let mut ids: Vec<String> = std::iter::once(format!("f{first}")).chain(others).collect();
+        if let Some(part) = fatal {
+            ids[fatal_place] = format!("bad{part}");
+        }
+        ids.push(format!("own{own}"));
+        let part = |id: String| PromptPart {
+            id: id.as_str().into(),
+            tokens: 1,
+        };
+        ids.into_iter().map(part).collect()
+    }
+
     fn submit(&mut self, fatal: Option<usize>) {
         let region = self.rng.random_range(0..self.shape.regions);
         let prompt_parts = self.prompt(fatal);
-        let is_beside = fatal.is_none() && &*prompt_parts[0].id == "f0";
+        // All prompts share parts if they are long.
+        let is_beside = fatal.is_none() && (self.shape.more > 0 || &*prompt_parts[0].id == "f0");
         let site = &mut self.sites[region];
         site.now = self.now;
         let mut job = site.job(&[], 2_000);
-        job.digest = prompt_parts[2].id.clone();
+        job.digest = prompt_parts[prompt_parts.len() - 1].id.clone();
         job.prompt_parts = prompt_parts;
         let job_id = site.submit(job);
         let waiting = Waiting {
@@ -469,26 +516,20 @@
     }
 }
 
-fn play(seed: u64) -> World {
-    let mut world = World::new(seed);
+fn play(seed: u64, shape: fn(&mut ChaCha8Rng) -> Shape) -> World {
+    let mut world = World::new(seed, shape);
     while world.now < LENGTH {
         world.step();
     }
     world
 }
 
-/// Guards against content that goes on ending engines: by a part of the prompt, two of them, in two
-/// regions, over planners that take over, while engines end for their own reasons, too.
-#[test]
-fn crashing_parts_reach_few_engines_and_sound_ones_are_served() {
-    let seeds = std::env::var(SEEDS_VARIABLE).map_or(SEEDS, |seeds| {
-        let seeds = seeds.parse();
-        seeds.expect("a number of seeds")
-    });
+/// Plays histories of some seeds; none may break a bound.
+fn check(seeds: impl Iterator<Item = u64>, shape: fn(&mut ChaCha8Rng) -> Shape) {
     let mut ends = Vec::new();
     let mut failures = Vec::new();
-    for seed in (0..seeds).chain(FOUND_SEEDS) {
-        let world = play(seed);
+    for seed in seeds {
+        let world = play(seed, shape);
         failures.extend(
             world
                 .failures()
@@ -501,3 +542,25 @@
     println!("engines ended by one part: median {median}, most {most}");
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Returns the seeds of a run.
+fn seeds(usual: u64) -> std::ops::Range<u64> {
+    let seeds = std::env::var(SEEDS_VARIABLE).map_or(usual, |seeds| {
+        let seeds = seeds.parse();
+        seeds.expect("a number of seeds")
+    });
+    0..seeds
+}
+
+/// Guards against content that goes on ending engines: by a part of the prompt, two of them, in two
+/// regions, over planners that take over, while engines end for their own reasons, too.
+#[test]
+fn crashing_parts_reach_few_engines_and_sound_ones_are_served() {
+    check(seeds(SEEDS).chain(FOUND_SEEDS), Shape::new);
+}
+
+/// Guards against a fatal part that hides among many others, at any place of a long prompt.
+#[test]
+fn crashing_part_of_long_prompts_reaches_few_engines() {
+    check(seeds(LONG_SEEDS), Shape::of_long_prompts);
+}
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -139,6 +139,11 @@
         self.evidence.borrow().has_refused()
     }
 
+    /// Returns how often something was refused; what was not refused before is not, as long as this does not change.
+    pub fn refusals(&self) -> u64 {
+        self.evidence.borrow().refusals()
+    }
+
     /// Returns whether a request shares something with one under which an endpoint ended.
     pub fn is_suspect(&self, suspects: &Suspects) -> bool {
         self.evidence.borrow().is_suspect(suspects)
