Look for a reset behind the close that ends an answer

Callers saw: part of an answer without a length, ended as complete, where an endpoint answers an upload at once, closes its direction and drops the rest of the body (reported of other systems).

Cause: a reset that comes after a close is not reported by reads of the socket.

Evidence: early_answer_that_is_reset_not_complete and early_answer_that_is_reset_not_complete_over_carrier failed on with the half-closed connection ('half of it' as a whole answer); a close or a reset at once held there.

Change: once the end of such an answer is confirmed, the socket is asked for its error; a request that was not sent to its end has no whole answer of that kind.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -202,6 +202,11 @@
         self.connection.is_detour
     }
 
+    /// Returns whether the endpoint has dropped part of the request: what it sent last may be lost, too.
+    pub fn is_cut_short(&self) -> bool {
+        !self.is_request_sent || self.connection.source.is_reset()
+    }
+
     /// Returns whether nothing of the body is left to read.
     pub fn is_read(&self) -> bool {
         self.framing == Framing::End
--- a/src/serve/handler/answer.rs
+++ b/src/serve/handler/answer.rs
@@ -99,7 +99,7 @@
                 return answer_broke_off();
             }
         };
-        if !self.confirms_end(ending.as_ref()).await {
+        if !self.confirms_end(ending.as_ref(), &response).await {
             return answer_broke_off();
         }
         let outcome = Outcome::Response(
@@ -162,7 +162,7 @@
             let (bytes, end) = match chunk {
                 Ok(Chunk::Bytes(bytes)) => (events.push(&bytes), None),
                 Ok(Chunk::End(end)) if events.is_whole(end) => {
-                    if !self.confirms_end(ending.as_ref()).await {
+                    if !self.confirms_end(ending.as_ref(), &response).await {
                         return stream_broke_off(is_proven);
                     }
                     (Bytes::new(), Some(end))
--- a/src/serve/handler/attempt.rs
+++ b/src/serve/handler/attempt.rs
@@ -246,9 +246,14 @@
     }
 
     /// Returns whether an answer that has ended is whole, as far as its end tells.
-    pub(super) async fn confirms_end(&self, ending: Option<&Ending>) -> bool {
+    pub(super) async fn confirms_end(
+        &self,
+        ending: Option<&Ending>,
+        response: &exchange::Response,
+    ) -> bool {
         match ending {
-            Some(ending) => self.node.confirms_end(ending).await,
+            // A reset may come behind a close.
+            Some(ending) => self.node.confirms_end(ending).await && !response.is_cut_short(),
             None => true,
         }
     }
--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -212,6 +212,12 @@
         read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns whether the peer has reset the connection, though it may have closed its direction before.
+    pub fn is_reset(&self) -> bool {
+        let socket: &TcpStream = self.socket.as_ref();
+        !matches!(socket.take_error(), Ok(None))
+    }
+
     /// Reads some bytes, whatever they are; none when the peer has closed.
     pub async fn bytes(&mut self) -> Result<Bytes> {
         if self.buffer.is_empty() {
--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -346,7 +346,7 @@
         }
         if bytes.is_empty() {
             return match &ending {
-                Some(ending) => node.confirms_end(ending).await,
+                Some(ending) => node.confirms_end(ending).await && !from_endpoint.is_reset(),
                 // Whether any other answer is whole shows in itself.
                 None => !is_unframed,
             };
