Reject heads of answers with a status below 100

Callers saw: nothing in operation. A status of 000 was reported of other systems; here it was skipped as an interim answer, so that whatever followed it was taken for the answer.

Cause: every status below 200 counted as interim.

Evidence: answer_of_odd_status_failed failed on (200 where a sound head follows 000).

Change: a status below 100 makes a head malformed.

Result: the test holds. stage_call_of_odd_status_makes_no_result and endless_results_given_up held before this change, too.

--- a/src/serve/http/head.rs
+++ b/src/serve/http/head.rs
@@ -4,6 +4,8 @@
 
 use super::{Error, Framing, Result};
 
+/// The least status; those from here to 199 are interim.
+const MIN_STATUS: u16 = 100;
 /// The most fields of a head.
 const MAX_FIELDS: usize = 100;
 /// Fields of a single connection, which are not forwarded.
@@ -230,6 +232,9 @@
     };
     let fields = collect(response.headers);
     let status = response.code.unwrap_or_default();
+    if status < MIN_STATUS {
+        return malformed("a status below 100");
+    }
     let framing = match fields.framing()? {
         _ if !has_body(status) => Framing::End,
         Some(framing) => framing,
