Bound the prompt parts that a planner remembers

Cause: above 2,000 parts of an engine only expired ones were removed, and parts expire after 30 s.

Evidence: prompts_of_many_parts_bounded failed on: 86,573,056 bytes where 48 MB are allowed.

Change: 100,000 parts in all, shared out over the engines; the least recently used go first, and one prompt takes an eighth of an engine's share at most.

--- a/src/serve/plan/engine.rs
+++ b/src/serve/plan/engine.rs
@@ -370,6 +370,7 @@
             (id.clone(), reading, cost)
         });
         let (id, reading, _) = costs.min_by(|(.., a), (.., b)| a.total_cmp(b))?;
+        let engines = self.engines.len();
         let engine = self.engines.get_mut(&id)?;
         engine.running += 1;
         engine.bucket.take();
@@ -379,7 +380,7 @@
         let expected = base + engine.reading.wait(now);
         engine.memory_tokens += tokens;
         engine.health.call_started(now);
-        engine.cache.begin(&job.prompt_parts, now);
+        engine.cache.begin(&job.prompt_parts, engines, now);
         Some(Reservation {
             engine: id,
             address: engine.address,
--- a/src/serve/plan/engine/cache.rs
+++ b/src/serve/plan/engine/cache.rs
@@ -10,8 +10,13 @@
 
 /// How long a prompt part is expected to stay in an engine's cache.
 const LIFETIME: Duration = Duration::from_secs(30);
-/// Cached parts of one engine above which expired ones are removed.
-const MAX_PARTS: usize = 2_000;
+/// The most parts that a planner remembers of all its engines together.
+const MAX_PARTS: usize = 100_000;
+/// The least number that it remembers of each.
+const MIN_PARTS: usize = 512;
+/// The share that one prompt may take of what is remembered of an engine, as a divisor: prompts of many parts do not push
+/// out those of others at once.
+const PROMPT_DIVISOR: usize = 8;
 
 struct Entry {
     last_used: Time,
@@ -56,19 +61,27 @@
         entry.last_used = sent_at.max(entry.last_used);
     }
 
-    /// Records the parts of a request that is sent to the engine.
-    pub fn begin(&mut self, parts: &[PromptPart], now: Time) {
-        for part in parts {
+    /// Records the parts of a request that is sent to one of some engines. Above the bound those are dropped that were used
+    /// longest ago.
+    pub fn begin(&mut self, parts: &[PromptPart], engines: usize, now: Time) {
+        let most = (MAX_PARTS / engines.max(1)).max(MIN_PARTS);
+        // What is kept counts from the beginning of a prompt.
+        for part in parts.iter().take(most / PROMPT_DIVISOR) {
             let entry = self.parts.entry(part.id.clone()).or_insert(Entry {
                 last_used: now,
                 is_read: false,
             });
             entry.last_used = now;
         }
-        if self.parts.len() > MAX_PARTS {
+        if self.parts.len() > most {
             self.parts
                 .retain(|_, entry| now.saturating_sub(entry.last_used) < LIFETIME);
         }
+        if self.parts.len() > most {
+            self.parts
+                .sort_unstable_by(|_, a, _, b| b.last_used.cmp(&a.last_used));
+            self.parts.truncate(most / 4 * 3);
+        }
     }
 
     /// Records that the engine has read the parts of a request.
@@ -94,3 +107,6 @@
         self.parts.clear();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -230,6 +230,26 @@
     daemon.check();
 }
 
+/// Guards against prompts of many parts, which a planner remembers as what its engines keep.
+#[test]
+fn prompts_of_many_parts_bounded() {
+    let _lock = daemon::lock();
+    let mut daemon = Daemon::start(Limits {
+        memory_mb: 48,
+        ..LIMITS
+    });
+    for number in 0..500 {
+        let parts: Vec<String> = (0..1_600)
+            .map(|part| format!("{:x}:1", number * 4_096 + part))
+            .collect();
+        let parts = parts.join(",");
+        let fields = format!("{KEY}Token-Counts: 1600,8\r\nPrompt-Prefix: {parts}\r\n");
+        let answer = crowd::request(daemon.front, &fields, b"q");
+        assert_eq!(answer.status, 200);
+    }
+    check(&mut daemon);
+}
+
 /// Guards against events of streams that together exceed the memory, none of which has ended.
 #[test]
 fn events_bounded_together() {
