Record streams of long ids by a digest, in batches that the log takes

Cause: a batch had no bound in bytes, and one that the store refused was put together anew for ever.

Evidence: 'origins of streams not written' every 0.3 s; long_attempts_leave_room_for_others failed on.

Change: ids of over 128 bytes are replaced by a digest, and a batch holds 64 KiB of names at most.

--- a/src/serve/origin/table.rs
+++ b/src/serve/origin/table.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use sha2::{Digest, Sha256};
 
 use crate::clock::Time;
 use crate::id;
@@ -16,6 +17,11 @@
 const MAX_STREAMS: usize = 20_000;
 /// The most records that are written together.
 const MAX_BATCH: usize = 1_000;
+/// The most bytes of attempts and releases in them. A log takes no record of more than some hundred kilobytes, and what is
+/// encoded is longer.
+const MAX_BATCH_BYTES: usize = 64 * 1024;
+/// The longest attempt that names its stream itself.
+const MAX_ATTEMPT_BYTES: usize = 128;
 
 /// The attempt in a record that announces a release, and is of no stream.
 const ANNOUNCEMENT: &str = "";
@@ -48,6 +54,24 @@
     }
 }
 
+impl Record {
+    /// Returns the number of bytes of its names.
+    fn size(&self) -> usize {
+        let Origin { service, release } = &self.origin;
+        self.attempt.len() + service.len() + release.len()
+    }
+}
+
+/// Returns the name under which the stream of an attempt is known. Clients choose their ids, and a long one takes no more
+/// than others.
+fn stream_name(attempt: &id::Name) -> id::Name {
+    if attempt.len() <= MAX_ATTEMPT_BYTES {
+        return attempt.clone();
+    }
+    let digest = hex::encode(Sha256::digest(attempt.as_bytes()));
+    format!("sha256-{digest}").into()
+}
+
 struct Stream {
     origin: Origin,
     at: Time,
@@ -114,7 +138,7 @@
             is_shared,
         };
         // The first record stands: what a daemon writes again later is the same.
-        self.streams.entry(attempt).or_insert(stream);
+        self.streams.entry(stream_name(&attempt)).or_insert(stream);
         if self.streams.len() > MAX_STREAMS {
             self.streams.shift_remove_index(0);
         }
@@ -301,7 +325,14 @@
             attempt: attempt.clone(),
             origin: stream.origin.clone(),
         });
-        announcements.chain(records).take(MAX_BATCH).collect()
+        let mut bytes = 0;
+        let fits = |record: &Record| {
+            let is_first = bytes == 0;
+            bytes += record.size();
+            is_first || bytes <= MAX_BATCH_BYTES
+        };
+        let records = announcements.chain(records);
+        records.take_while(fits).take(MAX_BATCH).collect()
     }
 
     /// Records that announcements and streams were written to the log.
@@ -335,7 +366,7 @@
 
     /// Returns what began the stream of an attempt.
     pub fn find(&self, attempt: &id::Name) -> Option<Origin> {
-        let stream = self.streams.get(attempt)?;
+        let stream = self.streams.get(&stream_name(attempt))?;
         Some(stream.origin.clone())
     }
 
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -582,3 +582,39 @@
         assert!(waited <= ANNOUNCE_TIMEOUT / 2 + Duration::from_millis(2));
     });
 }
+
+/// Guards against ids of one client that make a batch longer than the log takes, so that no stream is recorded.
+#[test]
+fn long_attempts_leave_room_for_others() {
+    /// What a store takes as one record, on all deployments.
+    const RECORD_BYTES: usize = 262_144;
+    let (mut table, now) = table(&["v1", "v2"]);
+    let attempts = (0..2_000).map(|number| match number % 2 {
+        0 => format!("{number:015000}"),
+        _ => format!("{number:016}"),
+    });
+    let attempts: Vec<id::Name> = attempts.map(|attempt| attempt.as_str().into()).collect();
+    for attempt in &attempts {
+        table.begin(record(attempt, "v1"), now);
+    }
+    let mut reader = Table::new();
+    let mut batches = 0;
+    loop {
+        let unsent = table.unsent(now);
+        if unsent.is_empty() {
+            break;
+        }
+        let names = unsent.iter().map(|record| record.attempt.len());
+        assert!(names.sum::<usize>() < RECORD_BYTES / 2);
+        for record in &unsent {
+            reader.learn(record.clone(), SECOND, now);
+        }
+        table.set_sent(&unsent);
+        batches += 1;
+        assert!(batches < 10, "few batches are enough");
+    }
+    for attempt in &attempts {
+        assert_eq!(reader.find(attempt), Some(origin("v1")));
+    }
+    assert_eq!(reader.find(&format!("{:015000}", 1).as_str().into()), None);
+}
