Make results again whose endpoint has started again

Callers saw: nothing in operation.

Cause: another life of a stage endpoint began with an empty record, but its old results stayed with waiting requests.

Change: when another life is listed, requests without a grant forget the results of the one before. One that an engine was granted for has been told of them, and the engine says if they are gone.

--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -113,10 +113,12 @@
         let here = |endpoint: &&Endpoint| self.zones.contains(&endpoint.zone);
         let endpoints: Vec<&Endpoint> = registry.available().filter(here).collect();
         self.is_synced = catalog.version > 0 && registry.available().next().is_some();
-        self.stage_endpoints.sync(&endpoints, catalog);
+        let replaced = self.stage_endpoints.sync(&endpoints, catalog);
         self.engines.sync(&endpoints, catalog);
         for request in self.requests.values_mut() {
             request.invalidate_outline();
+            // Results do not outlive their maker, and the next life may give their handles to others.
+            request.forget_results(&replaced);
         }
         self.evacuate(&endpoints, registry.evacuation());
         self.dispatch_all(now);
--- a/src/serve/plan/request.rs
+++ b/src/serve/plan/request.rs
@@ -3,7 +3,7 @@
 use std::cell::OnceCell;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::engine::Reservation;
 use super::outline::Outline;
@@ -233,6 +233,21 @@
         self.is_watched && self.reservation.as_ref().is_some_and(is_recent)
     }
 
+    /// Forgets the results of some endpoints, unless an engine was granted, which has been told of them.
+    pub fn forget_results(&mut self, endpoints: &IndexSet<id::Endpoint>) {
+        if endpoints.is_empty() || self.is_granted {
+            return;
+        }
+        let stages = self.pieces.iter_mut().zip(&self.freed_stages);
+        let held = stages.filter(|(_, is_freed)| !**is_freed);
+        for state in held.flat_map(|(states, _)| states) {
+            let result = state.result.as_ref();
+            if result.is_some_and(|result| endpoints.contains(&result.endpoint)) {
+                state.result = None;
+            }
+        }
+    }
+
     /// Returns whether a call computes one of its pieces.
     pub fn is_running(&self) -> bool {
         self.pieces.iter().flatten().any(|state| state.running > 0)
--- a/src/serve/plan/stage_endpoints.rs
+++ b/src/serve/plan/stage_endpoints.rs
@@ -99,8 +99,8 @@
         }
     }
 
-    /// Updates the endpoints and their configuration.
-    pub fn sync(&mut self, endpoints: &[&Endpoint], catalog: &Catalog) {
+    /// Updates the endpoints and their configuration; returns those of which another life is listed than before.
+    pub fn sync(&mut self, endpoints: &[&Endpoint], catalog: &Catalog) -> IndexSet<id::Endpoint> {
         let batches = catalog.services.iter();
         let batches =
             batches.filter_map(|(name, service)| Some((name.clone(), service.batch.clone()?)));
@@ -108,6 +108,7 @@
         let listed: IndexSet<&id::Endpoint> =
             endpoints.iter().map(|endpoint| &endpoint.id).collect();
         self.endpoints.retain(|id, _| listed.contains(id));
+        let mut replaced = IndexSet::new();
         for endpoint in endpoints {
             if !self.services.contains_key(&endpoint.service) {
                 continue;
@@ -118,10 +119,15 @@
                     && known.service == endpoint.service
             };
             if !self.endpoints.get(&endpoint.id).is_some_and(same) {
-                self.endpoints
+                let before = self
+                    .endpoints
                     .insert(endpoint.id.clone(), StageEndpoint::new(endpoint));
+                if before.is_some_and(|before| before.born != endpoint.born) {
+                    replaced.insert(endpoint.id.clone());
+                }
             }
         }
+        replaced
     }
 
     /// Records which zones are evacuated.
--- a/src/serve/plan/tests.rs
+++ b/src/serve/plan/tests.rs
@@ -477,6 +477,29 @@
     assert_eq!(calls(&site.actions()).len(), 1);
 }
 
+/// Guards against inputs of other requests: an endpoint that has started again may give handles of before to others.
+#[test]
+fn results_of_ended_life_made_again() {
+    let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
+    site.submit(site.job(&[11], 4_000));
+    assert_eq!(calls(&site.actions())[0].2.len(), 10);
+    site.answer(0, 10);
+    assert_eq!(calls(&site.actions())[0].2.len(), 1);
+    site.planner.call_ended(1, &CallOutcome::Lost, site.now);
+    site.actions();
+    site.restart("m", "look-up");
+    let again = calls(&site.actions());
+    assert_eq!(again[0].2.len(), 10);
+    site.answer(again[0].0, 10);
+    let last = calls(&site.actions());
+    site.answer(last[0].0, last[0].2.len());
+    let granted = grants(&site.actions());
+    let inputs = &granted[0].1.inputs;
+    assert_eq!(inputs.len(), 11);
+    let is_old = |handle: &Handle| handle.starts_with("h0-");
+    assert!(!inputs.iter().any(is_old), "{inputs:?}");
+}
+
 #[test]
 fn requests_handed_over_when_the_daemon_stops() {
     let mut site = Site::new(&[("m", "a")], &[("e", "a")]);
