Bound the depth of a part that is read from the log

Callers saw: nothing in operation. Found while reading: a verdict allocates by the depth of parts, which a record of the log may set to any number, as a request did with its pieces.

Change: a depth counts as 16,384 at most, more than the parts of any head.

Result: depth_of_record_bounded holds; it was not run without the bound, since it would allocate without limit.

--- a/src/quarantine/evidence/share.rs
+++ b/src/quarantine/evidence/share.rs
@@ -11,6 +11,8 @@
 
 /// The endpoints that a prompt part has ended when other regions are told.
 const MIN_SHARED_BLAMES: usize = 2;
+/// The greatest depth that is taken from a record: more than the parts of any head.
+const MAX_DEPTH: usize = 16_384;
 /// The least and the most time after which a daemon writes what another one knew first. The first that
 /// writes spares the others the call.
 const MIN_TURN: Duration = Duration::from_millis(500);
@@ -144,7 +146,7 @@
         let traces = &mut self.traces;
         let entry = self.entries.entry(record.subject.clone());
         let entry = entry.or_insert_with_key(|subject| traces.take(subject));
-        entry.depth = entry.depth.max(record.depth);
+        entry.depth = entry.depth.max(record.depth.min(MAX_DEPTH));
         entry.is_silent |= record.is_silent;
         let cleared_at = entry.cleared_at;
         // The time of this process may be less than the age of a blame.
--- a/src/quarantine/evidence/tests.rs
+++ b/src/quarantine/evidence/tests.rs
@@ -456,6 +456,25 @@
     assert_eq!(daemon.evidence.traces.len(), 0);
 }
 
+/// Guards against a record whose depth decides how much is allocated, or how long a verdict takes.
+#[test]
+fn depth_of_record_bounded() {
+    let mut daemon = Daemon::new("f");
+    for endpoint in ["e1", "e2", "e3"] {
+        let record = Record {
+            subject: Subject::Part("bad".into()),
+            depth: usize::MAX,
+            blames: vec![(life(endpoint), Duration::ZERO)],
+            is_refused: false,
+            is_silent: false,
+        };
+        daemon.evidence.learn(&record, true, daemon.now);
+    }
+    daemon.now += SETTLED;
+    daemon.evidence.update(daemon.now);
+    assert!(daemon.is_refused(&["bad", "z"]));
+}
+
 /// Guards against evidence that an answer clears only where there was room to remember it in full.
 #[test]
 fn answer_clears_traces() {
