Ask an ended endpoint once for all answers that break off with it

Callers saw: nothing in operation. Found while reading: each answer that breaks off with its endpoint asked it anew, one after the other, for up to a second each where nothing answers; the last ones would be broken off late.

Change: an endpoint that did not answer after an answer was closed is not asked again for that one.

--- a/src/serve/witness.rs
+++ b/src/serve/witness.rs
@@ -63,6 +63,8 @@
 struct State {
     line: Option<Line>,
     account: Option<Account>,
+    /// Until when the endpoint did not answer.
+    failed_at: Option<Time>,
     /// Whether a line was opened, or was found not to open.
     is_tried: bool,
 }
@@ -177,6 +179,10 @@
     /// Returns what the endpoint says of itself at some time or later; none when it does not answer.
     pub async fn account_since(self: &Rc<Self>, node: &Rc<Node>, time: Time) -> Option<Account> {
         let mut state = self.state.lock().await;
+        if state.failed_at.is_some_and(|failed_at| failed_at >= time) {
+            // All answers of an endpoint that ends break off at once.
+            return None;
+        }
         self.open_line(node, &mut state).await;
         let recent = |state: &State| state.account.clone().filter(|one| one.asked_at >= time);
         if recent(&state).is_none() {
@@ -192,6 +198,10 @@
                 // Its own words can still tell whether it is the same process.
                 self.ask(node, &mut state, line).await;
             }
+            if recent(&state).is_none() {
+                state.failed_at = Some(node.clock.now());
+                return None;
+            }
             let (witness, node) = (self.clone(), node.clone());
             spawn_local(async move { witness.settle(&node).await });
         }
