Count the parts and pieces of requests that run

Callers saw: nothing in operation.

Cause: the account of what clients make a daemon hold counted bodies and answers, and 48 KB for each connection; a head of 16 KB makes three times as much.

Evidence: parts_of_running_requests_bounded_together failed before this change, 47,116,288 and 47,071,232 bytes of 40 MB; jobs_of_many_parts_bounded_together failed without the planner's bound (250 granted).

A planner refuses requests of more than 64 parts while it has 262,144.

--- a/src/serve/handler.rs
+++ b/src/serve/handler.rs
@@ -19,7 +19,7 @@
 use super::ending::Sent;
 use super::health::Verdict;
 use super::http::{Body, Field, RequestHead, Sink};
-use super::intake::Share;
+use super::intake::{Room, Share};
 use super::plan::{self, Job, Refusal, Stage};
 use super::protocol::RequestMeta;
 use super::residency::Residency;
@@ -62,6 +62,10 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The length of a truncated digest: enough to distinguish the contents of some minutes.
 const DIGEST_BYTES: usize = 12;
+/// What one part of a prompt takes, with the copies of the planner and of what is blamed.
+const PART_BYTES: usize = 128;
+/// What one piece takes at the planner.
+const PIECE_BYTES: usize = 64;
 /// The timeout of a request without a deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -229,6 +233,11 @@
             Ok(request) => self.follow_origin(request).await,
             refused => refused,
         };
+        let mut room = Room::new(self.share.clone());
+        let accepted = match accepted {
+            Ok(request) => take_room(&mut room, &request).await.map(|()| request),
+            refused => refused,
+        };
         let outcome = match accepted {
             Ok(request) => self.serve_in_time(&request, &mut client).await,
             Err(failure) => Outcome::Failure(failure),
@@ -636,6 +645,19 @@
     }
 }
 
+/// Takes room for what the head of a request makes the daemon hold until it ends.
+async fn take_room(room: &mut Room, request: &AcceptedRequest) -> Result<(), Failure> {
+    let AcceptedRequest { meta, route, .. } = request;
+    let pieces: usize = meta.piece_counts.iter().take(route.stages.len()).sum();
+    let bytes = meta.prompt_parts.len() * PART_BYTES + pieces * PIECE_BYTES;
+    let taken = room.reserve(bytes).await;
+    taken.map_err(|wait| Failure {
+        status: 503,
+        retry_after: Some(wait),
+        reason: "no room for the parts of its prompt and its pieces".into(),
+    })
+}
+
 fn lost(reason: &'static str) -> AttemptOutcome {
     AttemptOutcome::Lost {
         verdict: Verdict::Lost,
--- a/src/serve/plan.rs
+++ b/src/serve/plan.rs
@@ -49,6 +49,10 @@
 /// The most pieces that the stages of one request have, all together. Each takes some memory before it is known whether
 /// the request can be served.
 pub const MAX_PIECES: usize = 4_096;
+/// The most prompt parts of all requests of a planner, for requests of more than a few.
+const MAX_PLANNED_PARTS: usize = 256 * 1_024;
+/// The number of parts up to which a request does not depend on those of others.
+const FEW_PARTS: usize = 64;
 /// How often the inputs of a request may be lost before it is refused.
 const MAX_RESTARTS: u32 = 2;
 /// How often a piece may fail at endpoints before its request is refused.
@@ -124,6 +128,11 @@
         self.dispatch_all(now);
     }
 
+    fn planned_parts(&self) -> usize {
+        let requests = self.requests.values();
+        requests.map(|request| request.job.prompt_parts.len()).sum()
+    }
+
     /// Returns the number of requests in this planner.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -208,6 +217,10 @@
             let refusal = Refusal::oversized();
             return self.actions.push(Action::Refuse(job_id, refusal));
         }
+        if job.prompt_parts.len() > FEW_PARTS && self.planned_parts() > MAX_PLANNED_PARTS {
+            let refusal = Refusal::new("no room for the parts of its prompt", MIN_RETRY_AFTER);
+            return self.actions.push(Action::Refuse(job_id, refusal));
+        }
         self.quarantine.update(now);
         let mut request = Request::new(job, now);
         let transferred = request.add_transferred();
--- a/src/serve/plan/tests/pieces.rs
+++ b/src/serve/plan/tests/pieces.rs
@@ -1,4 +1,4 @@
-//! Jobs of many pieces.
+//! Jobs of many pieces or parts.
 
 use super::*;
 
@@ -28,3 +28,26 @@
         assert!(submit(&[pieces], 400).is_some(), "{pieces} pieces");
     }
 }
+
+/// Guards against jobs of other daemons whose prompts take the planner's memory together, and against refusing ordinary
+/// ones beside them.
+#[test]
+fn jobs_of_many_parts_bounded_together() {
+    let mut site = Site::new(&[], &[("e", "a"), ("f", "a")]);
+    let mut submit = |parts: usize| {
+        let part = |number: usize| PromptPart {
+            id: number.to_string().as_str().into(),
+            tokens: 1,
+        };
+        let job = Job {
+            prompt_parts: (0..parts).map(part).collect(),
+            ..site.job(&[], 4_000)
+        };
+        site.submit(job);
+        grants(&site.actions()).len()
+    };
+    // Both engines together take 256 requests.
+    let granted: usize = (0..250).map(|_| submit(1_600)).sum();
+    assert!(granted * 1_600 <= MAX_PLANNED_PARTS + 1_600, "{granted}");
+    assert_eq!(submit(3), 1);
+}
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -250,6 +250,23 @@
     check(&mut daemon);
 }
 
+/// Guards against prompts of many parts of requests that run at the same time.
+#[test]
+fn parts_of_running_requests_bounded_together() {
+    let _lock = daemon::lock();
+    let mut daemon = Daemon::start(Limits {
+        memory_mb: 40,
+        ..LIMITS
+    });
+    let parts: Vec<String> = (0..1_600).map(|part| format!("{part:x}:1")).collect();
+    let parts = parts.join(",");
+    let fields = format!("{KEY}Token-Counts: 1600,8\r\nPrompt-Prefix: {parts}\r\n");
+    let crowd = Crowd::ask(daemon.front, 4 * CROWD, "/order/slow", &fields);
+    check(&mut daemon);
+    drop(crowd);
+    check(&mut daemon);
+}
+
 /// Guards against events of streams that together exceed the memory, none of which has ended.
 #[test]
 fn events_bounded_together() {
--- a/tests/clients/standin.rs
+++ b/tests/clients/standin.rs
@@ -148,6 +148,10 @@
     let id = request.header("Attempt-Id").unwrap_or_default().to_owned();
     let response = match request.url().as_str() {
         "/order/long" => stop_after(BODY_BYTES, ""),
+        "/order/slow" => {
+            thread::sleep(ANSWER_TIME);
+            Response::text("")
+        }
         "/stream/long" => {
             let mut response = stop_after(EVENT_BYTES, "id: 1\n\ndata: ");
             response.headers.clear();
