End a passed-on answer only after the whole request was passed on

Cause: an endpoint that closes before the upload has reached it sends a close first, and a reset only once more of the upload arrives. The daemon that passes the connection on did not look whether it had passed on all of it, as the daemon of the request does.

Evidence: the failed requests have detour true and framing close.

Change: a carrier knows the length of the request from its head, and confirms the end of an answer without a length only if it has passed on so much.

--- a/src/serve/http.rs
+++ b/src/serve/http.rs
@@ -122,6 +122,13 @@
     Ok(None)
 }
 
+/// Returns the length of the request at the start of some bytes, with its body; none while its head is incomplete, or if
+/// that does not say it.
+pub fn request_length(bytes: &[u8]) -> Result<Option<u64>> {
+    let parsed = head::parse_request(bytes, MAX_RESPONSE_HEAD_BYTES)?;
+    Ok(parsed.and_then(|(head, size)| Some(size as u64 + head.framing.length()?)))
+}
+
 /// Sends all of the bytes.
 pub async fn send(sink: &mut Sink, bytes: &[u8]) -> Result<()> {
     let sent = sink.write_all(bytes).await;
--- a/src/serve/tunnel.rs
+++ b/src/serve/tunnel.rs
@@ -5,7 +5,7 @@
 //! in chunks, of which the last one tells that the endpoint has closed: a process that ends closes its connections,
 //! too. See [the design note](../../docs/design/links.md).
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -270,6 +270,7 @@
     let (mut from_endpoint, mut to_endpoint) = connection.into_halves();
     let mut under_way = None;
     let sent = Cell::new(None);
+    let upload = RefCell::new(Upload::default());
     let requests = async {
         while let Ok(bytes) = from_daemon.bytes().await {
             // What has begun to run goes on.
@@ -283,14 +284,16 @@
                 }));
                 UnderWay::begin(node)
             });
+            upload.borrow_mut().push(&bytes);
             if bytes.is_empty() || http::send(&mut to_endpoint, &bytes).await.is_err() {
                 return;
             }
+            upload.borrow_mut().sent(bytes.len());
         }
     };
     let answers = pass_answers_on(
         node,
-        (target, &sent),
+        (target, &sent, &upload),
         &mut from_endpoint,
         (&mut to_daemon, is_chunked),
     );
@@ -320,7 +323,7 @@
 /// and does not show it.
 async fn pass_answers_on(
     node: &Rc<Node>,
-    (target, sent): (&Target, &Cell<Option<Sent>>),
+    (target, sent, upload): (&Target, &Cell<Option<Sent>>, &RefCell<Upload>),
     from_endpoint: &mut Source,
     (to_daemon, is_chunked): (&mut Sink, bool),
 ) -> bool {
@@ -346,7 +349,11 @@
         }
         if bytes.is_empty() {
             return match &ending {
-                Some(ending) => node.confirms_end(ending).await && !from_endpoint.is_reset(),
+                Some(ending) => {
+                    node.confirms_end(ending).await
+                        && upload.borrow().is_over()
+                        && !from_endpoint.is_reset()
+                }
                 // Whether any other answer is whole shows in itself.
                 None => !is_unframed,
             };
@@ -364,6 +371,33 @@
     }
 }
 
+/// How much of a request was passed on. An endpoint that closes before it has all of it may have dropped part of its
+/// answer, too.
+#[derive(Default)]
+struct Upload {
+    /// Its first bytes, until its length is known.
+    start: BytesMut,
+    length: Option<u64>,
+    sent: u64,
+}
+
+impl Upload {
+    fn push(&mut self, bytes: &[u8]) {
+        if self.length.is_none() && self.start.len() <= http::MAX_RESPONSE_HEAD_BYTES {
+            self.start.extend_from_slice(bytes);
+            self.length = http::request_length(&self.start).ok().flatten();
+        }
+    }
+
+    fn sent(&mut self, bytes: usize) {
+        self.sent += bytes as u64;
+    }
+
+    fn is_over(&self) -> bool {
+        self.length.is_some_and(|length| self.sent >= length)
+    }
+}
+
 /// The first bytes of an answer, until its head is complete.
 #[derive(Default)]
 struct Start {
