Hand what a daemon cannot write to the log to others

Cause: what began a stream was known to its daemon, and through it alone to the log. A write that hung for 1.5 s was tried again until the daemon ended, though it reached all other daemons.

Meanwhile streams and announcements go to other daemons (new call `keep`), which write them as theirs, at once or as soon as they can, and again if the log goes back. What is kept is not handed on. A release counts as announced only once somebody has written so, in the epoch that is known. While the log takes what it is given there is no message.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -165,13 +165,22 @@
   ageNanos @2 :UInt64;
 }
 
-# One planned request; it ends with `leave`, or with the connection.
 # Requests that clients sent to a service.
 struct Arrivals {
   service @0 :Text;
   count @1 :UInt32;
 }
 
+# What began a stream.
+struct Origin {
+  # The client's attempt that brought the first event; empty when only the release is announced.
+  attempt @0 :Text;
+  service @1 :Text;
+  release @2 :Text;
+  ageNanos @3 :UInt64;
+}
+
+# One planned request; it ends with `leave`, or with the connection.
 interface Seat {
   wait @0 () -> (reply :Reply);
   # `pace` is how long work takes on the endpoint's VM at this moment, in percent of the usual time; 0 when
@@ -211,4 +220,7 @@
   follow @5 (daemon :Text) -> ();
   # Takes one retry from the budget of a service.
   spend @6 (service :Text) -> (isGranted :Bool);
+  # Has a daemon write to the store what the caller cannot, and keep it. `isWritten` says that the store has all of
+  # it in this epoch; otherwise it will be written later. Daemons of earlier versions don't know it.
+  keep @7 (streams :List(Origin)) -> (isWritten :Bool, epoch :UInt64);
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -28,6 +28,7 @@
 pub mod evacuation;
 pub mod exchange;
 pub mod handler;
+pub mod handoff;
 pub mod health;
 pub mod http;
 pub mod intake;
@@ -55,6 +56,7 @@
 use dispatcher::{Dispatcher, RequestPlanner};
 use drain::{Drain, RunTime};
 use evacuation::Evacuation;
+use handoff::{Load, Receipt};
 use meter::Meter;
 use origin::{Origin, Origins};
 use plan::Tokens;
@@ -300,12 +302,19 @@
             return;
         }
         self.epoch.set(Some(epoch));
-        if let Some(previous) = previous {
-            warn!(self.log, "store went back to a copy"; "epoch" => epoch, "before" => previous);
-            self.registry.borrow_mut().log_went_back(now);
-            self.origins.log_went_back();
-            self.knowledge.quarantine.log_went_back(now);
-        }
+        let Some(previous) = previous else {
+            return self.origins.set_epoch(epoch);
+        };
+        warn!(self.log, "store went back to a copy"; "epoch" => epoch, "before" => previous);
+        self.registry.borrow_mut().log_went_back(now);
+        self.origins.log_went_back(epoch);
+        self.knowledge.quarantine.log_went_back(now);
+    }
+
+    /// Writes to the log what another daemon cannot write, and keeps it until that is done.
+    async fn keep(&self, load: &Load) -> Receipt {
+        self.meter.count("handoff.kept");
+        handoff::keep(&self.origins, load).await
     }
 
     /// Applies a change of an endpoint's entry; returns whether it changes the known endpoints:
--- a/src/serve/budget.rs
+++ b/src/serve/budget.rs
@@ -187,6 +187,12 @@
         }
     }
 
+    /// Returns whether a daemon lends its share, and so is alive.
+    pub fn has_lender(&self, daemon: &id::Daemon, now: Time) -> bool {
+        let lender = self.lenders.get(daemon);
+        lender.is_some_and(|lender| now < lender.heard_at + LOAN_TIME)
+    }
+
     /// Returns the part of the slack that belongs to so many daemons.
     fn share(&self, lenders: usize) -> f64 {
         let daemons = self.daemons.map_or(f64::INFINITY, |daemons| daemons as f64);
--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -15,6 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::handoff::Health;
 use crate::clock::{Clock, Time};
 use crate::id;
 
@@ -92,7 +93,10 @@
     read_failed_at: Cell<Option<Time>>,
     /// When the releases in the log were last read, or could not be.
     releases_read_at: Cell<Option<Time>>,
+    /// The epoch of the log, as far as this daemon knows.
+    epoch: Cell<id::Epoch>,
     reading: Mutex<()>,
+    health: Rc<Health>,
     has_unsent: Notify,
     /// Notified when unsent streams are not to be gathered any longer.
     flush_requested: Notify,
@@ -104,7 +108,12 @@
 
 impl Origins {
     /// Starts to write new streams to the log.
-    pub fn start(log: Rc<dyn Log>, clock: Rc<dyn Clock>, logger: Logger) -> Rc<Self> {
+    pub fn start(
+        log: Rc<dyn Log>,
+        health: Rc<Health>,
+        clock: Rc<dyn Clock>,
+        logger: Logger,
+    ) -> Rc<Self> {
         let origins = Rc::new(Self {
             table: RefCell::new(Table::new()),
             log,
@@ -112,7 +121,9 @@
             read_at: Cell::new(None),
             read_failed_at: Cell::new(None),
             releases_read_at: Cell::new(None),
+            epoch: Cell::new(0),
             reading: Mutex::new(()),
+            health,
             has_unsent: Notify::new(),
             flush_requested: Notify::new(),
             has_sent: Notify::new(),
@@ -126,11 +137,10 @@
 
     /// Records that a stream may begin at a release, so that its first event need not wait for the log.
     pub fn announce(&self, origin: &Origin) {
-        let mut table = self.table.borrow_mut();
-        table.announce(origin, self.clock.now());
-        if table.is_unannounced(origin) {
+        self.table.borrow_mut().announce(origin, self.clock.now());
+        if self.table.borrow().is_unannounced(origin) {
             self.flush_requested.notify_one();
-            self.has_unsent.notify_one();
+            self.notify_unsent();
         }
     }
 
@@ -177,8 +187,14 @@
         self.table.borrow_mut().confirm(self.clock.now());
     }
 
-    /// Records that the log went back to a copy: it is read anew, and own streams are written again.
-    pub fn log_went_back(&self) {
+    /// Records the first epoch of the log that this daemon knows.
+    pub fn set_epoch(&self, epoch: id::Epoch) {
+        self.epoch.set(epoch);
+    }
+
+    /// Records that the log went back to a copy: it is read anew, and what this daemon wrote is written again.
+    pub fn log_went_back(&self, epoch: id::Epoch) {
+        self.epoch.set(epoch);
         self.next_offset.set(0);
         self.read_at.set(None);
         self.table.borrow_mut().log_went_back();
@@ -189,6 +205,66 @@
     fn notify_unsent(&self) {
         if self.table.borrow().has_unsent() {
             self.has_unsent.notify_one();
+            self.health.wake();
+        }
+    }
+
+    /// Returns whether this daemon can write to the log.
+    pub(super) fn health(&self) -> &Health {
+        &self.health
+    }
+
+    /// Returns the epoch of the log, as far as this daemon knows.
+    pub(super) fn epoch(&self) -> id::Epoch {
+        self.epoch.get()
+    }
+
+    /// Returns what neither the log has nor enough other daemons keep, with the age of each record.
+    pub(super) fn unheld(&self) -> Vec<(Record, Duration)> {
+        self.table.borrow_mut().unheld(self.clock.now())
+    }
+
+    /// Records that enough other daemons keep these records until the log has them.
+    pub(super) fn set_held(&self, records: &[(Record, Duration)]) {
+        let records = records.iter().map(|(record, _)| record);
+        self.table.borrow_mut().set_held(records);
+    }
+
+    /// Records that another daemon has written these records to the log, and so can write what others only keep.
+    pub(super) fn set_written(&self, records: &[(Record, Duration)]) {
+        let records = records.iter().map(|(record, _)| record);
+        let mut table = self.table.borrow_mut();
+        table.set_sent(records);
+        table.forget_holders();
+        drop(table);
+        self.has_sent.notify_waiters();
+    }
+
+    /// Writes records to the log at once that another daemon could not write.
+    pub(super) fn keep(&self, records: &[(Record, Duration)]) {
+        let now = self.clock.now();
+        for (record, age) in records {
+            self.table.borrow_mut().keep(record.clone(), *age, now);
+        }
+        if !records.is_empty() {
+            self.flush_requested.notify_one();
+            self.notify_unsent();
+        }
+    }
+
+    fn has_sent_all(&self, records: &[(Record, Duration)]) -> bool {
+        let table = self.table.borrow();
+        records.iter().all(|(record, _)| table.is_sent(record))
+    }
+
+    /// Waits until the log has records that this daemon [keeps](Self::keep).
+    pub(super) async fn wait_kept(&self, records: &[(Record, Duration)]) {
+        loop {
+            let sent = self.has_sent.notified();
+            if self.has_sent_all(records) {
+                return;
+            }
+            sent.await;
         }
     }
 
@@ -368,9 +444,9 @@
                 written_at: self.unix_time(),
                 records,
             };
-            match self.log.append(&batch).await {
+            match self.health.watch(self.log.append(&batch)).await {
                 Ok(()) => {
-                    self.table.borrow_mut().set_sent(&batch.records);
+                    self.table.borrow_mut().set_sent(batch.records.iter());
                     self.has_sent.notify_waiters();
                 }
                 Err(error) => {
--- a/src/serve/origin/table.rs
+++ b/src/serve/origin/table.rs
@@ -55,6 +55,17 @@
 }
 
 impl Record {
+    fn announcement(origin: &Origin) -> Self {
+        Self {
+            attempt: ANNOUNCEMENT.into(),
+            origin: origin.clone(),
+        }
+    }
+
+    fn is_announcement(&self) -> bool {
+        *self.attempt == *ANNOUNCEMENT
+    }
+
     /// Returns the number of bytes of its names.
     fn size(&self) -> usize {
         let Origin { service, release } = &self.origin;
@@ -72,13 +83,45 @@
     format!("sha256-{digest}").into()
 }
 
+/// Why a daemon knows a stream.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// It passes events of it on, and so writes it to the log.
+    Own,
+    /// It writes it to the log for a daemon that could not.
+    Kept,
+    /// It has read it in the log.
+    Log,
+}
+
 struct Stream {
     origin: Origin,
     at: Time,
-    /// Whether this daemon has passed events of it on, and so writes it to the log.
-    is_own: bool,
+    source: Source,
     /// Whether other daemons can read it in the log.
     is_shared: bool,
+    /// Whether enough other daemons keep it until the log has it.
+    is_held: bool,
+}
+
+impl Stream {
+    fn record(&self, name: &id::Name) -> Record {
+        Record {
+            attempt: name.clone(),
+            origin: self.origin.clone(),
+        }
+    }
+}
+
+/// Takes as many records as are sent together.
+fn batch<T>(records: impl Iterator<Item = T>, record: impl Fn(&T) -> &Record) -> Vec<T> {
+    let mut bytes = 0;
+    let fits = |taken: &T| {
+        let is_first = bytes == 0;
+        bytes += record(taken).size();
+        is_first || bytes <= MAX_BATCH_BYTES
+    };
+    records.take_while(fits).take(MAX_BATCH).collect()
 }
 
 /// Streams and releases of the last `STREAM_LIFETIME`.
@@ -96,6 +139,11 @@
     announced: IndexSet<Origin>,
     /// The releases to announce before a stream of them has begun.
     announcing: IndexSet<Origin>,
+    /// Those of them that enough other daemons announce.
+    held_announcements: IndexSet<Origin>,
+    /// The releases to announce for daemons that could not. Whether this daemon takes them for announced says nothing of
+    /// the log.
+    kept_announcements: IndexSet<Origin>,
 }
 
 impl Table {
@@ -109,33 +157,55 @@
             recorded: None,
             announced: IndexSet::new(),
             announcing: IndexSet::new(),
+            held_announcements: IndexSet::new(),
+            kept_announcements: IndexSet::new(),
         }
     }
 
     /// Records a stream of which this daemon has passed events on.
     pub fn begin(&mut self, record: Record, now: Time) {
-        self.insert(record, false, now);
+        self.insert(record, Source::Own, now);
     }
 
     /// Records a stream that was read from the log, where it was written `age` ago.
     pub fn learn(&mut self, record: Record, age: Duration, now: Time) {
         if age <= STREAM_LIFETIME {
             self.announced.insert(record.origin.clone());
-            self.insert(record, true, now.saturating_sub(age));
+            self.insert(record, Source::Log, now.saturating_sub(age));
         }
     }
 
-    fn insert(&mut self, record: Record, is_shared: bool, at: Time) {
-        let Record { attempt, origin } = record;
-        self.see(&origin, at);
-        if *attempt == *ANNOUNCEMENT {
+    /// Records a stream or an announcement to write to the log for a daemon that could not, which made it `age` ago. It is
+    /// not handed on to others.
+    pub fn keep(&mut self, record: Record, age: Duration, now: Time) {
+        if age > STREAM_LIFETIME {
+            return;
+        }
+        if record.is_announcement() {
+            self.kept_announcements.insert(record.origin.clone());
+        }
+        let name = stream_name(&record.attempt);
+        if let Some(stream) = self.streams.get_mut(&name)
+            && stream.source == Source::Log
+        {
+            // The daemon that wrote it may be gone when the log goes back to a copy.
+            stream.source = Source::Kept;
+        }
+        self.insert(record, Source::Kept, now.saturating_sub(age));
+    }
+
+    fn insert(&mut self, record: Record, source: Source, at: Time) {
+        self.see(&record.origin, at);
+        if record.is_announcement() {
             return;
         }
+        let Record { attempt, origin } = record;
         let stream = Stream {
             origin,
             at,
-            is_own: !is_shared,
-            is_shared,
+            source,
+            is_shared: source == Source::Log,
+            is_held: false,
         };
         // The first record stands: what a daemon writes again later is the same.
         self.streams.entry(stream_name(&attempt)).or_insert(stream);
@@ -285,7 +355,12 @@
             .retain(|_, seen| seen.is_none_or(|seen| is_recent(seen, now)));
         self.streams.retain(|_, stream| is_recent(stream.at, now));
         let releases = &self.releases;
-        for origins in [&mut self.announced, &mut self.announcing] {
+        for origins in [
+            &mut self.announced,
+            &mut self.announcing,
+            &mut self.held_announcements,
+            &mut self.kept_announcements,
+        ] {
             origins.retain(|origin| releases.contains_key(origin));
         }
     }
@@ -296,16 +371,24 @@
     }
 
     /// Returns whether a stream has to be written to the log: where a service has one release only, all
-    /// daemons know what its streams began at.
+    /// daemons know what its streams began at. A daemon that asks for it to be written knows several.
     fn is_unsent(&self, stream: &Stream) -> bool {
-        !stream.is_shared && self.release_count(&stream.origin.service) > 1
+        let is_kept = stream.source == Source::Kept;
+        !stream.is_shared && (is_kept || self.release_count(&stream.origin.service) > 1)
     }
 
-    fn announcements(&self) -> impl Iterator<Item = &Origin> {
+    /// Returns the releases that this daemon has to announce for itself.
+    fn own_announcements(&self) -> impl Iterator<Item = &Origin> {
         let announcing = self.announcing.iter();
         announcing.filter(|origin| self.is_unannounced(origin))
     }
 
+    fn announcements(&self) -> impl Iterator<Item = &Origin> {
+        let kept = self.kept_announcements.iter();
+        let own = self.own_announcements();
+        kept.chain(own.filter(|origin| !self.kept_announcements.contains(*origin)))
+    }
+
     /// Returns whether there are streams or announcements to write to the log.
     pub fn has_unsent(&self) -> bool {
         self.announcements().next().is_some()
@@ -315,42 +398,79 @@
     /// Returns the announcements and the streams to write to the log.
     pub fn unsent(&mut self, now: Time) -> Vec<Record> {
         self.expire(now);
-        let announcements = self.announcements().map(|origin| Record {
-            attempt: ANNOUNCEMENT.into(),
-            origin: origin.clone(),
-        });
+        let announcements = self.announcements().map(Record::announcement);
         let streams = self.streams.iter();
         let unsent = streams.filter(|(_, stream)| self.is_unsent(stream));
-        let records = unsent.map(|(attempt, stream)| Record {
-            attempt: attempt.clone(),
-            origin: stream.origin.clone(),
-        });
-        let mut bytes = 0;
-        let fits = |record: &Record| {
-            let is_first = bytes == 0;
-            bytes += record.size();
-            is_first || bytes <= MAX_BATCH_BYTES
+        let records = unsent.map(|(name, stream)| stream.record(name));
+        batch(announcements.chain(records), |record| record)
+    }
+
+    /// Returns the announcements and the streams of this daemon that neither the log has nor enough other daemons keep, each
+    /// with its age.
+    pub fn unheld(&mut self, now: Time) -> Vec<(Record, Duration)> {
+        self.expire(now);
+        let is_held = |origin: &&Origin| self.held_announcements.contains(*origin);
+        let announcements = self.own_announcements().filter(|origin| !is_held(origin));
+        let announcements =
+            announcements.map(|origin| (Record::announcement(origin), Duration::ZERO));
+        let is_unheld = |stream: &Stream| {
+            stream.source == Source::Own && !stream.is_held && self.is_unsent(stream)
         };
-        let records = announcements.chain(records);
-        records.take_while(fits).take(MAX_BATCH).collect()
+        let streams = self.streams.iter();
+        let streams = streams.filter(|(_, stream)| is_unheld(stream));
+        let records =
+            streams.map(|(name, stream)| (stream.record(name), now.saturating_sub(stream.at)));
+        batch(announcements.chain(records), |(record, _)| record)
+    }
+
+    /// Records that enough other daemons keep announcements and streams.
+    pub fn set_held<'a>(&mut self, records: impl Iterator<Item = &'a Record>) {
+        for record in records {
+            if record.is_announcement() {
+                self.held_announcements.insert(record.origin.clone());
+            } else if let Some(stream) = self.streams.get_mut(&record.attempt) {
+                stream.is_held = true;
+            }
+        }
+    }
+
+    /// Has what other daemons only keep handed over once more.
+    pub fn forget_holders(&mut self) {
+        self.held_announcements.clear();
+        let streams = self.streams.values_mut();
+        streams.for_each(|stream| stream.is_held = false);
     }
 
     /// Records that announcements and streams were written to the log.
-    pub fn set_sent(&mut self, records: &[Record]) {
+    pub fn set_sent<'a>(&mut self, records: impl Iterator<Item = &'a Record>) {
         for record in records {
             self.announced.insert(record.origin.clone());
             self.announcing.swap_remove(&record.origin);
+            self.kept_announcements.swap_remove(&record.origin);
             if let Some(stream) = self.streams.get_mut(&record.attempt) {
                 stream.is_shared = true;
             }
         }
     }
 
-    /// Records that the log may lack the streams that this daemon wrote last.
+    /// Returns whether the log has what this daemon [keeps](Self::keep) for another one.
+    pub fn is_sent(&self, record: &Record) -> bool {
+        if record.is_announcement() {
+            return !self.kept_announcements.contains(&record.origin);
+        }
+        let stream = self.streams.get(&stream_name(&record.attempt));
+        stream.is_some_and(|stream| stream.is_shared)
+    }
+
+    /// Records that the log may lack the streams that this daemon wrote last, or others for it.
     pub fn log_went_back(&mut self) {
-        let own = self.streams.values_mut().filter(|stream| stream.is_own);
-        own.for_each(|stream| stream.is_shared = false);
+        let streams = self.streams.values_mut();
+        for stream in streams.filter(|stream| stream.source != Source::Log) {
+            stream.is_shared = false;
+            stream.is_held = false;
+        }
         self.announced.clear();
+        self.held_announcements.clear();
         self.forget_recorded();
     }
 
--- a/src/serve/origin/tests.rs
+++ b/src/serve/origin/tests.rs
@@ -91,7 +91,7 @@
     assert!(table.has_unsent(), "what began before is shared, too");
     let unsent = table.unsent(now + SECOND);
     assert_eq!(unsent, [record("a", "v1")]);
-    table.set_sent(&unsent);
+    table.set_sent(unsent.iter());
     table.learn(record("b", "v2"), SECOND, now + SECOND);
     assert!(!table.has_unsent());
     assert_eq!(table.find(&"a".into()), Some(origin("v1")));
@@ -112,6 +112,34 @@
     assert_eq!(only(&table, now), None);
 }
 
+/// Guards against a helper that takes a release for announced to the log since all daemons list it.
+#[test]
+fn kept_announcement_written_in_any_case() {
+    let (mut table, now) = table(&["v1"]);
+    let announcement = record("", "v1");
+    table.keep(announcement.clone(), SECOND, now);
+    assert!(!table.is_sent(&announcement));
+    let unsent = table.unsent(now);
+    assert_eq!(unsent, std::slice::from_ref(&announcement));
+    table.set_sent(unsent.iter());
+    assert!(table.is_sent(&announcement));
+    assert!(!table.has_unsent());
+}
+
+/// Guards against a stream that goes on elsewhere, or a release that is hidden, by copies that come late or twice.
+#[test]
+fn kept_copies_change_no_origin() {
+    let (mut table, now) = table(&["v1"]);
+    table.keep(record("a", "v2"), SECOND, now);
+    table.keep(record("a", "v1"), SECOND, now);
+    table.keep(record("b", "v1"), STREAM_LIFETIME + SECOND, now);
+    assert_eq!(table.find(&"a".into()), Some(origin("v2")));
+    assert_eq!(table.find(&"b".into()), None);
+    assert_eq!(only(&table, now), None, "v2 has served");
+    assert_eq!(table.unsent(now), [record("a", "v2")]);
+    assert!(table.unheld(now).is_empty(), "it is not handed on");
+}
+
 /// A log in memory, which may be down.
 #[derive(Default)]
 struct MemoryLog {
@@ -197,7 +225,8 @@
 
 fn start_at(log: &Rc<MemoryLog>, releases: &[&str], clock: Rc<dyn Clock>) -> Rc<Origins> {
     let logger = Logger::root(slog::Discard, slog::o!());
-    let origins = Origins::start(log.clone(), clock, logger);
+    let health = Health::new(clock.clone());
+    let origins = Origins::start(log.clone(), health, clock, logger);
     origins.observe(releases.iter().map(|release| origin(release)));
     origins
 }
@@ -334,7 +363,7 @@
         let log = Rc::new(MemoryLog::default());
         let planner = record_releases(&log, "v1").await;
         log.releases.borrow_mut().clear();
-        planner.log_went_back();
+        planner.log_went_back(1);
         tokio::time::sleep(3 * SECOND).await;
         assert!(log.releases.borrow().contains(&origin("v1")));
     });
@@ -609,7 +638,7 @@
         for record in &unsent {
             reader.learn(record.clone(), SECOND, now);
         }
-        table.set_sent(&unsent);
+        table.set_sent(unsent.iter());
         batches += 1;
         assert!(batches < 10, "few batches are enough");
     }
--- a/src/serve/region.rs
+++ b/src/serve/region.rs
@@ -30,6 +30,7 @@
 use crate::id;
 use crate::peer::stream::{self, ByteCount, Coding};
 
+mod helpers;
 mod home;
 mod host;
 mod rank;
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -16,6 +16,7 @@
 use crate::serve::Node;
 use crate::serve::budget::Loan;
 use crate::serve::dispatcher::{Dispatcher, LocalRequest, PlannedRequest};
+use crate::serve::handoff::Load;
 use crate::serve::plan::{Grant, Job, Refusal};
 use crate::serve::progress::{Position, ReadProgress, Topic};
 use crate::serve::residency::Residency;
@@ -142,6 +143,21 @@
         Ok(())
     }
 
+    async fn keep(
+        self: Capability<Self>,
+        params: planner::KeepParams,
+        mut results: planner::KeepResults,
+    ) -> capnp::Result<()> {
+        let load = Load {
+            streams: wire::read_origins(params.get()?.get_streams()?)?,
+        };
+        let receipt = self.node.keep(&load).await;
+        let mut answer = results.get();
+        answer.set_is_written(receipt.is_written);
+        answer.set_epoch(receipt.epoch);
+        Ok(())
+    }
+
     async fn news(
         self: Capability<Self>,
         params: planner::NewsParams,
--- a/src/serve/region/rank.rs
+++ b/src/serve/region/rank.rs
@@ -109,6 +109,12 @@
         self.members.len()
     }
 
+    /// Returns the registered daemons but this one, whether they answer or not.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        let others = self.members.values();
+        others.filter(|member| !self.is_own(&member.name))
+    }
+
     /// Records a daemon that has registered or changed, or removes one that has left for good.
     pub fn apply_member(&mut self, name: &id::Daemon, member: Option<Member>) {
         if self.is_own(name) {
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -13,6 +13,7 @@
 use crate::serve::budget::Arrivals;
 use crate::serve::closure::Closure;
 use crate::serve::health::Verdict;
+use crate::serve::origin::{self, Origin};
 use crate::serve::pace::Ratio;
 use crate::serve::plan::{
     CachedPart, Grant, Job, PromptPart, Refusal, Stage, Tokens, TransferredResult,
@@ -348,6 +349,36 @@
     reader.iter().map(arrivals).collect()
 }
 
+/// Writes what began streams.
+pub fn write_origins(
+    records: &[(origin::Record, Duration)],
+    mut builder: capnp::struct_list::Builder<'_, schema::origin::Owned>,
+) {
+    for (index, (record, age)) in (0..).zip(records) {
+        let mut entry = builder.reborrow().get(index);
+        entry.set_attempt(&*record.attempt);
+        entry.set_service(&*record.origin.service);
+        entry.set_release(&*record.origin.release);
+        entry.set_age_nanos(nanos(*age));
+    }
+}
+
+/// Reads what began streams.
+pub fn read_origins(
+    reader: capnp::struct_list::Reader<'_, schema::origin::Owned>,
+) -> Result<Vec<(origin::Record, Duration)>> {
+    let record = |entry: schema::origin::Reader<'_>| {
+        let origin = Origin {
+            service: read_name(entry.get_service()?)?,
+            release: read_name(entry.get_release()?)?,
+        };
+        let attempt = read_name(entry.get_attempt()?)?;
+        let age = Duration::from_nanos(entry.get_age_nanos());
+        Ok((origin::Record { attempt, origin }, age))
+    };
+    reader.iter().map(record).collect()
+}
+
 /// Writes what is refused, since endpoints ended under it.
 pub fn write_refused(
     records: &[evidence::Record],
