Hand evidence of crashing content to others when it cannot be written

Cause: the same as of unwritten origins. What a daemon finds is in its memory and in the log; `recall` tells a new planner what its followers refuse, not what the planner before knew.

Change: the call `keep` carries evidence, too. What is cleared stays with its daemon: a copy that comes late would void newer evidence. Writes of evidence count towards the doubt of the log.

--- a/schema/plan.capnp
+++ b/schema/plan.capnp
@@ -155,6 +155,9 @@
   # The part's distance from the end of the prompt.
   depth @2 :UInt16;
   blames @3 :List(Blame);
+  # It is not refused yet; only `keep` carries that.
+  isOpen @4 :Bool;
+  isSilent @5 :Bool;
 }
 
 # What an endpoint has named last: how many requests a second it takes from all daemons together.
@@ -222,5 +225,5 @@
   spend @6 (service :Text) -> (isGranted :Bool);
   # Has a daemon write to the store what the caller cannot, and keep it. `isWritten` says that the store has all of
   # it in this epoch; otherwise it will be written later. Daemons of earlier versions don't know it.
-  keep @7 (streams :List(Origin)) -> (isWritten :Bool, epoch :UInt64);
+  keep @7 (streams :List(Origin), evidence :List(Refused)) -> (isWritten :Bool, epoch :UInt64);
 }
--- a/src/quarantine/evidence/share.rs
+++ b/src/quarantine/evidence/share.rs
@@ -34,12 +34,17 @@
     }
 }
 
+/// How much an entry says: the ended endpoints, and whether it is refused.
+type Extent = (usize, bool);
+
 /// How much of an entry the log has.
 #[derive(Clone, Debug, Default)]
 pub struct State {
     /// The ended endpoints of the newest record; none without a record.
     logged: Option<IndexSet<Life>>,
     is_refusal_logged: bool,
+    /// What enough other daemons keep until the log has it.
+    held: Option<Extent>,
     /// When this daemon writes a record.
     due: Option<Time>,
 }
@@ -69,6 +74,17 @@
         }
     }
 
+    fn extent(&self, now: Time) -> Extent {
+        (self.blames.len(), self.is_refused(now))
+    }
+
+    /// Returns whether it has to be written and nobody else keeps it. What is cleared is not handed to others: a copy that comes
+    /// late would void newer evidence.
+    fn is_unheld(&self, now: Time) -> bool {
+        let is_due = self.sharing.due.is_some_and(|due| due <= now);
+        is_due && !self.blames.is_empty() && self.sharing.held != Some(self.extent(now))
+    }
+
     /// Returns whether other daemons need to know: requests without a prompt are run by each daemon
     /// alone, and silence is noticed by the daemon that waits, so the first blame counts.
     fn is_shareable(&self, now: Time) -> bool {
@@ -128,6 +144,52 @@
         records.take(limit).collect()
     }
 
+    /// Returns the records that neither the log has nor enough other daemons keep, at most `limit`.
+    pub fn unheld(&self, limit: usize, now: Time) -> Vec<Record> {
+        let unheld = self.entries.iter();
+        let unheld = unheld.filter(|(_, entry)| entry.is_unheld(now));
+        let records = unheld.map(|(subject, entry)| entry.record(subject, now));
+        records.take(limit).collect()
+    }
+
+    /// Records that enough other daemons keep these records until the log has them.
+    pub fn set_held(&mut self, records: &[Record]) {
+        for record in records {
+            if let Some(entry) = self.entries.get_mut(&record.subject) {
+                entry.sharing.held = Some((record.blames.len(), record.is_refused));
+            }
+        }
+    }
+
+    /// Adds a record to write at once for a daemon that could not. It is not handed on to others.
+    pub fn keep(&mut self, record: &Record, now: Time) {
+        let entry = self.entries.get(&record.subject);
+        let has_own = entry.is_some_and(|entry| entry.is_unheld(now));
+        self.learn(record, false, now);
+        let Some(entry) = self.entries.get_mut(&record.subject) else {
+            return;
+        };
+        if entry.sharing.due.is_some() {
+            entry.sharing.due = Some(now);
+        }
+        if !has_own {
+            entry.sharing.held = Some(entry.extent(now));
+        }
+    }
+
+    /// Returns whether the log says as much as a record does.
+    pub fn is_logged(&self, record: &Record) -> bool {
+        let entry = self.entries.get(&record.subject);
+        let state = entry.map(|entry| &entry.sharing);
+        state.is_some_and(|state| {
+            let logged = state.logged.as_ref();
+            let has_all = |logged: &IndexSet<Life>| {
+                record.blames.iter().all(|(life, _)| logged.contains(life))
+            };
+            logged.is_some_and(has_all) && (state.is_refusal_logged || !record.is_refused)
+        })
+    }
+
     /// Records that the log has these records.
     pub fn set_sent(&mut self, records: &[Record], now: Time) {
         for record in records {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -314,7 +314,8 @@
     /// Writes to the log what another daemon cannot write, and keeps it until that is done.
     async fn keep(&self, load: &Load) -> Receipt {
         self.meter.count("handoff.kept");
-        handoff::keep(&self.origins, load).await
+        let now = self.clock.now();
+        handoff::keep(&self.origins, &self.knowledge.quarantine, load, now).await
     }
 
     /// Applies a change of an endpoint's entry; returns whether it changes the known endpoints:
--- a/src/serve/handoff.rs
+++ b/src/serve/handoff.rs
@@ -18,9 +18,11 @@
 
 use super::meter::Meter;
 use super::origin::{Origins, Record};
+use super::quarantine::Quarantine;
 use super::region::Member;
-use crate::clock::Clock;
+use crate::clock::{Clock, Time};
 use crate::id;
+use crate::quarantine::evidence;
 
 mod health;
 mod order;
@@ -57,6 +59,8 @@
     pub struct Load {
         /// What began streams, each with the age of the record.
         pub streams: Vec<(Record, Duration)>,
+        /// What is known of content that ends endpoints.
+        pub evidence: Vec<evidence::Record>,
     }
 
     /// What a daemon answers that was handed something.
@@ -71,7 +75,7 @@
 impl Load {
     /// Returns whether there is nothing to hand over.
     pub fn is_empty(&self) -> bool {
-        self.streams.is_empty()
+        self.streams.is_empty() && self.evidence.is_empty()
     }
 }
 
@@ -88,10 +92,19 @@
 }
 
 /// Writes to the log what another daemon cannot write, and keeps it until that is done.
-pub(super) async fn keep(origins: &Origins, load: &Load) -> Receipt {
+pub(super) async fn keep(
+    origins: &Origins,
+    quarantine: &Quarantine,
+    load: &Load,
+    now: Time,
+) -> Receipt {
     origins.keep(&load.streams);
-    let written = origins.wait_kept(&load.streams);
-    // Another daemon is asked the sooner.
+    quarantine.keep(&load.evidence, now);
+    let written = async {
+        origins.wait_kept(&load.streams).await;
+        quarantine.wait_kept(&load.evidence).await;
+    };
+    // The sender asks another daemon then, and need not wait for this one.
     let patience = if origins.health().is_doubtful() {
         Duration::ZERO
     } else {
@@ -104,6 +117,16 @@
     }
 }
 
+/// What a daemon has done with what it was handed.
+enum Outcome {
+    /// The log has all of it.
+    Written,
+    /// It writes it later.
+    Kept,
+    /// It did not answer, or does not know the call.
+    Unknown,
+}
+
 /// What a handoff is built from.
 pub struct Dependencies {
     /// The other daemons.
@@ -112,6 +135,8 @@
     pub holders: usize,
     /// What began each stream.
     pub origins: Rc<Origins>,
+    /// The content that ends endpoints.
+    pub quarantine: Rc<Quarantine>,
     /// Whether this daemon can write to the log.
     pub health: Rc<Health>,
     /// The clock, which a suspension of the VM does not stop.
@@ -127,6 +152,7 @@
     helpers: Rc<dyn Helpers>,
     holders: usize,
     origins: Rc<Origins>,
+    quarantine: Rc<Quarantine>,
     health: Rc<Health>,
     order: RefCell<Order>,
     clock: Rc<dyn Clock>,
@@ -141,6 +167,7 @@
             helpers: dependencies.helpers,
             holders: dependencies.holders.max(1),
             origins: dependencies.origins,
+            quarantine: dependencies.quarantine,
             health: dependencies.health,
             order: RefCell::default(),
             clock: dependencies.clock,
@@ -156,9 +183,12 @@
             while self.health.is_doubtful() {
                 let load = Load {
                     streams: self.origins.unheld(),
+                    evidence: self.quarantine.unheld(self.clock.now()),
                 };
                 if load.is_empty() {
-                    break;
+                    // Evidence wakes nobody.
+                    drop(timeout(RETRY_DELAY, self.health.woken()).await);
+                    continue;
                 }
                 let is_kept = self.hand_over(&load).await;
                 let delay = if is_kept { GATHER_DELAY } else { RETRY_DELAY };
@@ -174,33 +204,37 @@
         let members = self.order.borrow().choose(candidates, self.holders, now);
         let mut waiting = members.iter();
         let mut calls = FuturesUnordered::new();
-        let mut holders = 0;
+        let mut keepers = 0;
         loop {
             let next = waiting.next();
             calls.extend(next.map(|member| self.ask(member, load)));
             // Without another daemon to ask, all answers are waited for.
             let patience = next.map_or(ANSWER_TIMEOUT, |_| NEXT_DELAY);
             match timeout(patience, calls.next()).await {
-                Ok(Some(Some(true))) => {
+                Ok(Some(Outcome::Written)) => {
                     self.origins.set_written(&load.streams);
+                    let now = self.clock.now();
+                    self.quarantine.set_written(&load.evidence, now);
                     return true;
                 }
-                Ok(Some(Some(false))) => holders += 1,
+                Ok(Some(Outcome::Kept)) => keepers += 1,
                 Ok(None) => break,
-                Ok(Some(None)) | Err(_) => {}
+                Ok(Some(Outcome::Unknown)) | Err(_) => {}
             }
         }
-        if holders == 0 {
-            warn!(self.log, "nobody keeps what is not written"; "streams" => load.streams.len());
+        if keepers == 0 {
+            warn!(self.log, "nobody keeps what is not written";
+                "streams" => load.streams.len(), "subjects" => load.evidence.len());
             self.meter.count("handoff.failed");
             return false;
         }
         self.origins.set_held(&load.streams);
+        self.quarantine.set_held(&load.evidence);
         true
     }
 
-    /// Asks one daemon; returns whether it has written everything, or none if it does not keep it.
-    async fn ask(&self, member: &Member, load: &Load) -> Option<bool> {
+    /// Asks one daemon.
+    async fn ask(&self, member: &Member, load: &Load) -> Outcome {
         let answer = timeout(ANSWER_TIMEOUT, self.helpers.keep(member, load)).await;
         let receipt = answer.map_err(|_| "no answer in time".to_owned());
         let receipt = receipt.and_then(|receipt| receipt.map_err(|error| error.to_string()));
@@ -210,20 +244,22 @@
                 // A daemon that has not noticed that the log went back takes for written what is gone.
                 let is_written = receipt.is_written && receipt.epoch >= self.origins.epoch();
                 info!(self.log, "handed over what is not written";
-                    "helper" => &**name, "streams" => load.streams.len(), "written" => is_written);
+                    "helper" => &**name, "streams" => load.streams.len(),
+                    "subjects" => load.evidence.len(), "written" => is_written);
                 if is_written {
                     order.wrote(name);
                     self.meter.count("handoff.written");
+                    Outcome::Written
                 } else {
                     order.kept(name, self.clock.now());
                     self.meter.count("handoff.held");
+                    Outcome::Kept
                 }
-                Some(is_written)
             }
             Err(reason) => {
                 info!(self.log, "nothing handed over"; "helper" => &**name, "error" => reason);
                 order.failed(name, self.clock.now());
-                None
+                Outcome::Unknown
             }
         }
     }
--- a/src/serve/handoff/tests.rs
+++ b/src/serve/handoff/tests.rs
@@ -7,7 +7,9 @@
 
 use super::*;
 use crate::clock::{Clock, Time};
+use crate::quarantine::evidence::{Life, Subject, Suspects};
 use crate::serve::origin::{self, Batch, Change, Log, Origin, Page};
+use crate::serve::quarantine;
 
 const SECOND: Duration = Duration::from_secs(1);
 const HALF_SECOND: Duration = Duration::from_millis(500);
@@ -43,6 +45,7 @@
 #[derive(Default)]
 struct Shared {
     batches: RefCell<Vec<Batch>>,
+    evidence: RefCell<Vec<evidence::Record>>,
     epoch: Cell<id::Epoch>,
     appends: Cell<usize>,
     /// What daemons hand over: the number of times, and of records.
@@ -110,11 +113,29 @@
     }
 }
 
+impl quarantine::Log for View {
+    fn write<'a>(
+        &'a self,
+        records: &'a [evidence::Record],
+    ) -> LocalBoxFuture<'a, Result<(), quarantine::Error>> {
+        Box::pin(async move {
+            let step = "writing";
+            let written = self.call(step).await;
+            let error = |origin::Error { reason, .. }| quarantine::Error { step, reason };
+            written.map_err(error)?;
+            self.shared.evidence.borrow_mut().extend(records.to_vec());
+            Ok(())
+        })
+    }
+}
+
 /// One daemon; when it is dead nothing of it is seen by others.
 struct Daemon {
     view: Rc<View>,
     origins: Rc<Origins>,
+    quarantine: Rc<Quarantine>,
     health: Rc<Health>,
+    clock: Rc<dyn Clock>,
     is_dead: Cell<bool>,
     /// Whether it is of an earlier release, which knows no handoff.
     is_old: Cell<bool>,
@@ -186,7 +207,8 @@
                     reason: "not implemented".to_owned(),
                 });
             }
-            let receipt = keep(&helper.origins, load).await;
+            let now = helper.clock.now();
+            let receipt = keep(&helper.origins, &helper.quarantine, load, now).await;
             if helper.is_dead.get() {
                 std::future::pending::<()>().await;
             }
@@ -199,7 +221,7 @@
 fn start(count: usize) -> (Daemons, Rc<Shared>) {
     let shared = Rc::new(Shared::default());
     let clock: Rc<dyn Clock> = Rc::new(PausedClock(tokio::time::Instant::now()));
-    let daemon = |_| {
+    let daemon = |index: usize| {
         let view = Rc::new(View {
             shared: shared.clone(),
             reach: Cell::new(CALM),
@@ -207,10 +229,18 @@
         let health = Health::new(clock.clone());
         let origins = Origins::start(view.clone(), health.clone(), clock.clone(), logger());
         origins.observe(["v1", "v2"].map(origin).into_iter());
+        let quarantine = Quarantine::new(&index.to_string().into(), logger());
+        spawn_local(
+            quarantine
+                .clone()
+                .share(view.clone(), health.clone(), clock.clone()),
+        );
         Daemon {
             view,
             origins,
+            quarantine,
             health,
+            clock: clock.clone(),
             is_dead: Cell::new(false),
             is_old: Cell::new(false),
         }
@@ -224,6 +254,7 @@
             }),
             holders: 2,
             origins: daemon.origins.clone(),
+            quarantine: daemon.quarantine.clone(),
             health: daemon.health.clone(),
             clock: clock.clone(),
             meter: Meter::new("test"),
@@ -374,6 +405,49 @@
     });
 }
 
+/// Has endpoints end under requests with one part, as one daemon sees them.
+fn crash(daemon: &Daemon, endpoints: std::ops::Range<usize>) {
+    for endpoint in endpoints {
+        let suspects = Suspects {
+            content: format!("content-{endpoint}").into(),
+            parts: vec!["fatal".into()],
+        };
+        let life = Life {
+            endpoint: format!("e-{endpoint}").into(),
+            born: 1,
+            service: "s".into(),
+        };
+        let now = daemon.clock.now();
+        daemon.quarantine.blame(&suspects, &life, true, now);
+    }
+}
+
+/// Guards against evidence that is lost with the daemon that gathered it, since the log did not take its records.
+#[test]
+fn evidence_of_daemon_without_log_lost_with_it() {
+    let slow = Reach::After(SECOND * 6 / 5);
+    for reach in [Reach::Cut, Reach::Refused, slow] {
+        on_paused_time(|| async move {
+            let (daemons, shared) = start(3);
+            daemons[0].view.reach.set(reach);
+            crash(&daemons[0], 0..2);
+            tokio::time::sleep(HALF_SECOND / 2).await;
+            daemons[0].quarantine.update(daemons[0].clock.now());
+            tokio::time::sleep(HALF_SECOND).await;
+            daemons[0].kill();
+            daemons[1].kill();
+            let log = shared.evidence.borrow();
+            let fatal = Subject::Part("fatal".into());
+            let record = log.iter().find(|record| record.subject == fatal);
+            let record = record.expect("a record");
+            assert_eq!(record.blames.len(), 2, "{reach:?}");
+            assert!(!record.is_refused);
+            let messages = shared.messages.get();
+            assert!(messages <= 2, "{messages} messages");
+        });
+    }
+}
+
 /// Guards against calls between daemons whose log takes what it is given.
 #[test]
 fn calm_daemons_hand_nothing_over() {
--- a/src/serve/quarantine.rs
+++ b/src/serve/quarantine.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use super::handoff::Health;
 use super::registry::Registry;
 use crate::clock::{Clock, Time};
 use crate::id;
@@ -48,6 +49,9 @@
 pub struct Quarantine {
     evidence: RefCell<Evidence>,
     has_unsent: Notify,
+    /// Notified when records are not to be gathered any longer.
+    flush_requested: Notify,
+    has_sent: Notify,
     logger: Logger,
 }
 
@@ -57,6 +61,8 @@
         Rc::new(Self {
             evidence: RefCell::new(Evidence::new(daemon)),
             has_unsent: Notify::new(),
+            flush_requested: Notify::new(),
+            has_sent: Notify::new(),
             logger,
         })
     }
@@ -169,6 +175,50 @@
         self.update(now);
     }
 
+    /// Returns what neither the log has nor enough other daemons keep.
+    pub(super) fn unheld(&self, now: Time) -> Vec<Record> {
+        self.evidence.borrow().unheld(MAX_BATCH, now)
+    }
+
+    /// Records that enough other daemons keep these records until the log has them.
+    pub(super) fn set_held(&self, records: &[Record]) {
+        self.evidence.borrow_mut().set_held(records);
+    }
+
+    /// Records that another daemon has written these records to the log.
+    pub(super) fn set_written(&self, records: &[Record], now: Time) {
+        self.evidence.borrow_mut().set_sent(records, now);
+        self.has_sent.notify_waiters();
+    }
+
+    /// Writes records to the log at once that another daemon could not write.
+    pub(super) fn keep(&self, records: &[Record], now: Time) {
+        for record in records {
+            self.evidence.borrow_mut().keep(record, now);
+        }
+        if !records.is_empty() {
+            self.update(now);
+            self.flush_requested.notify_one();
+            self.has_unsent.notify_one();
+        }
+    }
+
+    /// Waits until the log has records that this daemon [keeps](Self::keep).
+    pub(super) async fn wait_kept(&self, records: &[Record]) {
+        loop {
+            let sent = self.has_sent.notified();
+            if self.are_logged(records) {
+                return;
+            }
+            sent.await;
+        }
+    }
+
+    fn are_logged(&self, records: &[Record]) -> bool {
+        let evidence = self.evidence.borrow();
+        records.iter().all(|record| evidence.is_logged(record))
+    }
+
     /// Returns what is refused, for a daemon that may know nothing.
     pub fn refused_records(&self, now: Time) -> Vec<Record> {
         self.evidence.borrow().refused_records(now)
@@ -190,7 +240,7 @@
     }
 
     /// Writes what this daemon finds to the log as long as the process runs.
-    pub async fn share(self: Rc<Self>, log: Rc<dyn Log>, clock: Rc<dyn Clock>) {
+    pub async fn share(self: Rc<Self>, log: Rc<dyn Log>, health: Rc<Health>, clock: Rc<dyn Clock>) {
         loop {
             let now = clock.now();
             self.evidence.borrow_mut().expire(now);
@@ -203,15 +253,16 @@
                     continue;
                 }
             }
-            tokio::time::sleep(FLUSH_DELAY).await;
+            drop(timeout(FLUSH_DELAY, self.flush_requested.notified()).await);
             let records = self.evidence.borrow().unsent(MAX_BATCH, clock.now());
             if records.is_empty() {
                 continue;
             }
-            match log.write(&records).await {
+            match health.watch(log.write(&records)).await {
                 Ok(()) => {
                     info!(self.logger, "evidence written"; "subjects" => records.len());
                     self.evidence.borrow_mut().set_sent(&records, clock.now());
+                    self.has_sent.notify_waiters();
                 }
                 Err(error) => {
                     warn!(self.logger, "evidence not written";
--- a/src/serve/region/helpers.rs
+++ b/src/serve/region/helpers.rs
@@ -77,6 +77,8 @@
         let mut request = connection.client.keep_request();
         let count = u32::try_from(load.streams.len()).unwrap_or_default();
         wire::write_origins(&load.streams, request.get().init_streams(count));
+        let count = u32::try_from(load.evidence.len()).unwrap_or_default();
+        wire::write_refused(&load.evidence, request.get().init_evidence(count));
         let answer = connection.wait_response(request.send().promise).await;
         let answer = answer.map_err(error)?;
         let answer = answer.get().map_err(error)?;
--- a/src/serve/region/host.rs
+++ b/src/serve/region/host.rs
@@ -148,8 +148,10 @@
         params: planner::KeepParams,
         mut results: planner::KeepResults,
     ) -> capnp::Result<()> {
+        let params = params.get()?;
         let load = Load {
-            streams: wire::read_origins(params.get()?.get_streams()?)?,
+            streams: wire::read_origins(params.get_streams()?)?,
+            evidence: wire::read_refused(params.get_evidence()?)?,
         };
         let receipt = self.node.keep(&load).await;
         let mut answer = results.get();
--- a/src/serve/region/wire.rs
+++ b/src/serve/region/wire.rs
@@ -379,7 +379,7 @@
     reader.iter().map(record).collect()
 }
 
-/// Writes what is refused, since endpoints ended under it.
+/// Writes what is refused, or may be, since endpoints ended under it.
 pub fn write_refused(
     records: &[evidence::Record],
     mut builder: capnp::struct_list::Builder<'_, schema::refused::Owned>,
@@ -391,6 +391,8 @@
             Subject::Part(part) => entry.set_part(&**part),
         }
         entry.set_depth(to_u16(record.depth));
+        entry.set_is_open(!record.is_refused);
+        entry.set_is_silent(record.is_silent);
         let mut blames = entry.init_blames(to_u32(record.blames.len()));
         for (index, (life, age)) in (0..).zip(&record.blames) {
             let mut blame = blames.reborrow().get(index);
@@ -411,7 +413,7 @@
     Ok((life, Duration::from_nanos(reader.get_age_nanos())))
 }
 
-/// Reads what is refused.
+/// Reads what is refused, or may be.
 pub fn read_refused(
     reader: capnp::struct_list::Reader<'_, schema::refused::Owned>,
 ) -> Result<Vec<evidence::Record>> {
@@ -426,8 +428,8 @@
             subject,
             depth: entry.get_depth().into(),
             blames: blames.collect::<Result<_>>()?,
-            is_refused: true,
-            is_silent: false,
+            is_refused: !entry.get_is_open(),
+            is_silent: entry.get_is_silent(),
         })
     };
     reader.iter().map(record).collect()
