--- a/src/serve/handoff/tests.rs
+++ b/src/serve/handoff/tests.rs
@@ -364,12 +364,32 @@
     });
 }
 
+/// Guards against streams that stay with daemons that cannot write, though one that can is found later.
+#[test]
+fn streams_kept_by_daemons_without_log_lost() {
+    on_paused_time(|| async {
+        let (daemons, _) = start(12);
+        let (last, cut) = daemons.split_last().expect("daemons");
+        cut.iter()
+            .for_each(|daemon| daemon.view.reach.set(Reach::Cut));
+        let mut begun = begin(&daemons[0], "a", 4).await;
+        tokio::time::sleep(SECOND).await;
+        begun.extend(begin(&daemons[0], "b", 1).await);
+        tokio::time::sleep(SECOND).await;
+        cut.iter().for_each(Daemon::kill);
+        assert_eq!(found(last, &begun).await, 5);
+    });
+}
+
 /// Guards against records that are gone with the daemon that wrote them for another one when the log goes back.
 #[test]
 fn kept_streams_lost_when_log_goes_back() {
     on_paused_time(|| async {
         let (daemons, shared) = start(3);
         daemons[0].view.reach.set(Reach::Refused);
+        // So fast that nobody else is asked.
+        let fast = Reach::After(Duration::from_millis(4));
+        daemons[1].view.reach.set(fast);
         let begun = begin(&daemons[0], "a", 4).await;
         tokio::time::sleep(SECOND).await;
         daemons[0].kill();
